--- /dev/null
+++ b/lentilmoor/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries, generated from peer.proto."""
