--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 lint: $(STAMP)
 	$(BIN)/yapf --diff --recursive --parallel $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
-	$(BIN)/pylint --score=n $(SOURCES)
+	$(BIN)/python -m pylint --score=n $(SOURCES)
 
 test: lint
 	$(BIN)/python -m unittest discover --start-directory tests --top-level-directory .
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with committed bounds."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of what lies outside: the platform and backend servers."""
