--- /dev/null
+++ b/lentilmoor/problems.py
@@ -0,0 +1,181 @@
+"""Problem details (RFC 9457): how a refusal or a failure is told over HTTP.
+
+Each response says in a header and, if it is not an answer of a backend
+server, in its body whether the request was not run or its outcome is unknown,
+and why. `parse` is the inverse of `make`, for the hop between two entries.
+"""
+
+import dataclasses
+import enum
+import http
+import json
+
+from lentilmoor import clocks
+from lentilmoor import outcomes
+
+CONTENT_TYPE = 'application/problem+json'
+OUTCOME_HEADER = 'Lentilmoor-Outcome'
+REASON_HEADER = 'Lentilmoor-Reason'
+RETRY_HEADER = 'Retry-After'
+TYPE_PREFIX = 'urn:lentilmoor:problem:'
+_MAX_PARSED_BYTES = 64 * 1024
+
+_Reason = outcomes.Reason
+
+
+class Outcome(enum.Enum):
+    """What `OUTCOME_HEADER` says."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """An HTTP response that is not an answer of a backend server.
+
+    Attributes:
+      status: HTTP status code.
+      headers: Header fields, Content-Type and Content-Length included.
+      body: JSON, UTF-8.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def status_line(self) -> str:
+        """The status as WSGI wants it, such as '503 Service Unavailable'."""
+        return f'{self.status} {http.HTTPStatus(self.status).phrase}'
+
+
+_STATUSES = {
+    _Reason.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
+    _Reason.UNKNOWN_SERVICE: http.HTTPStatus.NOT_FOUND,
+    _Reason.MISSING_KEY: http.HTTPStatus.BAD_REQUEST,
+    _Reason.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    _Reason.DEADLINE_PASSED: http.HTTPStatus.GATEWAY_TIMEOUT,
+    _Reason.NOT_AUTHORIZED: http.HTTPStatus.FORBIDDEN,
+    _Reason.QUARANTINED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    _Reason.ALREADY_CLAIMED: http.HTTPStatus.CONFLICT,
+    _Reason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    _Reason.RESULT_NOT_KEPT: http.HTTPStatus.CONFLICT,
+    _Reason.CONNECT_FAILED: http.HTTPStatus.BAD_GATEWAY,
+    _Reason.CONNECTION_LOST: http.HTTPStatus.BAD_GATEWAY,
+    _Reason.ANSWER_CUT: http.HTTPStatus.BAD_GATEWAY,
+    _Reason.TIMED_OUT: http.HTTPStatus.GATEWAY_TIMEOUT,
+    _Reason.CONFLICT: http.HTTPStatus.CONFLICT,
+    _Reason.NOT_FOUND: http.HTTPStatus.NOT_FOUND,
+    _Reason.INVALID: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+}
+
+
+def pick_status(outcome: outcomes.NotRun | outcomes.Unknown) -> int:
+    """Returns the HTTP status code of an outcome.
+
+    An unknown outcome never gets 503: clients and proxies resend after a 503
+    by themselves, and the request may have run.
+
+    Args:
+      outcome: What became of the request.
+    """
+    status = _STATUSES.get(outcome.reason, http.HTTPStatus.SERVICE_UNAVAILABLE)
+    unknown = isinstance(outcome, outcomes.Unknown)
+    if unknown and status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        status = http.HTTPStatus.BAD_GATEWAY
+    return int(status)
+
+
+def make(outcome: outcomes.NotRun | outcomes.Unknown,
+         instance: str = '') -> Problem:
+    """Returns the response that tells a caller of an outcome.
+
+    Args:
+      outcome: What became of the request.
+      instance: The entry that gave the outcome, if it is to be shown.
+    """
+    status = pick_status(outcome)
+    kind = _kind_of(outcome)
+    retry_after_ms = getattr(outcome, 'retry_after_ms', 0)
+    members = {
+        'type': TYPE_PREFIX + outcome.reason.value,
+        'title': http.HTTPStatus(status).phrase,
+        'status': status,
+        'detail': outcome.detail or outcome.reason.value,
+        'outcome': kind.value,
+        'reason': outcome.reason.value,
+    }
+    if retry_after_ms:
+        members['retry_after_ms'] = retry_after_ms
+    if instance:
+        members['instance'] = f'urn:lentilmoor:entry:{instance}'
+    headers = [(OUTCOME_HEADER, kind.value),
+               (REASON_HEADER, outcome.reason.value)]
+    if retry_after_ms:
+        seconds = -(-retry_after_ms // int(clocks.MS_PER_S))
+        headers.append((RETRY_HEADER, str(int(seconds))))
+    return make_document(status, members, headers)
+
+
+def make_document(status: int,
+                  members: dict[str, object],
+                  headers: list[tuple[str, str]] | None = None) -> Problem:
+    """Returns a problem details response with members of the caller's own.
+
+    Args:
+      status: HTTP status code.
+      members: The members of the JSON object.
+      headers: Header fields besides the content's type and length.
+    """
+    body = json.dumps(members, ensure_ascii=False).encode()
+    content = [('Content-Type', CONTENT_TYPE),
+               ('Content-Length', str(len(body)))]
+    return Problem(status, tuple(content + (headers or [])), body)
+
+
+def parse(outcome: str | None, reason: str | None,
+          body: bytes) -> outcomes.NotRun | outcomes.Unknown | None:
+    """Reads an outcome back from a response of another entry.
+
+    Args:
+      outcome: Value of `OUTCOME_HEADER`, or None if it is absent.
+      reason: Value of `REASON_HEADER`, or None.
+      body: The response's body.
+
+    Returns:
+      The outcome; None if the response is an answer. A reason that this
+      release does not know is reported as `PEER_UNAVAILABLE`.
+    """
+    if outcome not in (Outcome.NOT_RUN.value, Outcome.UNKNOWN.value):
+        return None
+    members = _read_members(body)
+    detail = str(members.get('detail', ''))
+    try:
+        known = _Reason(reason)
+    except ValueError:
+        known = _Reason.PEER_UNAVAILABLE
+        detail = f'{reason}: {detail}'
+    if outcome == Outcome.UNKNOWN.value:
+        return outcomes.Unknown(known, detail)
+    retry_after_ms = members.get('retry_after_ms', 0)
+    if not isinstance(retry_after_ms, int):
+        retry_after_ms = 0
+    return outcomes.NotRun(known, detail, retry_after_ms)
+
+
+def _kind_of(outcome: outcomes.NotRun | outcomes.Unknown) -> Outcome:
+    if isinstance(outcome, outcomes.NotRun):
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def _read_members(body: bytes) -> dict[str, object]:
+    if len(body) > _MAX_PARSED_BYTES:
+        return {}
+    try:
+        members = json.loads(body)
+    except ValueError:
+        return {}
+    return members if isinstance(members, dict) else {}
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,119 @@
+"""Counters, gauges and times under threads, and their text form."""
+
+import threading
+import unittest
+
+from prometheus_client import parser
+
+from lentilmoor import clocks
+from lentilmoor import metrics
+
+
+def _samples(registry):
+    return {
+        (sample.name, tuple(sorted(sample.labels.items()))): sample.value
+        for family in parser.text_string_to_metric_families(
+            registry.show().decode()) for sample in family.samples
+    }
+
+
+def _run_threads(count, work):
+    threads = [threading.Thread(target=work) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+class CounterTest(unittest.TestCase):
+
+    def test_no_update_is_lost_and_ended_threads_are_folded(self):
+        counter = metrics.Counter()
+
+        def work():
+            for _ in range(5_000):
+                counter.add()
+
+        _run_threads(8, work)
+        self.assertEqual(counter.read(), 40_000)
+        self.assertEqual(counter.read(), 40_000)
+        _run_threads(8, work)
+        counter.add(3)
+        self.assertEqual(counter.read(), 80_003)
+
+
+class TimesTest(unittest.TestCase):
+
+    def setUp(self):
+        self.time = clocks.ManualTime()
+        self.times = metrics.Times(self.time.clock())
+
+    def test_quantiles_within_two_digits(self):
+        for ms in range(1, 1_001):
+            self.times.record(float(ms))
+        snapshot = self.times.read()
+        self.assertEqual(snapshot.count, 1_000)
+        self.assertAlmostEqual(snapshot.sum_ms, 500_500.0)
+        for quantile, ms in zip(metrics.QUANTILES,
+                                snapshot.quantiles_ms,
+                                strict=True):
+            self.assertAlmostEqual(ms / (quantile * 1_000), 1.0, delta=0.011)
+
+    def test_old_windows_leave_the_quantiles_but_not_the_count(self):
+        self.times.record(500.0)
+        self.times.read()
+        self.time.advance(metrics.WINDOW_MS)
+        self.times.record(5.0)
+        self.assertGreater(self.times.read().quantiles_ms[-1], 490.0)
+        self.time.advance(metrics.WINDOW_MS)
+        self.times.record(5.0)
+        snapshot = self.times.read()
+        self.assertLess(snapshot.quantiles_ms[-1], 6.0)
+        self.assertEqual(snapshot.count, 3)
+
+    def test_queue_is_bounded_and_loses_nothing_under_threads(self):
+
+        def work():
+            for _ in range(3_000):
+                self.times.record(2.0)
+
+        _run_threads(4, work)
+        self.assertEqual(self.times.read().count, 12_000)
+
+    def test_out_of_range_values_are_kept(self):
+        self.times.record(-1.0)
+        self.times.record(10_000_000.0)
+        self.assertEqual(self.times.read().count, 2)
+
+
+class RegistryTest(unittest.TestCase):
+
+    def setUp(self):
+        self.registry = metrics.Registry(clocks.ManualTime().clock())
+
+    def test_text_form(self):
+        requests = self.registry.counter('requests', 'Requests.', 'service')
+        requests.at('shop/stock').add(2)
+        requests.at('a"b\\c\n').add()
+        self.registry.gauge('ready', 'Ready.', read=lambda: 1.0)
+        self.registry.times('hop_ms', 'Hop.', 'hop').at('try').record(4.0)
+        samples = _samples(self.registry)
+        self.assertEqual(
+            samples['requests_total', (('service', 'shop/stock'),)], 2)
+        self.assertEqual(samples['requests_total', (('service', 'a"b\\c\n'),)],
+                         1)
+        self.assertEqual(samples['ready', ()], 1)
+        self.assertEqual(samples['hop_ms_count', (('hop', 'try'),)], 1)
+        median = samples['hop_ms', (('hop', 'try'), ('quantile', '0.5'))]
+        self.assertAlmostEqual(median, 4.0, delta=0.05)
+
+    def test_label_sets_are_bounded(self):
+        family = self.registry.counter('requests', 'Requests.', 'path')
+        for index in range(metrics.MAX_CHILDREN + 50):
+            family.at(f'/{index}').add()
+        self.assertLessEqual(len(family.children()), metrics.MAX_CHILDREN + 1)
+        self.assertEqual(family.at(metrics.OTHER).read(), 50)
+
+    def test_wrong_number_of_labels(self):
+        with self.assertRaises(ValueError):
+            self.registry.counter('requests', 'Requests.', 'path').at()
