--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,161 @@
+"""Tests of the quarantine: the guilty request blocked, innocents let pass."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lentilmoor import fingerprints
+from lentilmoor import quarantine
+
+_KILLER = b'k' * 16
+_INNOCENT = b'i' * 16
+_SERVICE = 'team/orders'
+_BLOCKED = quarantine.Verdict.BLOCKED
+_SUSPECT = quarantine.Verdict.SUSPECT
+_CLEAR = quarantine.Verdict.CLEAR
+
+
+def _crash(table, fingerprint, server, now):
+    return quarantine.report_crash(table, fingerprint, _SERVICE, server, now)
+
+
+def _blocked_table() -> quarantine.Quarantine:
+    table = quarantine.Quarantine()
+    _crash(table, _KILLER, 'a', 0.0)
+    _crash(table, _KILLER, 'b', 2_000.0)
+    return table
+
+
+class BlockTest(unittest.TestCase):
+
+    def test_second_crash_blocks_and_the_first_does_not(self):
+        table = quarantine.Quarantine()
+        _crash(table, _KILLER, 'a', 0.0)
+        self.assertIs(quarantine.check(table, _KILLER, 1.0), _SUSPECT)
+        _crash(table, _KILLER, 'a', 1.0)  # Another copy, the same crash.
+        self.assertIs(quarantine.check(table, _KILLER, 1.0), _SUSPECT)
+        _crash(table, _KILLER, 'b', 2_000.0)
+        self.assertIs(quarantine.check(table, _KILLER, 2_001.0), _BLOCKED)
+
+    def test_clean_run_between_crashes_clears(self):
+        table = quarantine.Quarantine()
+        _crash(table, _INNOCENT, 'a', 0.0)
+        quarantine.report_clean_run(table, _INNOCENT, 'b', 1_500.0)
+        _crash(table, _INNOCENT, 'b', 2_000.0)
+        self.assertIs(quarantine.check(table, _INNOCENT, 2_001.0), _SUSPECT)
+
+    def test_block_ends_and_one_more_crash_blocks_for_longer(self):
+        table = _blocked_table()
+        end = 2_000.0 + quarantine.BLOCK_MS
+        quarantine.step(table, end)
+        self.assertIs(quarantine.check(table, _KILLER, end - 1), _BLOCKED)
+        self.assertIs(quarantine.check(table, _KILLER, end), _SUSPECT)
+        _crash(table, _KILLER, 'c', end)
+        later = end + 1.5 * quarantine.BLOCK_MS
+        self.assertIs(quarantine.check(table, _KILLER, later), _BLOCKED)
+        quarantine.step(table, end + 4 * quarantine.BLOCK_MS)
+        self.assertFalse(table.suspects)
+
+    def test_operator_releases_it_at_every_entry(self):
+        here, there = _blocked_table(), _blocked_table()
+        order = quarantine.release(here, _KILLER, _SERVICE, 3_000.0)
+        quarantine.merge(there, [order], 3_000.0)
+        quarantine.merge(there, quarantine.export(_blocked_table(), 3_000.0),
+                         3_000.0)
+        for table in (here, there):
+            self.assertIs(quarantine.check(table, _KILLER, 3_001.0), _CLEAR)
+
+    def test_known_killer_accounts_for_requests_beside_it(self):
+        table = _blocked_table()
+        _crash(table, _INNOCENT, 'a', 10.0)
+        quarantine.step(table, 4_000.0)
+        self.assertIs(quarantine.check(table, _INNOCENT, 4_000.0), _CLEAR)
+        _crash(table, b'o' * 16, 'a', 20.0)  # A late report of that crash.
+        self.assertIs(quarantine.check(table, b'o' * 16, 4_000.0), _CLEAR)
+
+    def test_lost_connection_of_a_living_server_is_no_crash(self):
+        table = quarantine.Quarantine()
+        for at in (1_000.0, 3_000.0):
+            _crash(table, _INNOCENT, 'a', at)
+            cleared = quarantine.report_survived(table, 'a', 500.0, at + 1)
+            self.assertEqual(len(cleared), 1)
+        self.assertIs(quarantine.check(table, _INNOCENT, 3_001.0), _CLEAR)
+
+    def test_new_connection_proves_nothing(self):
+        table = quarantine.Quarantine()
+        _crash(table, _KILLER, 'a', 1_000.0)
+        quarantine.report_survived(table, 'a', 1_100.0, 1_200.0)
+        self.assertIs(quarantine.check(table, _KILLER, 1_200.0), _SUSPECT)
+
+    def test_suspects_run_one_at_a_time(self):
+        table = quarantine.Quarantine()
+        self.assertTrue(quarantine.start_alone(table, 'a', _KILLER))
+        self.assertFalse(quarantine.start_alone(table, 'a', _KILLER))
+        self.assertFalse(quarantine.start_alone(table, 'a', _INNOCENT))
+        self.assertTrue(quarantine.start_alone(table, 'b', _INNOCENT))
+        quarantine.end_alone(table, 'a')
+        self.assertTrue(quarantine.start_alone(table, 'a', _INNOCENT))
+
+
+class GossipTest(unittest.TestCase):
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=100)
+    @given(
+        st.lists(st.tuples(st.sampled_from((_KILLER, _INNOCENT)),
+                           st.sampled_from('abc'), st.booleans(),
+                           st.integers(1_500, 90_000)),
+                 max_size=8), st.randoms())
+    def test_entries_agree_whatever_the_order_and_the_echoes(
+            self, events, generator):
+        first, second = quarantine.Quarantine(), quarantine.Quarantine()
+        now = 0.0
+        for fingerprint, server, crashed, gap in events:
+            now += gap
+            if crashed:
+                _crash(first, fingerprint, server, now)
+            else:
+                quarantine.report_clean_run(first, fingerprint, server, now)
+        for _ in range(4):
+            items = quarantine.export(first, now)
+            generator.shuffle(items)
+            quarantine.merge(second, items, now + 30)
+            quarantine.merge(first, quarantine.export(second, now + 30),
+                             now + 60)
+        for fingerprint in (_KILLER, _INNOCENT):
+            self.assertIs(quarantine.check(first, fingerprint, now + 60),
+                          quarantine.check(second, fingerprint, now + 60))
+
+
+class FingerprintTest(unittest.TestCase):
+
+    def _make(self, target='/stock', key='lot-1', body=b'', length=-1, **more):
+        digest = fingerprints.BodyDigest()
+        for start in range(0, len(body), 1_000):
+            fingerprints.feed(digest, body[start:start + 1_000])
+        return fingerprints.make_fingerprint(_SERVICE, 'POST', target, key,
+                                             more, digest, length)
+
+    def test_resend_has_the_same_and_others_another(self):
+        seen = {
+            self._make(),
+            self._make(target='/stock?x=1'),
+            self._make(key='lot-2'),
+            self._make(body=b'a'),
+            self._make(body=b'b'),
+            self._make(body=b'aa'),
+            self._make(range='bytes=0-1'),
+        }
+        self.assertEqual(len(seen), 7)
+        self.assertIn(self._make(body=b'aa', traceparent='t'), seen)
+
+    def test_long_body_is_known_by_its_prefix_and_length(self):
+        prefix = b'p' * fingerprints.PREFIX_BYTES
+        whole = self._make(body=prefix + b'rest', length=70_000)
+        self.assertEqual(whole, self._make(body=prefix, length=70_000))
+        self.assertNotEqual(whole, self._make(body=prefix, length=70_001))
+
+
+if __name__ == '__main__':
+    unittest.main()
