--- a/lentilmoor/metrics.py
+++ b/lentilmoor/metrics.py
@@ -25,6 +25,7 @@
 WINDOW_MS = 60_000.0
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
+_PERCENTILES = [quantile * 100 for quantile in QUANTILES]
 _US_PER_MS = 1_000
 _LOWEST_US = 1
 _HIGHEST_US = 600_000_000
@@ -139,9 +140,9 @@
             merged = _make_histogram()
             merged.add(self._last)
             merged.add(self._current)
+            values = merged.get_percentile_to_value_dict(_PERCENTILES)
             quantiles = tuple(
-                merged.get_value_at_percentile(quantile * 100) / _US_PER_MS
-                for quantile in QUANTILES)
+                values[percentile] / _US_PER_MS for percentile in _PERCENTILES)
             return TimesSnapshot(self._count, self._sum_ms, quantiles)
 
     def _drain(self) -> None:
