Name the line of each wrong field, and let a server be marked leaving

Cause: a wrong field was named without its line; a repeated key dropped the first one silently; nested aliases could unfold without bound; a drain had no lasting mark.

--- a/lentilmoor/models.py
+++ b/lentilmoor/models.py
@@ -10,12 +10,15 @@
 from typing import Literal
 
 import pydantic
-import yaml
 
+from lentilmoor import documents
 from lentilmoor import exceptions
 
 MAX_BRANCH_BYTES = 512 * 1024
 
+_MAX_PORT = 65_535
+_ADDRESS_FORM = 'expected IP:port, for example 127.0.0.1:8080'
+
 Name = Annotated[str,
                  pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$',
                                 description='lower case, digits, hyphens')]
@@ -23,9 +26,12 @@
 
 def _check_address(value: str) -> str:
     host, _, port = value.rpartition(':')
-    ipaddress.ip_address(host.strip('[]'))
-    if not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError('expected IP:port, for example 127.0.0.1:8080')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError as error:
+        raise ValueError(_ADDRESS_FORM) from error
+    if not port.isdecimal() or int(port) > _MAX_PORT:
+        raise ValueError(_ADDRESS_FORM)
     return value
 
 
@@ -33,7 +39,7 @@
 
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True, strict=True)
 
 
 class StoreSettings(_Model):
@@ -50,6 +56,12 @@
     path: str = ''
     sample_rate: float = pydantic.Field(default=0.01, ge=0, le=1)
 
+    @pydantic.model_validator(mode='after')
+    def _check_path(self) -> 'TraceSettings':
+        if self.exporter == 'file' and not self.path:
+            raise ValueError('the file exporter needs a path')
+        return self
+
 
 class ProcessSettings(_Model):
     """One entry process: its addresses, its place, its secrets.
@@ -82,7 +94,16 @@
 
 
 class ServerSettings(_Model):
-    """One backend server of a service."""
+    """One backend server of a service.
+
+    Attributes:
+      id: Unique within the service; never given to another process.
+      shard: The group of servers that it belongs to; fixed.
+      slots: Requests that it runs at once.
+      connections: Connections that it takes from all entries together.
+      checks_grants: Whether it refuses requests that no valid grant covers.
+      leaving: Whether it is to hand over its keys and get no new work.
+    """
 
     id: Name
     address: Address
@@ -91,6 +112,7 @@
     slots: int = pydantic.Field(default=2, ge=1, le=1024)
     connections: int = pydantic.Field(default=125, ge=1, le=100_000)
     checks_grants: bool = True
+    leaving: bool = False
 
 
 class ClassSettings(_Model):
@@ -126,6 +148,12 @@
     deadline_ms: int = pydantic.Field(default=2_000, ge=1)
     longest_deadline_ms: int = pydantic.Field(default=60_000, ge=1)
 
+    @pydantic.model_validator(mode='after')
+    def _check_deadlines(self) -> 'Limits':
+        if self.deadline_ms > self.longest_deadline_ms:
+            raise ValueError('deadline_ms must be at most longest_deadline_ms')
+        return self
+
 
 class GrantSettings(_Model):
     """Lifetimes of grants and routing leases.
@@ -184,6 +212,9 @@
             if server.shard >= self.shards:
                 raise ValueError(f'server {server.id}: shard must be below '
                                  f'{self.shards}')
+        addresses = [server.address for server in self.servers]
+        if len(set(addresses)) != len(addresses):
+            raise ValueError('addresses must be unique within a service')
         names = [item.name for item in self.classes]
         if len(set(names)) != len(names):
             raise ValueError('class names must be unique within a service')
@@ -239,24 +270,19 @@
 
 
 def _parse(model: type[pydantic.BaseModel], text: str):
+    document = documents.load(text)
     try:
-        return model.model_validate(yaml.safe_load(text))
-    except yaml.YAMLError as error:
-        raise exceptions.SettingsError([_describe_yaml(error)]) from error
+        return model.model_validate(document.value)
     except pydantic.ValidationError as error:
-        raise exceptions.SettingsError(_describe_fields(error)) from error
-
-
-def _describe_yaml(error: yaml.YAMLError) -> str:
-    mark = getattr(error, 'problem_mark', None)
-    if mark is None:
-        return f'YAML: {error}'
-    problem = getattr(error, 'problem', 'invalid')
-    return f'line {mark.line + 1}, column {mark.column + 1}: {problem}'
-
-
-def _describe_fields(error: pydantic.ValidationError) -> list[str]:
-    return [
-        f'{".".join(str(part) for part in item["loc"]) or "document"}: '
-        f'{item["msg"]}' for item in error.errors()
-    ]
+        raise exceptions.SettingsError(_describe(document, error)) from error
+
+
+def _describe(document: documents.Document,
+              error: pydantic.ValidationError) -> list[str]:
+    """Returns a line per problem, in the order of the document."""
+    found = []
+    for item in error.errors():
+        line = document.find_line(item['loc'])
+        field = '.'.join(str(part) for part in item['loc']) or 'document'
+        found.append((line, f'line {line}: {field}: {item["msg"]}'))
+    return [problem for _, problem in sorted(found)]
