--- /dev/null
+++ b/lentilmoor/liveness.py
@@ -0,0 +1,358 @@
+"""Which backend servers live: the evidence of many entries, weighed.
+
+A server is held dead only when entries of two failure domains have failed for
+long enough with no answer to anybody in between, so one entry that is cut off,
+paused or misled condemns nobody. Any answer proves life, also a refusal, an
+error page or a health report that says "ill". Every entry runs the same step;
+only a shard's grantor acts on a lost server, others take verdicts as hints.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+import math
+
+from lentilmoor import evidence
+from lentilmoor import tables
+
+# A hold before a server counts as back doubles with each loss, this often.
+_MOST_DOUBLINGS = 8
+
+_Liveness = tables.Liveness
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """The verdict on a server changed.
+
+    Attributes:
+      shard: Shard id.
+      server: Server id.
+      before: The verdict before.
+      after: The verdict now.
+      since: Begin of the evidence for a loss, ms; else the time of change.
+    """
+
+    shard: str
+    server: str
+    before: tables.Liveness
+    after: tables.Liveness
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tell:
+    """Evidence that others should have at once.
+
+    It goes to the shard's grantor, to the next candidates for that role and
+    to the entries that probe the server.
+    """
+
+    item: evidence.Evidence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Quorum:
+    """Who must agree on a loss or a return.
+
+    Attributes:
+      needed: How many domains, or entries.
+      by_entry: Whether entries are counted, not domains.
+      factor: By how much spans are lengthened.
+    """
+
+    needed: int
+    by_entry: bool
+    factor: float
+
+
+def step(table: evidence.LivenessTable, instances: Mapping[str,
+                                                           tables.Instance],
+         now: float) -> list[Change | Tell]:
+    """Weighs all evidence; to be called at least every 50 ms.
+
+    Args:
+      table: The table; updated.
+      instances: Entries by id; those heard from lately count as live.
+      now: ms.
+
+    Returns:
+      Changed verdicts, and evidence that peers should have at once.
+    """
+    evidence.notice_pause(table, now)
+    if not table.active:
+        return []
+    _judge_self(table, now)
+    quorum = _find_quorum(table, instances, now)
+    actions: list[Change | Tell] = []
+    for key in sorted(table.active):
+        view = table.servers[key]
+        after = _judge(table, view, quorum, now)
+        if after is not view.liveness:
+            actions.append(_change(view, key, after, now))
+        actions.extend(_tell(table, view, key, now))
+        if _is_quiet(table, view, now):
+            _retire(table, key)
+    return actions
+
+
+def is_isolated(table: evidence.LivenessTable, now: float) -> bool:
+    """Returns whether this entry distrusts its own failures for now."""
+    since = table.isolated_since
+    return since >= 0 and now - since < table.thresholds.isolated_ms
+
+
+def is_cut_off(table: evidence.LivenessTable, key: evidence.ServerKey) -> bool:
+    """Returns whether only this entry can't reach a server others reach.
+
+    Requests for such a server are better handed to another entry.
+    """
+    view = table.servers.get(key)
+    if view is None or key not in table.active:
+        return False
+    own = evidence.own_opinions(table, view)
+    if any(opinion.answered_at >= view.answered_at for opinion in own):
+        return False
+    return any(opinion.failures >= table.thresholds.failures and
+               view.answered_at > opinion.failing_since for opinion in own)
+
+
+def is_suspected(table: evidence.LivenessTable, key: evidence.ServerKey,
+                 now: float) -> bool:
+    """Returns whether a server should be looked at closely, also if leaving."""
+    return key in table.active and _is_suspected(table, table.servers[key], now)
+
+
+def _judge_self(table: evidence.LivenessTable, now: float) -> None:
+    """Notes whether most servers fail for this entry."""
+    if len(table.active) < table.thresholds.failures:
+        table.isolated_since = evidence.NEVER
+        return
+    oldest = now - table.thresholds.isolated_ms
+    seen = failing = 0
+    for view in table.servers.values():
+        own = evidence.own_opinions(table, view)
+        answered_at = max((item.answered_at for item in own),
+                          default=evidence.NEVER)
+        failed_at = max((item.failed_at for item in own if item.failures),
+                        default=evidence.NEVER)
+        seen += max(answered_at, failed_at) >= oldest
+        failing += failed_at >= oldest and failed_at > answered_at
+    if failing < table.thresholds.failures or 2 * failing <= seen:
+        table.isolated_since = evidence.NEVER
+    elif table.isolated_since < 0:
+        table.isolated_since = now
+
+
+def _find_quorum(table: evidence.LivenessTable,
+                 instances: Mapping[str,
+                                    tables.Instance], now: float) -> _Quorum:
+    """Returns two domains, or fewer where fewer are live."""
+    limits = table.thresholds
+    domains = {table.domain}
+    entries = {table.me}
+    for row in instances.values():
+        if row.heard_at and now - row.heard_at <= limits.isolated_ms:
+            domains.add(row.failure_domain)
+            entries.add(row.id)
+    if len(domains) > 1:
+        return _Quorum(2, False, 1.0)
+    if len(entries) > 1:
+        return _Quorum(2, True, limits.alone_factor)
+    return _Quorum(1, True, 2 * limits.alone_factor)
+
+
+def _judge(table: evidence.LivenessTable, view: evidence.ServerView,
+           quorum: _Quorum, now: float) -> tables.Liveness:
+    """Returns the verdict on one server."""
+    if view.liveness is _Liveness.DEAD:
+        if not _is_back(table, view, quorum, now):
+            return _Liveness.DEAD
+    elif _is_lost(table, view, quorum, now):
+        return _Liveness.DEAD
+    if view.leaving:
+        return _Liveness.LEAVING
+    suspected = _is_suspected(table, view, now)
+    return _Liveness.SUSPECT if suspected else _Liveness.LIVE
+
+
+def _is_lost(table: evidence.LivenessTable, view: evidence.ServerView,
+             quorum: _Quorum, now: float) -> bool:
+    first = False
+    agreeing = set()
+    since = math.inf
+    for entry, source, opinion in _trusted(table, view, now):
+        share = _weigh(table, view, source, opinion, now) / quorum.factor
+        if share < table.thresholds.second_share:
+            continue
+        first |= share >= 1.0
+        agreeing.add(entry if quorum.by_entry else opinion.domain)
+        since = min(since, opinion.failing_since)
+    if not first or len(agreeing) < quorum.needed:
+        return False
+    view.lost_since = since
+    return True
+
+
+def _weigh(table: evidence.LivenessTable, view: evidence.ServerView,
+           source: evidence.Source, opinion: evidence.Opinion,
+           now: float) -> float:
+    """Returns how strongly one opinion holds the server dead; 1 is enough."""
+    limits = table.thresholds
+    if opinion.failures < limits.failures:
+        return 0.0
+    if now - opinion.failed_at > limits.fresh_ms:
+        return 0.0
+    least_ms = limits.silent_ms
+    if opinion.refused >= limits.failures:
+        least_ms = limits.refused_ms
+    share = _span(opinion, view.answered_at) / least_ms
+    if (source is evidence.Source.REQUEST and
+            opinion.failures >= limits.request_failures):
+        span = _span(opinion, view.request_answered_at)
+        share = max(share, span / limits.requests_ms)
+    return share
+
+
+def _span(opinion: evidence.Opinion, answered_at: float) -> float:
+    """Returns for how long an entry has failed with no answer to anybody."""
+    return opinion.failed_at - max(opinion.failing_since, answered_at)
+
+
+def _is_suspected(table: evidence.LivenessTable, view: evidence.ServerView,
+                  now: float) -> bool:
+    return any(
+        _is_suspicion(table, view, source, opinion, now)
+        for _, source, opinion in _trusted(table, view, now))
+
+
+def _is_suspicion(table: evidence.LivenessTable, view: evidence.ServerView,
+                  source: evidence.Source, opinion: evidence.Opinion,
+                  now: float) -> bool:
+    """Returns whether an opinion is reason enough to look closer.
+
+    An entry whose failures others have long contradicted by their answers is
+    cut off itself; it is no reason to go on probing.
+    """
+    limits = table.thresholds
+    if not _is_worth_telling(source, opinion):
+        return False
+    if now - opinion.failed_at > limits.fresh_ms:
+        return False
+    if view.answered_at - opinion.failing_since > limits.isolated_ms:
+        return False
+    return opinion.failed_at > view.answered_at
+
+
+def _is_worth_telling(source: evidence.Source,
+                      opinion: evidence.Opinion) -> bool:
+    """Returns whether failures are more than one request gone astray."""
+    if source is evidence.Source.PROBE or opinion.refused:
+        return opinion.failures > 0
+    return opinion.failures > 1
+
+
+def _is_back(table: evidence.LivenessTable, view: evidence.ServerView,
+             quorum: _Quorum, now: float) -> bool:
+    """Returns whether a lost server has answered enough to be trusted."""
+    limits = table.thresholds
+    agreeing = set()
+    for (entry, _), opinion in view.opinions.items():
+        recent = now - opinion.answered_at <= limits.isolated_ms
+        if not opinion.failures and recent and (opinion.answered_at
+                                                > view.changed_at):
+            agreeing.add(entry if quorum.by_entry else opinion.domain)
+    if len(agreeing) < quorum.needed:
+        view.back_since = math.inf
+        return False
+    view.back_since = min(view.back_since, now)
+    hold_ms = limits.back_ms * 2**min(view.losses - 1, _MOST_DOUBLINGS)
+    return now - view.back_since >= hold_ms
+
+
+def _trusted(
+        table: evidence.LivenessTable, view: evidence.ServerView,
+        now: float) -> Iterator[tuple[str, evidence.Source, evidence.Opinion]]:
+    """Yields opinions, without this entry's own while it is isolated."""
+    isolated = is_isolated(table, now)
+    for (entry, source), opinion in view.opinions.items():
+        if entry != table.me or not isolated:
+            yield entry, source, opinion
+
+
+def _change(view: evidence.ServerView, key: evidence.ServerKey,
+            after: tables.Liveness, now: float) -> Change:
+    before, view.liveness = view.liveness, after
+    view.changed_at = now
+    since = now
+    if after is _Liveness.DEAD:
+        view.losses += 1
+        view.back_since = math.inf
+        since = view.lost_since
+    return Change(*key, before, after, since)
+
+
+def _tell(table: evidence.LivenessTable, view: evidence.ServerView,
+          key: evidence.ServerKey, now: float) -> Iterator[Tell]:
+    """Yields this entry's opinions on a server that somebody suspects."""
+    newest = max(
+        (item.failed_at for item in view.opinions.values() if item.failures),
+        default=evidence.NEVER)
+    for source in evidence.Source:
+        opinion = view.opinions.get((table.me, source))
+        if opinion is None or not _is_due(table, source, opinion, newest, now):
+            continue
+        opinion.told_at = now
+        opinion.told = opinion.failures
+        yield Tell(_make_evidence(key, source, opinion, now))
+
+
+def _is_due(table: evidence.LivenessTable, source: evidence.Source,
+            opinion: evidence.Opinion, newest: float, now: float) -> bool:
+    """Returns whether peers should hear an opinion now.
+
+    Args:
+      table: The table.
+      source: Of the opinion.
+      opinion: This entry's own.
+      newest: Newest failure of any entry that fails, ms.
+      now: ms.
+    """
+    if not opinion.failures:
+        contradicts = opinion.told_at < newest < opinion.answered_at
+        return contradicts or opinion.told > 0
+    if is_isolated(table, now) or not _is_worth_telling(source, opinion):
+        return False
+    span = opinion.failed_at - opinion.failing_since
+    pace = min(max(span / 4, 25.0), table.thresholds.fresh_ms / 2)
+    return opinion.failed_at > opinion.told_at and now - opinion.told_at >= pace
+
+
+def _make_evidence(key: evidence.ServerKey, source: evidence.Source,
+                   opinion: evidence.Opinion, now: float) -> evidence.Evidence:
+    if not opinion.failures:
+        return evidence.Evidence(*key, source, 0, 0, now - opinion.answered_at)
+    return evidence.Evidence(*key, source, opinion.failures, opinion.refused,
+                             now - opinion.failed_at,
+                             opinion.failed_at - opinion.failing_since)
+
+
+def _is_quiet(table: evidence.LivenessTable, view: evidence.ServerView,
+              now: float) -> bool:
+    """Returns whether nobody has had a failure of late."""
+    if view.liveness in (_Liveness.DEAD, _Liveness.SUSPECT):
+        return False
+    oldest = now - table.thresholds.fresh_ms
+    return not any(item.failures and item.failed_at > oldest
+                   for item in view.opinions.values())
+
+
+def _retire(table: evidence.LivenessTable, key: evidence.ServerKey) -> None:
+    """Stops looking at a server, and forgets what peers said of it."""
+    table.active.discard(key)
+    view = table.servers[key]
+    view.opinions = {
+        name: opinion
+        for name, opinion in view.opinions.items()
+        if name[0] == table.me
+    }
