--- a/lentilmoor/claimcommits.py
+++ b/lentilmoor/claimcommits.py
@@ -33,7 +33,7 @@
         return table.retry_at
     wanted = []
     if table.waiting:
-        first = min(item.asked_at for item in table.waiting.values())
+        first = next(iter(table.waiting.values())).asked_at
         wanted.append(first + gather_ms(table))
     if table.unlogged:
         wanted.append(table.unlogged[0].queued_at + table.limits.settle_ms)
--- a/lentilmoor/claims.py
+++ b/lentilmoor/claims.py
@@ -373,6 +373,9 @@
 
 
 def _expire_running(table: _Table, now: float) -> None:
+    if now < table.expire_at:
+        return
+    table.expire_at = now + table.limits.expire_ms
     for item in list(table.running.values()):
         if now >= item.ends_at:
             _end(table, item.claim, now)
--- a/lentilmoor/claimtables.py
+++ b/lentilmoor/claimtables.py
@@ -56,6 +56,7 @@
       retry_ms: Pause after a failed call of the store.
       max_waiting: Claims that wait at once.
       max_claims: Ended claims remembered; beyond, new ones are refused.
+      expire_ms: How often running claims are checked for their end.
       grace_ms: How long after its deadline a claim is held to be running.
       max_answers_bytes: Memory for kept answers.
       max_answer_bytes: Longest answer kept, serialized.
@@ -70,6 +71,7 @@
     retry_ms: float = 250.0
     max_waiting: int = 4_096
     max_claims: int = 500_000
+    expire_ms: float = 500.0
     grace_ms: float = 10_000.0
     max_answers_bytes: int = 4 * 1024 * 1024
     max_answer_bytes: int = 4 * 1024
@@ -299,6 +301,7 @@
       archive: The archive that is being added to, if any.
       call: The call of the store that is under way, or None.
       sent: The tail segment or archive that this call writes.
+      expire_at: When running claims are checked for their end.
       retry_at: No call of the store before this time.
       archive_retry_at: No writing of an archive before this time.
       down: The last call of the store failed.
@@ -326,6 +329,7 @@
     archive: OpenArchive | None = None
     call: ReadSegments | SwapSegment | None = None
     sent: claimlogs.Tail | claimlogs.Archive | None = None
+    expire_at: float = 0.0
     retry_at: float = 0.0
     archive_retry_at: float = 0.0
     down: bool = False
