--- /dev/null
+++ b/lentilmoor/connections.py
@@ -0,0 +1,339 @@
+"""Connections to one backend server: which is used, kept, opened or closed.
+
+A connection that timed out, was cut or broke is never used again. An old
+connection may have gone silent for good while the server is well: one that
+timed out casts doubt on all that have not answered since, and a fresh one
+tells a silent connection from a dead server. A request that may not be
+repeated only goes on a connection that answered a moment ago, or a fresh one.
+New connections are limited in number and in rate, so none of this turns into
+a storm. The rules are plain functions of a row; `Pool` carries them out.
+"""
+
+import collections
+import dataclasses
+import threading
+
+from urllib3 import connection as http_connection
+from urllib3 import exceptions as http_exceptions
+
+from lentilmoor import clocks
+from lentilmoor import outcomes
+
+_NEVER = float('-inf')
+# Part of a server's connections that entries leave for probes and operators.
+_RESERVED_SHARE = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """Limits on the connections of this entry to one server.
+
+    Attributes:
+      most: Connections open at once.
+      idle_ms: A connection unused for so long is closed.
+      proven_ms: A request that may not be repeated takes a connection only if
+        it answered so lately.
+      silence_ms: How long a used connection may take to begin an answer to a
+        request that may be repeated.
+      connect_ms: How long opening may take.
+      opens_per_s: Connections opened a second, after a first burst.
+      burst: Size of that burst.
+    """
+
+    most: int = 8
+    idle_ms: float = 15_000.0
+    proven_ms: float = 1_000.0
+    silence_ms: float = 250.0
+    connect_ms: float = 250.0
+    opens_per_s: float = 20.0
+    burst: float = 8.0
+
+
+@dataclasses.dataclass(slots=True)
+class PoolRow:
+    """State of the connections to one server; times in ms.
+
+    Attributes:
+      open: Connections open or being opened.
+      tokens: Connections that may be opened now.
+      tokens_at: When the tokens were last counted.
+      doubted_before: A connection that has not answered since is not used.
+      opened_at: When one was last opened.
+      failed_at: When opening one last failed.
+      opened: Connections opened so far.
+      failed: Failures to open one so far.
+      silent: Connections that went silent so far.
+      doubted: Connections closed because another went silent.
+      held: Requests that had to wait for, or went without, a connection.
+    """
+
+    open: int = 0
+    tokens: float = 0.0
+    tokens_at: float = _NEVER
+    doubted_before: float = _NEVER
+    opened_at: float = _NEVER
+    failed_at: float = _NEVER
+    opened: int = 0
+    failed: int = 0
+    silent: int = 0
+    doubted: int = 0
+    held: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """One open connection; times in ms.
+
+    Attributes:
+      http: The connection itself.
+      opened_at: When it was opened.
+      answered_at: When its last whole answer was read.
+      taken_at: When it was last taken for a request.
+      uses: Requests it has carried.
+    """
+
+    http: http_connection.HTTPConnection
+    opened_at: float
+    answered_at: float = _NEVER
+    taken_at: float = _NEVER
+    uses: int = 0
+
+    @property
+    def reused(self) -> bool:
+        """Whether it has carried another request before this one."""
+        return self.uses > 1
+
+
+def share_connections(connections: int, entries: int) -> int:
+    """Returns how many connections an entry may hold to a server.
+
+    Args:
+      connections: What the server accepts from all entries together.
+      entries: Entries that dispatch to it.
+    """
+    usable = connections * (1.0 - _RESERVED_SHARE)
+    return max(1, int(usable / max(1, entries)))
+
+
+def may_reuse(rules: Rules, row: PoolRow, connection: Connection,
+              repeatable: bool, now: float) -> bool:
+    """Returns whether a request may go on a connection that is open."""
+    if connection.answered_at <= row.doubted_before:
+        return False
+    idle_ms = now - connection.answered_at
+    return idle_ms <= (rules.idle_ms if repeatable else rules.proven_ms)
+
+
+def is_worn(rules: Rules, row: PoolRow, connection: Connection,
+            now: float) -> bool:
+    """Returns whether a connection is to be closed, whoever asks for it."""
+    return not may_reuse(rules, row, connection, True, now)
+
+
+def find_wait(rules: Rules, row: PoolRow, now: float) -> float:
+    """Returns how long to wait before a connection may be opened, ms.
+
+    Args:
+      rules: The limits.
+      row: The pool's state; its tokens are counted up to now.
+      now: ms.
+    """
+    earned = (now - row.tokens_at) * rules.opens_per_s / clocks.MS_PER_S
+    row.tokens = min(rules.burst, row.tokens + earned)
+    row.tokens_at = now
+    if row.tokens >= 1:
+        return 0.0
+    return (1 - row.tokens) * clocks.MS_PER_S / rules.opens_per_s
+
+
+def is_failing(row: PoolRow) -> bool:
+    """Returns whether the last attempt to open a connection failed."""
+    return row.failed_at > row.opened_at
+
+
+def find_timeout(rules: Rules, connection: Connection, repeatable: bool,
+                 remaining_ms: float) -> float:
+    """Returns how long to wait for the begin of an answer, ms.
+
+    Only where another try may follow, and only on a connection that can have
+    gone silent, is it shorter than the deadline: a slow server gets the rest
+    of the deadline on the fresh connection.
+    """
+    if repeatable and connection.reused:
+        return min(rules.silence_ms, remaining_ms)
+    return remaining_ms
+
+
+def note_silent(row: PoolRow, connection: Connection) -> None:
+    """Notes that a connection brought no answer in time.
+
+    Whatever lost track of it may have lost others: those that have not
+    answered since it was taken are not used any more.
+    """
+    row.silent += 1
+    row.doubted_before = max(row.doubted_before, connection.taken_at)
+
+
+class Pool:
+    """The connections of this entry to one server; for many threads.
+
+    Attributes:
+      rules: Limits.
+      row: State and counters.
+    """
+
+    def __init__(self, address: str, rules: Rules, clock: clocks.Clock):
+        host, _, port = address.rpartition(':')
+        self._host = host.strip('[]')
+        self._port = int(port)
+        self._clock = clock
+        self._idle: collections.deque[Connection] = collections.deque()
+        self._changed = threading.Condition()
+        self.rules = rules
+        self.row = PoolRow()
+
+    def take(self, repeatable: bool, fresh: bool,
+             patience_ms: float) -> Connection | outcomes.Failed:
+        """Returns a connection for one request.
+
+        Args:
+          repeatable: Whether the request may be run more than once.
+          fresh: Whether only a new connection will do.
+          patience_ms: How long to wait for one at most.
+
+        Returns:
+          A connection, to be given to `put_back` or `drop`; or why there is
+          none, in which case no byte has left. CONNECT_FAILED: the server
+          refused. TIMED_OUT: it was not reached. OVERLOADED and NO_SERVER:
+          none was opened, so this says nothing new of the server.
+        """
+        until = self._clock.now() + patience_ms
+        with self._changed:
+            connection = None if fresh else self._pick_idle(repeatable)
+            while connection is None and not self._may_open():
+                refusal = self._wait(until)
+                if refusal is not None:
+                    return refusal
+                connection = None if fresh else self._pick_idle(repeatable)
+        if connection is None:
+            connection = self._open(until)
+        if isinstance(connection, Connection):
+            connection.taken_at = self._clock.now()
+            connection.uses += 1
+        return connection
+
+    def put_back(self, connection: Connection) -> None:
+        """Keeps a connection whose whole answer was read."""
+        connection.answered_at = self._clock.now()
+        with self._changed:
+            if is_worn(self.rules, self.row, connection,
+                       connection.answered_at):
+                self._close(connection)
+            else:
+                self._idle.append(connection)
+            self._changed.notify()
+
+    def drop(self, connection: Connection, silent: bool = False) -> None:
+        """Closes a connection for good.
+
+        Args:
+          connection: It broke, was cut, timed out or is in an unknown state.
+          silent: Whether it brought no byte of an answer in time.
+        """
+        with self._changed:
+            if silent:
+                note_silent(self.row, connection)
+            self._close(connection)
+            self._changed.notify()
+
+    def close_worn(self) -> None:
+        """Closes connections that are not to be used again."""
+        now = self._clock.now()
+        with self._changed:
+            for connection in list(self._idle):
+                if is_worn(self.rules, self.row, connection, now):
+                    self._idle.remove(connection)
+                    self._close(connection)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self._changed:
+            while self._idle:
+                self._close(self._idle.pop())
+
+    def _pick_idle(self, repeatable: bool) -> Connection | None:
+        """Takes the connection that answered last, if it may be used."""
+        now = self._clock.now()
+        while self._idle:
+            connection = self._idle[-1]
+            if is_worn(self.rules, self.row, connection, now):
+                self.row.doubted += (connection.answered_at
+                                     <= self.row.doubted_before)
+            elif connection.http.is_connected:
+                if not may_reuse(self.rules, self.row, connection, repeatable,
+                                 now):
+                    return None
+                return self._idle.pop()
+            self._close(self._idle.pop())
+        return None
+
+    def _may_open(self) -> bool:
+        """Takes a token and a place for a new connection, if there are."""
+        if find_wait(self.rules, self.row, self._clock.now()) > 0:
+            return False
+        if self.row.open >= self.rules.most:
+            if not self._idle:
+                return False
+            self._close(self._idle.popleft())
+        self.row.tokens -= 1
+        self.row.open += 1
+        return True
+
+    def _wait(self, until: float) -> outcomes.Failed | None:
+        """Waits for a change; returns why it is no use, if so."""
+        now = self._clock.now()
+        self.row.held += 1
+        if is_failing(self.row):
+            return outcomes.Failed(outcomes.Reason.NO_SERVER,
+                                   'new connections fail, none is tried now')
+        if now >= until:
+            return outcomes.Failed(outcomes.Reason.OVERLOADED,
+                                   'all connections to the server are in use')
+        wait_ms = until - now
+        if self.row.open < self.rules.most:
+            wait_ms = min(wait_ms, find_wait(self.rules, self.row, now))
+        self._changed.wait(wait_ms / clocks.MS_PER_S)
+        return None
+
+    def _open(self, until: float) -> Connection | outcomes.Failed:
+        patience_ms = min(self.rules.connect_ms, until - self._clock.now())
+        http = http_connection.HTTPConnection(self._host,
+                                              self._port,
+                                              timeout=max(patience_ms, 1.0) /
+                                              clocks.MS_PER_S)
+        try:
+            http.connect()
+        except (http_exceptions.HTTPError, OSError) as error:
+            http.close()
+            return self._note_failed(error)
+        now = self._clock.now()
+        with self._changed:
+            self.row.opened += 1
+            self.row.opened_at = now
+        return Connection(http, now)
+
+    def _note_failed(self, error: Exception) -> outcomes.Failed:
+        with self._changed:
+            self.row.open -= 1
+            self.row.failed += 1
+            self.row.failed_at = self._clock.now()
+            self._changed.notify_all()
+        reason = outcomes.Reason.TIMED_OUT
+        if isinstance(error.__cause__, ConnectionRefusedError):
+            reason = outcomes.Reason.CONNECT_FAILED
+        return outcomes.Failed(reason, type(error).__name__)
+
+    def _close(self, connection: Connection) -> None:
+        """Closes a connection; the lock is held."""
+        connection.http.close()
+        self.row.open -= 1
