Place homes by failure domain and adapt limits in the open

Cause: a home in another failure domain leaves a slot idle for a round trip; a limit taken from the least response time shrinks by chance.

--- a/lentilmoor/homes.py
+++ b/lentilmoor/homes.py
@@ -5,26 +5,66 @@
 decides who goes next.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 
-import xxhash
+from lentilmoor import roles
 
-HIGH_USE = 0.7
-LOW_USE = 0.5
+HIGH_USE = 1.3
+LOW_USE = 0.85
 CALM_MS = 1_000.0
+QUEUED_MANY = 4
+USE_WEIGHT = 0.1
 
 
-def pick_home(server: str, delegates: Sequence[str]) -> str | None:
-    """Returns the home of a server by rendezvous hash over the delegates."""
-    if not delegates:
-        return None
-    return max(delegates, key=lambda name: (weigh_delegate(server, name), name))
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """An id and the failure domain it is in."""
+
+    id: str
+    failure_domain: str
+
+
+def rank_homes(server: Place, delegates: Iterable[Place]) -> list[Place]:
+    """Returns the delegates that may be home to a server, best first.
+
+    Those in the server's own failure domain go first: the hop to the server is
+    then short, so a slot hardly idles between two requests, and the loss of
+    the domain takes the home only where it takes the server too.
+    """
+    role = f'home/{server.id}'
+    return sorted(delegates,
+                  key=lambda place:
+                  (place.failure_domain != server.failure_domain, -roles.score(
+                      role, place.id), place.id))
 
 
-def weigh_delegate(server: str, delegate: str) -> int:
-    """Returns the rendezvous weight of a delegate for a server."""
-    return xxhash.xxh3_64_intdigest(f'{server}\0{delegate}')
+def assign_homes(servers: Sequence[Place],
+                 delegates: Sequence[Place]) -> dict[str, str]:
+    """Returns the home of each server: rendezvous with a bounded load.
+
+    No delegate is home to more than its even share of the servers, rounded up;
+    a server goes to the best-ranked delegate that has room.
+
+    Args:
+      servers: Servers of one shard.
+      delegates: Delegates of the shard; may be empty.
+
+    Returns:
+      Delegate id by server id.
+    """
+    if not delegates:
+        return {}
+    share = -(-len(servers) // len(delegates))
+    room = {place.id: share for place in delegates}
+    chosen = {}
+    for server in sorted(servers, key=lambda place: place.id):
+        ranked = rank_homes(server, delegates)
+        home = next(place.id for place in ranked if room[place.id])
+        room[home] -= 1
+        chosen[server.id] = home
+    return chosen
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,11 +73,13 @@
 
     Attributes:
       contended: The present verdict.
-      calm_since: Since when its use has been low, ms; 0 if it is not.
+      use: Moving mean of the reported use.
+      calm_since: Since when the use has been low, ms; None if it is not.
     """
 
     contended: bool = False
-    calm_since: float = 0.0
+    use: float = 0.0
+    calm_since: float | None = None
 
 
 def judge_contention(state: Contention, use: float, queued: int,
@@ -46,22 +88,21 @@
 
     Args:
       state: The server's row; changed in place.
-      use: Requests in flight from all delegates over the server's slots, or
-        its busy share, whichever is known.
+      use: Requests in flight from all delegates over the server's slots, as
+        just reported; above 1 if some wait in the server's own queue. Reports
+        lag and are single moments, so they are averaged.
       queued: Requests that wait for it anywhere.
       now: Milliseconds.
     """
-    if queued or use >= HIGH_USE:
+    state.use += USE_WEIGHT * (use - state.use)
+    if queued >= QUEUED_MANY or state.use >= HIGH_USE:
         state.contended = True
-        state.calm_since = 0.0
-    elif state.contended and use <= LOW_USE:
-        if not state.calm_since:
-            state.calm_since = now
-        elif now - state.calm_since >= CALM_MS:
-            state.contended = False
-            state.calm_since = 0.0
-    else:
-        state.calm_since = 0.0
+    if queued >= QUEUED_MANY or state.use > LOW_USE:
+        state.calm_since = None
+    elif state.calm_since is None:
+        state.calm_since = now
+    elif now - state.calm_since >= CALM_MS:
+        state.contended = False
     return state.contended
 
 
--- /dev/null
+++ b/lentilmoor/limits.py
@@ -0,0 +1,123 @@
+"""How many requests one entry may have in flight to one server.
+
+Load reports lag and mislead, so the limit follows the measured time from
+sending to the answer: it shrinks when that grows well beyond what the server
+takes when it is not crowded, and grows again when it falls back.
+"""
+
+import dataclasses
+
+WINDOW = 32
+SHRINK_RATIO = 3.0
+GROW_RATIO = 2.0
+SHRINK_FACTOR = 0.7
+PIPELINE_ABOVE = 0.05
+PIPELINE_BELOW = 0.03
+_FALL_WEIGHT = 0.25
+_RISE_WEIGHT = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class Limiter:
+    """The limit of one server and what it is adapted from.
+
+    Attributes:
+      ceiling: Highest limit.
+      limit: Requests that may be in flight.
+      baseline_ms: Mean response time when the server is not crowded. It
+        follows the means over windows quickly down and slowly up, so that a
+        server that got slower for good gets a new one. 0 until a window is
+        full.
+      sum_ms: Response times of this window.
+      count: Responses in this window.
+      crowded: Whether the limit was reached in this window.
+    """
+
+    ceiling: int
+    limit: int
+    baseline_ms: float = 0.0
+    sum_ms: float = 0.0
+    count: int = 0
+    crowded: bool = False
+
+
+def make_limiter(ceiling: int) -> Limiter:
+    """Returns a limiter that starts at its ceiling."""
+    return Limiter(ceiling, ceiling)
+
+
+def set_ceiling(limiter: Limiter, ceiling: int) -> None:
+    """Moves the ceiling, and with it a limit that stood at the old one."""
+    if limiter.limit >= min(limiter.ceiling, ceiling):
+        limiter.limit = ceiling
+    limiter.ceiling = ceiling
+
+
+def observe(limiter: Limiter, response_ms: float, in_flight: int) -> None:
+    """Takes one response into account.
+
+    Args:
+      limiter: Changed in place.
+      response_ms: From sending to the whole answer.
+      in_flight: Requests in flight when it ended, itself included.
+    """
+    limiter.sum_ms += response_ms
+    limiter.count += 1
+    if in_flight >= limiter.limit:
+        limiter.crowded = True
+    if limiter.count >= WINDOW:
+        _close_window(limiter)
+
+
+def pick_pipeline(pipeline: int, gap_ms: float, response_ms: float) -> int:
+    """Returns how many requests to send beyond a server's slots, 0 or 1.
+
+    One keeps the slots busy during the gap between an answer and the next
+    request, and costs an urgent request the wait behind it. It is worth that
+    only if the gap is a fair part of the time. The two thresholds keep the
+    choice from flapping, since a pipelined response takes longer.
+
+    Args:
+      pipeline: The present choice.
+      gap_ms: From the server's answer to the next request's arrival there.
+      response_ms: Mean time from sending to the answer.
+    """
+    if gap_ms > PIPELINE_ABOVE * response_ms:
+        return 1
+    if gap_ms < PIPELINE_BELOW * response_ms:
+        return 0
+    return pipeline
+
+
+def back_off(limiter: Limiter) -> None:
+    """Shrinks the limit at once: the server refused a request for load."""
+    limiter.limit = max(1, int(limiter.limit * SHRINK_FACTOR))
+
+
+def ramp(warm_since: float, warm_up_ms: float, now: float) -> float:
+    """Returns the share of its capacity that a cold server is given, 0 to 1.
+
+    Args:
+      warm_since: When it began to serve, ms; 0 if it was always warm.
+      warm_up_ms: How long the ramp takes.
+      now: Milliseconds.
+    """
+    if not warm_since or warm_up_ms <= 0:
+        return 1.0
+    return min(1.0, max(0.0, (now - warm_since) / warm_up_ms))
+
+
+def _close_window(limiter: Limiter) -> None:
+    mean = limiter.sum_ms / limiter.count
+    crowded = limiter.crowded
+    limiter.sum_ms = 0.0
+    limiter.count = 0
+    limiter.crowded = False
+    if not limiter.baseline_ms:
+        limiter.baseline_ms = mean
+    weight = _FALL_WEIGHT if mean < limiter.baseline_ms else _RISE_WEIGHT
+    limiter.baseline_ms += weight * (mean - limiter.baseline_ms)
+    if mean > SHRINK_RATIO * limiter.baseline_ms:
+        back_off(limiter)
+    elif crowded and mean < GROW_RATIO * limiter.baseline_ms:
+        limiter.limit = min(limiter.ceiling, limiter.limit + 1)
