--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,250 @@
+"""What both stand-ins share: a small HTTP server that can also misbehave.
+
+A handler is a plain function from a `Call` to a `Reply`. Beside answering, it
+may cut an answer short, close a connection without an answer, or leave a
+connection open and silent for good.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import http
+import json
+import pathlib
+import socket
+import threading
+from typing import Any
+import urllib.parse
+import weakref
+
+from cheroot import server as http_server
+from cheroot import wsgi
+
+_CONNECTION = 'standins.connection'
+
+
+class Connection(http_server.HTTPConnection):
+    """A connection that can go silent: open for good, but never answering."""
+
+    silent = False
+
+    def __init__(self, server, sock, makefile=http_server.MakeFile):
+        super().__init__(server, sock, makefile)
+        server.open_connections.add(self)
+
+    def communicate(self) -> bool:
+        """Answers one request; returns whether the connection stays."""
+        if self.silent:
+            return False
+        return super().communicate()
+
+    def close(self) -> None:
+        """Closes the connection, unless it is to stay open and silent."""
+        if not self.silent:
+            super().close()
+
+    def cut(self) -> None:
+        """Closes the connection at once, whatever was being answered."""
+        self.linger = False
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # The other end was first.
+
+
+class _Gateway(wsgi.Gateway_10):
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[_CONNECTION] = self.req.conn
+        return environ
+
+    def respond(self):
+        try:
+            super().respond()
+        except _NoAnswerError:
+            self.req.sent_headers = True
+            self.req.close_connection = True
+
+
+class _NoAnswerError(Exception):
+    """Ends a call without a byte of answer."""
+
+
+class Server(wsgi.Server):
+    """A cheroot server that knows its open connections."""
+
+    ConnectionClass = Connection
+
+    def __init__(self, app, port: int, threads: int):
+        self.open_connections = weakref.WeakSet()
+        self._silenced = []
+        super().__init__(('127.0.0.1', port),
+                         app,
+                         numthreads=threads,
+                         request_queue_size=256)
+        self.gateway = _Gateway
+
+    @property
+    def address(self) -> str:
+        """host:port, once it listens."""
+        host, port = self.bind_addr[:2]
+        return f'{host}:{port}'
+
+    def count_connections(self) -> int:
+        """Returns how many connections callers hold open."""
+        return sum(1 for connection in list(self.open_connections)
+                   if connection.socket.fileno() >= 0)
+
+    def silence_connections(self) -> int:
+        """Makes each open connection silent for good; returns how many."""
+        connections = list(self.open_connections)
+        for connection in connections:
+            connection.silent = True
+        self._silenced.extend(connections)
+        return len(connections)
+
+    def error_log(self, msg='', level=20, traceback=False):
+        """Drops cheroot's lines: cut connections are what is asked for."""
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One HTTP request as handlers see it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    environ: dict[str, Any]
+
+    @property
+    def connection(self) -> Connection:
+        """The connection that it came on."""
+        return self.environ[_CONNECTION]
+
+    def header(self, name: str, default: str = '') -> str:
+        """Returns a request header by its usual name."""
+        key = 'HTTP_' + name.upper().replace('-', '_')
+        return self.environ.get(key, default)
+
+    def blocks(self, size: int = 65536) -> Iterable[bytes]:
+        """Yields the request body in blocks."""
+        source = self.environ['wsgi.input']
+        while block := source.read(size):
+            yield block
+
+    def body(self) -> bytes:
+        """Returns the whole request body."""
+        return b''.join(self.blocks())
+
+    def json(self) -> Any:
+        """Returns the body parsed as JSON, or None if it is not JSON."""
+        try:
+            return json.loads(self.body() or b'{}')
+        except ValueError:
+            return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What to answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: Header fields.
+      body: The body, whole or in blocks.
+      length: Content-Length to claim; None for what fits (or chunked).
+      cut: Close the connection after the body, however long it claimed to be.
+      dropped: Close the connection instead of answering.
+    """
+
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | Iterable[bytes] = b''
+    length: int | None = None
+    cut: bool = False
+    dropped: bool = False
+
+
+DROPPED = Reply(dropped=True)
+
+
+def reply_json(value: Any, status: int = 200, **headers: str) -> Reply:
+    """Returns a JSON reply; header names are given with underscores."""
+    fields = [('Content-Type', 'application/json')]
+    fields += [(name.replace('_', '-'), text) for name, text in headers.items()]
+    return Reply(status, tuple(fields), json.dumps(value).encode())
+
+
+def make_server(handler: Callable[[Call], Reply], port: int,
+                threads: int) -> Server:
+    """Returns a listening server that is not served yet.
+
+    Args:
+      handler: Answers each call; it may block.
+      port: TCP port on loopback, or 0 for one that the system picks.
+      threads: Calls that are handled at once.
+    """
+
+    def app(environ, start_response):
+        call = _read_call(environ)
+        reply = handler(call)
+        if reply.dropped or call.connection.silent:
+            if not call.connection.silent:
+                call.connection.cut()
+            raise _NoAnswerError
+        return _send(call, reply, start_response)
+
+    server = Server(app, port, threads)
+    server.prepare()
+    return server
+
+
+def serve_in_thread(server: Server) -> Callable[[], None]:
+    """Serves in a thread; returns a function that stops it."""
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+
+    def stop():
+        server.stop()
+        thread.join()
+
+    return stop
+
+
+def write_port(server: Server, port_file: str) -> None:
+    """Writes host:port to a file, whole or not at all, if one is named."""
+    if not port_file:
+        return
+    partial = pathlib.Path(port_file + '.partial')
+    partial.write_text(server.address, encoding='utf-8')
+    partial.rename(port_file)
+
+
+def _read_call(environ) -> Call:
+    query = urllib.parse.parse_qsl(environ['QUERY_STRING'],
+                                   keep_blank_values=True)
+    path = environ['PATH_INFO'].encode('latin-1').decode('utf-8', 'replace')
+    return Call(environ['REQUEST_METHOD'], path, dict(query), environ)
+
+
+def _send(call: Call, reply: Reply, start_response) -> Iterable[bytes]:
+    headers = list(reply.headers)
+    blocks = reply.body
+    length = reply.length
+    if isinstance(blocks, bytes):
+        length = len(blocks) if length is None else length
+        blocks = [blocks]
+    if length is not None:
+        headers.append(('Content-Length', str(length)))
+    status = f'{reply.status} {http.HTTPStatus(reply.status).phrase}'
+    start_response(status, headers)
+    if not reply.cut:
+        return blocks
+    return _cut_after(call.connection, blocks)
+
+
+def _cut_after(connection: Connection,
+               blocks: Iterable[bytes]) -> Iterable[bytes]:
+    yield from blocks
+    connection.cut()
