--- a/lentilmoor/metrics.py
+++ b/lentilmoor/metrics.py
@@ -30,6 +30,7 @@
 _LOWEST_US = 1
 _HIGHEST_US = 600_000_000
 _DIGITS = 2
+_BUCKET_BITS = 8  # What two digits take.
 _QUEUE_LIMIT = 1_024
 
 _Metric = TypeVar('_Metric')
@@ -147,12 +148,13 @@
 
     def _drain(self) -> None:
         self._rotate()
-        for _ in range(len(self._queue)):
-            ms = max(self._queue.popleft(), 0.0)
-            value = max(_LOWEST_US, int(ms * _US_PER_MS))
-            self._current.record_value(min(value, _HIGHEST_US))
-            self._count += 1
-            self._sum_ms += ms
+        queue = self._queue
+        batch = [queue.popleft() for _ in range(len(queue))]
+        counts = collections.Counter(map(_find_bucket, batch))
+        for value, count in counts.items():
+            self._current.record_value(value, count)
+        self._count += len(batch)
+        self._sum_ms += sum(batch)
 
     def _rotate(self) -> None:
         now = self._clock.now()
@@ -258,6 +260,19 @@
             yield _show_times(family)
 
 
+def _find_bucket(ms: float) -> int:
+    """Returns the lowest value, us, of the histogram's bucket for a time.
+
+    Equal ones are recorded at once, which costs less than one by one.
+
+    Args:
+      ms: A duration; out of range it goes to the nearest bucket.
+    """
+    value = min(max(int(ms * _US_PER_MS), _LOWEST_US), _HIGHEST_US)
+    shift = max(value.bit_length() - _BUCKET_BITS, 0)
+    return value >> shift << shift
+
+
 def _make_histogram() -> histogram.HdrHistogram:
     return histogram.HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
 
