Spread settings and membership along a few links per entry

Cause: entries must get settings without each watching the store, and must agree on who is there from a list that lags. Change: items.py holds versioned items with a digest tree; spread.py pushes notices, fetches values once and compares trees; members.py is a failure detector with incarnations and two witnesses; neighbours.py chooses the links; counts.py adds up along a tree which version is in force where; gossip.py ties them into what an entry sends and answers. Ruled out: tombstones of settings outside the digest (a restarted entry never learnt of a deletion: found by the drawn schedules), a page marked incomplete for keys its sender lacks (asked for again without end).

--- /dev/null
+++ b/lentilmoor/gossip.py
@@ -0,0 +1,573 @@
+"""One entry's part in membership and spread: what to send, what to answer.
+
+Pure functions over an entry's state: a runner calls `tick` every 100 ms or so,
+sends what it returns, and brings the replies to `take_reply`; the server side
+calls `answer_exchange` and `answer_fetch`. All on one thread, as an actor does.
+"""
+
+# Members of generated modules exist only at run time.
+# pylint: disable=no-member
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import random
+
+from google.protobuf import message as protobuf
+import xxhash
+
+from lentilmoor import counts
+from lentilmoor import items
+from lentilmoor import members as membership
+from lentilmoor import messages
+from lentilmoor import neighbours
+from lentilmoor import outcomes
+from lentilmoor import roles
+from lentilmoor import spread
+from lentilmoor import tables
+from lentilmoor.protocol import peer_pb2
+
+PROTOCOL = 1
+
+_AGE_UNIT_MS = 100.0
+_LONGEST_AGE = 250
+# A domain's age grows by this with each hop, so that it can't live on by
+# being told round and round.
+_HOP_MS = 200.0
+_CONFIRMERS = 3
+_REFUTABLE = (membership.State.SUSPECT, membership.State.DEAD)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipSettings:
+    """Times of the exchanges, ms.
+
+    Attributes:
+      beat_ms: How often the watched and one more of each kind are called.
+      push_ms: Least time between two pushes to the same peer.
+      relink_ms: Least time between two choices of links.
+      settle_ms: A difference is looked into once our copy was quiet so long.
+      force_ms: A difference is looked into after so long in any case.
+      heal_ms: How often somebody out of reach is tried.
+      timeout_ms: Deadline of a call.
+      fetch_timeout_ms: Deadline of a fetch.
+    """
+
+    beat_ms: float = 1_000.0
+    push_ms: float = 100.0
+    relink_ms: float = 1_000.0
+    settle_ms: float = 1_000.0
+    force_ms: float = 10_000.0
+    heal_ms: float = 5_000.0
+    timeout_ms: float = 500.0
+    fetch_timeout_ms: float = 2_000.0
+
+
+class Call(enum.Enum):
+    """Which call of the peer protocol carries a message."""
+
+    EXCHANGE = 'exchange'
+    FETCH = 'fetch'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A call to be made; its outcome goes to `take_reply`.
+
+    Attributes:
+      peer: Instance id.
+      address: host:port of the peer protocol.
+      call: Which call.
+      message: ExchangeMessage or FetchRequest; a runner may add evidence and
+        load to an ExchangeMessage.
+      timeout_ms: Its deadline.
+      keys: Items pushed or fetched by it.
+      told: Counts told by it.
+    """
+
+    peer: str
+    address: str
+    call: Call
+    message: protobuf.Message
+    timeout_ms: float
+    keys: tuple[str, ...] = ()
+    told: tuple[counts.Count, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Gossip:
+    """State of one entry's part.
+
+    Attributes:
+      members: Who is there.
+      replica: Our copy of all items.
+      counts: Who has which version in force.
+      rng: Seeded source of chance.
+      settings: Times.
+      links: Present links.
+      busy: Peers with a push or a fetch under way.
+      joined: Whether everything that a peer held at our start is here.
+      listed: Whether the platform's list has been read.
+      joining: Peer from which it is being fetched; empty if from none.
+      page_after: Last key fetched so.
+      beat_at: When the last beat was, ms.
+      linked_at: When links were last chosen, ms.
+      linked_changes: `members.changes` at that time.
+      compared_at: When a comparison of trees last began, ms.
+      healed_at: When somebody out of reach was last tried, ms.
+      beats: Count of beats.
+      pushed_at: When each peer was last pushed to, ms.
+    """
+
+    members: membership.Members
+    replica: spread.Replica
+    counts: counts.Counts
+    rng: random.Random
+    settings: GossipSettings
+    links: neighbours.Neighbours = neighbours.Neighbours()
+    busy: set[str] = dataclasses.field(default_factory=set)
+    joined: bool = False
+    listed: bool = False
+    joining: str = ''
+    page_after: str = ''
+    beat_at: float = float('-inf')
+    linked_at: float = float('-inf')
+    linked_changes: int = -1
+    compared_at: float = 0.0
+    healed_at: float = 0.0
+    beats: int = 0
+    pushed_at: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def make_gossip(own: tables.Instance,
+                incarnation: int,
+                now: float,
+                rng: random.Random,
+                settings: GossipSettings | None = None) -> Gossip:
+    """Returns the state of an entry that has just started.
+
+    Args:
+      own: Its row.
+      incarnation: Seconds of wall time; see `members.make_members`.
+      now: Milliseconds.
+      rng: Seeded source of chance.
+      settings: Times.
+    """
+    members = membership.make_members(own, incarnation, now)
+    gossip = Gossip(members, spread.Replica(), counts.Counts(), rng, settings or
+                    GossipSettings())
+    put_items(gossip, [membership.announce(members)], now)
+    return gossip
+
+
+def put_items(gossip: Gossip, news: Iterable[items.Item], now: float) -> None:
+    """Takes over items, say settings that were read from the store."""
+    for item in news:
+        _put(gossip, item, now, '')
+
+
+def take_list(gossip: Gossip, listed, now: float) -> None:
+    """Weighs a reading of the platform's list; see `members.take_list`."""
+    gossip.listed = True
+    put_items(gossip, membership.take_list(gossip.members, listed, now), now)
+
+
+def leave(gossip: Gossip, now: float) -> None:
+    """Announces that this entry is leaving."""
+    put_items(gossip, membership.leave(gossip.members, now), now)
+
+
+def collect_settings(gossip: Gossip) -> list[items.Item]:
+    """Returns items newly taken over that are not about members."""
+    changed = spread.collect_changed(gossip.replica)
+    return [
+        item for item in changed if not item.key.startswith(membership.PREFIX)
+    ]
+
+
+def note_applied(gossip: Gossip, key: str, version: int) -> None:
+    """Notes that a version of an item is in force here."""
+    counts.note_applied(gossip.counts, key, version)
+
+
+def tick(gossip: Gossip, now: float) -> list[Outgoing]:
+    """Returns the calls to make now."""
+    sent = []
+    if now - gossip.beat_at >= gossip.settings.beat_ms:
+        gossip.beat_at = now
+        sent += _beat(gossip, now)
+    sent += _push(gossip, now)
+    sent += _fetch(gossip, now)
+    return sent
+
+
+def answer_exchange(gossip: Gossip, message: peer_pb2.ExchangeMessage,
+                    now: float) -> peer_pb2.ExchangeMessage:
+    """Takes in a peer's exchange and returns the reply."""
+    peer = message.instance
+    reply = _make_exchange(gossip, now)
+    _take_exchange(gossip, message, reply, now)
+    _add_news(gossip, reply, spread.pick_news(gossip.replica, peer))
+    _answer_level(gossip, message, reply)
+    _answer_counts(gossip, message, reply)
+    reply.root = gossip.replica.table.root
+    return reply
+
+
+def answer_fetch(gossip: Gossip,
+                 request: peer_pb2.FetchRequest) -> peer_pb2.FetchReply:
+    """Returns the values that a peer asks for, as many as fit."""
+    held = gossip.replica.table.items
+    keys = [key for key in request.keys if key in held]
+    if request.all:
+        keys = spread.list_after(gossip.replica, request.after)
+    page = spread.read_page(gossip.replica, keys)
+    return peer_pb2.FetchReply(items=[messages.write_item(x) for x in page],
+                               more=len(page) < len(keys))
+
+
+def take_reply(gossip: Gossip, outgoing: Outgoing,
+               reply: protobuf.Message | outcomes.Failed,
+               now: float) -> list[Outgoing]:
+    """Takes in the outcome of a call and returns the calls that follow."""
+    gossip.busy.discard(outgoing.peer)
+    if isinstance(reply, outcomes.Failed):
+        return _take_failure(gossip, outgoing, now)
+    if outgoing.call is Call.FETCH:
+        membership.hear(gossip.members, outgoing.peer, now)
+        return _take_fetched(gossip, outgoing, reply, now)
+    if outgoing.told:
+        counts.note_told(gossip.counts, outgoing.told)
+    answer = _make_exchange(gossip, now)
+    _take_exchange(gossip, reply, answer, now)
+    return _compare(gossip, outgoing, reply, answer, now)
+
+
+def ask_counts(gossip: Gossip, keys: Iterable[str],
+               now: float) -> list[Outgoing]:
+    """Returns the calls that ask each failure domain's root for counts."""
+    rows = membership.list_instances(gossip.members)
+    asked = []
+    for domain in sorted({row.failure_domain for row in rows}):
+        order = counts.order_domain(domain, rows)
+        if order and order[0] != gossip.members.own:
+            message = _make_exchange(gossip, now)
+            message.count_keys.extend(keys)
+            asked.append(_send(gossip, order[0], message))
+    return asked
+
+
+def read_own_count(gossip: Gossip, key: str) -> counts.Count:
+    """Returns the count of a key at and below this entry."""
+    return counts.read_count(gossip.counts, key)
+
+
+# What is sent.
+
+
+def _beat(gossip: Gossip, now: float) -> list[Outgoing]:
+    put_items(gossip, membership.step(gossip.members, now), now)
+    _forget(gossip)
+    _relink(gossip, now)
+    gossip.beats += 1
+    targets = list(gossip.links.watched)
+    for group in (gossip.links.local, gossip.links.remote):
+        if group:
+            targets.append(group[gossip.beats % len(group)])
+    targets += _pick_unreachable(gossip, now) + _pick_suspects(gossip)
+    sent = [
+        _exchange(gossip, peer, now)
+        for peer in dict.fromkeys(targets)
+        if peer in gossip.members.rows
+    ]
+    return sent + _tell_parent(gossip, now) + _join(gossip)
+
+
+def _exchange(gossip: Gossip, peer: str, now: float) -> Outgoing:
+    message = _make_exchange(gossip, now)
+    keys = spread.pick_news(gossip.replica, peer)
+    _add_news(gossip, message, keys)
+    gossip.pushed_at[peer] = now
+    return _send(gossip, peer, message, keys=tuple(keys))
+
+
+def _push(gossip: Gossip, now: float) -> list[Outgoing]:
+    sent = []
+    for peer, queue in gossip.replica.unsent.items():
+        due = gossip.pushed_at.get(peer, 0.0) + gossip.settings.push_ms
+        if peer not in gossip.members.rows or peer in gossip.busy:
+            continue
+        if queue and now >= due:
+            gossip.busy.add(peer)
+            sent.append(_exchange(gossip, peer, now))
+    return sent
+
+
+def _fetch(gossip: Gossip, now: float) -> list[Outgoing]:
+    sent = []
+    for fetch in spread.pick_fetches(gossip.replica, now):
+        if fetch.peer not in gossip.members.rows:
+            spread.end_fetch(gossip.replica, fetch, more=False)
+            continue
+        request = peer_pb2.FetchRequest(instance=gossip.members.own,
+                                        keys=fetch.keys)
+        sent.append(_send(gossip, fetch.peer, request, keys=fetch.keys))
+    return sent
+
+
+def _join(gossip: Gossip) -> list[Outgoing]:
+    """Fetches everything from one peer, page by page, after a start."""
+    if gossip.joined or gossip.joining:
+        return []
+    peers = gossip.links.list_all()
+    if not peers:
+        gossip.joined = gossip.listed
+        return []
+    gossip.joining = gossip.rng.choice(peers)
+    return [_next_page(gossip)]
+
+
+def _next_page(gossip: Gossip) -> Outgoing:
+    request = peer_pb2.FetchRequest(instance=gossip.members.own,
+                                    all=True,
+                                    after=gossip.page_after)
+    return _send(gossip, gossip.joining, request)
+
+
+def _tell_parent(gossip: Gossip, now: float) -> list[Outgoing]:
+    untold = counts.list_untold(gossip.counts)
+    if not untold or gossip.counts.parent not in gossip.members.rows:
+        return []
+    message = _make_exchange(gossip, now)
+    message.counts.extend(messages.write_counts(untold))
+    return [_send(gossip, gossip.counts.parent, message, told=tuple(untold))]
+
+
+def _pick_unreachable(gossip: Gossip, now: float) -> list[str]:
+    """Tries somebody who is out of reach, so that partitions heal."""
+    if now - gossip.healed_at < gossip.settings.heal_ms:
+        return []
+    lost = [
+        name for name, member in gossip.members.rows.items()
+        if member.instance.liveness in (
+            tables.Liveness.SUSPECT,
+            tables.Liveness.DEAD) and name != gossip.members.own
+    ]
+    if not lost:
+        return []
+    gossip.healed_at = now
+    return [gossip.rng.choice(lost)]
+
+
+def _pick_suspects(gossip: Gossip) -> list[str]:
+    """Returns the suspects that we are to call as a second witness."""
+    suspects = membership.list_suspects(gossip.members)
+    if not suspects:
+        return []
+    rows = membership.list_instances(gossip.members)
+    called = []
+    for suspect in suspects:
+        witnesses = roles.deal(f'confirm/{suspect}', rows, _CONFIRMERS)
+        if any(row.id == gossip.members.own for row in witnesses):
+            called.append(suspect)
+    return called
+
+
+def _relink(gossip: Gossip, now: float) -> None:
+    if gossip.members.changes == gossip.linked_changes:
+        return
+    if now - gossip.linked_at < gossip.settings.relink_ms:
+        return
+    gossip.linked_at = now
+    gossip.linked_changes = gossip.members.changes
+    rows = membership.list_instances(gossip.members)
+    own = gossip.members.rows[gossip.members.own].instance
+    gossip.links = neighbours.choose(own, rows)
+    spread.set_peers(gossip.replica, gossip.links.list_all())
+    counts.set_place(gossip.counts, counts.find_place(own, rows))
+
+
+def _forget(gossip: Gossip) -> None:
+    for key in membership.collect_forgotten(gossip.members):
+        items.drop(gossip.replica.table, key)
+
+
+def _make_exchange(gossip: Gossip, now: float) -> peer_pb2.ExchangeMessage:
+    own = gossip.members.rows[gossip.members.own].instance
+    message = peer_pb2.ExchangeMessage(protocol=PROTOCOL,
+                                       instance=own.id,
+                                       failure_domain=own.failure_domain,
+                                       root=gossip.replica.table.root)
+    names = sorted(gossip.members.domains_heard)
+    message.domain_names = _hash_names(names)
+    for name in names:
+        age = now - gossip.members.domains_heard[name]
+        if name == own.failure_domain:
+            age = 0.0
+        message.domain_ages.append(min(int(age / _AGE_UNIT_MS), _LONGEST_AGE))
+    return message
+
+
+def _hash_names(names: list[str]) -> int:
+    return xxhash.xxh32_intdigest('\0'.join(names).encode())
+
+
+def _add_news(gossip: Gossip, message: peer_pb2.ExchangeMessage,
+              keys: Iterable[str]) -> None:
+    for key in keys:
+        item = gossip.replica.table.items.get(key)
+        if item is None:
+            continue
+        if spread.is_eager(gossip.replica, item):
+            message.digest.append(messages.write_item(item))
+        else:
+            notice = items.Notice(item.key, item.version)
+            message.digest.append(messages.write_notice(notice))
+
+
+def _send(
+    gossip: Gossip,
+    peer: str,
+    message: protobuf.Message,
+    keys: tuple[str, ...] = (),
+    told: tuple[counts.Count, ...] = ()
+) -> Outgoing:
+    fetching = isinstance(message, peer_pb2.FetchRequest)
+    settings = gossip.settings
+    return Outgoing(peer=peer,
+                    address=gossip.members.rows[peer].instance.peer_address,
+                    call=Call.FETCH if fetching else Call.EXCHANGE,
+                    message=message,
+                    timeout_ms=(settings.fetch_timeout_ms
+                                if fetching else settings.timeout_ms),
+                    keys=keys,
+                    told=told)
+
+
+# What comes in.
+
+
+def _take_exchange(gossip: Gossip, message: peer_pb2.ExchangeMessage,
+                   answer: peer_pb2.ExchangeMessage, now: float) -> None:
+    """Takes in a message; what its sender lacks goes into an answer."""
+    peer = message.instance
+    membership.hear(gossip.members, peer, now)
+    _take_ages(gossip, message, now)
+    for entry in message.digest:
+        if entry.full:
+            _put(gossip, messages.read_item(entry), now, peer)
+        behind = spread.take_notice(gossip.replica, peer,
+                                    messages.read_notice(entry))
+        if behind is not None:
+            _add_news(gossip, answer, [behind.key])
+    counts.take_counts(gossip.counts, peer,
+                       messages.read_counts(message.counts))
+    _tell_sender_of_itself(gossip, peer, answer)
+
+
+def _take_ages(gossip: Gossip, message: peer_pb2.ExchangeMessage,
+               now: float) -> None:
+    names = sorted(gossip.members.domains_heard)
+    if message.domain_names != _hash_names(names):
+        return
+    for name, age in zip(names, message.domain_ages, strict=True):
+        heard_at = now - age * _AGE_UNIT_MS - _HOP_MS
+        membership.hear_domain(gossip.members, name, heard_at)
+
+
+def _tell_sender_of_itself(gossip: Gossip, peer: str,
+                           answer: peer_pb2.ExchangeMessage) -> None:
+    member = gossip.members.rows.get(peer)
+    if member is None:
+        return
+    if membership.read_state(member) in _REFUTABLE:
+        # It may refute that it is suspected or dead.
+        _add_news(gossip, answer, [membership.PREFIX + peer])
+
+
+def _put(gossip: Gossip, item: items.Item, now: float, source: str) -> None:
+    if not spread.put(gossip.replica, item, now, source):
+        return
+    if not item.key.startswith(membership.PREFIX):
+        return
+    refuted = membership.take_item(gossip.members, item, now)
+    put_items(gossip, refuted, now)
+
+
+def _answer_level(gossip: Gossip, message: peer_pb2.ExchangeMessage,
+                  reply: peer_pb2.ExchangeMessage) -> None:
+    replica = gossip.replica
+    if message.listed:
+        listed = [messages.read_notice(entry) for entry in message.digest]
+        missing = spread.list_missing(replica, message.listed, listed)
+        _add_news(gossip, reply, [notice.key for notice in missing])
+    elif len(message.level.digests) == items.FAN_OUT:
+        for branch in spread.pick_branches(replica, message.level.digests):
+            reply.level.branch.append(branch)
+            reply.level.digests.extend(items.read_branch(replica.table, branch))
+
+
+def _answer_counts(gossip: Gossip, message: peer_pb2.ExchangeMessage,
+                   reply: peer_pb2.ExchangeMessage) -> None:
+    asked = [counts.read_count(gossip.counts, x) for x in message.count_keys]
+    reply.counts.extend(messages.write_counts(asked))
+
+
+def _compare(gossip: Gossip, outgoing: Outgoing,
+             reply: peer_pb2.ExchangeMessage, answer: peer_pb2.ExchangeMessage,
+             now: float) -> list[Outgoing]:
+    """Goes down the digest tree, one level with each call."""
+    replica = gossip.replica
+    buckets = spread.pick_buckets(replica, reply.level.branch,
+                                  list(reply.level.digests))
+    if buckets:
+        answer.listed.extend(buckets)
+        listed = items.list_buckets(replica.table, buckets)
+        answer.digest.extend(messages.write_notice(x) for x in listed)
+    elif _is_time_to_compare(gossip, reply.root, now):
+        gossip.compared_at = now
+        answer.level.digests.extend(replica.table.branches)
+    elif not answer.digest:
+        return []
+    return [_send(gossip, outgoing.peer, answer)]
+
+
+def _is_time_to_compare(gossip: Gossip, root: int, now: float) -> bool:
+    if root == gossip.replica.table.root or gossip.replica.wants:
+        return False
+    since = now - gossip.compared_at
+    if since < gossip.settings.settle_ms:
+        return False
+    quiet = now - gossip.replica.changed_at >= gossip.settings.settle_ms
+    return quiet or since >= gossip.settings.force_ms
+
+
+def _take_fetched(gossip: Gossip, outgoing: Outgoing,
+                  reply: peer_pb2.FetchReply, now: float) -> list[Outgoing]:
+    for entry in reply.items:
+        _put(gossip, messages.read_item(entry), now, outgoing.peer)
+    if not outgoing.message.all:
+        fetch = spread.Fetch(outgoing.peer, outgoing.keys)
+        spread.end_fetch(gossip.replica, fetch, reply.more)
+        return _fetch(gossip, now)
+    if not reply.more:
+        gossip.joined = True
+        gossip.joining = ''
+        return []
+    gossip.page_after = reply.items[-1].key
+    return [_next_page(gossip)]
+
+
+def _take_failure(gossip: Gossip, outgoing: Outgoing,
+                  now: float) -> list[Outgoing]:
+    put_items(gossip, membership.miss(gossip.members, outgoing.peer, now), now)
+    if outgoing.call is Call.EXCHANGE:
+        spread.return_news(gossip.replica, outgoing.peer, outgoing.keys)
+        # Don't push to it again and again: the next beat tries it.
+        gossip.pushed_at[outgoing.peer] = now + gossip.settings.beat_ms
+    elif outgoing.message.all:
+        gossip.joining = ''  # The next beat tries another peer.
+    else:
+        fetch = spread.Fetch(outgoing.peer, outgoing.keys)
+        spread.end_fetch(gossip.replica, fetch, more=False)
+    return []
