--- a/lentilmoor/stores.py
+++ b/lentilmoor/stores.py
@@ -17,10 +17,10 @@
 import time
 import urllib.parse
 
-import urllib3
 import xxhash
 
 from lentilmoor import clocks
+from lentilmoor import httpcalls
 from lentilmoor import models
 from lentilmoor import outcomes
 
@@ -31,11 +31,11 @@
 _MAGIC = b'LM1'
 _ID_BYTES = 16
 _HEADER_BYTES = len(_MAGIC) + _ID_BYTES
-_MAX_ATTEMPTS = 12
-_FIRST_PAUSE_MS = 5.0
-_MAX_REPLY_BYTES = 256 * 1024 * 1024
-_BLOCK_BYTES = 256 * 1024
-_POOL_CONNECTIONS = 8
+_MAX_ATTEMPTS = 6
+_FIRST_PAUSE_MS = 20.0
+_PAUSE_GROWTH = 4
+_IDLE_CONNECTIONS = 8
+_SERVER_ERROR = 500
 _INSTANCE_FIELDS = ('id', 'peer_address', 'relay_address', 'region',
                     'failure_domain')
 
@@ -321,7 +321,7 @@
             return result
         unanswered = True
         pause(min(pause_ms, max(ends - clock.now(), 0)))
-        pause_ms *= 2
+        pause_ms *= _PAUSE_GROWTH
     return _Failed(_Reason.TIMED_OUT, 'the outcome of a write is not settled')
 
 
@@ -337,80 +337,66 @@
     time.sleep(wait_ms / clocks.MS_PER_S)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reply:
-    status: int
-    headers: urllib3.HTTPHeaderDict
-    body: bytes
-
-
 class _Client:
-    """HTTP calls to one of several addresses; the last good one comes first."""
+    """Calls to one of several addresses; the last good one comes first."""
 
     def __init__(self, addresses: tuple[str, ...], clock: clocks.Clock):
         self._clock = clock
         self._addresses = addresses
         self._preferred = 0
-        self._pools = urllib3.PoolManager(num_pools=len(addresses),
-                                          maxsize=_POOL_CONNECTIONS,
-                                          retries=False)
-
-    def call(self,
-             method: str,
-             path: str,
-             timeout_ms: float,
-             body: bytes | None = None,
-             headers: dict[str, str] | None = None) -> _Reply | outcomes.Failed:
+        self._caller = httpcalls.Caller(clock, _IDLE_CONNECTIONS)
+
+    def read(self, target: str,
+             timeout_ms: float) -> httpcalls.Reply | outcomes.Failed:
+        """Makes a call that changes nothing; any failure means no answer."""
+        result = self._call(httpcalls.Request('GET', target), timeout_ms)
+        if isinstance(result, _Failed):
+            if result.reason is _Reason.TIMED_OUT:
+                return result
+            return _Failed(_Reason.STORE_UNAVAILABLE, result.detail)
+        if result.status >= _SERVER_ERROR:
+            return _Failed(_Reason.STORE_UNAVAILABLE, f'status {result.status}')
+        return result
+
+    def write(self, request: httpcalls.Request,
+              timeout_ms: float) -> httpcalls.Reply | outcomes.Failed:
+        """Makes a call that may take effect though it fails.
+
+        Returns:
+          The reply; Failed(STORE_UNAVAILABLE) if it certainly was not sent;
+          Failed(TIMED_OUT) if it may have taken effect or may yet do so.
+        """
+        result = self._call(request, timeout_ms)
+        if isinstance(result, _Failed):
+            if result.reason is _Reason.CONNECT_FAILED:
+                return _Failed(_Reason.STORE_UNAVAILABLE, result.detail)
+            return _Failed(_Reason.TIMED_OUT, result.detail)
+        if result.status >= _SERVER_ERROR:
+            return _Failed(_Reason.TIMED_OUT, f'status {result.status}')
+        return result
+
+    def _call(self, request: httpcalls.Request,
+              timeout_ms: float) -> httpcalls.Reply | outcomes.Failed:
         """Makes one call, on the next address if it surely was not sent."""
         ends = self._clock.now() + timeout_ms
-        failed = _Failed(_Reason.STORE_UNAVAILABLE, 'no address')
+        failed = _Failed(_Reason.CONNECT_FAILED, 'no time left')
         for _ in self._addresses:
             index = self._preferred
             left_ms = ends - self._clock.now()
             if left_ms <= 0:
                 break
-            result = self._call_one(self._addresses[index], method, path,
-                                    left_ms, body, headers)
-            if isinstance(result, _Reply):
+            result = self._caller.call(self._addresses[index], request, left_ms)
+            if (isinstance(result, httpcalls.Reply) and
+                    result.status < _SERVER_ERROR):
                 return result
-            failed = result
             self._preferred = (index + 1) % len(self._addresses)
-            if failed.reason is not _Reason.STORE_UNAVAILABLE:
+            if isinstance(result, httpcalls.Reply):
+                return result
+            failed = result
+            if failed.reason is not _Reason.CONNECT_FAILED:
                 break
         return failed
 
-    def _call_one(self, address, method, path, left_ms, body, headers):
-        ends = self._clock.now() + left_ms
-        try:
-            response = self._pools.request(
-                method,
-                f'http://{address}{path}',
-                body=body,
-                headers=headers,
-                redirect=False,
-                preload_content=False,
-                timeout=urllib3.Timeout(total=left_ms / clocks.MS_PER_S))
-            return self._finish(response, ends)
-        except (urllib3.exceptions.NewConnectionError,
-                urllib3.exceptions.ConnectTimeoutError) as error:
-            return _Failed(_Reason.STORE_UNAVAILABLE, f'{address}: {error}')
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-            return _Failed(_Reason.TIMED_OUT, f'{address}: {error}')
-
-    def _finish(self, response, ends: float) -> _Reply | outcomes.Failed:
-        blocks = []
-        size = 0
-        while block := response.read1(_BLOCK_BYTES):
-            blocks.append(block)
-            size += len(block)
-            if self._clock.now() > ends or size > _MAX_REPLY_BYTES:
-                response.close()
-                return _Failed(_Reason.TIMED_OUT, 'reply too slow or too long')
-        response.release_conn()
-        if response.status >= 500:
-            return _Failed(_Reason.TIMED_OUT, f'status {response.status}')
-        return _Reply(response.status, response.headers, b''.join(blocks))
-
 
 def _path(key: str) -> str:
     return '/v1/kv/' + urllib.parse.quote(key, safe='/')
@@ -420,13 +406,13 @@
     return _Failed(_Reason.INVALID, f'the store answered {what}')
 
 
-def _read_version(reply: _Reply) -> int | None:
+def _read_version(reply: httpcalls.Reply) -> int | None:
     tag = reply.headers.get('ETag', '').strip('"')
     return int(tag) if tag.isdecimal() and int(tag) > 0 else None
 
 
 def _read(client: _Client, key: str, timeout_ms: float):
-    reply = client.call('GET', _path(key), timeout_ms)
+    reply = client.read(_path(key), timeout_ms)
     if isinstance(reply, _Failed):
         return reply
     if reply.status == 404:
@@ -443,7 +429,8 @@
         condition = {'If-Match': f'"{expected}"'}
     else:
         condition = {'If-None-Match': '*'}
-    reply = client.call('PUT', _path(key), timeout_ms, value, condition)
+    reply = client.write(httpcalls.Request('PUT', _path(key), value, condition),
+                         timeout_ms)
     if isinstance(reply, _Failed):
         return reply
     version = _read_version(reply)
@@ -460,7 +447,7 @@
 
 def _list(client: _Client, prefix: str, timeout_ms: float):
     query = urllib.parse.urlencode({'prefix': prefix})
-    reply = client.call('GET', f'/v1/kv?{query}', timeout_ms)
+    reply = client.read(f'/v1/kv?{query}', timeout_ms)
     return _parse(reply, lambda body: _parse_records(body['records']))
 
 
@@ -471,7 +458,7 @@
         'after': after,
         'wait_ms': int(wait_ms)
     })
-    reply = client.call('GET', f'/v1/watch?{query}', wait_ms + timeout_ms)
+    reply = client.read(f'/v1/watch?{query}', wait_ms + timeout_ms)
     return _parse(
         reply, lambda body: Changes(
             int(body['revision']), _parse_records(body['records']),
@@ -479,7 +466,7 @@
 
 
 def _instances(client: _Client, timeout_ms: float):
-    reply = client.call('GET', '/v1/instances', timeout_ms)
+    reply = client.read('/v1/instances', timeout_ms)
     return _parse(
         reply,
         lambda body: tuple(parse_instance(item) for item in body['instances']))
@@ -487,14 +474,14 @@
 
 def _register(client: _Client, instance: ListedInstance, timeout_ms: float):
     path = '/v1/instances/' + urllib.parse.quote(instance.id, safe='')
-    reply = client.call('PUT', path, timeout_ms,
-                        json.dumps(format_instance(instance)).encode())
+    body = json.dumps(format_instance(instance)).encode()
+    reply = client.write(httpcalls.Request('PUT', path, body), timeout_ms)
     if isinstance(reply, _Failed):
         return reply
     return None if reply.status == 200 else _invalid(f'status {reply.status}')
 
 
-def _parse(reply: _Reply | outcomes.Failed, build):
+def _parse(reply: httpcalls.Reply | outcomes.Failed, build):
     if isinstance(reply, _Failed):
         return reply
     if reply.status != 200:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import http
+import http.client
 import json
 import pathlib
 import socket
+import sys
 import threading
+import time
 from typing import Any
 import urllib.parse
 import weakref
@@ -20,6 +22,8 @@
 from cheroot import server as http_server
 from cheroot import wsgi
 
+from lentilmoor import clocks
+
 _CONNECTION = 'standins.connection'
 
 
@@ -27,6 +31,7 @@
     """A connection that can go silent: open for good, but never answering."""
 
     silent = False
+    _accepted = False
 
     def __init__(self, server, sock, makefile=http_server.MakeFile):
         super().__init__(server, sock, makefile)
@@ -36,6 +41,12 @@
         """Answers one request; returns whether the connection stays."""
         if self.silent:
             return False
+        if not self._accepted:
+            if len(self.server.list_connections()
+                  ) > self.server.max_connections:
+                return False
+            time.sleep(self.server.connect_ms / clocks.MS_PER_S)
+            self._accepted = True
         return super().communicate()
 
     def close(self) -> None:
@@ -72,9 +83,16 @@
 
 
 class Server(wsgi.Server):
-    """A cheroot server that knows its open connections."""
+    """A cheroot server that knows its open connections.
+
+    Attributes:
+      max_connections: More than these are closed unanswered.
+      connect_ms: What accepting a connection costs.
+    """
 
     ConnectionClass = Connection
+    max_connections = sys.maxsize
+    connect_ms = 0.0
 
     def __init__(self, app, port: int, threads: int):
         self.open_connections = weakref.WeakSet()
@@ -84,6 +102,8 @@
                          numthreads=threads,
                          request_queue_size=256)
         self.gateway = _Gateway
+        # cheroot's own limit of 10 would close most connections in use.
+        self.keep_alive_conn_limit = None
 
     @property
     def address(self) -> str:
@@ -91,14 +111,19 @@
         host, port = self.bind_addr[:2]
         return f'{host}:{port}'
 
-    def count_connections(self) -> int:
-        """Returns how many connections callers hold open."""
-        return sum(1 for connection in list(self.open_connections)
-                   if connection.socket.fileno() >= 0)
-
-    def silence_connections(self) -> int:
-        """Makes each open connection silent for good; returns how many."""
-        connections = list(self.open_connections)
+    def list_connections(self) -> list[Connection]:
+        """Returns the connections that callers hold open."""
+        return [
+            connection for connection in list(self.open_connections)
+            if connection.socket.fileno() >= 0
+        ]
+
+    def silence_connections(self, spared: Connection) -> int:
+        """Makes all open connections but one silent; returns how many."""
+        connections = [
+            connection for connection in self.list_connections()
+            if connection is not spared
+        ]
         for connection in connections:
             connection.silent = True
         self._silenced.extend(connections)
@@ -237,14 +262,19 @@
         blocks = [blocks]
     if length is not None:
         headers.append(('Content-Length', str(length)))
-    status = f'{reply.status} {http.HTTPStatus(reply.status).phrase}'
-    start_response(status, headers)
-    if not reply.cut:
-        return blocks
-    return _cut_after(call.connection, blocks)
+    start_response(f'{int(reply.status)} {_phrase(reply.status)}', headers)
+    return _while_heard(call.connection, blocks, reply.cut)
+
 
+def _phrase(status: int) -> str:
+    return http.client.responses.get(status, 'Other')
 
-def _cut_after(connection: Connection,
-               blocks: Iterable[bytes]) -> Iterable[bytes]:
-    yield from blocks
-    connection.cut()
+
+def _while_heard(connection: Connection, blocks: Iterable[bytes],
+                 cut: bool) -> Iterable[bytes]:
+    for block in blocks:
+        if connection.silent:
+            raise _NoAnswerError
+        yield block
+    if cut:
+        connection.cut()
--- a/standins/store_state.py
+++ b/standins/store_state.py
@@ -207,7 +207,7 @@
             if after <= 0 or after > self._revision or after < oldest - 1:
                 found = self.list_entries(prefix)[1]
                 return stores.Changes(self._revision,
-                                      tuple(_to_record(e) for e in found),
+                                      tuple(to_record(e) for e in found),
                                       snapshot=True)
             newest = {
                 change.key: change.entry
@@ -218,7 +218,7 @@
                 return None
             return stores.Changes(
                 self._revision,
-                tuple(_to_record(entry) for entry in newest.values() if entry),
+                tuple(to_record(entry) for entry in newest.values() if entry),
                 tuple(key for key, entry in newest.items() if entry is None))
 
     def wait_changes(self, prefix: str, after: int,
@@ -332,11 +332,12 @@
 
     def check(kind: str) -> outcomes.Failed | None:
         state.count(kind)
-        if state.switches.outage:
+        switches = state.switches
+        if switches.outage:
             return outcomes.Failed(outcomes.Reason.STORE_UNAVAILABLE, 'outage')
-        if state.switches.garbage:
+        if switches.garbage:
             return outcomes.Failed(outcomes.Reason.INVALID, 'garbage')
-        if state.switches.delay_ms > stores.DEFAULT_TIMEOUT_MS:
+        if switches.delay_ms > stores.DEFAULT_TIMEOUT_MS and kind != 'write':
             return outcomes.Failed(outcomes.Reason.TIMED_OUT, 'slow')
         return None
 
@@ -345,23 +346,24 @@
         if failed:
             return failed
         entry = state.get(key)
-        return _to_record(entry) if entry else None
+        return to_record(entry) if entry else None
 
     def write(key, value, expected, _timeout_ms):
         failed = check('write')
         if failed:
             return failed
         written = state.take_write(lambda: state.put(key, value, expected))
-        if written is None:
+        slow = state.switches.delay_ms > stores.DEFAULT_TIMEOUT_MS
+        if written is None or slow:
             return outcomes.Failed(outcomes.Reason.TIMED_OUT, 'reply lost')
         if written.status is Status.CONFLICT:
             current = written.entry
-            return stores.Conflict(_to_record(current) if current else None)
-        return _to_record(written.entry)
+            return stores.Conflict(to_record(current) if current else None)
+        return to_record(written.entry)
 
-    def list_all(prefix, _timeout_ms):
+    def list_records(prefix, _timeout_ms):
         return check('list') or tuple(
-            _to_record(entry) for entry in state.list_entries(prefix)[1])
+            to_record(entry) for entry in state.list_entries(prefix)[1])
 
     def watch(prefix, after_revision, _wait_ms, _timeout_ms):
         return (check('watch') or state.changes(prefix, after_revision) or
@@ -371,9 +373,10 @@
         return check('instances') or state.instances()
 
     def register(instance, _timeout_ms):
-        return check('register') or state.register(instance)
+        return check('instances') or state.register(instance)
 
-    return stores.Transport(read, write, list_all, watch, instances, register)
+    return stores.Transport(read, write, list_records, watch, instances,
+                            register)
 
 
 def _matches(current: Entry | None, expected: int | None) -> bool:
@@ -382,5 +385,6 @@
     return (current.version if current else 0) == expected
 
 
-def _to_record(entry: Entry) -> stores.Record:
+def to_record(entry: Entry) -> stores.Record:
+    """Returns an entry as the adapter sees it, envelope and all."""
     return stores.Record(entry.key, entry.value, entry.version)
