--- a/lentilmoor/gossip.py
+++ b/lentilmoor/gossip.py
@@ -383,7 +383,9 @@
     rows = membership.list_instances(gossip.members)
     own = gossip.members.rows[gossip.members.own].instance
     gossip.links = neighbours.choose(own, rows)
-    spread.set_peers(gossip.replica, gossip.links.list_all())
+    # A new peer may not know us, and could not call us back.
+    spread.set_peers(gossip.replica, gossip.links.list_all(),
+                     membership.PREFIX + own.id)
     counts.set_place(gossip.counts, counts.find_place(own, rows))
 
 
--- a/lentilmoor/items.py
+++ b/lentilmoor/items.py
@@ -105,7 +105,7 @@
 
 
 def list_buckets(table: ItemTable, buckets: Iterable[int]) -> list[Notice]:
-    """Returns the versions of the items in some buckets, but of retired ones."""
+    """Returns the versions of the unretired items in some buckets."""
     wanted = frozenset(buckets)
     return [
         Notice(item.key, item.version)
--- a/lentilmoor/members.py
+++ b/lentilmoor/members.py
@@ -451,6 +451,7 @@
         return
     for member in members.rows.values():
         if member.instance.failure_domain in changed:
+            member.misses = 0  # It was the way to its domain.
             _derive(members, member)
 
 
--- a/lentilmoor/spread.py
+++ b/lentilmoor/spread.py
@@ -83,9 +83,17 @@
     changed_at: float = 0.0
 
 
-def set_peers(replica: Replica, peers: Iterable[str]) -> None:
-    """Sets the linked peers; what others had not got yet is forgotten."""
-    replica.unsent = {peer: replica.unsent.get(peer, {}) for peer in peers}
+def set_peers(replica: Replica, peers: Iterable[str], greeting: str) -> None:
+    """Sets the linked peers; what others had not got yet is forgotten.
+
+    Args:
+      replica: Our copy.
+      peers: Ids of the linked peers.
+      greeting: Key of an item that a new peer gets in any case.
+    """
+    replica.unsent = {
+        peer: replica.unsent.get(peer, {greeting: None}) for peer in peers
+    }
 
 
 def put(replica: Replica,
