Test that no version is replaced before it is kept

Cause: mutations of the code on a scratch copy showed two gaps: a failed copy into the history, and ids that went more than one version ago, could be ignored with all tests green.

--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -219,8 +219,12 @@
         self._rejects([_text(), _text(port=9500)], 's-1: an id keeps')
 
     def test_id_of_a_removed_server_stays_taken(self):
-        self._rejects([_text(('s-1', 's-2')),
-                       _text(), _text(('s-2',))], 's-2: an id keeps')
+        self._rejects([
+            _text(('s-1', 's-2')),
+            _text(),
+            _text(extra='# Later.'),
+            _text(('s-2',))
+        ], 's-2: an id keeps')
 
     def test_removed_server_may_come_back_as_it_was(self):
         version = self.put_all(
@@ -259,6 +263,20 @@
         self.assertEqual(len(keys), histories.KEPT + 1)
         self.assertEqual(len(self.store.list(branches.PREFIX)), 1)
 
+    def test_no_version_is_replaced_before_it_is_kept(self):
+        version = self.put_all([_text()])
+        for part in ('/01', '/index'):
+
+            def swap(key, value, expected, failing=part):
+                if key.endswith(failing):
+                    return outcomes.Failed(outcomes.Reason.TIMED_OUT, key)
+                return self.store.swap(key, value, expected)
+
+            result = self.put(_text(('s-1', 's-2')), version, 'ann',
+                              dataclasses.replace(self.store, swap=swap))
+            self.assertEqual(result.reason, outcomes.Reason.STORE_UNAVAILABLE)
+            self.assertEqual(changes.read(self.store, 'shop').version, version)
+
     @hypothesis.settings(derandomize=True,
                          deadline=None,
                          database=None,
