Count a caller's service over all classes, and refuse early

Cause: priorities let an agency that sends ten times its share take all it wants in the urgent class, and a standing queue holds requests until near their deadlines. Change: one account per caller and server over all classes; who is over the share loses its class's priority. In a standing queue a request is refused on arrival when its expected wait passes a quarter of its slack. A class marked deferrable does not hold others back, which costs fairness (0.91 at 1.5 times capacity) and keeps reads before syncs.

--- a/benchmarks/admission_model.py
+++ b/benchmarks/admission_model.py
@@ -27,7 +27,7 @@
 REPORT_MS = 125.0
 CLASSES = (queues.ClassPolicy('urgent', 0,
                               0.05), queues.ClassPolicy('normal', 3, 0.05),
-           queues.ClassPolicy('sync', 6, 0.05))
+           queues.ClassPolicy('sync', 6, 0.05, deferrable=True))
 CLASS_MIX = (0.15, 0.55, 0.30)
 DEADLINES_MS = (150.0, 500.0, 2_000.0)
 
@@ -86,7 +86,7 @@
       gate: Settings of the controllers; None for the package's defaults.
       comeback: What refused callers do.
       tries: Most times that a refused request is sent.
-      lose_home_at: When entry 0 dies, ms; 0 never.
+      lose_home_at: When the home of most servers dies, ms; 0 never.
       second_home: Whether relays that fail go to the next-ranked delegate;
         else they are sent straight.
       seed: Of everything random.
@@ -189,8 +189,10 @@
         self._contention = [homes.Contention() for _ in range(scenario.servers)]
         self._contended = [False] * scenario.servers
         self._dead = -1
+        self._loser = max(range(ENTRIES), key=self._homes.count)
         self._lost_servers = {
-            server for server, home in enumerate(self._homes) if home == 0
+            server for server, home in enumerate(self._homes)
+            if home == self._loser
         }
         self._warm = scenario.duration_ms / 5
         self._wasted = 0.0
@@ -212,7 +214,7 @@
         self._after(0.0, self._arrive, None)
         self._after(REPORT_MS, self._report, None)
         if self._set.lose_home_at:
-            self._after(self._set.lose_home_at, self._lose_entry, 0)
+            self._after(self._set.lose_home_at, self._lose_entry, None)
         events = self._events
         end = self._set.duration_ms
         while events and events[0][0] < end:
@@ -414,9 +416,9 @@
     def _publish(self, verdicts: list[bool]) -> None:
         self._contended = verdicts
 
-    def _lose_entry(self, entry: int) -> None:
-        self._dead = entry
-        for controller in self._controllers[entry]:
+    def _lose_entry(self, _) -> None:
+        self._dead = self._loser
+        for controller in self._controllers[self._dead]:
             for request in controller.queue.drain():
                 self._lose(request)
 
--- a/lentilmoor/admission.py
+++ b/lentilmoor/admission.py
@@ -45,8 +45,8 @@
       queue_limit: Most requests that may wait.
       warm_up_ms: How long a cold server is ramped up.
       order: Which of one caller's requests goes first.
-      predict: Whether a request is refused on arrival when the work ahead of
-        it takes longer than it may wait.
+      patience: Part of a request's slack that it may be expected to wait in a
+        standing queue; see `queues`.
     """
 
     classes: tuple[queues.ClassPolicy, ...]
@@ -56,7 +56,7 @@
     queue_limit: int = DEFAULT_QUEUE_LIMIT
     warm_up_ms: float = 3_000.0
     order: queues.Order = queues.Order.OLDEST_FIRST
-    predict: bool = True
+    patience: float = queues.PATIENCE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,7 +97,7 @@
         self.limiter = limits.make_limiter(self._slots + self._pipeline)
         self.queue = queues.ServerQueue(settings.classes, settings.queue_limit,
                                         self.limiter.limit, settings.order,
-                                        settings.predict)
+                                        settings.patience)
         self._warm_since = 0.0
         self._warm_up_ms = settings.warm_up_ms
 
--- a/lentilmoor/flows.py
+++ b/lentilmoor/flows.py
@@ -1,21 +1,18 @@
-"""Fair shares between the callers of one class, by the cost of their requests.
+"""Fair shares of one server between callers, by the cost of their requests.
 
-Start-time fair queueing: each caller with waiting requests is a flow with a
-virtual start; the flow with the least start goes next, and its start moves on
-by what the request costs. What a request really cost is charged afterwards.
+Each caller has an account of the service it was given, over all classes. The
+caller with the least goes next. An account that comes back after a pause
+starts near the least of those that wait, so idleness earns no claim; and a
+caller far ahead of that least is over its share, whatever its class.
 """
 
 import collections
 from collections.abc import Iterable
 import dataclasses
-import heapq
-import itertools
 from typing import Protocol
 
-from lentilmoor import exceptions
-
-_MIN_CHARGE_MS = 0.001
-_IDLE_FLOWS = 64
+BURST_MS = 100.0
+_SPARE_ACCOUNTS = 64
 
 
 class Item(Protocol):
@@ -25,36 +22,110 @@
     cost_ms: float
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Account:
+    """What one caller has used of a server.
+
+    Attributes:
+      used_ms: Service charged; only differences between accounts matter.
+      waiting: Its requests that wait, in all classes.
+      holding: Those of them in classes that can't be deferred.
+      return_at: When the last of its refused requests may come back, ms.
+    """
+
+    used_ms: float
+    waiting: int = 0
+    holding: int = 0
+    return_at: float = 0.0
+
+
+class Ledger:
+    """The accounts of all callers of one server.
+
+    Attributes:
+      floor_ms: The least used by a caller that waits; never goes back.
+    """
+
+    def __init__(self):
+        self.floor_ms = 0.0
+        self._accounts: dict[str, Account] = {}
+        self._waiting: dict[str, Account] = {}
+
+    def find(self, caller: str) -> Account | None:
+        """Returns a caller's account, if it has or lately had requests."""
+        return self._accounts.get(caller)
+
+    def join(self, caller: str, deferrable: bool) -> Account:
+        """Counts in one waiting request of a caller."""
+        account = self._accounts.get(caller)
+        if account is None:
+            if len(self._accounts) > 2 * len(self._waiting) + _SPARE_ACCOUNTS:
+                self._prune()
+            account = self._accounts[caller] = Account(self.floor_ms)
+        if not account.holding:
+            least = self.floor_ms - BURST_MS
+            account.used_ms = max(account.used_ms, least)
+        account.waiting += 1
+        account.holding += not deferrable
+        self._waiting[caller] = account
+        return account
+
+    def part(self, caller: str, deferrable: bool) -> None:
+        """Counts out one waiting request of a caller."""
+        account = self._accounts[caller]
+        account.waiting -= 1
+        account.holding -= not deferrable
+        if not account.waiting:
+            del self._waiting[caller]
+
+    def charge(self, caller: str, cost_ms: float) -> None:
+        """Charges a caller, or gives back if `cost_ms` is negative."""
+        account = self._accounts.get(caller)
+        if account is not None:
+            account.used_ms += cost_ms
+
+    def raise_floor(self) -> float:
+        """Brings the floor up to date and returns it.
+
+        Callers that wait only with what can be deferred hold nobody back.
+        """
+        least = min(
+            (item.used_ms for item in self._waiting.values() if item.holding),
+            default=None)
+        if least is None:
+            least = min((item.used_ms for item in self._waiting.values()),
+                        default=self.floor_ms)
+        self.floor_ms = max(self.floor_ms, least)
+        return self.floor_ms
+
+    def forget(self) -> None:
+        """Ends a busy period: past service gives no claim."""
+        self.floor_ms = 0.0
+        self._accounts.clear()
+        self._waiting.clear()
+
+    def _prune(self) -> None:
+        self._accounts = {
+            caller: item
+            for caller, item in self._accounts.items()
+            if item.waiting or item.used_ms > self.floor_ms
+        }
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Flow:
-    """The waiting requests of one caller.
+    """The waiting requests of one caller in one class.
 
     Attributes:
+      account: The caller's.
       items: Oldest first; an ordered set.
       backlog_ms: Their cost together.
-      finish: Virtual time at which the service given so far ends.
-      debt_ms: Service used beyond what was charged; below 0 if short of it.
-      scheduled: Whether it stands in the schedule.
-      return_at: When the last of its refused requests may come back, ms.
     """
 
+    account: Account
     items: 'collections.OrderedDict[Item, None]' = dataclasses.field(
         default_factory=collections.OrderedDict)
     backlog_ms: float = 0.0
-    finish: float = 0.0
-    debt_ms: float = 0.0
-    scheduled: bool = False
-    return_at: float = 0.0
-
-    def first(self, newest_first: bool) -> Item:
-        """Returns the item that is served first."""
-        if newest_first:
-            return next(reversed(self.items))
-        return next(iter(self.items))
-
-    def last(self, newest_first: bool) -> Item:
-        """Returns the item that is served last."""
-        return self.first(not newest_first)
 
 
 class FairQueue:
@@ -65,126 +136,85 @@
       backlog_ms: Their cost together.
     """
 
-    def __init__(self, newest_first: bool = False):
+    def __init__(self, ledger: Ledger, deferrable: bool, newest_first: bool):
         """Makes an empty queue.
 
         Args:
+          ledger: Accounts, shared by the classes of a server.
+          deferrable: Whether its requests hold nobody back.
           newest_first: Which of one caller's requests is served first.
         """
         self.length = 0
         self.backlog_ms = 0.0
+        self._ledger = ledger
+        self._deferrable = deferrable
         self._newest_first = newest_first
-        self._virtual = 0.0
-        self._last_finish = 0.0
         self._flows: dict[str, Flow] = {}
-        self._schedule: list[tuple[float, int, Flow]] = []
-        self._numbers = itertools.count()
 
     def add(self, item: Item) -> None:
         """Adds an item behind the others of its caller."""
+        account = self._ledger.join(item.caller, self._deferrable)
         flow = self._flows.get(item.caller)
         if flow is None:
-            if len(self._flows) > 2 * self.length + _IDLE_FLOWS:
-                self._prune()
-            flow = self._flows[item.caller] = Flow(finish=self._virtual)
-        if not flow.scheduled:
-            self._enlist(flow, max(self._virtual, flow.finish))
+            flow = self._flows[item.caller] = Flow(account)
         flow.items[item] = None
         flow.backlog_ms += item.cost_ms
         self.backlog_ms += item.cost_ms
         self.length += 1
 
     def remove(self, item: Item) -> None:
-        """Takes an item out without charging its caller."""
+        """Takes an item out; its caller is not charged."""
         flow = self._flows[item.caller]
         del flow.items[item]
-        self.length -= 1
         flow.backlog_ms -= item.cost_ms
         self.backlog_ms -= item.cost_ms
+        self.length -= 1
         if not flow.items:
-            flow.backlog_ms = 0.0
+            del self._flows[item.caller]
         if not self.length:
             self.backlog_ms = 0.0
+        self._ledger.part(item.caller, self._deferrable)
+
+    def next_flow(self) -> Flow:
+        """Returns the flow whose turn it is; the queue is not empty."""
+        return min(self._flows.values(), key=lambda flow: flow.account.used_ms)
 
     def take(self) -> Item:
         """Takes the item whose turn it is and charges its caller."""
-        start, flow = self._next_flow()
-        item = flow.first(self._newest_first)
+        flow = self.next_flow()
+        item = next(
+            reversed(flow.items) if self._newest_first else iter(flow.items))
         self.remove(item)
-        self._virtual = start
-        charge = max(item.cost_ms + flow.debt_ms, _MIN_CHARGE_MS)
-        flow.debt_ms += item.cost_ms - charge
-        flow.finish = start + charge
-        self._last_finish = max(self._last_finish, flow.finish)
-        heapq.heappop(self._schedule)
-        flow.scheduled = False
-        if flow.items:
-            self._enlist(flow, flow.finish)
-        if not self.length:
-            self._end_busy_period()
+        flow.account.used_ms += item.cost_ms
         return item
 
-    def charge(self, caller: str, extra_ms: float) -> None:
-        """Charges a caller, with its next request, for service already used."""
-        flow = self._flows.get(caller)
-        if flow is not None:
-            flow.debt_ms += extra_ms
-
-    def find_flow(self, caller: str) -> Flow | None:
-        """Returns the flow of a caller that has, or lately had, requests."""
-        return self._flows.get(caller)
-
-    def longest(self) -> Item:
-        """Returns the item to be given up first: the longest flow's last."""
-        flow = max((flow for flow in self._flows.values() if flow.items),
-                   key=lambda flow: flow.backlog_ms)
-        return flow.last(self._newest_first)
+    def give_up(self) -> Item:
+        """Takes out the item to be given up first: the longest flow's last."""
+        flow = max(self._flows.values(), key=lambda flow: flow.backlog_ms)
+        item = next(
+            iter(flow.items) if self._newest_first else reversed(flow.items))
+        self.remove(item)
+        return item
 
     def work_before(self, caller: str, cost_ms: float) -> float:
         """Returns the cost of what goes before a new item of a caller, ms."""
         own = self._flows.get(caller)
+        account = self._ledger.find(caller)
         mine = own.backlog_ms if own else 0.0
-        if self.length == (len(own.items) if own else 0):
-            return mine
-        place = mine + cost_ms
-        others = (min(flow.backlog_ms, place)
-                  for flow in self._flows.values()
-                  if flow is not own)
-        return mine + sum(others)
-
-    def count_active(self) -> int:
-        """Returns how many callers have waiting requests."""
-        return sum(1 for flow in self._flows.values() if flow.items)
+        used = account.used_ms if account else self._ledger.floor_ms
+        turn = used + mine + cost_ms
+        total = mine
+        for flow in self._flows.values():
+            ahead = turn - flow.account.used_ms
+            if flow is not own and ahead > 0:
+                total += min(flow.backlog_ms, ahead)
+        return total
+
+    def count_callers(self) -> int:
+        """Returns how many callers wait."""
+        return len(self._flows)
 
     def items(self) -> Iterable[Item]:
         """Yields every waiting item."""
         for flow in self._flows.values():
             yield from flow.items
-
-    def _enlist(self, flow: Flow, start: float) -> None:
-        heapq.heappush(self._schedule, (start, next(self._numbers), flow))
-        flow.scheduled = True
-
-    def _next_flow(self) -> tuple[float, Flow]:
-        while self._schedule:
-            start, _, flow = self._schedule[0]
-            if flow.items:
-                return start, flow
-            heapq.heappop(self._schedule)
-            flow.scheduled = False
-            flow.finish = start
-        raise exceptions.InvariantError('no flow has a waiting item')
-
-    def _prune(self) -> None:
-        """Drops callers that have nothing here and owe nothing."""
-        self._flows = {
-            caller: flow
-            for caller, flow in self._flows.items()
-            if flow.scheduled or flow.finish > self._virtual
-        }
-
-    def _end_busy_period(self) -> None:
-        """Past service gives no claim once nobody waits."""
-        self._virtual = self._last_finish
-        self._schedule.clear()
-        self._flows.clear()
--- a/lentilmoor/queues.py
+++ b/lentilmoor/queues.py
@@ -1,10 +1,10 @@
 """The queue of requests that wait for one backend server.
 
 A pure data structure: no clock, no threads. Classes are served by priority
-with a floor against starvation; within a class, callers share fairly (see
-`flows`). Work that can no longer finish by its deadline is cut before it
-runs. The queue is bounded, and what it sheds comes with the time after which
-it is worth coming back.
+with a floor against starvation; callers share the server fairly (see `flows`),
+and one that is over its share loses the priority of its class. Work that can
+no longer finish by its deadline is cut before it runs. The queue is bounded,
+and what it sheds comes with the time after which it is worth coming back.
 """
 
 from collections.abc import Sequence
@@ -18,6 +18,10 @@
 
 MAX_RETRY_AFTER_MS = 30_000
 BEST_PATIENCE = 8  # Requests owed before the best class gives way.
+STANDING_MS = 500.0
+PATIENCE = 0.25
+_SHARE_WEIGHT = 0.02
+_LEAST_SHARE = 0.01
 _HEAP_SLACK = 32
 
 
@@ -45,11 +49,14 @@
       priority: Lower is served first.
       floor: Share of the server's time, and of the room in the queue, that the
         class keeps however much waits in classes of better priority.
+      deferrable: Whether its requests can wait: a caller may then run over its
+        share in better classes while others wait only in this one.
     """
 
     name: str
     priority: int = 0
     floor: float = 0.05
+    deferrable: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -94,13 +101,19 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Class:
-    """One class: its callers' requests and what the floor owes it."""
+    """One class: its requests, and what it is given and owed.
 
-    priority: int
+    `share` is the part of the service that went to it lately while it waited;
+    `credit_ms` is the service that the floor owes it.
+    """
+
+    policy: ClassPolicy
     floor: float
     reserved: int
     fair: flows.FairQueue
     credit_ms: float = 0.0
+    share: float = 1.0
+    empty_at: float = 0.0
 
 
 class ServerQueue:
@@ -117,7 +130,7 @@
                  limit: int,
                  lanes: int,
                  order: Order = Order.OLDEST_FIRST,
-                 predict: bool = True):
+                 patience: float = PATIENCE):
         """Makes an empty queue.
 
         Args:
@@ -125,19 +138,22 @@
           limit: Most requests that may wait.
           lanes: Requests in flight at once.
           order: Which of one caller's requests goes first.
-          predict: Whether a request is refused on arrival when the work ahead
-            of it takes longer than it may wait.
+          patience: Part of a request's slack that it may be expected to wait
+            when its class has not been empty for `STANDING_MS`.
         """
         total = max(1.0, sum(policy.floor for policy in classes))
         newest_first = order is Order.NEWEST_FIRST
+        self._ledger = flows.Ledger()
         self._classes = [
-            _Class(policy.priority, policy.floor / total,
-                   max(1, int(policy.floor / total * limit)),
-                   flows.FairQueue(newest_first)) for policy in classes
+            _Class(
+                policy, policy.floor / total,
+                max(1, int(policy.floor / total * limit)),
+                flows.FairQueue(self._ledger, policy.deferrable, newest_first))
+            for policy in classes
         ]
         self._by_priority = sorted(self._classes,
-                                   key=lambda item: item.priority)
-        self._predict = predict
+                                   key=lambda item: item.policy.priority)
+        self._patience = patience
         self._numbers = itertools.count()
         self._by_start: list[tuple[float, int, Ticket]] = []
         self.limit = limit
@@ -154,18 +170,22 @@
         Returns:
           What was shed, perhaps the ticket itself; else it waits.
         """
-        if ticket.latest_start < now:
+        slack = ticket.latest_start - now
+        if slack < 0:
             return [self.refuse(ticket, Cut.DEADLINE, now)]
-        if (self._predict and
-                now + self.predict_wait(ticket) > ticket.latest_start):
+        own = self._classes[ticket.rank]
+        if not own.fair.length:
+            own.empty_at = now
+        if now - own.empty_at > STANDING_MS:
+            slack *= self._patience
+        if self.predict_wait(ticket) > slack:
             return [self.refuse(ticket, Cut.BACKLOG, now)]
         self._add(ticket)
         if self.length <= self.limit:
             return []
         shed = self.expire(now)
         while self.length > self.limit:
-            victim = self._pick_victim(ticket)
-            self._remove(victim)
+            victim = self._give_up(own)
             shed.append(self.refuse(victim, Cut.FULL, now))
         return shed
 
@@ -181,11 +201,11 @@
         shed = self.expire(now)
         if not self.length:
             return None, shed
-        chosen = self._pick_class()
+        waiting = [item for item in self._by_priority if item.fair.length]
+        chosen = self._pick_class(waiting)
         ticket = chosen.fair.take()
-        ticket.waiting = False
-        self.length -= 1
-        self._credit(chosen, ticket.cost_ms)
+        self._count_out(ticket)
+        self._note_service(waiting, chosen, ticket.cost_ms)
         return ticket, shed
 
     def expire(self, now: float) -> list[Shed]:
@@ -194,8 +214,7 @@
         heap = self._by_start
         while heap and heap[0][0] < now:
             ticket = heapq.heappop(heap)[2]
-            if ticket.waiting:
-                self._remove(ticket)
+            if self.withdraw(ticket):
                 shed.append(self.refuse(ticket, Cut.DEADLINE, now))
         return shed
 
@@ -203,7 +222,8 @@
         """Takes a ticket out; returns whether it was waiting."""
         if not ticket.waiting:
             return False
-        self._remove(ticket)
+        self._classes[ticket.rank].fair.remove(ticket)
+        self._count_out(ticket)
         return True
 
     def drain(self) -> list[Ticket]:
@@ -212,25 +232,21 @@
             ticket for item in self._classes for ticket in item.fair.items()
         ]
         for ticket in tickets:
-            self._remove(ticket)
+            self.withdraw(ticket)
         return tickets
 
     def settle(self, ticket: Ticket, actual_ms: float) -> None:
         """Charges the difference between expected and actual service time."""
-        fair = self._classes[ticket.rank].fair
-        fair.charge(ticket.caller, actual_ms - ticket.cost_ms)
+        self._ledger.charge(ticket.caller, actual_ms - ticket.cost_ms)
 
     def predict_wait(self, ticket: Ticket) -> float:
         """Returns how long a ticket would wait behind what waits now, ms.
 
-        Requests of better classes that arrive later are not foreseen.
+        What its class is given is taken to stay as it lately was.
         """
         own = self._classes[ticket.rank]
-        better = sum(item.fair.backlog_ms
-                     for item in self._classes
-                     if item.priority < own.priority)
         before = own.fair.work_before(ticket.caller, ticket.cost_ms)
-        return (better + before) / self.lanes
+        return before / (self.lanes * max(own.share, own.floor, _LEAST_SHARE))
 
     def lengths(self) -> list[int]:
         """Returns how many requests wait in each class, by rank."""
@@ -244,13 +260,13 @@
         """
         own = self._classes[ticket.rank]
         wait = self.predict_wait(ticket)
-        flow = own.fair.find_flow(ticket.caller)
-        if flow is None:
+        account = self._ledger.find(ticket.caller)
+        if account is None:
             return Shed(ticket, cut, _round_up(wait + ticket.cost_ms))
-        share = max(1, own.fair.count_active())
-        step = ticket.cost_ms * share / self.lanes
-        flow.return_at = max(flow.return_at, now + wait) + step
-        return Shed(ticket, cut, _round_up(flow.return_at - now))
+        callers = max(1, own.fair.count_callers())
+        step = ticket.cost_ms * callers / (self.lanes * own.share)
+        account.return_at = max(account.return_at, now + wait) + step
+        return Shed(ticket, cut, _round_up(account.return_at - now))
 
     def _add(self, ticket: Ticket) -> None:
         ticket.waiting = True
@@ -262,40 +278,52 @@
             self._by_start = [item for item in heap if item[2].waiting]
             heapq.heapify(self._by_start)
 
-    def _remove(self, ticket: Ticket) -> None:
+    def _count_out(self, ticket: Ticket) -> None:
         ticket.waiting = False
-        self._classes[ticket.rank].fair.remove(ticket)
         self.length -= 1
+        if not self.length:
+            self._ledger.forget()
 
-    def _pick_class(self) -> _Class:
+    def _pick_class(self, waiting: list[_Class]) -> _Class:
         """Returns the best class, or one that the floor owes a request.
 
-        The best class gives way only to a large debt: as a rule there is a
-        moment without it in which the floor is paid.
+        Classes whose next caller is over its share are passed over. The best
+        class gives way only to a large debt: as a rule there is a moment
+        without it in which the floor is paid.
         """
-        waiting = [item for item in self._by_priority if item.fair.length]
-        if not waiting:
-            raise exceptions.InvariantError('an empty queue was asked')
-        first = waiting[0]
-        patience = BEST_PATIENCE if first is self._by_priority[0] else 1
-        for item in waiting[1:]:
+        most = self._ledger.raise_floor() + flows.BURST_MS
+        within = [
+            item for item in waiting
+            if item.fair.next_flow().account.used_ms <= most
+        ]
+        if not within:
+            raise exceptions.InvariantError('every caller is over its share')
+        first = within[0]
+        owed = BEST_PATIENCE if first is self._by_priority[0] else 1
+        for item in within[1:]:
             mean_ms = item.fair.backlog_ms / item.fair.length
-            if item.credit_ms >= patience * mean_ms:
+            if item.credit_ms >= owed * mean_ms:
                 return item
         return first
 
-    def _credit(self, chosen: _Class, cost_ms: float) -> None:
-        chosen.credit_ms -= cost_ms
-        for item in self._classes:
-            waits = item.fair.length or item is chosen
-            earned = item.credit_ms + item.floor * cost_ms
-            item.credit_ms = max(0.0, earned) if waits else 0.0
-
-    def _pick_victim(self, arrived: Ticket) -> Ticket:
-        for item in reversed(self._by_priority):
-            if item.fair.length > item.reserved:
-                return item.fair.longest()
-        return self._classes[arrived.rank].fair.longest()
+    def _note_service(self, waited: list[_Class], chosen: _Class,
+                      cost_ms: float) -> None:
+        for item in waited:
+            item.credit_ms += item.floor * cost_ms
+            item.share -= _SHARE_WEIGHT * item.share
+        chosen.share += _SHARE_WEIGHT
+        chosen.credit_ms = max(0.0, chosen.credit_ms - cost_ms)
+        for item in waited:
+            if not item.fair.length:
+                item.credit_ms = 0.0
+
+    def _give_up(self, arrived: _Class) -> Ticket:
+        """Takes out what has the least claim to its place in the queue."""
+        victims = next((item for item in reversed(self._by_priority)
+                        if item.fair.length > item.reserved), arrived)
+        ticket = victims.fair.give_up()
+        self._count_out(ticket)
+        return ticket
 
 
 def _round_up(ms: float) -> int:
