--- a/lentilmoor/balance.py
+++ b/lentilmoor/balance.py
@@ -14,7 +14,8 @@
 
 from lentilmoor import clocks
 from lentilmoor import drafts
-from lentilmoor import loads as loads_lib
+from lentilmoor import loads
+from lentilmoor import means
 from lentilmoor import models
 from lentilmoor import plans
 from lentilmoor import slices
@@ -65,19 +66,19 @@
     owner: int
     target: int
     piece: drafts.Piece | None
-    hot: loads_lib.HotPoint | None
+    hot: loads.HotPoint | None
     gain: float
     cost: float
 
 
-def plan(slice_map: slices.SliceMap, loads: loads_lib.Loads,
+def plan(slice_map: slices.SliceMap, seen: means.Loads,
          servers: Mapping[str, tables.Server], weights: models.Weights,
          limits: plans.Limits, now: float) -> plans.Plan:
     """Plans the next changes of a shard's map.
 
     Args:
       slice_map: The map in force.
-      loads: Rates aligned with the map (see `loads.read`).
+      seen: Rates aligned with the map (see `means.read`).
       servers: The shard's servers by id; one that is not listed is dead.
       weights: What the team holds against an assignment.
       limits: Bounds and prices.
@@ -86,14 +87,14 @@
     Returns:
       The plan; empty if nothing is worth its cost.
     """
-    draft = drafts.make_draft(slice_map, loads, servers, limits, now)
+    draft = drafts.make_draft(slice_map, seen, servers, limits, now)
     if not any(item.accepts for item in draft.bins):
         return _report_no_target(draft)
     before = _measure_peak(draft)
     scale = _make_scale(draft, weights, limits)
     _evacuate(draft, scale)
-    if loads.observed_ms >= limits.observe_ms:
-        _note_oversized(draft, scale, loads)
+    if seen.observed_ms >= limits.observe_ms:
+        _note_oversized(draft, scale, seen)
         _relieve(draft, scale)
     return plans.Plan(tuple(draft.splits), tuple(draft.merges),
                       tuple(draft.moves), tuple(draft.notes), before,
@@ -168,11 +169,11 @@
 
 
 def _note_oversized(draft: drafts.Draft, scale: _Scale,
-                    loads: loads_lib.Loads) -> None:
+                    seen: means.Loads) -> None:
     """Marks bins that hold a key beyond their fair share; fits the level."""
     slots = sum(item.accepts for item in draft.bins)
     rest = draft.total
-    for hot in loads.hot:
+    for hot in seen.hot:
         owner = _find_owner(draft, hot.point)
         item = draft.bins[owner]
         if not item.accepts or item.oversized or slots <= item.accepts:
@@ -262,8 +263,7 @@
 
 
 def _weigh(draft: drafts.Draft, scale: _Scale, source: int,
-           piece: drafts.Piece | None,
-           hot: loads_lib.HotPoint | None) -> _Choice:
+           piece: drafts.Piece | None, hot: loads.HotPoint | None) -> _Choice:
     rate = hot.cost if piece is None else piece.rate
     span = 1 if piece is None else piece.span
     target = _find_roomiest(draft, scale, source)
--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -1,14 +1,15 @@
 """A plan in the making: the planner's working copy of a shard.
 
 Pieces are slices as the plan so far would leave them. Rates are milliseconds
-of service time per second, as in `loads`.
+of service time per second, as in `means`.
 """
 
 from collections.abc import Mapping
 import dataclasses
 
 from lentilmoor import exceptions
-from lentilmoor import loads as loads_lib
+from lentilmoor import loads
+from lentilmoor import means
 from lentilmoor import plans
 from lentilmoor import slices
 from lentilmoor import tables
@@ -86,7 +87,7 @@
 
     bins: list[Bin]
     pieces: dict[int, list[Piece]]
-    hot: dict[int, list[loads_lib.HotPoint]]
+    hot: dict[int, list[loads.HotPoint]]
     span: int
     total: float
     room: int
@@ -96,7 +97,7 @@
     notes: list[plans.Note] = dataclasses.field(default_factory=list)
 
 
-def make_draft(slice_map: slices.SliceMap, loads: loads_lib.Loads,
+def make_draft(slice_map: slices.SliceMap, seen: means.Loads,
                servers: Mapping[str, tables.Server], limits: plans.Limits,
                now: float) -> Draft:
     """Returns a draft without changes."""
@@ -107,8 +108,8 @@
     for index in range(len(bins)):
         draft.pieces[index] = []
         draft.hot[index] = []
-    _add_pieces(draft, slice_map, loads, now - limits.residence_ms)
-    _add_hot(draft, slice_map, loads)
+    _add_pieces(draft, slice_map, seen, now - limits.residence_ms)
+    _add_hot(draft, slice_map, seen)
     powered = sum(1 for item in bins if item.capacity)
     draft.room = limits.slices_per_server * powered - len(slice_map.bounds)
     return draft
@@ -142,30 +143,30 @@
     return min(max(share, _COLDEST_SHARE), 1.0)
 
 
-def _add_pieces(draft: Draft, slice_map: slices.SliceMap,
-                loads: loads_lib.Loads, settled_by: float) -> None:
-    prior = sum(loads.rates) * _PRIOR_SHARE
+def _add_pieces(draft: Draft, slice_map: slices.SliceMap, seen: means.Loads,
+                settled_by: float) -> None:
+    prior = sum(seen.rates) * _PRIOR_SHARE
     if prior <= 0.0:
         prior = 1.0
     bounds = slice_map.bounds
     end = slices.HASH_SPAN
     for index in range(len(bounds) - 1, -1, -1):
         first = bounds[index]
-        rate = loads.rates[index] + prior * ((end - first) / draft.span)
+        rate = seen.rates[index] + prior * ((end - first) / draft.span)
         owner = slice_map.owners[index]
         draft.pieces[owner].append(
-            Piece(first, end - 1, rate, owner, loads.owned_since[index]
+            Piece(first, end - 1, rate, owner, seen.owned_since[index]
                   > settled_by))
         end = first
         draft.total += rate
         if owner != slices.NO_OWNER:
             draft.bins[owner].load += rate
-            draft.bins[owner].requests += loads.requests[index]
+            draft.bins[owner].requests += seen.requests[index]
 
 
 def _add_hot(draft: Draft, slice_map: slices.SliceMap,
-             loads: loads_lib.Loads) -> None:
-    for hot in loads.hot:
+             seen: means.Loads) -> None:
+    for hot in seen.hot:
         index = slice_map.find(hot.point)
         if slice_map.last_point(index) > slice_map.bounds[index]:
             draft.hot[slice_map.owners[index]].append(hot)
@@ -204,7 +205,7 @@
     raise exceptions.InvariantError(f'no piece of {owner} covers {point}')
 
 
-def isolate(draft: Draft, owner: int, hot: loads_lib.HotPoint) -> Piece:
+def isolate(draft: Draft, owner: int, hot: loads.HotPoint) -> Piece:
     """Cuts a hot point out of its piece.
 
     Args:
--- /dev/null
+++ b/lentilmoor/means.py
@@ -0,0 +1,318 @@
+"""Moving means of what each slice and each hot key costs its server.
+
+The grantor folds the delegates' reports into a `LoadTable`, which `read` turns
+into the `Loads` that the planner weighs. Rates are milliseconds of service
+time per second: 1000 is one busy slot. Each row has a slow mean, which noise
+hardly moves, and a fast one; where they differ by more than noise explains,
+the slow one starts again from the fast.
+"""
+
+from array import array
+import dataclasses
+import math
+
+from lentilmoor import clocks
+from lentilmoor import loads
+from lentilmoor import sketches
+from lentilmoor import slices
+
+SLOW_MS = 30_000.0
+FAST_MS = 3_000.0
+# A change is held to be real beyond this many standard deviations.
+_DEVIATIONS = 4.0
+_LARGEST_EXPONENT = 40.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loads:
+    """What the planner is handed: rows aligned with a slice map.
+
+    Attributes:
+      rates: Rate of each slice, ms of service time per second; typecode d.
+      requests: Number of requests that each rate rests on; typecode d.
+      owned_since: When each slice came to its owner, ms; typecode d.
+      hot: Points that cost most, dearest first, with rates.
+      observed_ms: How long loads have been observed.
+    """
+
+    rates: array
+    requests: array
+    owned_since: array
+    hot: tuple[loads.HotPoint, ...]
+    observed_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Window:
+    """Weights of a mean that decays forwards.
+
+    What is added at time t counts exp((t - landmark) / length), so that no
+    sweep is needed as time passes; the landmark moves now and then.
+
+    Attributes:
+      length_ms: Time constant.
+      landmark: When the weight of an addition is 1, ms.
+      costs: Weighted service time by slice; typecode d.
+      sketch: The points that cost most, weighted alike.
+    """
+
+    length_ms: float
+    landmark: float
+    costs: array
+    sketch: sketches.Sketch
+
+
+@dataclasses.dataclass(slots=True)
+class LoadTable:
+    """The grantor's means, one row for each slice.
+
+    Attributes:
+      slice_map: The map that the rows follow.
+      started_at: When the table began to observe, ms.
+      slow: The means that are read.
+      fast: The means that show changes.
+      requests: Requests by slice, weighted as in `slow`; typecode d.
+      since: When the slow mean of a row starts, ms; typecode d.
+      changed: Sequence of the map that gave the slice its bounds.
+      owned_since: When the slice came to its owner, ms; typecode d.
+    """
+
+    slice_map: slices.SliceMap
+    started_at: float
+    slow: Window
+    fast: Window
+    requests: array
+    since: array
+    changed: array
+    owned_since: array
+
+
+def make_table(slice_map: slices.SliceMap,
+               now: float,
+               capacity: int = 2 * sketches.CAPACITY) -> LoadTable:
+    """Returns an empty table for a map.
+
+    Args:
+      slice_map: The map that the rows follow.
+      now: Time, ms.
+      capacity: Hot points kept.
+    """
+    count = len(slice_map.bounds)
+    slow = Window(SLOW_MS, now, _fill('d', 0, count), sketches.Sketch(capacity))
+    fast = Window(FAST_MS, now, _fill('d', 0, count), sketches.Sketch(capacity))
+    return LoadTable(slice_map, now, slow, fast, _fill('d', 0, count),
+                     _fill('d', now, count),
+                     _fill('Q', slice_map.sequence, count),
+                     _fill('d', -math.inf, count))
+
+
+def _fill(typecode: str, value: float, count: int) -> array:
+    return array(typecode, [value]) * count
+
+
+def fold(table: LoadTable, report: loads.Report, now: float) -> None:
+    """Folds a delegate's report into the means.
+
+    Rows counted before a slice got its present bounds are passed over, as
+    are all rows of another epoch: they can't be told apart by slice.
+
+    Args:
+      table: Is changed.
+      report: What a delegate counted.
+      now: Time, ms.
+    """
+    slow = _weigh(table, table.slow, now)
+    fast = _weigh(table, table.fast, now)
+    epoch, sequence = report.version
+    rows = report.slices if epoch == table.slice_map.epoch else ()
+    for row in rows:
+        index = table.slice_map.find(row.first)
+        if table.changed[index] > sequence:
+            continue
+        table.slow.costs[index] += row.cost_ms * slow
+        table.fast.costs[index] += row.cost_ms * fast
+        table.requests[index] += row.requests * slow
+    for hot in report.hot:
+        sketches.add(table.slow.sketch, hot.point, hot.cost * slow)
+        sketches.add(table.fast.sketch, hot.point, hot.cost * fast)
+
+
+def _weigh(table: LoadTable, window: Window, now: float) -> float:
+    """Returns the weight of an addition; moves a landmark long past."""
+    exponent = (now - window.landmark) / window.length_ms
+    if exponent <= _LARGEST_EXPONENT:
+        return math.exp(exponent)
+    factor = math.exp(-exponent)
+    window.landmark = now
+    window.costs = array('d', (cost * factor for cost in window.costs))
+    sketches.scale(window.sketch, factor)
+    if window is table.slow:
+        table.requests = array('d', (item * factor for item in table.requests))
+    return 1.0
+
+
+def read(table: LoadTable, now: float) -> Loads:
+    """Returns the rates as of now, aligned with the table's map.
+
+    Args:
+      table: Rows whose load has changed start again from their fast mean.
+      now: Time, ms.
+    """
+    slow = _weigh(table, table.slow, now)
+    fast = _weigh(table, table.fast, now)
+    mean_cost = sum(table.slow.costs) / max(sum(table.requests), 1e-9)
+    _restart_changed(table, mean_cost, slow, fast, now)
+    fills = [_fill_of(table.slow, now - since) for since in table.since]
+    rates = array('d',
+                  (cost / (slow * fill)
+                   for cost, fill in zip(table.slow.costs, fills, strict=True)))
+    requests = array('d', (item / slow for item in table.requests))
+    return Loads(rates, requests, table.owned_since,
+                 _rate_hot(table, mean_cost, slow, fast, now),
+                 now - table.started_at)
+
+
+def _fill_of(window: Window, observed_ms: float) -> float:
+    """Returns the seconds that a mean rests on after a time of observation."""
+    length_s = window.length_ms / clocks.MS_PER_S
+    share = 1.0 - math.exp(-max(observed_ms, 1.0) / window.length_ms)
+    return length_s * share
+
+
+def _restart_changed(table: LoadTable, mean_cost: float, slow: float,
+                     fast: float, now: float) -> None:
+    # The slow mean then rests on as many seconds as the fast one.
+    share = FAST_MS / SLOW_MS
+    back_ms = -SLOW_MS * math.log(1.0 - share)
+    for index, cost in enumerate(table.slow.costs):
+        observed = now - table.since[index]
+        if observed <= back_ms:
+            continue
+        fill = _fill_of(table.fast, observed)
+        rate = cost / (slow * _fill_of(table.slow, observed))
+        recent = table.fast.costs[index] / (fast * fill)
+        if not _differ(rate, recent, mean_cost, fill):
+            continue
+        fresh = recent * fill * slow
+        if cost > 0.0:
+            table.requests[index] *= fresh / cost
+        table.slow.costs[index] = fresh
+        table.since[index] = now - back_ms
+
+
+def _differ(rate: float, recent: float, mean_cost: float,
+            seconds: float) -> bool:
+    """Returns whether noise does not explain the difference of two means."""
+    noise = math.sqrt(max(rate, recent) * seconds * mean_cost) / seconds
+    return abs(rate - recent) > _DEVIATIONS * noise
+
+
+def _rate_hot(table: LoadTable, mean_cost: float, slow: float, fast: float,
+              now: float) -> tuple[loads.HotPoint, ...]:
+    observed = now - table.started_at
+    slow_fill = _fill_of(table.slow, observed)
+    fast_fill = _fill_of(table.fast, observed)
+    fast_costs = table.fast.sketch.costs
+    rates = {
+        point: cost / (slow * slow_fill)
+        for point, cost in table.slow.sketch.costs.items()
+    }
+    for point in set(rates) | set(fast_costs):
+        rate = rates.get(point, 0.0)
+        recent = fast_costs.get(point, 0.0) / (fast * fast_fill)
+        if _differ(rate, recent, mean_cost, fast_fill):
+            rates[point] = recent
+    ranked = sorted(rates.items(), key=lambda item: (-item[1], item[0]))
+    kept = ranked[:table.slow.sketch.capacity]
+    return tuple(loads.HotPoint(point, rate) for point, rate in kept)
+
+
+def follow_map(table: LoadTable, slice_map: slices.SliceMap,
+               now: float) -> None:
+    """Takes up a newer map.
+
+    A slice with new bounds starts with its known hot points' cost and, by its
+    share of points, its part of the rest of the slices it was cut from.
+
+    Args:
+      table: Is changed.
+      slice_map: A map of the same epoch or a later one.
+      now: Time, ms.
+    """
+    before = _copy(table)
+    _empty(table, slice_map, now)
+    kept = dict(loads.match_rows(before.slice_map, slice_map))
+    for index, bound in enumerate(slice_map.bounds):
+        was = kept.get(index)
+        if was is None:
+            was = before.slice_map.find(bound)
+            _derive(before, table, index, was)
+        else:
+            _carry(before, table, index, was, 1.0)
+            table.changed[index] = before.changed[was]
+        if _name_owner(before.slice_map, was) == _name_owner(slice_map, index):
+            table.owned_since[index] = before.owned_since[was]
+
+
+def _copy(table: LoadTable) -> LoadTable:
+    return dataclasses.replace(table,
+                               slow=dataclasses.replace(table.slow),
+                               fast=dataclasses.replace(table.fast))
+
+
+def _empty(table: LoadTable, slice_map: slices.SliceMap, now: float) -> None:
+    count = len(slice_map.bounds)
+    table.slice_map = slice_map
+    table.slow.costs = _fill('d', 0, count)
+    table.fast.costs = _fill('d', 0, count)
+    table.requests = _fill('d', 0, count)
+    table.since = _fill('d', now, count)
+    table.changed = _fill('Q', slice_map.sequence, count)
+    table.owned_since = _fill('d', now, count)
+
+
+def _carry(before: LoadTable, table: LoadTable, index: int, was: int,
+           share: float) -> None:
+    """Adds a share of an old row to a row."""
+    table.slow.costs[index] += before.slow.costs[was] * share
+    table.fast.costs[index] += before.fast.costs[was] * share
+    table.requests[index] += before.requests[was] * share
+    table.since[index] = min(table.since[index], before.since[was])
+
+
+def _derive(before: LoadTable, table: LoadTable, index: int, was: int) -> None:
+    """Fills the row of a slice with new bounds from the rows it overlaps."""
+    first = table.slice_map.bounds[index]
+    last = table.slice_map.last_point(index)
+    old = before.slice_map
+    while was < len(old.bounds) and old.bounds[was] <= last:
+        share = _share_of(before, was, first, last)
+        _carry(before, table, index, was, share)
+        was += 1
+
+
+def _share_of(before: LoadTable, was: int, first: int, last: int) -> float:
+    """Returns the part of an old slice's cost that falls in [first, last]."""
+    low = before.slice_map.bounds[was]
+    high = before.slice_map.last_point(was)
+    if first <= low and high <= last:
+        return 1.0
+    cost = before.slow.costs[was]
+    hot = 0.0
+    inside = 0.0
+    for point, value in before.slow.sketch.costs.items():
+        if low <= point <= high:
+            hot += value
+            inside += value if first <= point <= last else 0.0
+    if hot > cost:
+        inside *= cost / hot
+        hot = cost
+    overlap = (min(high, last) - max(low, first) + 1) / (high - low + 1)
+    if cost <= 0.0:
+        return overlap
+    return (inside + (cost - hot) * overlap) / cost
+
+
+def _name_owner(slice_map: slices.SliceMap, index: int) -> str | None:
+    owner = slice_map.owners[index]
+    return None if owner == slices.NO_OWNER else slice_map.servers[owner]
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -10,6 +10,7 @@
 
 from lentilmoor import balance
 from lentilmoor import loads
+from lentilmoor import means
 from lentilmoor import models
 from lentilmoor import plans
 from lentilmoor import slices
@@ -39,7 +40,7 @@
 
 def make_loads(slice_map, rates, hot=(), observed_ms=60_000.0, since=0.0):
     count = len(slice_map.bounds)
-    return loads.Loads(array('d', rates),
+    return means.Loads(array('d', rates),
                        array('d', [BUSY]) * count,
                        array('d', [since]) * count, tuple(hot), observed_ms)
 
