Carry requests from end to end between real entry processes

Cause: the parts stood alone; nothing wired them into a running entry. Conclusion: the thin path stands; it is not yet measured or tested.

--- /dev/null
+++ b/lentilmoor/adapters.py
@@ -0,0 +1,183 @@
+"""Requests on the wire: to backend servers and to other entries.
+
+Makes the closures by which the request path sends one try: the headers a
+server or an entry is to see, the pool of connections, and the reading of a
+refusal that says the request was not run.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import threading
+
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import dispatch
+from lentilmoor import headers as header_names
+from lentilmoor import outcomes
+from lentilmoor import problems
+from lentilmoor import routes
+from lentilmoor import servers
+from lentilmoor import tries
+
+_Reason = outcomes.Reason
+_VIA = '1.1 lentilmoor'
+
+# Headers that only the router itself may set towards a server.
+_RESERVED = frozenset(name.lower()
+                      for name in (*servers.RESERVED_HEADERS, 'Host', 'Expect',
+                                   'Content-Length', header_names.TRACEPARENT,
+                                   header_names.RELAY_SECRET,
+                                   header_names.RELAY_REQUEST_ID))
+_DROPPED = header_names.HOP_BY_HOP | _RESERVED
+# Headers of an entry's answer that the next entry writes itself.
+_OUTCOME_HEADERS = frozenset(name.lower() for name in (problems.OUTCOME_HEADER,
+                                                       problems.REASON_HEADER,
+                                                       header_names.REQUEST_ID))
+
+
+class Pools:
+    """Pools of connections by address, made on first use."""
+
+    def __init__(self, rules: connections.Rules, clock: clocks.Clock):
+        self._rules = rules
+        self._clock = clock
+        self._rows: dict[str, connections.Pool] = {}
+        self._lock = threading.Lock()
+
+    def find(self, address: str) -> connections.Pool:
+        """Returns the pool of an address."""
+        pool = self._rows.get(address)
+        if pool is not None:
+            return pool
+        with self._lock:
+            return self._rows.setdefault(
+                address, connections.Pool(address, self._rules, self._clock))
+
+    def close_worn(self) -> None:
+        """Closes connections that are not to be used again."""
+        for pool in list(self._rows.values()):
+            pool.close_worn()
+
+
+Send = Callable[[routes.Straight, dispatch.Outgoing], tries.Try]
+Hand = Callable[[routes.Relay, dispatch.Outgoing], tries.Try]
+
+
+def make_send(pools: Pools, clock: clocks.Clock) -> Send:
+    """Returns the closure that tries a call at a server."""
+
+    def send(route: routes.Straight, outgoing: dispatch.Outgoing) -> tries.Try:
+        call = outgoing.call
+        remaining_ms = call.deadline - clock.now()
+        if remaining_ms <= 0:
+            return _LATE
+        headers = _copy_headers(outgoing)
+        servers.put_headers(
+            headers,
+            servers.OrderHeaders(call.request_id, remaining_ms, call.key,
+                                 call.point, route.epoch, route.sequence))
+        sent = tries.send_order(
+            pools.find(route.server.address),
+            _make_order(outgoing, call.target, headers, remaining_ms))
+        result = sent.result
+        if not isinstance(result, tries.Answer):
+            return sent
+        reason = servers.read_refusal(result.headers, result.status)
+        if reason is None:
+            # Only entries may say these of an answer.
+            result.headers = _drop_outcome(result.headers)
+            return sent
+        result.close()
+        refusal = outcomes.NotRun(reason,
+                                  f'server {route.server.id} refused it')
+        return dataclasses.replace(sent, result=refusal)
+
+    return send
+
+
+def make_hand(pools: Pools, clock: clocks.Clock, secret: str) -> Hand:
+    """Returns the closure that hands a call over to another entry."""
+
+    def hand(route: routes.Relay, outgoing: dispatch.Outgoing) -> tries.Try:
+        call = outgoing.call
+        remaining_ms = call.deadline - clock.now()
+        if remaining_ms <= 0:
+            return _LATE
+        headers = _copy_headers(outgoing)
+        headers[header_names.RELAY_SECRET] = secret
+        headers[header_names.RELAY_REQUEST_ID] = call.request_id
+        headers[header_names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
+        target = f'/{call.team}/{call.service}{call.target}'
+        sent = tries.send_order(
+            pools.find(route.address),
+            _make_order(outgoing, target, headers, remaining_ms))
+        if not isinstance(sent.result, tries.Answer):
+            return sent
+        return dataclasses.replace(sent, result=_read_outcome(sent.result))
+
+    return hand
+
+
+_LATE = tries.Try(
+    outcomes.NotRun(_Reason.DEADLINE_PASSED,
+                    'the deadline passed before it was sent'))
+
+
+def _make_order(outgoing: dispatch.Outgoing, target: str,
+                headers: dict[str, str], remaining_ms: float) -> tries.Order:
+    call, body = outgoing.call, outgoing.body
+    return tries.Order(method=call.raw.method,
+                       target=target,
+                       headers=headers,
+                       body=body.payload(),
+                       chunked=not body.whole and body.length is None,
+                       remaining_ms=remaining_ms,
+                       repeatable=call.repeatable,
+                       fresh=outgoing.fresh,
+                       service_ms=outgoing.service_ms)
+
+
+def _copy_headers(outgoing: dispatch.Outgoing) -> dict[str, str]:
+    call, body = outgoing.call, outgoing.body
+    named = call.raw.header('Connection').lower()
+    headers = {}
+    for name, value in call.raw.headers.items():
+        text = name.decode('latin-1')
+        lower = text.lower()
+        if lower in _DROPPED or (named and lower in named):
+            continue
+        headers[text] = value.decode('latin-1')
+    headers['Via'] = _VIA
+    if body.whole:
+        if body.start or body.length:
+            headers['Content-Length'] = str(len(body.start))
+    elif body.length is not None:
+        headers['Content-Length'] = str(body.length)
+    traceparent = outgoing.span.traceparent or call.raw.header(
+        header_names.TRACEPARENT)
+    if traceparent:
+        headers[header_names.TRACEPARENT] = traceparent
+    return headers
+
+
+def _read_outcome(answer: tries.Answer) -> tries.Result:
+    """Reads an entry's answer: a server's, or the entry's own refusal."""
+    told = {
+        name.lower(): value
+        for name, value in answer.headers
+        if name.lower() in _OUTCOME_HEADERS
+    }
+    answer.headers = _drop_outcome(answer.headers)
+    refusal = problems.parse(told.get(problems.OUTCOME_HEADER.lower()),
+                             told.get(problems.REASON_HEADER.lower()),
+                             answer.body)
+    if refusal is None:
+        return answer
+    answer.close()
+    return refusal
+
+
+def _drop_outcome(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    return [(name, value)
+            for name, value in headers
+            if name.lower() not in _OUTCOME_HEADERS]
--- /dev/null
+++ b/lentilmoor/bodies.py
@@ -0,0 +1,83 @@
+"""A caller's request body: a buffered start, then the rest as it streams.
+
+A body that fits the buffer can be sent again; a longer one is read from the
+caller's connection only once, so memory stays flat.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from lentilmoor import exceptions
+from lentilmoor import fingerprints
+
+BUFFER_BYTES = 64 * 1024
+
+
+class BodyError(exceptions.LentilmoorError):
+    """The caller's body could not be read to its end, or is too large."""
+
+
+class Body:
+    """The body of one request.
+
+    Attributes:
+      start: Its first bytes, at most `BUFFER_BYTES`.
+      whole: Whether `start` is all of it.
+      length: Declared length, or None if it is chunked.
+      sent: Whether anything past `start` has been read for sending.
+      digest: Digest of what has been read.
+    """
+
+    def __init__(self, read: Callable[[int], bytes], length: int | None,
+                 limit: int):
+        self._read = read
+        self._limit = limit
+        self._seen = 0
+        self.length = length
+        self.sent = False
+        self.digest = fingerprints.BodyDigest()
+        self.start = b'' if length == 0 else self._read_start()
+        self.whole = len(self.start) < BUFFER_BYTES
+        if self.whole and length is not None and len(self.start) != length:
+            raise BodyError('the body ended before its declared length')
+
+    @property
+    def may_resend(self) -> bool:
+        """Whether the whole body can be sent once more."""
+        return self.whole or not self.sent
+
+    def payload(self) -> bytes | Iterator[bytes] | None:
+        """Returns what a try sends: bytes, or chunks, or None if empty."""
+        if self.whole:
+            return self.start or None
+        return self._stream()
+
+    def _read_start(self) -> bytes:
+        parts = []
+        room = BUFFER_BYTES
+        while room > 0:
+            chunk = self._read_chunk(room)
+            if not chunk:
+                break
+            parts.append(chunk)
+            room -= len(chunk)
+        return b''.join(parts)
+
+    def _stream(self) -> Iterator[bytes]:
+        self.sent = True
+        yield self.start
+        while chunk := self._read_chunk(BUFFER_BYTES):
+            yield chunk
+        if self.length is not None and self._seen != self.length:
+            raise BodyError('the body ended before its declared length')
+
+    def _read_chunk(self, size: int) -> bytes:
+        try:
+            chunk = self._read(size)
+        except (OSError, ValueError) as error:
+            raise BodyError('the body could not be read') from error
+        self._seen += len(chunk)
+        if self._seen > self._limit:
+            raise BodyError(f'expected at most {self._limit} bytes')
+        fingerprints.feed(self.digest, chunk)
+        return chunk
--- /dev/null
+++ b/lentilmoor/entries.py
@@ -0,0 +1,394 @@
+"""An entry: the one place where all parts are wired together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+import functools
+import logging
+import random
+import secrets
+import signal
+import threading
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+import pykka
+
+from lentilmoor import adapters
+from lentilmoor import admin
+from lentilmoor import adminhooks
+from lentilmoor import cancellations
+from lentilmoor import claiming
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import control
+from lentilmoor import controltables
+from lentilmoor import dispatch
+from lentilmoor import dispatchers
+from lentilmoor import evidence
+from lentilmoor import fleetwork
+from lentilmoor import gateways
+from lentilmoor import gossip
+from lentilmoor import inbox
+from lentilmoor import logs
+from lentilmoor import metrics
+from lentilmoor import models
+from lentilmoor import outcomes
+from lentilmoor import peers
+from lentilmoor import roles
+from lentilmoor import runners
+from lentilmoor import servers
+from lentilmoor import shardclaims
+from lentilmoor import shardstates
+from lentilmoor import shutdowns
+from lentilmoor import stores
+from lentilmoor import tables
+from lentilmoor import traces
+from lentilmoor import watchers
+
+TICK_MS = 25.0
+ADMIN_THREADS = 4
+SETTLE_THREADS = 4
+SERVER_TIMEOUT_MS = 300.0
+# Another entry takes new connections as fast as they come.
+RELAY_OPENS = {'opens_per_s': 200.0, 'burst': 64.0}
+# Of the request threads, those that may wait for a slice to move.
+HOLDING_SHARE = 0.5
+HANDOVER_MS = 3_000.0
+EXIT_OK = 0
+EXIT_FAILED = 70
+
+_LOOK_EVERY_MS = 20.0
+_ASK_TIMEOUT_MS = 2_000.0
+_STOP_GRACE_MS = 500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Base:
+    """What all parts share.
+
+    Attributes:
+      id: Instance id of this process; new with each start.
+      settings: The process's settings.
+      secret: Shared by all entries.
+      clock: Time.
+      logger: For changes of state.
+      registry: Metrics.
+      tracer: Begins spans.
+      generator: Random numbers.
+      count: Requests that are being answered.
+      stopped: Set when the process ends.
+      failed: Set when the control actor broke an invariant.
+    """
+
+    id: str
+    settings: models.ProcessSettings
+    secret: str
+    clock: clocks.Clock
+    logger: logs.Logger
+    registry: metrics.Registry
+    tracer: traces.Tracer
+    generator: random.Random
+    count: shutdowns.RequestCount
+    stopped: threading.Event
+    failed: threading.Event
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A running entry.
+
+    Attributes:
+      base: What all parts share.
+      dispatcher: What request threads share.
+      own: Its addresses, with the ports the system picked.
+      addresses: host:port for callers and for administration.
+      ready: Whether callers' requests are wanted.
+      listeners: The HTTP servers: callers, relay, administration.
+      runner: Makes control's calls.
+      peers: The peer protocol.
+      actor: The control actor.
+    """
+
+    base: Base
+    dispatcher: dispatchers.Dispatcher
+    own: tables.Instance | None = None
+    callers_address: str = ''
+    admin_address: str = ''
+    ready: bool = False
+    listeners: list[cheroot_server.HTTPServer] = dataclasses.field(
+        default_factory=list)
+    runner: runners.Runner | None = None
+    peers: peers.Peers | None = None
+    actor: pykka.ActorRef | None = None
+
+    def tell(self, message: object) -> None:
+        """Sends the control actor a message; none before it or after it."""
+        if self.actor is None or self.base.stopped.is_set():
+            return
+        try:
+            self.actor.tell(message)
+        except pykka.ActorDeadError:
+            self.base.failed.set()
+
+    def ask(self, work: Callable[[controltables.ControlTables, float],
+                                 object]) -> object:
+        """Has work done on the control's tables and returns its result."""
+        reply: futures.Future = futures.Future()
+        self.tell(inbox.Ask(work, reply))
+        return reply.result(_ASK_TIMEOUT_MS / clocks.MS_PER_S)
+
+
+def start_entry(settings: models.ProcessSettings, secret: str) -> Entry:
+    """Starts an entry and returns it running.
+
+    Args:
+      settings: The process's settings.
+      secret: Shared by all entries.
+    """
+    base = _make_base(settings, secret)
+    holding = int(settings.threads * HOLDING_SHARE)
+    dispatcher = dispatchers.Dispatcher(base.id, base.clock,
+                                        dispatchers.make_meters(base.registry),
+                                        base.generator, holding)
+    entry = Entry(base, dispatcher)
+    store = stores.connect_store(settings.store, base.clock, base.id)
+    control_of_servers = servers.connect_servers(base.clock, SERVER_TIMEOUT_MS)
+    _listen(entry, store, control_of_servers)
+    entry.runner = runners.Runner(
+        runners.Outside(store, control_of_servers, entry.peers,
+                        _make_finder(dispatcher), entry.tell))
+    entry.actor = control.Control.start(_make_tables(entry), base.failed)
+    _start_threads(entry, store, control_of_servers)
+    entry.ready = True
+    base.logger.info('entry_started',
+                     callers=entry.callers_address,
+                     admin=entry.admin_address)
+    return entry
+
+
+def _make_finder(
+        dispatcher: dispatchers.Dispatcher) -> Callable[[str], str | None]:
+
+    def find_peer(name: str) -> str | None:
+        return dispatcher.snapshot.peers.get(name)
+
+    return find_peer
+
+
+def run(settings: models.ProcessSettings) -> int:
+    """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
+    with open(settings.peer_secret_file, encoding='utf-8') as file:
+        secret = file.read().strip()
+    entry = start_entry(settings, secret)
+    asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: asked.set())
+    while not asked.is_set() and not entry.base.failed.is_set():
+        asked.wait(_LOOK_EVERY_MS / clocks.MS_PER_S)
+    if entry.base.failed.is_set():
+        entry.base.logger.error('invariant_broken')
+        return EXIT_FAILED
+    stop_entry(entry)
+    return EXIT_OK
+
+
+def stop_entry(entry: Entry) -> None:
+    """Stops an entry without interrupting a request."""
+    base = entry.base
+    entry.ready = False
+    base.logger.info('entry_leaving')
+    entry.ask(fleetwork.leave)
+    _await_handover(entry)
+    finished = shutdowns.finish_requests(base.count, base.clock,
+                                         threading.Event().wait)
+    for listener in entry.listeners:
+        listener.stop()
+    base.stopped.set()
+    entry.actor.stop(block=False)
+    entry.peers.stop(_STOP_GRACE_MS)
+    entry.runner.stop()
+    base.tracer.close()
+    base.logger.info('entry_stopped', finished=finished)
+
+
+def _make_base(settings: models.ProcessSettings, secret: str) -> Base:
+    clock = clocks.Clock()
+    name = f'{settings.instance}.{secrets.token_hex(4)}'
+    generator = random.Random(secrets.randbits(64))
+    return Base(id=name,
+                settings=settings,
+                secret=secret,
+                clock=clock,
+                logger=logs.make_logger(name),
+                registry=metrics.Registry(clock),
+                tracer=traces.make_tracer(settings.trace, name, clock,
+                                          generator),
+                generator=generator,
+                count=shutdowns.RequestCount(),
+                stopped=threading.Event(),
+                failed=threading.Event())
+
+
+def _listen(entry: Entry, store: stores.Store,
+            control_of_servers: servers.Servers) -> None:
+    """Opens all ports; nothing is served before the threads start."""
+    del control_of_servers
+    base, settings = entry.base, entry.base.settings
+    carry = functools.partial(dispatch.dispatch_call, entry.dispatcher,
+                              _make_wiring(entry))
+    log_error = _make_error_log(base)
+    callers = gateways.make_server(
+        settings.callers,
+        gateways.make_gateway(entry.dispatcher, carry, base.tracer, base.count),
+        settings.threads, log_error)
+    relay = gateways.make_server(
+        settings.relay,
+        gateways.make_gateway(entry.dispatcher, carry, base.tracer, base.count,
+                              base.secret), settings.relay_threads, log_error)
+    host, _, port = settings.admin.rpartition(':')
+    app = admin.make_app(adminhooks.make_hooks(entry, store), base.clock)
+    administration = wsgi.Server((host.strip('[]'), int(port)),
+                                 app,
+                                 numthreads=ADMIN_THREADS,
+                                 server_name='lentilmoor')
+    entry.listeners = [callers, relay, administration]
+    for listener in entry.listeners:
+        listener.prepare()
+    entry.peers = peers.start_peers(
+        peers.PeerSettings(settings.peers, base.secret.encode()),
+        _make_handlers(entry), base.clock)
+    entry.callers_address = _read_address(callers)
+    entry.admin_address = _read_address(administration)
+    entry.own = tables.Instance(base.id, entry.peers.address,
+                                _read_address(relay), settings.region,
+                                settings.failure_domain)
+
+
+def _make_error_log(base: Base) -> gateways.LogError:
+    errors = base.registry.counter('lentilmoor_request_errors',
+                                   'Requests that ended in a fault').at()
+
+    def log_error(message: str = '',
+                  level: int = logging.INFO,
+                  traceback: bool = False) -> None:
+        if level < logging.ERROR:
+            return
+        errors.add()
+        base.logger.error('request_error', error=message, exc_info=traceback)
+
+    return log_error
+
+
+def _read_address(listener: cheroot_server.HTTPServer) -> str:
+    host, port = listener.bind_addr[:2]
+    return f'{host}:{port}'
+
+
+def _make_wiring(entry: Entry) -> dispatch.Wiring:
+    base = entry.base
+    pools = adapters.Pools(connections.Rules(), base.clock)
+    relays = adapters.Pools(
+        connections.Rules(most=base.settings.relay_threads, **RELAY_OPENS),
+        base.clock)
+    settling = futures.ThreadPoolExecutor(SETTLE_THREADS, 'settling')
+    lines = claiming.Lines(tell=entry.tell,
+                           peers=lambda: entry.peers,
+                           later=settling.submit)
+    return dispatch.Wiring(
+        send=adapters.make_send(pools, base.clock),
+        relay=adapters.make_hand(relays, base.clock, base.secret),
+        claim=claiming.make_claim(entry.dispatcher, lines),
+        spread_crash=lambda item: entry.tell(inbox.CrashSeen(item)))
+
+
+def _make_handlers(entry: Entry) -> peers.Handlers:
+
+    def make(kind: Callable[[object, futures.Future], object]):
+
+        def handle(message: object) -> futures.Future | outcomes.Failed:
+            if entry.actor is None:
+                return outcomes.Failed(outcomes.Reason.PEER_UNAVAILABLE,
+                                       'starting')
+            reply: futures.Future = futures.Future()
+            entry.tell(kind(message, reply))
+            return reply
+
+        return handle
+
+    return peers.Handlers(exchange=make(inbox.ExchangeAsked),
+                          fetch=make(inbox.FetchAsked),
+                          lease=make(inbox.LeaseAsked),
+                          claim=make(inbox.ClaimAsked),
+                          settle=make(inbox.SettleAsked))
+
+
+def _make_tables(entry: Entry) -> controltables.ControlTables:
+    base = entry.base
+    now = base.clock.now()
+    incarnation = int(base.clock.wall() / clocks.MS_PER_S)
+    runner = entry.runner
+    calls = controltables.Calls(run=runner.run,
+                                send_gossip=runner.send_gossip,
+                                send_evidence=runner.send_evidence,
+                                probe=runner.probe,
+                                note_change=logs.make_notes(base.logger))
+    return controltables.ControlTables(
+        own=entry.own,
+        settings=base.settings,
+        clock=base.clock,
+        calls=calls,
+        dispatcher=entry.dispatcher,
+        gossip=gossip.make_gossip(entry.own, incarnation, now, base.generator),
+        liveness=evidence.LivenessTable(base.id, base.settings.failure_domain),
+        claims=shardclaims.ShardClaims(base.clock, runner.run_claim))
+
+
+def _start_threads(entry: Entry, store: stores.Store,
+                   control_of_servers: servers.Servers) -> None:
+    base = entry.base
+    for listener in entry.listeners:
+        threading.Thread(target=listener.serve, daemon=True).start()
+    threading.Thread(target=_tick, args=(entry,), daemon=True).start()
+    watchers.start_watchers(
+        watchers.WatchWiring(store=store,
+                             own=lambda: _list_self(entry),
+                             is_watcher=lambda: entry.ask(_is_watcher),
+                             tell=entry.tell,
+                             stopped=base.stopped))
+    cancellations.start_canceller(
+        entry.dispatcher, lambda address, request: entry.runner.run_server(
+            lambda: control_of_servers.cancel(address, request)), base.stopped)
+
+
+def _tick(entry: Entry) -> None:
+    while not entry.base.stopped.wait(TICK_MS / clocks.MS_PER_S):
+        entry.tell(inbox.Tick())
+
+
+def _list_self(entry: Entry) -> stores.ListedInstance:
+    own = entry.own
+    return stores.ListedInstance(own.id, own.peer_address, own.relay_address,
+                                 own.region, own.failure_domain)
+
+
+def _is_watcher(tables_: controltables.ControlTables, now: float) -> bool:
+    del now
+    return roles.is_watcher(tables_.me, tables_.instances().values())
+
+
+def _await_handover(entry: Entry) -> None:
+    """Waits until other entries are grantors of what this one was."""
+    until = entry.base.clock.now() + HANDOVER_MS
+    while entry.base.clock.now() < until:
+        if not entry.ask(_has_shards):
+            return
+        threading.Event().wait(_LOOK_EVERY_MS / clocks.MS_PER_S)
+
+
+def _has_shards(tables_: controltables.ControlTables, now: float) -> bool:
+    del now
+    return any(
+        shardstates.is_grantor(state) for state in tables_.shards.values())
--- /dev/null
+++ b/lentilmoor/fleetwork.py
@@ -0,0 +1,99 @@
+"""The control actor's work on membership and spread."""
+
+# Members of generated modules exist only at run time.
+# pylint: disable=no-member
+
+from lentilmoor import controltables
+from lentilmoor import evidencework
+from lentilmoor import gossip
+from lentilmoor import inbox
+from lentilmoor import members
+from lentilmoor import outcomes
+from lentilmoor import shardclaims
+from lentilmoor import shardwork
+from lentilmoor import snapshots
+from lentilmoor import tables as rows
+
+_Tables = controltables.ControlTables
+
+
+def step(tables: _Tables, now: float) -> None:
+    """Makes the calls that are due and follows changes of membership."""
+    _send(tables, gossip.tick(tables.gossip, now))
+    _follow_members(tables, now)
+
+
+def take_list(tables: _Tables, message: inbox.InstancesListed,
+              now: float) -> None:
+    """Weighs a reading of the platform's list."""
+    if isinstance(message.listed, outcomes.Failed):
+        return
+    gossip.take_list(tables.gossip, message.listed, now)
+    _follow_members(tables, now)
+
+
+def take_exchange(tables: _Tables, message: inbox.ExchangeAsked,
+                  now: float) -> None:
+    """Answers a peer's exchange."""
+    asked = message.message
+    reply = gossip.answer_exchange(tables.gossip, asked, now)
+    evidencework.take_peer_evidence(tables, asked, now)
+    reply.grantors.extend(
+        shardwork.answer_about_grantors(tables, asked.asked_shards, now))
+    message.reply.set_result(reply)
+    _follow_members(tables, now)
+
+
+def take_fetch(tables: _Tables, message: inbox.FetchAsked, now: float) -> None:
+    """Answers a peer's fetch."""
+    del now
+    message.reply.set_result(gossip.answer_fetch(tables.gossip,
+                                                 message.message))
+
+
+def take_reply(tables: _Tables, message: inbox.GossipReplied,
+               now: float) -> None:
+    """Takes in the outcome of a call of membership or spread."""
+    _send(
+        tables,
+        gossip.take_reply(tables.gossip, message.outgoing, message.reply, now))
+    _follow_members(tables, now)
+
+
+def take_evidence_reply(tables: _Tables, message: inbox.EvidenceReplied,
+                        now: float) -> None:
+    """Takes in a peer's answer to evidence or to a question."""
+    if isinstance(message.reply, outcomes.Failed):
+        return
+    members.hear(tables.gossip.members, message.peer, now)
+    shardwork.take_grantors(tables, message.peer, message.reply.grantors, now)
+
+
+def leave(tables: _Tables, now: float) -> None:
+    """Announces that this entry is leaving; its roles move to others."""
+    tables.leaving = True
+    gossip.leave(tables.gossip, now)
+
+
+def _send(tables: _Tables, calls: list[gossip.Outgoing]) -> None:
+    for call in calls:
+        tables.calls.send_gossip(call)
+
+
+def _follow_members(tables: _Tables, now: float) -> None:
+    """Brings what depends on the list of entries up to date."""
+    changes = tables.gossip.members.changes
+    if changes == tables.members_seen:
+        return
+    tables.members_seen = changes
+    instances = tables.instances()
+    tables.relays = snapshots.make_relays(instances.values())
+    tables.peers = {row.id: row.peer_address for row in instances.values()}
+    for row in instances.values():
+        tables.calls.note_change('entry_liveness', row.id, row.liveness)
+        if row.liveness is rows.Liveness.DEAD:
+            shardclaims.lose_instance(tables.claims, row.id, now)
+    evidencework.assign_probes(tables, instances)
+    for state in tables.shards.values():
+        shardwork.rebuild_route(tables, state)
+    shardwork.put_snapshot(tables)
--- /dev/null
+++ b/lentilmoor/gateways.py
@@ -0,0 +1,252 @@
+"""HTTP towards callers and towards other entries, by cheroot.
+
+A gateway turns cheroot's parsed request into a call and writes its outcome
+back. An answer that is cut on the way is never ended as if it were whole: the
+connection is closed instead.
+"""
+
+from collections.abc import Callable
+import hmac
+import http
+import select
+import socket
+
+from cheroot import errors
+from cheroot import server as cheroot_server
+
+from lentilmoor import bodies
+from lentilmoor import calls
+from lentilmoor import dispatchers
+from lentilmoor import headers as header_names
+from lentilmoor import outcomes
+from lentilmoor import problems
+from lentilmoor import shutdowns
+from lentilmoor import traces
+from lentilmoor import tries
+
+IDLE_TIMEOUT_S = 30
+SMALLEST_HEADER_LIMIT = 64 * 1024
+
+_Reason = outcomes.Reason
+_PHRASES = {
+    item.value: f'{item.value} {item.phrase}'.encode()
+    for item in http.HTTPStatus
+}
+_EMPTY = b''
+
+DispatchCall = Callable[[calls.Call, bodies.Body, traces.Span], tries.Result]
+"""Carries a call to its outcome."""
+
+LogError = Callable[..., None]
+"""(message, level, traceback) of an error in answering a request."""
+
+
+def make_server(address: str, gateway: type[cheroot_server.Gateway],
+                threads: int, log_error: LogError) -> cheroot_server.HTTPServer:
+    """Returns a server that hands each request to a gateway.
+
+    Args:
+      address: host:port; port 0 lets the system pick one.
+      gateway: Made by `make_gateway`.
+      threads: Request threads.
+      log_error: Takes cheroot's errors.
+    """
+    host, _, port = address.rpartition(':')
+    server = cheroot_server.HTTPServer((host.strip('[]'), int(port)),
+                                       gateway,
+                                       minthreads=threads,
+                                       maxthreads=threads,
+                                       server_name='lentilmoor')
+    server.timeout = IDLE_TIMEOUT_S
+    server.request_queue_size = 512
+    server.keep_alive_conn_limit = None
+    server.max_request_header_size = SMALLEST_HEADER_LIMIT
+    server.error_log = log_error
+    return server
+
+
+def make_gateway(dispatcher: dispatchers.Dispatcher,
+                 dispatch_call: DispatchCall,
+                 tracer: traces.Tracer,
+                 count: shutdowns.RequestCount,
+                 relay_secret: str = '') -> type[cheroot_server.Gateway]:
+    """Returns the gateway class for callers or, with a secret, for entries.
+
+    Args:
+      dispatcher: What request threads share.
+      dispatch_call: Carries a call.
+      tracer: Begins spans.
+      count: Counts requests; tells whether connections are to be closed.
+      relay_secret: The peers' secret; empty for callers.
+    """
+
+    class CallGateway(cheroot_server.Gateway):
+        """Answers one request."""
+
+        def respond(self) -> None:
+            """Reads the request, carries it and writes its outcome."""
+            count.enter()
+            self.req.close_connection |= count.closing
+            try:
+                _respond(self.req, dispatcher, dispatch_call, tracer,
+                         relay_secret)
+            finally:
+                count.leave()
+
+    return CallGateway
+
+
+def _respond(request: cheroot_server.HTTPRequest,
+             dispatcher: dispatchers.Dispatcher, dispatch_call: DispatchCall,
+             tracer: traces.Tracer, relay_secret: str) -> None:
+    began = dispatcher.clock.now()
+    if relay_secret and not _is_peer(request, relay_secret):
+        refusal = outcomes.NotRun(_Reason.NOT_AUTHORIZED, 'peers only')
+        _write_problem(request, problems.make(refusal, dispatcher.instance))
+        return
+    raw = _read_raw(request)
+    call = calls.read_call(raw, dispatcher.snapshot.find_settings, began)
+    if isinstance(call, outcomes.NotRun):
+        _finish(request, dispatcher, raw.path, call)
+        return
+    start = tracer.join if relay_secret else tracer.begin
+    with start('relayed' if relay_secret else 'request',
+               raw.header(header_names.TRACEPARENT)) as span:
+        span.note('service', call.service)
+        span.note('request', call.request_id)
+        if relay_secret:
+            call.relayed = True
+            call.request_id = raw.header(header_names.RELAY_REQUEST_ID)
+        result = _dispatch_body(call, dispatch_call, span)
+        _measure(dispatcher, call, result, dispatcher.clock.now() - began)
+        _write_result(request, dispatcher, call, result)
+
+
+def _dispatch_body(call: calls.Call, dispatch_call: DispatchCall,
+                   span: traces.Span) -> tries.Result:
+    try:
+        body = bodies.Body(call.raw.read, call.raw.length,
+                           call.settings.limits.body_bytes)
+    except bodies.BodyError as error:
+        reason = _Reason.BAD_REQUEST
+        if 'at most' in str(error):
+            reason = _Reason.BODY_TOO_LARGE
+        return outcomes.NotRun(reason, str(error))
+    return dispatch_call(call, body, span)
+
+
+def _is_peer(request: cheroot_server.HTTPRequest, secret: str) -> bool:
+    given = request.inheaders.get(header_names.RELAY_SECRET.title().encode(),
+                                  _EMPTY)
+    return hmac.compare_digest(given, secret.encode())
+
+
+def _read_raw(request: cheroot_server.HTTPRequest) -> calls.RawRequest:
+    length: int | None = None
+    if not request.chunked_read:
+        length = int(request.inheaders.get(b'Content-Length', 0))
+    connection = request.conn.socket
+    return calls.RawRequest(request.method.decode('latin-1'),
+                            request.path.decode('latin-1'),
+                            request.qs.decode('latin-1'), request.inheaders,
+                            length, request.rfile.read,
+                            lambda: _is_gone(connection))
+
+
+def _is_gone(connection: socket.socket) -> bool:
+    """Returns whether the other end has closed its connection."""
+    try:
+        ready = select.select([connection], [], [], 0)[0]
+        if not ready:
+            return False
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return connection.recv(1, flags) == _EMPTY
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        return True
+
+
+def _measure(dispatcher: dispatchers.Dispatcher, call: calls.Call,
+             result: tries.Result, took_ms: float) -> None:
+    outcome, reason = problems.Outcome.ANSWERED, ''
+    if not isinstance(result, tries.Answer):
+        outcome = (problems.Outcome.NOT_RUN if isinstance(
+            result, outcomes.NotRun) else problems.Outcome.UNKNOWN)
+        reason = result.reason.value
+    dispatcher.meters.requests.at(call.service, outcome.value, reason).add()
+    name = call.settings.classes[call.class_index].name
+    dispatcher.meters.request_ms.at(call.service, name).record(took_ms)
+
+
+def _finish(request: cheroot_server.HTTPRequest,
+            dispatcher: dispatchers.Dispatcher, path: str,
+            refusal: outcomes.NotRun) -> None:
+    del path
+    dispatcher.meters.requests.at('', problems.Outcome.NOT_RUN.value,
+                                  refusal.reason.value).add()
+    _write_problem(request, problems.make(refusal, dispatcher.instance))
+
+
+def _write_result(request: cheroot_server.HTTPRequest,
+                  dispatcher: dispatchers.Dispatcher, call: calls.Call,
+                  result: tries.Result) -> None:
+    if not isinstance(result, tries.Answer):
+        _write_problem(request, problems.make(result, dispatcher.instance),
+                       call.request_id)
+        return
+    _write_answer(request, call.request_id, result)
+
+
+def _write_answer(request: cheroot_server.HTTPRequest, request_id: str,
+                  answer: tries.Answer) -> None:
+    request.status = _PHRASES.get(answer.status, str(answer.status).encode())
+    sent = request.outheaders
+    for name, value in answer.headers:
+        sent.append((name.encode('latin-1'), value.encode('latin-1')))
+    sent.append((problems.OUTCOME_HEADER.encode(),
+                 problems.Outcome.ANSWERED.value.encode()))
+    sent.append((header_names.REQUEST_ID.encode(), request_id.encode()))
+    request.sent_headers = True
+    try:
+        request.send_headers()
+        if answer.body:
+            request.write(answer.body)
+        if answer.rest is not None:
+            _stream_rest(request, answer)
+    except OSError as error:
+        if error.args and error.args[0] in errors.socket_errors_to_ignore:
+            _cut(request)
+            return
+        raise
+    finally:
+        answer.close()
+
+
+def _stream_rest(request: cheroot_server.HTTPRequest,
+                 answer: tries.Answer) -> None:
+    try:
+        for chunk in answer.rest:
+            request.write(chunk)
+    except tries.CutError:
+        _cut(request)
+
+
+def _cut(request: cheroot_server.HTTPRequest) -> None:
+    """Closes the connection without the mark that ends a whole answer."""
+    request.chunked_write = False
+    request.close_connection = True
+
+
+def _write_problem(request: cheroot_server.HTTPRequest,
+                   problem: problems.Problem,
+                   request_id: str = '') -> None:
+    request.status = problem.status_line.encode()
+    for name, value in problem.headers:
+        request.outheaders.append((name.encode(), value.encode('latin-1')))
+    if request_id:
+        request.outheaders.append(
+            (header_names.REQUEST_ID.encode(), request_id.encode()))
+    request.sent_headers = True
+    request.send_headers()
+    request.write(problem.body)
--- a/lentilmoor/slices.py
+++ b/lentilmoor/slices.py
@@ -17,7 +17,7 @@
 
 def hash_key(key: str) -> int:
     """Returns the point of a key in the 64-bit hash space."""
-    return xxhash.xxh3_64_intdigest(key)
+    return xxhash.xxh3_64_intdigest(key.encode())
 
 
 def pick_shard(point: int, shards: int) -> int:
--- /dev/null
+++ b/lentilmoor/tries.py
@@ -0,0 +1,205 @@
+"""One try: a request sent to one server or entry, and what came of it.
+
+The only place that sends callers' requests on. It tells apart what certainly
+did not run (no byte left, or the server said so before starting) from what
+may have run, and never takes a cut answer for a whole one.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import http.client
+
+import urllib3
+import urllib3.exceptions
+
+from lentilmoor import bodies
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import headers as header_names
+from lentilmoor import outcomes
+
+CHUNK_BYTES = 64 * 1024
+# A streamed answer that brings nothing for so long is cut.
+IDLE_TIMEOUT_MS = 10_000.0
+# A used connection counts as silent only after this many mean times.
+SILENCE_FACTOR = 6.0
+
+_Reason = outcomes.Reason
+_NO_BODY_STATUSES = frozenset((204, 304))
+_BROKEN = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
+
+
+class CutError(Exception):
+    """The answer ended before its announced end."""
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An answer whose status line and headers have arrived.
+
+    Attributes:
+      status: HTTP status.
+      headers: Name and value pairs, without hop-by-hop headers.
+      body: The whole body, if it was small enough to be read at once.
+      rest: Chunks that follow `body`, or None if `body` is whole. Iterating
+        raises `CutError` if the answer ends early.
+      close: Gives the connection up; to be called if `rest` is not used up.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    rest: Iterator[bytes] | None
+    close: Callable[[], None]
+
+
+Result = Answer | outcomes.NotRun | outcomes.Unknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """What one try sends.
+
+    Attributes:
+      method: HTTP method.
+      target: Path and query.
+      headers: Headers, hop-by-hop ones left out.
+      body: Whole body, an iterator of its chunks, or None.
+      chunked: Whether the body's length is not known.
+      remaining_ms: Time left until the deadline.
+      repeatable: Whether the request may be run more than once.
+      fresh: Whether only a new connection will do.
+      service_ms: Mean time of service at the server.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes | Iterator[bytes] | None
+    chunked: bool
+    remaining_ms: float
+    repeatable: bool
+    fresh: bool = False
+    service_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Try:
+    """One try and what it tells of its connection.
+
+    Attributes:
+      result: What came of it.
+      reused: Whether its connection had served before.
+      opened_at: When its connection was opened, ms; 0 if there was none.
+    """
+
+    result: Result
+    reused: bool = False
+    opened_at: float = 0.0
+
+
+def make_whole(status: int, headers: list[tuple[str, str]],
+               body: bytes) -> Answer:
+    """Returns an answer that is here as a whole."""
+    return Answer(status, headers, body, None, _do_nothing)
+
+
+def send_order(pool: connections.Pool, order: Order) -> Try:
+    """Sends a request and reads the start of its answer.
+
+    Args:
+      pool: Connections to the server.
+      order: What to send.
+
+    Returns:
+      The answer (whole if it is small), or why there is none.
+    """
+    taken = pool.take(order.repeatable, order.fresh, order.remaining_ms)
+    if isinstance(taken, outcomes.Failed):
+        reason = taken.reason
+        if reason is _Reason.TIMED_OUT:
+            reason = _Reason.CONNECT_FAILED
+        return Try(outcomes.NotRun(reason, taken.detail))
+    return Try(_exchange(pool, taken, order), taken.reused, taken.opened_at)
+
+
+def _exchange(pool: connections.Pool, taken: connections.Connection,
+              order: Order) -> Result:
+    try:
+        response = _send(pool.rules, taken, order)
+    except bodies.BodyError as error:
+        pool.drop(taken)
+        return outcomes.Unknown(_Reason.BAD_REQUEST, str(error))
+    except TimeoutError:
+        pool.drop(taken, silent=True)
+        return outcomes.Unknown(_Reason.TIMED_OUT, 'no answer in time')
+    except _BROKEN as error:
+        pool.drop(taken)
+        return outcomes.Unknown(_Reason.CONNECTION_LOST, type(error).__name__)
+    return _read_start(pool, taken, response, order.method)
+
+
+def _send(rules: connections.Rules, taken: connections.Connection,
+          order: Order) -> urllib3.HTTPResponse:
+    wait_ms = connections.find_timeout(rules, taken, order.repeatable,
+                                       order.remaining_ms)
+    wait_ms = min(max(wait_ms, order.service_ms * SILENCE_FACTOR),
+                  order.remaining_ms)
+    taken.http.timeout = wait_ms / clocks.MS_PER_S
+    try:
+        taken.http.request(order.method,
+                           order.target,
+                           body=order.body,
+                           headers=order.headers,
+                           chunked=order.chunked,
+                           preload_content=False,
+                           decode_content=False)
+    except (BrokenPipeError, ConnectionResetError):
+        # The server may have answered before it had read the whole body.
+        if order.body is None:
+            raise
+    response = taken.http.getresponse()
+    if taken.http.sock is not None:
+        taken.http.sock.settimeout(IDLE_TIMEOUT_MS / clocks.MS_PER_S)
+    return response
+
+
+def _read_start(pool: connections.Pool, taken: connections.Connection,
+                response: urllib3.HTTPResponse, method: str) -> Result:
+    headers = [(name, value)
+               for name, value in response.headers.items()
+               if name.lower() not in header_names.HOP_BY_HOP]
+    if method == 'HEAD' or response.status in _NO_BODY_STATUSES:
+        pool.put_back(taken)
+        return make_whole(response.status, headers, b'')
+    length = response.length_remaining
+    if length is None and not response.chunked:
+        pool.drop(taken)
+        return outcomes.Unknown(
+            _Reason.ANSWER_CUT,
+            'the answer has no length, so its end cannot be told')
+    if length is None or length > CHUNK_BYTES:
+        return Answer(response.status, headers, b'',
+                      _stream(pool, taken, response), lambda: pool.drop(taken))
+    try:
+        body = response.read(decode_content=False)
+    except _BROKEN:
+        pool.drop(taken)
+        return outcomes.Unknown(_Reason.ANSWER_CUT,
+                                'the answer ended before its announced end')
+    pool.put_back(taken)
+    return make_whole(response.status, headers, body)
+
+
+def _stream(pool: connections.Pool, taken: connections.Connection,
+            response: urllib3.HTTPResponse) -> Iterator[bytes]:
+    try:
+        yield from response.stream(CHUNK_BYTES, decode_content=False)
+    except _BROKEN as error:
+        raise CutError(str(error)) from error
+    pool.put_back(taken)
+
+
+def _do_nothing() -> None:
+    """Stands where there is no connection to give up."""
--- /dev/null
+++ b/lentilmoor/watchers.py
@@ -0,0 +1,94 @@
+"""The thread that reads the platform's service: branches and instances.
+
+Every entry reads both once when it starts. After that only the few entries
+whose role it is keep a watch on the branches and read the list of instances;
+the others hear from their peers.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import threading
+
+from lentilmoor import branches
+from lentilmoor import clocks
+from lentilmoor import inbox
+from lentilmoor import outcomes
+from lentilmoor import stores
+
+WATCH_MS = 10_000.0
+LIST_EVERY_MS = 1_000.0
+IDLE_MS = 1_000.0
+RETRY_MS = 500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchWiring:
+    """What the watchers use.
+
+    Attributes:
+      store: The platform's service.
+      own: This entry's line in the list, to be put there.
+      is_watcher: Whether it is this entry's role to watch.
+      tell: Sends the control actor a message.
+      stopped: Set when the process ends.
+    """
+
+    store: stores.Store
+    own: Callable[[], stores.ListedInstance]
+    is_watcher: Callable[[], bool]
+    tell: Callable[[object], None]
+    stopped: threading.Event
+
+
+def start_watchers(wiring: WatchWiring) -> list[threading.Thread]:
+    """Starts the threads that watch branches and read the list."""
+    threads = [
+        threading.Thread(target=watch_branches,
+                         args=(wiring,),
+                         name='branches',
+                         daemon=True),
+        threading.Thread(target=read_instances,
+                         args=(wiring,),
+                         name='instances',
+                         daemon=True),
+    ]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def watch_branches(wiring: WatchWiring) -> None:
+    """Reads all branches, then watches them while that is the role."""
+    revision = 0
+    while not wiring.stopped.is_set():
+        if revision and not wiring.is_watcher():
+            # A watch taken up again later goes on where this one ended.
+            _pause(wiring, IDLE_MS)
+            continue
+        changes = wiring.store.watch(branches.PREFIX, revision, WATCH_MS)
+        answered = isinstance(changes, stores.Changes)
+        wiring.tell(inbox.StoreSeen(answered))
+        if not answered:
+            _pause(wiring, RETRY_MS)
+            continue
+        revision = changes.revision
+        if changes.records:
+            wiring.tell(inbox.BranchesFound(changes.records))
+
+
+def read_instances(wiring: WatchWiring) -> None:
+    """Puts this entry on the list and reads it while that is the role."""
+    registered = False
+    read_once = False
+    while not wiring.stopped.is_set():
+        if not registered:
+            registered = wiring.store.register(wiring.own()) is None
+        if not read_once or wiring.is_watcher():
+            listed = wiring.store.instances()
+            wiring.tell(inbox.InstancesListed(listed))
+            read_once = not isinstance(listed, outcomes.Failed)
+        _pause(wiring, LIST_EVERY_MS)
+
+
+def _pause(wiring: WatchWiring, ms: float) -> None:
+    wiring.stopped.wait(ms / clocks.MS_PER_S)
