Take only the outcome of the call that is under way, under authority

Cause: a grantor's table that is made anew could take in the outcome of a call that an earlier table of the same shard had made, and held a segment of its own epoch in the slot of its fence to be empty. A new grantor that had never held authority could grant a claim while the old one, unaware, still told callers that it was not run. Change: events are compared with the call under way; the segment found is taken in; the log is not used before authority was held once.

--- a/lentilmoor/claimlogs.py
+++ b/lentilmoor/claimlogs.py
@@ -56,7 +56,9 @@
       digest: 16 bytes over service, caller and idempotency key.
       fingerprint: 8 bytes over method, path and body.
       instance: The entry that may dispatch.
-      attempt: Which of its requests; unique within the instance.
+      attempt: Which of its requests; up to 64 bits. Never used again, not by
+        a restarted process of the same instance either: start from a random
+        number.
     """
 
     digest: bytes
--- a/lentilmoor/claimreads.py
+++ b/lentilmoor/claimreads.py
@@ -60,8 +60,11 @@
     result = event.outcome
     if isinstance(result, outcomes.Failed):
         return _fail(table, now, result)
+    table.problem = ''
     if isinstance(result, stores.Record):
-        _finish(table, result.version)
+        claimlogs.note_tail(table.log, table.sent.sequence, result.version)
+        _apply_tail(table, table.sent, now)
+        table.phase = _Phase.SERVING
         return 0
     table.counters.conflicts += 1
     sequence = table.log.sequence + 1
@@ -71,11 +74,10 @@
         return 0
     if tail.epoch > table.epoch:
         return tail.epoch
-    if tail.epoch == table.epoch:
-        _finish(table, result.current.version)
-        return 0
     claimlogs.note_tail(table.log, sequence, result.current.version)
     _apply_tail(table, tail, now)
+    if tail.epoch == table.epoch:
+        table.phase = _Phase.SERVING
     return 0
 
 
@@ -111,13 +113,6 @@
     return 0
 
 
-def _finish(table: _Table, version: int) -> None:
-    claimlogs.note_tail(table.log, table.log.sequence + 1, version)
-    table.unarchived.append(list_unarchived(table.sent))
-    table.problem = ''
-    table.phase = _Phase.SERVING
-
-
 def _absorb(table: _Table, records: list[stores.Record], now: float) -> int:
     prefix = claimlogs.tail_prefix(table.log.shard)
     tails = []
--- a/lentilmoor/claims.py
+++ b/lentilmoor/claims.py
@@ -21,6 +21,7 @@
 from lentilmoor import claimsets
 from lentilmoor import claimtables
 from lentilmoor import outcomes
+from lentilmoor import stores
 
 _Table = claimtables.ClaimTable
 _Action = claimtables.Action
@@ -55,7 +56,7 @@
     wall_ms = now + table.wall_offset_ms
     table.counters.forgotten += claimsets.expire(table.ended, wall_ms)
     claimcommits.refill(table, now)
-    if table.call is None and now >= table.retry_at:
+    if table.call is None and now >= table.retry_at and _may_call(table):
         table.call = _plan_call(table, now)
         if table.call is not None:
             actions.append(table.call)
@@ -68,7 +69,7 @@
     Waits that run out and a store that comes back are found by it too; call
     `step_claims` at least every `retry_ms` besides.
     """
-    if table.call is not None or table.phase is _Phase.FENCED:
+    if table.call is not None or not _may_call(table):
         return None
     if table.phase is not _Phase.SERVING:
         return max(now, table.retry_at)
@@ -113,13 +114,20 @@
     return state.digest()
 
 
+def _may_call(table: _Table) -> bool:
+    """Returns whether this grantor may use the log.
+
+    Until it has held authority, an older one may still tell callers that what
+    it does not know was not run; so nothing may be granted here before.
+    """
+    return table.authority_until > 0 and table.phase is not _Phase.FENCED
+
+
 def _plan_call(table: _Table, now: float):
     if table.phase is _Phase.READING:
         return claimreads.plan_read(table)
     if table.phase is _Phase.FENCING:
         return claimreads.plan_fence(table, now)
-    if table.phase is _Phase.FENCED:
-        return None
     if claimcommits.needs_archive(table, now):
         return claimcommits.plan_archive(table, now)
     due = claimcommits.due_at(table, now)
@@ -267,12 +275,18 @@
 
 def _take_read(table: _Table, event: claimtables.SegmentsRead,
                now: float) -> list[_Action]:
+    call = table.call
+    if (not isinstance(call, claimtables.ReadSegments) or
+            call.prefix != event.prefix):
+        return []  # The call was made for an earlier table of this shard.
     table.call = None
     return _follow(table, claimreads.take_read(table, event, now))
 
 
 def _take_swap(table: _Table, event: claimtables.SegmentSwapped,
                now: float) -> list[_Action]:
+    if not _is_outcome(table.call, event):
+        return []
     table.call = None
     if table.phase is _Phase.FENCING:
         newer = claimreads.take_fence(table, event, now)
@@ -292,6 +306,20 @@
     return _grant(table, landed, now) + _finish_settlements(table, landed)
 
 
+def _is_outcome(call: claimtables.ReadSegments | claimtables.SwapSegment | None,
+                event: claimtables.SegmentSwapped) -> bool:
+    """Returns whether an event tells of this call, or as much as it would.
+
+    It may be that of a call for an earlier table of this shard: a conflict or
+    a failure are then as good, another's success is not.
+    """
+    if not isinstance(call, claimtables.SwapSegment) or call.key != event.key:
+        return False
+    if isinstance(event.outcome, stores.Record):
+        return event.outcome.value == call.payload
+    return True
+
+
 def _take_failure(table: _Table, failed: outcomes.Failed,
                   now: float) -> list[_Action]:
     """Refuses what waits; what may have landed is released afterwards."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -32,12 +32,13 @@
 class Runner(claimworlds.Grantor):
     """A grantor with one entry's replies by token."""
 
-    def __init__(self, store, time, epoch=1):
+    def __init__(self, store, time, epoch=1, authority_until=1e12):
         super().__init__(epoch, time, self._keep)
         self.store = store
         self.replies = {}
         self.stepped_down = 0
-        self.handle(claimtables.AuthorityHeld(1e12))
+        if authority_until:
+            self.handle(claimtables.AuthorityHeld(authority_until))
 
     def run(self, ms=50, outcome=None):
         """Runs for some time, one step each 5 ms; calls end at once."""
@@ -187,6 +188,47 @@
         successor.run()
         self.assertIs(successor.verdict(2), _Verdict.GRANTED)
 
+    def test_successor_waits_for_authority(self):
+        successor = Runner(self.store, self.time, 2, authority_until=0)
+        successor.ask(1)
+        successor.run(500)
+        self.assertIsNone(claims.next_step_at(successor.table, self.time.at))
+        self.grantor.ask(2)
+        self.grantor.run()
+        self.assertIs(self.grantor.verdict(2), _Verdict.GRANTED)
+        successor.handle(claimtables.AuthorityHeld(1e12))
+        successor.run()
+        self.assertIs(successor.verdict(1), _Verdict.RUNNING)
+
+    def test_outcome_of_an_earlier_tables_call_is_not_taken(self):
+        self.grantor.ask(1)
+        self.grantor.send()
+        call = self.grantor.call
+        landed = self.store.run(call)
+        successor = Runner(self.store, self.time, 1)
+        for _ in range(2):  # The tail, and the first page of archives.
+            successor.send()
+            successor.handle(claimtables.SegmentSwapped(call.key, landed))
+            successor.finish(self.store.run(successor.call))
+        successor.run()
+        successor.ask(2)
+        self.assertIs(successor.verdict(2), _Verdict.RUNNING)
+
+    def test_own_segment_that_landed_late_is_taken_in(self):
+        self.grantor.ask(1)
+        self.grantor.send()
+        successor = Runner(self.store, self.time, 1)
+        for _ in range(2):
+            successor.send()
+            successor.finish(self.store.run(successor.call))
+        successor.send()
+        late = self.store.run(self.grantor.call)
+        successor.handle(claimtables.SegmentSwapped(self.grantor.call.key,
+                                                    late))
+        successor.run()
+        successor.ask(2)
+        self.assertIs(successor.verdict(2), _Verdict.RUNNING)
+
     def test_without_the_log_or_authority_it_does_not_say_not_run(self):
         successor = Runner(self.store, self.time, 2)
         successor.ask(1)
