--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -1,25 +1,23 @@
 """A plan in the making: the planner's working copy of a shard.
 
 Pieces are slices as the plan so far would leave them. Rates are milliseconds
-of service time per second, as in `means`.
+of service time per second (see `means`).
 """
 
-from collections.abc import Mapping
 import dataclasses
 
+from lentilmoor import bins as bins_lib
 from lentilmoor import exceptions
 from lentilmoor import loads
 from lentilmoor import means
 from lentilmoor import plans
 from lentilmoor import slices
-from lentilmoor import tables
 
 # What points without observed requests are held to cost, of the whole load.
 _PRIOR_SHARE = 0.01
-_COLDEST_SHARE = 0.1
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Piece:
     """One slice of the draft.
 
@@ -27,7 +25,7 @@
       first: First point.
       last: Last point.
       rate: Cost, ms per second.
-      owner: Index of its owner in the draft, or `slices.NO_OWNER`.
+      owner: Index of its bin, or `slices.NO_OWNER`.
       recent: Whether it came to its owner lately.
       moved: Whether this plan moves it.
     """
@@ -45,35 +43,12 @@
         return self.last - self.first + 1
 
 
-@dataclasses.dataclass(slots=True)
-class Bin:
-    """One server of the draft.
-
-    Attributes:
-      name: Server id.
-      capacity: Slots; 0 unless the server is live or suspect.
-      accepts: Slots as its warm-up stands; 0 unless the server is live.
-      leaving: Whether it is to be emptied.
-      load: Cost of its pieces, ms per second.
-      requests: Decayed number of requests behind the load.
-      oversized: Cost of its keys that exceed its fair share, or 0.
-    """
-
-    name: str
-    capacity: float = 0.0
-    accepts: float = 0.0
-    leaving: bool = False
-    load: float = 0.0
-    requests: float = 0.0
-    oversized: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class Draft:
     """The working copy.
 
     Attributes:
-      bins: The servers, those of the map first and in its order.
+      bins: The servers.
       pieces: The pieces of each bin, by its index or `slices.NO_OWNER`.
       hot: Hot points that are no slices of their own, alike.
       span: Points that the map covers.
@@ -85,7 +60,7 @@
       notes: What can't be mended.
     """
 
-    bins: list[Bin]
+    bins: list[bins_lib.Bin]
     pieces: dict[int, list[Piece]]
     hot: dict[int, list[loads.HotPoint]]
     span: int
@@ -98,70 +73,49 @@
 
 
 def make_draft(slice_map: slices.SliceMap, seen: means.Loads,
-               servers: Mapping[str, tables.Server], limits: plans.Limits,
+               bins: list[bins_lib.Bin], limits: plans.Limits,
                now: float) -> Draft:
-    """Returns a draft without changes."""
-    bins = _make_bins(slice_map, servers, limits, now)
-    span = slices.HASH_SPAN - slice_map.bounds[0]
-    draft = Draft(bins, {slices.NO_OWNER: []}, {slices.NO_OWNER: []}, span, 0.0,
-                  0)
-    for index in range(len(bins)):
-        draft.pieces[index] = []
-        draft.hot[index] = []
+    """Returns a draft without changes.
+
+    Args:
+      slice_map: The map in force.
+      seen: Rates aligned with the map.
+      bins: The servers; their loads are set from the pieces.
+      limits: Bounds.
+      now: Time, ms.
+    """
+    owners = [slices.NO_OWNER, *range(len(bins))]
+    powered = sum(1 for item in bins if item.capacity)
+    draft = Draft(
+        bins,
+        {owner: [] for owner in owners},
+        {owner: [] for owner in owners},
+        slices.HASH_SPAN - slice_map.bounds[0],
+        0.0,
+        limits.slices_per_server * powered - len(slice_map.bounds),
+    )
     _add_pieces(draft, slice_map, seen, now - limits.residence_ms)
+    for owner, item in enumerate(bins):
+        item.load = sum(piece.rate for piece in draft.pieces[owner])
     _add_hot(draft, slice_map, seen)
-    powered = sum(1 for item in bins if item.capacity)
-    draft.room = limits.slices_per_server * powered - len(slice_map.bounds)
     return draft
 
 
-def _make_bins(slice_map: slices.SliceMap, servers: Mapping[str, tables.Server],
-               limits: plans.Limits, now: float) -> list[Bin]:
-    names = list(slice_map.servers)
-    known = set(names)
-    names.extend(name for name in sorted(servers) if name not in known)
-    return [_make_bin(name, servers.get(name), limits, now) for name in names]
-
-
-def _make_bin(name: str, server: tables.Server | None, limits: plans.Limits,
-              now: float) -> Bin:
-    if server is None or server.liveness is tables.Liveness.DEAD:
-        return Bin(name)
-    if server.liveness is tables.Liveness.LEAVING:
-        return Bin(name, leaving=True)
-    if server.liveness is tables.Liveness.SUSPECT:
-        return Bin(name, capacity=server.slots)
-    return Bin(name,
-               capacity=server.slots,
-               accepts=server.slots * _warmth(server, limits, now))
-
-
-def _warmth(server: tables.Server, limits: plans.Limits, now: float) -> float:
-    if server.warm_since <= 0.0 or limits.warm_up_ms <= 0.0:
-        return 1.0
-    share = (now - server.warm_since) / limits.warm_up_ms
-    return min(max(share, _COLDEST_SHARE), 1.0)
-
-
 def _add_pieces(draft: Draft, slice_map: slices.SliceMap, seen: means.Loads,
                 settled_by: float) -> None:
-    prior = sum(seen.rates) * _PRIOR_SHARE
-    if prior <= 0.0:
-        prior = 1.0
-    bounds = slice_map.bounds
+    prior = (sum(seen.rates) * _PRIOR_SHARE or 1.0) / draft.span
     end = slices.HASH_SPAN
-    for index in range(len(bounds) - 1, -1, -1):
-        first = bounds[index]
-        rate = seen.rates[index] + prior * ((end - first) / draft.span)
-        owner = slice_map.owners[index]
+    rows = zip(slice_map.bounds,
+               slice_map.owners,
+               seen.rates,
+               seen.owned_since,
+               strict=True)
+    for first, owner, rate, since in reversed(list(rows)):
+        rate += prior * (end - first)
         draft.pieces[owner].append(
-            Piece(first, end - 1, rate, owner, seen.owned_since[index]
-                  > settled_by))
-        end = first
+            Piece(first, end - 1, rate, owner, since > settled_by))
         draft.total += rate
-        if owner != slices.NO_OWNER:
-            draft.bins[owner].load += rate
-            draft.bins[owner].requests += seen.requests[index]
+        end = first
 
 
 def _add_hot(draft: Draft, slice_map: slices.SliceMap,
@@ -190,11 +144,13 @@
 
 
 def _move_hot(draft: Draft, piece: Piece, target: int) -> None:
-    left = draft.hot[piece.owner]
-    taken = [hot for hot in left if piece.first <= hot.point <= piece.last]
-    if taken:
-        draft.hot[piece.owner] = [hot for hot in left if hot not in taken]
-        draft.hot[target].extend(taken)
+    inside = [
+        hot for hot in draft.hot[piece.owner]
+        if piece.first <= hot.point <= piece.last
+    ]
+    for hot in inside:
+        draft.hot[piece.owner].remove(hot)
+        draft.hot[target].append(hot)
 
 
 def find_piece(draft: Draft, owner: int, point: int) -> Piece:
--- a/lentilmoor/loads.py
+++ b/lentilmoor/loads.py
@@ -122,6 +122,9 @@
 def follow(recorder: Recorder, slice_map: slices.SliceMap) -> None:
     """Takes up a newer map; sums of slices that changed bounds are dropped."""
     old = recorder.slice_map
+    if old.bounds == slice_map.bounds:
+        recorder.slice_map = slice_map
+        return
     costs = recorder.costs
     requests = recorder.requests
     _clear(recorder, slice_map)
@@ -140,12 +143,11 @@
 def match_rows(old: slices.SliceMap,
                new: slices.SliceMap) -> Iterator[tuple[int, int]]:
     """Yields (new index, old index) of the slices with the same bounds."""
-    was = 0
+    was_at = {bound: was for was, bound in enumerate(old.bounds)}
+    was_at[slices.HASH_SPAN] = len(old.bounds)
+    last = len(new.bounds) - 1
     for index, bound in enumerate(new.bounds):
-        while was < len(old.bounds) and old.bounds[was] < bound:
-            was += 1
-        if was == len(old.bounds):
-            return
-        if (old.bounds[was] == bound and
-                old.last_point(was) == new.last_point(index)):
+        was = was_at.get(bound)
+        end = new.bounds[index + 1] if index < last else slices.HASH_SPAN
+        if was is not None and was_at.get(end) == was + 1:
             yield index, was
--- a/lentilmoor/plans.py
+++ b/lentilmoor/plans.py
@@ -132,7 +132,7 @@
 
     slices_per_server: int = 128
     moves_per_plan: int = 16
-    tolerance: float = 0.06
+    tolerance: float = 0.04
     horizon_ms: float = 600_000.0
     hot_horizon_ms: float = 60_000.0
     cold_start_ms: float = 20.0
