--- a/benchmarks/admission_model.py
+++ b/benchmarks/admission_model.py
@@ -1,4 +1,4 @@
-"""A seeded model of one group of servers, for comparing ways of admission.
+"""A seeded model of one group of servers, for comparing ways of controllers.
 
 Requests arrive at entries and are sent to servers that run a few at once and
 keep the rest in a first-in-first-out queue of their own. The decisions are
@@ -16,7 +16,7 @@
 import math
 import random
 
-from lentilmoor import admission
+from lentilmoor import controllers
 from lentilmoor import homes
 from lentilmoor import queues
 
@@ -33,7 +33,7 @@
 
 
 class Policy(enum.Enum):
-    """Ways of admission."""
+    """Ways of controllers."""
 
     NONE = 'none'
     LOCAL = 'local limit'
@@ -72,7 +72,7 @@
     """What is simulated.
 
     Attributes:
-      policy: Way of admission.
+      policy: Way of controllers.
       load: Offered work over the capacity of all servers.
       servers: How many.
       hop_ms: One way between failure domains.
@@ -103,7 +103,7 @@
     class_mix: tuple[float, ...] = CLASS_MIX
     duration_ms: float = 5_000.0
     slots: int = 2
-    gate: admission.GateSettings | None = None
+    gate: controllers.GateSettings | None = None
     comeback: Comeback = Comeback.NEVER
     tries: int = 1
     lose_home_at: float = 0.0
@@ -184,7 +184,7 @@
         settings = scenario.gate or default_gate(scenario)
         self._homes, self._next_homes = _place_homes(scenario.servers)
         self._controllers = [[
-            admission.Controller(settings) for _ in range(scenario.servers)
+            controllers.Controller(settings) for _ in range(scenario.servers)
         ] for _ in range(ENTRIES)]
         self._contention = [homes.Contention() for _ in range(scenario.servers)]
         self._contended = [False] * scenario.servers
@@ -307,7 +307,7 @@
             return
         self._carry_out(controller.wait(request, self._now))
 
-    def _carry_out(self, decision: admission.Decision) -> None:
+    def _carry_out(self, decision: controllers.Decision) -> None:
         for request in decision.started:
             self._send(request)
         for shed in decision.shed:
@@ -363,7 +363,7 @@
                     self._leave if done else self._abandon, request)
 
     def _leave(self, request: Request) -> None:
-        self._give_back(request, admission.Ending.SERVED)
+        self._give_back(request, controllers.Ending.SERVED)
         if request.at == request.entry:
             self._complete(request)
         elif request.at == self._dead:
@@ -373,11 +373,11 @@
                         request)
 
     def _abandon(self, request: Request) -> None:
-        self._give_back(request, admission.Ending.FAILED)
+        self._give_back(request, controllers.Ending.FAILED)
         if self._now >= self._warm:
             self._wasted += request.work_ms
 
-    def _give_back(self, request: Request, ending: admission.Ending) -> None:
+    def _give_back(self, request: Request, ending: controllers.Ending) -> None:
         response_ms = self._now - request.sent_at
         if not request.controlled or request.at == self._dead:
             return
@@ -463,9 +463,9 @@
     return found, following
 
 
-def default_gate(scenario: Scenario) -> admission.GateSettings:
+def default_gate(scenario: Scenario) -> controllers.GateSettings:
     """Returns the settings of the controllers that a policy uses."""
     if scenario.policy is Policy.LOCAL:
-        return admission.GateSettings(CLASSES, scenario.slots, pipeline=2)
+        return controllers.GateSettings(CLASSES, scenario.slots, pipeline=2)
     gap_ms = 2 * NEAR_MS + scenario.handling_ms
-    return admission.GateSettings(CLASSES, scenario.slots, gap_ms=gap_ms)
+    return controllers.GateSettings(CLASSES, scenario.slots, gap_ms=gap_ms)
--- a/lentilmoor/admission.py
+++ b/lentilmoor/admission.py
@@ -1,184 +1,20 @@
-"""Admission of requests to backend servers.
+"""Admission of requests to backend servers, for the threads that carry them.
 
-A `Controller` decides, without clock or threads: it bounds the requests in
-flight to one server and lets the others wait in its queue (see `queues`). A
-`Gate` is the controller for the threads that carry requests. Each gate has a
-lock of its own; no lock is shared by all requests.
+A `Gate` lets requests through as its controller decides (see `controllers`)
+and makes the others wait. Each gate has a lock of its own; no lock is shared
+by all requests. Nothing here reads a clock: the request path hands in `now`.
 """
 
-from collections.abc import Sequence
 import dataclasses
-import enum
 import threading
 
 from lentilmoor import clocks
-from lentilmoor import limits
+from lentilmoor import controllers
 from lentilmoor import outcomes
 from lentilmoor import queues
 
-DEFAULT_GAP_MS = 1.5
-DEFAULT_QUEUE_LIMIT = 64
-FIRST_RESPONSE_MS = 5.0
-_MEAN_WEIGHT = 0.05
-
-
-class Ending(enum.Enum):
-    """How a slot's use ended, as far as the server's capacity goes."""
-
-    SERVED = 'served'
-    SHED = 'shed'  # The server refused it for load.
-    FAILED = 'failed'  # Connection lost or timed out; tells no response time.
-    UNUSED = 'unused'  # Nothing was sent.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GateSettings:
-    """What a gate is made from.
-
-    Attributes:
-      classes: Policies by rank.
-      slots: Requests that the server runs at once.
-      gap_ms: From the server's answer to the arrival there of the request
-        that is sent next: a round trip and this entry's own work.
-      pipeline: Requests sent beyond the slots, so that none idles during the
-        gap; None chooses by the gap and the measured response times.
-      queue_limit: Most requests that may wait.
-      warm_up_ms: How long a cold server is ramped up.
-      order: Which of one caller's requests goes first.
-      patience: Part of a request's slack that it may be expected to wait in a
-        standing queue; see `queues`.
-    """
-
-    classes: tuple[queues.ClassPolicy, ...]
-    slots: int = 2
-    gap_ms: float = DEFAULT_GAP_MS
-    pipeline: int | None = None
-    queue_limit: int = DEFAULT_QUEUE_LIMIT
-    warm_up_ms: float = 3_000.0
-    order: queues.Order = queues.Order.OLDEST_FIRST
-    patience: float = queues.PATIENCE
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Decision:
-    """What becomes of waiting requests.
-
-    Attributes:
-      started: Tickets that may be sent now.
-      shed: Tickets that were given up.
-    """
-
-    started: Sequence[queues.Ticket] = ()
-    shed: Sequence[queues.Shed] = ()
-
-
-NOTHING = Decision()
-
-
-class Controller:
-    """Decides who may be sent to one server, and who waits.
-
-    Attributes:
-      in_flight: Requests sent and not yet ended.
-      served: Requests served since the start.
-      response_ms: Moving mean from sending to the answer, by rank.
-      queue: Those that wait.
-      limiter: Bound of `in_flight`.
-    """
-
-    def __init__(self, settings: GateSettings):
-        self.in_flight = 0
-        self.served = 0
-        self.response_ms = [FIRST_RESPONSE_MS] * len(settings.classes)
-        self._slots = settings.slots
-        self._gap_ms = settings.gap_ms
-        self._pipeline = 1 if settings.pipeline is None else settings.pipeline
-        self._may_choose = settings.pipeline is None
-        self.limiter = limits.make_limiter(self._slots + self._pipeline)
-        self.queue = queues.ServerQueue(settings.classes, settings.queue_limit,
-                                        self.limiter.limit, settings.order,
-                                        settings.patience)
-        self._warm_since = 0.0
-        self._warm_up_ms = settings.warm_up_ms
-
-    @property
-    def limit(self) -> int:
-        """Requests that may be in flight now."""
-        return self.limiter.limit
-
-    def take(self, ticket: queues.Ticket, now: float, share: int) -> bool:
-        """Starts a ticket if less than `share` are in flight and none waits.
-
-        A ticket that can't finish in time is not started.
-        """
-        if not ticket.cost_ms:
-            ticket.cost_ms = self.response_ms[ticket.rank]
-        if (self.queue.length or self.in_flight >= share or
-                self.in_flight >= self.limiter.limit or
-                ticket.latest_start < now):
-            return False
-        self.in_flight += 1
-        return True
-
-    def wait(self, ticket: queues.Ticket, now: float) -> Decision:
-        """Puts a ticket that could not be started in the queue."""
-        shed = self.queue.offer(ticket, now)
-        return self._start_waiting(now, shed)
-
-    def leave(self, ticket: queues.Ticket, response_ms: float, now: float,
-              ending: Ending) -> Decision:
-        """Ends a started ticket; see `Gate.leave`."""
-        if ending is Ending.SERVED:
-            self._learn(ticket, response_ms)
-        elif ending is Ending.SHED:
-            limits.back_off(self.limiter)
-        self.in_flight -= 1
-        if self._warm_since:
-            self._ramp_up(now)
-        if not self.queue.length:
-            return NOTHING
-        return self._start_waiting(now, [])
-
-    def warm(self, since: float) -> None:
-        """Starts the ramp of a server that came up cold at `since`, ms."""
-        self._warm_since = since
-        self.limiter.limit = 1
-
-    def _learn(self, ticket: queues.Ticket, response_ms: float) -> None:
-        self.served += 1
-        mean = self.response_ms[ticket.rank]
-        mean += _MEAN_WEIGHT * (response_ms - mean)
-        self.response_ms[ticket.rank] = mean
-        self.queue.settle(ticket, response_ms)
-        limits.observe(self.limiter, response_ms, self.in_flight)
-        if self._may_choose and not self.served % limits.WINDOW:
-            self._choose_pipeline()
-
-    def _choose_pipeline(self) -> None:
-        usual_ms = sum(self.response_ms) / len(self.response_ms)
-        chosen = limits.pick_pipeline(self._pipeline, self._gap_ms, usual_ms)
-        if chosen != self._pipeline:
-            self._pipeline = chosen
-            limits.set_ceiling(self.limiter, self._slots + chosen)
-
-    def _ramp_up(self, now: float) -> None:
-        share = limits.ramp(self._warm_since, self._warm_up_ms, now)
-        limit = max(1, int(share * self.limiter.ceiling))
-        self.limiter.limit = min(limit, self.limiter.limit + 1)
-        if share >= 1.0:
-            self._warm_since = 0.0
-
-    def _start_waiting(self, now: float, shed: list[queues.Shed]) -> Decision:
-        queue = self.queue
-        queue.lanes = self.limiter.limit
-        started = []
-        while queue.length and self.in_flight < self.limiter.limit:
-            ticket, cut = queue.pop(now)
-            shed += cut
-            if ticket is not None:
-                self.in_flight += 1
-                started.append(ticket)
-        return Decision(started, shed)
+Ending = controllers.Ending
+GateSettings = controllers.GateSettings
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -213,14 +49,55 @@
     signal: threading.Lock = dataclasses.field(default_factory=_make_signal)
 
 
+class Pool:
+    """Shares the threads that may wait between the gates of one entry.
+
+    A gate may have as many waiting as there are threads left over, so that one
+    crowded server takes half of them and two take a third each: the others'
+    requests still find a thread. The count is taken without a lock and may be
+    off by the threads that pass meanwhile.
+    """
+
+    def __init__(self, threads: int):
+        """Makes an empty pool.
+
+        Args:
+          threads: How many may wait in all gates together.
+        """
+        self._threads = threads
+        self._gates: list[Gate] = []
+
+    def add(self, gate: 'Gate') -> None:
+        """Lets a gate share in the pool."""
+        self._gates.append(gate)
+
+    def room(self) -> int:
+        """Returns how many may wait at one gate now; at least 1."""
+        waiting = sum(gate.queued for gate in self._gates)
+        return max(1, self._threads - waiting)
+
+
 class Gate:
     """A controller for threads: one lock per server, waiting by deadline."""
 
-    def __init__(self, server: str, settings: GateSettings):
+    def __init__(self,
+                 server: str,
+                 settings: GateSettings,
+                 pool: Pool | None = None):
+        """Makes an open gate.
+
+        Args:
+          server: The server's id.
+          settings: See `controllers`.
+          pool: Threads that may wait, shared with the entry's other gates.
+        """
         self.server = server
         self.settings = settings
-        self._controller = Controller(settings)
+        self._controller = controllers.Controller(settings)
         self._lock = threading.Lock()
+        self._pool = pool
+        if pool is not None:
+            pool.add(self)
 
     @property
     def in_flight(self) -> int:
@@ -281,7 +158,9 @@
                              ticket.rank,
                              ticket.deadline,
                              ticket.cost_ms,
+                             ticket.least_ms,
                              arrived=now)
+            self._bound_queue()
             self._carry_out(self._controller.wait(waiter, now), now)
         return self._await_verdict(waiter)
 
@@ -301,7 +180,7 @@
         with self._lock:
             decision = self._controller.leave(slot.ticket, response_ms, now,
                                               ending)
-            if decision is not NOTHING:
+            if decision is not controllers.NOTHING:
                 self._carry_out(decision, now)
 
     def evict(self, reason: outcomes.Reason, detail: str) -> int:
@@ -317,6 +196,11 @@
                 _tell(waiter, verdict)
         return len(waiters)
 
+    def _bound_queue(self) -> None:
+        if self._pool is not None:
+            limit = min(self.settings.queue_limit, self._pool.room())
+            self._controller.queue.limit = limit
+
     def _await_verdict(self, waiter: _Waiter) -> Slot | outcomes.NotRun:
         patience_ms = max(0.0, waiter.latest_start - waiter.arrived)
         if waiter.signal.acquire(timeout=patience_ms / clocks.MS_PER_S):
@@ -329,7 +213,7 @@
                 return explain(shed)
         return waiter.verdict
 
-    def _carry_out(self, decision: Decision, now: float) -> None:
+    def _carry_out(self, decision: controllers.Decision, now: float) -> None:
         for waiter in decision.started:
             waited_ms = now - waiter.arrived
             _tell(waiter, Slot(self.server, waiter, now, waited_ms))
--- a/lentilmoor/flows.py
+++ b/lentilmoor/flows.py
@@ -189,8 +189,12 @@
         return item
 
     def give_up(self) -> Item:
-        """Takes out the item to be given up first: the longest flow's last."""
-        flow = max(self._flows.values(), key=lambda flow: flow.backlog_ms)
+        """Takes out the item to be given up first: the longest flow's last.
+
+        Of equally long flows, that of the caller that came last.
+        """
+        flow = max(reversed(self._flows.values()),
+                   key=lambda flow: flow.backlog_ms)
         item = next(
             iter(flow.items) if self._newest_first else reversed(flow.items))
         self.remove(item)
--- a/lentilmoor/limits.py
+++ b/lentilmoor/limits.py
@@ -2,10 +2,12 @@
 
 Load reports lag and mislead, so the limit follows the measured time from
 sending to the answer: it shrinks when that grows well beyond what the server
-takes when it is not crowded, and grows again when it falls back.
+takes when it is not crowded, and grows again when it falls back. Times are
+compared by their geometric means, which a few long downloads hardly move.
 """
 
 import dataclasses
+import math
 
 WINDOW = 32
 SHRINK_RATIO = 3.0
@@ -13,6 +15,7 @@
 SHRINK_FACTOR = 0.7
 PIPELINE_ABOVE = 0.05
 PIPELINE_BELOW = 0.03
+_LEAST_MS = 0.001
 _FALL_WEIGHT = 0.25
 _RISE_WEIGHT = 0.005
 
@@ -24,19 +27,19 @@
     Attributes:
       ceiling: Highest limit.
       limit: Requests that may be in flight.
-      baseline_ms: Mean response time when the server is not crowded. It
-        follows the means over windows quickly down and slowly up, so that a
-        server that got slower for good gets a new one. 0 until a window is
+      baseline: Logarithm of the response time when the server is not crowded.
+        It follows the means over windows quickly down and slowly up, so that a
+        server that got slower for good gets a new one. None until a window is
         full.
-      sum_ms: Response times of this window.
+      total: Sum of the logarithms of the response times in this window.
       count: Responses in this window.
       crowded: Whether the limit was reached in this window.
     """
 
     ceiling: int
     limit: int
-    baseline_ms: float = 0.0
-    sum_ms: float = 0.0
+    baseline: float | None = None
+    total: float = 0.0
     count: int = 0
     crowded: bool = False
 
@@ -61,7 +64,7 @@
       response_ms: From sending to the whole answer.
       in_flight: Requests in flight when it ended, itself included.
     """
-    limiter.sum_ms += response_ms
+    limiter.total += math.log(max(response_ms, _LEAST_MS))
     limiter.count += 1
     if in_flight >= limiter.limit:
         limiter.crowded = True
@@ -108,16 +111,16 @@
 
 
 def _close_window(limiter: Limiter) -> None:
-    mean = limiter.sum_ms / limiter.count
+    mean = limiter.total / limiter.count
     crowded = limiter.crowded
-    limiter.sum_ms = 0.0
+    limiter.total = 0.0
     limiter.count = 0
     limiter.crowded = False
-    if not limiter.baseline_ms:
-        limiter.baseline_ms = mean
-    weight = _FALL_WEIGHT if mean < limiter.baseline_ms else _RISE_WEIGHT
-    limiter.baseline_ms += weight * (mean - limiter.baseline_ms)
-    if mean > SHRINK_RATIO * limiter.baseline_ms:
+    if limiter.baseline is None:
+        limiter.baseline = mean
+    rise = mean - limiter.baseline
+    limiter.baseline += rise * (_FALL_WEIGHT if rise < 0 else _RISE_WEIGHT)
+    if rise > math.log(SHRINK_RATIO):
         back_off(limiter)
-    elif crowded and mean < GROW_RATIO * limiter.baseline_ms:
+    elif crowded and rise < math.log(GROW_RATIO):
         limiter.limit = min(limiter.ceiling, limiter.limit + 1)
--- a/lentilmoor/queues.py
+++ b/lentilmoor/queues.py
@@ -69,6 +69,7 @@
       deadline: When the answer is worth nothing, ms.
       cost_ms: Expected time from sending to the answer; 0 lets the gate put
         in its estimate.
+      least_ms: Time that it surely takes; also estimated by the gate.
       waiting: Whether it is in the queue; kept by the queue.
     """
 
@@ -76,12 +77,13 @@
     rank: int
     deadline: float
     cost_ms: float = 0.0
+    least_ms: float = 0.0
     waiting: bool = False
 
     @property
     def latest_start(self) -> float:
         """The last moment at which it can still finish in time, ms."""
-        return self.deadline - self.cost_ms
+        return self.deadline - self.least_ms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
