--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,6 +18,7 @@
 import numpy as np
 import yaml
 
+from lentilmoor import claimcodecs
 from lentilmoor import claimlogs
 from lentilmoor import claims
 from lentilmoor import claimsets
@@ -287,7 +288,7 @@
     claimed = tuple(
         claimlogs.Claim(rng.randbytes(16), rng.randbytes(8),
                         f'entry-{index % 12}', index) for index in range(1000))
-    tail = claimlogs.encode_tail(claimlogs.Tail(1, 1, 0.0, (), claimed))
+    tail = claimcodecs.encode_tail(claimlogs.Tail(1, 1, 0.0, (), claimed))
     records = _make_archives(rng, number)
     archived = sum(len(record.value) for record in records)
     memory, load_us = _load(records, number)
@@ -308,11 +309,11 @@
         archive = claimlogs.Archive(1, index + 1, 1e6 + index,
                                     claimsets.Run(prefixes, marks, 0.0))
         key = claimlogs.archive_key(claimworlds.SHARD, index)
-        value = claimlogs.encode_archive(archive)
+        value = claimcodecs.encode_archive(archive)
         records.append(stores.Record(key, value, 1))
     last = claimlogs.Tail(1, len(records), 1e6)
     key = claimlogs.tail_key(claimworlds.SHARD, last.sequence)
-    records.append(stores.Record(key, claimlogs.encode_tail(last), 1))
+    records.append(stores.Record(key, claimcodecs.encode_tail(last), 1))
     return records
 
 
--- a/lentilmoor/claimcommits.py
+++ b/lentilmoor/claimcommits.py
@@ -7,6 +7,7 @@
 
 from array import array
 
+from lentilmoor import claimcodecs
 from lentilmoor import claimlogs
 from lentilmoor import claimreads
 from lentilmoor import claimsets
@@ -71,7 +72,7 @@
     table.tokens -= 1.0
     return claimtables.SwapSegment(
         claimlogs.tail_key(table.log.shard, table.sent.sequence),
-        claimlogs.encode_tail(table.sent), claimlogs.next_version(table.log))
+        claimcodecs.encode_tail(table.sent), claimlogs.next_version(table.log))
 
 
 def find_landed(
@@ -130,7 +131,7 @@
     known = index < len(table.log.archive_versions)
     return claimtables.SwapSegment(
         claimlogs.archive_key(table.log.shard, index),
-        claimlogs.encode_archive(table.sent),
+        claimcodecs.encode_archive(table.sent),
         table.log.archive_versions[index] if known else 0)
 
 
@@ -170,7 +171,7 @@
     if current is None:
         claimlogs.note_archive(table.log, index, 0, 0.0)
         return 0
-    held = claimlogs.decode_archive(current)
+    held = claimcodecs.decode_archive(current)
     if isinstance(held, claimlogs.Archive) and held.epoch > table.epoch:
         return held.epoch
     claimlogs.note_archive(table.log, index, current.version, 0.0)
--- a/lentilmoor/claimreads.py
+++ b/lentilmoor/claimreads.py
@@ -6,6 +6,7 @@
 """
 
 from lentilmoor import answers
+from lentilmoor import claimcodecs
 from lentilmoor import claimlogs
 from lentilmoor import claimsets
 from lentilmoor import claimtables
@@ -32,7 +33,7 @@
     table.sent = tail
     return claimtables.SwapSegment(
         claimlogs.tail_key(table.log.shard, sequence),
-        claimlogs.encode_tail(tail), claimlogs.next_version(table.log))
+        claimcodecs.encode_tail(tail), claimlogs.next_version(table.log))
 
 
 def take_read(table: _Table, event: claimtables.SegmentsRead,
@@ -86,7 +87,7 @@
     """Returns the tail segment in a record, or None if it holds none."""
     if record is None:
         return None
-    tail = claimlogs.decode_tail(record)
+    tail = claimcodecs.decode_tail(record)
     if isinstance(tail, outcomes.Failed):
         return None
     right_key = claimlogs.tail_key(table.log.shard, tail.sequence)
@@ -148,7 +149,7 @@
 
 def _decode(table: _Table, record: stores.Record, is_tail: bool):
     if not is_tail:
-        return claimlogs.decode_archive(record)
+        return claimcodecs.decode_archive(record)
     tail = decode_own(table, record)
     if tail is None:
         return outcomes.Failed(outcomes.Reason.INVALID,
--- a/lentilmoor/claims.py
+++ b/lentilmoor/claims.py
@@ -14,12 +14,13 @@
 
 import hashlib
 
-from lentilmoor import answers
 from lentilmoor import claimcommits
 from lentilmoor import claimlogs
 from lentilmoor import claimreads
 from lentilmoor import claimsets
+from lentilmoor import claimsettlements
 from lentilmoor import claimtables
+from lentilmoor import claimverdicts
 from lentilmoor import outcomes
 from lentilmoor import stores
 
@@ -52,7 +53,7 @@
       by `apply`.
     """
     actions = _expire_waiting(table, now)
-    _expire_running(table, now)
+    claimsettlements.expire(table, now)
     wall_ms = now + table.wall_offset_ms
     table.counters.forgotten += claimsets.expire(table.ended, wall_ms)
     claimcommits.refill(table, now)
@@ -93,13 +94,13 @@
         case claimtables.ClaimAsked():
             return _take_question(table, event, now)
         case claimtables.SettleAsked():
-            return _settle(table, event, now)
+            return claimsettlements.settle(table, event, now)
         case claimtables.SegmentsRead():
             return _take_read(table, event, now)
         case claimtables.SegmentSwapped():
             return _take_swap(table, event, now)
         case claimtables.InstanceLost():
-            _lose_instance(table, event.instance, now)
+            claimsettlements.lose_instance(table, event.instance, now)
         case claimtables.AuthorityHeld():
             table.authority_until = max(table.authority_until, event.until)
     return []
@@ -140,137 +141,8 @@
                    now: float) -> list[_Action]:
     table.counters.claims += 1
     ends_at = now + event.remaining_ms
-    return _ask(table,
-                claimtables.Waiting(event.claim, event.token, now, ends_at),
-                now)
-
-
-def _ask(table: _Table, asked: claimtables.Waiting,
-         now: float) -> list[_Action]:
-    if table.phase is _Phase.FENCED:
-        return [_not_grantor(asked.token)]
-    if table.phase is _Phase.SERVING:
-        known = _look_up(table, asked)
-        if known is not None:
-            return [known]
-    earlier = table.waiting.get(asked.claim.digest)
-    if earlier is not None:
-        return [_join(table, earlier, asked)]
-    obstacle = _find_obstacle(table)
-    if obstacle:
-        return [_refuse(table, asked.token, now, obstacle)]
-    table.waiting[asked.claim.digest] = asked
-    return []
-
-
-def _look_up(table: _Table,
-             asked: claimtables.Waiting) -> claimtables.Reply | None:
-    claim = asked.claim
-    running = table.running.get(claim.digest)
-    if running is not None:
-        if running.claim == claim:
-            return claimtables.Reply(asked.token, _Verdict.GRANTED)
-        return _compare(table, running.claim, asked)
-    mark = claimsets.find(table.ended, claim.digest)
-    if mark is None:
-        return None
-    if mark != claimsets.get_mark(claim.fingerprint):
-        return _mismatch(table, asked.token)
-    table.counters.repeated += 1
-    answer = answers.find(table.answers, claim.digest)
-    if answer is not None:
-        return claimtables.Reply(asked.token, _Verdict.ANSWERED, answer)
-    return claimtables.Reply(asked.token,
-                             _Verdict.ENDED,
-                             detail='it ran or may have run')
-
-
-def _find_obstacle(table: _Table) -> str:
-    """Returns why no new claim can be committed, or ''."""
-    if table.phase is _Phase.SERVING and table.down:
-        return 'the store is down'
-    if len(table.waiting) >= table.limits.max_waiting:
-        return 'too many claims wait'
-    if claimsets.count(table.ended) >= table.limits.max_claims:
-        return 'no more claims can be remembered'
-    return ''
-
-
-def _join(table: _Table, earlier: claimtables.Waiting,
-          asked: claimtables.Waiting) -> claimtables.Reply:
-    """Answers a claim whose digest waits already."""
-    if earlier.claim != asked.claim:
-        return _compare(table, earlier.claim, asked)
-    table.waiting[asked.claim.digest] = asked
-    return _still_running(table, earlier.token)
-
-
-def _compare(table: _Table, holder: claimlogs.Claim,
-             asked: claimtables.Waiting) -> claimtables.Reply:
-    """Answers a claim whose digest another attempt holds."""
-    if holder.fingerprint != asked.claim.fingerprint:
-        return _mismatch(table, asked.token)
-    return _still_running(table, asked.token)
-
-
-def _settle(table: _Table, event: claimtables.SettleAsked,
-            now: float) -> list[_Action]:
-    if table.phase is not _Phase.SERVING:
-        return [claimtables.SettleReply(event.token, False)]
-    if event.kind is _Kind.RELEASED:
-        return _release(table, event, now)
-    running = table.running.get(event.digest)
-    if running is not None and running.claim.attempt == event.attempt:
-        _end(table, running.claim, now)
-        kept = _keep(table, event)
-        kind = _Kind.ANSWERED if kept else _Kind.ENDED
-        _log(
-            table,
-            claimlogs.Settlement(running.claim, kind,
-                                 event.answer if kept else b''), now)
-        return [claimtables.SettleReply(event.token, True)]
-    mark = claimsets.find(table.ended, event.digest)
-    if mark is not None and _keep(table, event):
-        fingerprint = mark.to_bytes(claimsets.MARK_BYTES, 'big')
-        claim = claimlogs.Claim(event.digest, fingerprint, '', event.attempt)
-        _log(table, claimlogs.Settlement(claim, _Kind.ANSWERED, event.answer),
-             now)
-    return [claimtables.SettleReply(event.token, mark is not None)]
-
-
-def _release(table: _Table, event: claimtables.SettleAsked,
-             now: float) -> list[_Action]:
-    actions = []
-    waiting = table.waiting.get(event.digest)
-    if waiting is not None and waiting.claim.attempt == event.attempt:
-        del table.waiting[event.digest]
-        actions.append(_refuse(table, waiting.token, now, 'given up'))
-    running = table.running.get(event.digest)
-    if running is not None and running.claim.attempt == event.attempt:
-        del table.running[event.digest]
-    elif claimsets.find(table.ended, event.digest) is not None:
-        return actions + [claimtables.SettleReply(event.token, False)]
-    claim = claimlogs.Claim(event.digest, b'', '', event.attempt)
-    _log(table, claimlogs.Settlement(claim, _Kind.RELEASED), now, event.token)
-    return actions
-
-
-def _keep(table: _Table, event: claimtables.SettleAsked) -> bool:
-    return (event.kind is _Kind.ANSWERED and
-            answers.keep(table.answers, event.digest, event.answer))
-
-
-def _end(table: _Table, claim: claimlogs.Claim, now: float) -> None:
-    table.running.pop(claim.digest, None)
-    claimsets.add(table.ended, claim.digest, claim.fingerprint,
-                  now + table.wall_offset_ms)
-
-
-def _log(table: _Table,
-         settlement: claimlogs.Settlement,
-         now: float,
-         token: int | None = None) -> None:
-    table.unlogged.append(claimtables.Unlogged(settlement, now, token))
+    return claimverdicts.ask(
+        table, claimtables.Waiting(event.claim, event.token, now, ends_at), now)
 
 
 def _take_read(table: _Table, event: claimtables.SegmentsRead,
@@ -303,7 +175,7 @@
     version = (event.outcome.version
                if landed is table.sent else event.outcome.current.version)
     claimcommits.note_landed(table, landed, version)
-    return _grant(table, landed, now) + _finish_settlements(table, landed)
+    return _grant(table, landed, now) + claimsettlements.finish(table, landed)
 
 
 def _is_outcome(call: claimtables.ReadSegments | claimtables.SwapSegment | None,
@@ -329,7 +201,7 @@
     table.retry_at = now + table.limits.retry_ms
     waiting, table.waiting = table.waiting, {}
     actions = [
-        _refuse(table, item.token, now, 'the store is down')
+        claimverdicts.refuse(table, item.token, now, 'the store is down')
         for item in waiting.values()
     ]
     for item in table.unlogged:
@@ -345,7 +217,9 @@
         waiting = table.waiting.get(claim.digest)
         if waiting is None or waiting.claim != claim:
             # Nobody was or will be granted this.
-            _log(table, claimlogs.Settlement(claim, _Kind.RELEASED), now)
+            claimsettlements.log(table,
+                                 claimlogs.Settlement(claim, _Kind.RELEASED),
+                                 now)
             continue
         del table.waiting[claim.digest]
         table.running[claim.digest] = claimtables.Running(
@@ -355,26 +229,15 @@
     return actions
 
 
-def _finish_settlements(table: _Table, landed: claimlogs.Tail) -> list[_Action]:
-    done = set(landed.settlements)
-    actions = [
-        claimtables.SettleReply(item.token, True)
-        for item in table.unlogged
-        if item.settlement in done and item.token is not None
-    ]
-    table.unlogged = [
-        item for item in table.unlogged if item.settlement not in done
-    ]
-    return actions
-
-
 def _follow(table: _Table, newer_epoch: int) -> list[_Action]:
     """Steps down if a newer grantor was met."""
     if not newer_epoch:
         return []
     table.phase = _Phase.FENCED
     waiting, table.waiting = table.waiting, {}
-    actions = [_not_grantor(item.token) for item in waiting.values()]
+    actions = [
+        claimverdicts.not_grantor(item.token) for item in waiting.values()
+    ]
     return actions + [claimtables.StepDown(newer_epoch)]
 
 
@@ -385,7 +248,7 @@
     waiting, table.waiting = table.waiting, {}
     return [
         action for item in waiting.values()
-        for action in _ask(table, item, now)
+        for action in claimverdicts.ask(table, item, now)
     ]
 
 
@@ -396,62 +259,6 @@
         if now >= min(item.ends_at, item.asked_at + longest):
             del table.waiting[digest]
             actions.append(
-                _refuse(table, item.token, now, 'not committed in time'))
+                claimverdicts.refuse(table, item.token, now,
+                                     'not committed in time'))
     return actions
-
-
-def _expire_running(table: _Table, now: float) -> None:
-    if now < table.expire_at:
-        return
-    table.expire_at = now + table.limits.expire_ms
-    for item in list(table.running.values()):
-        if now >= item.ends_at:
-            _end(table, item.claim, now)
-
-
-def _lose_instance(table: _Table, instance: str, now: float) -> None:
-    for item in list(table.running.values()):
-        if item.claim.instance == instance:
-            _end(table, item.claim, now)
-
-
-def _refuse(table: _Table, token: int, now: float,
-            detail: str) -> claimtables.Reply:
-    """Refuses a claim that was not granted.
-
-    Only a grantor that has read the log, and that no newer one can have
-    replaced, knows that no earlier attempt of this digest was dispatched.
-    """
-    retry_ms = int(table.limits.retry_ms)
-    sure = table.phase is _Phase.SERVING and now < table.authority_until
-    if sure:
-        table.counters.refused += 1
-        return claimtables.Reply(token,
-                                 _Verdict.UNAVAILABLE,
-                                 retry_after_ms=retry_ms,
-                                 detail=detail)
-    table.counters.unknown += 1
-    return claimtables.Reply(token,
-                             _Verdict.ENDED,
-                             retry_after_ms=retry_ms,
-                             detail=f'not claimed now ({detail}); an earlier '
-                             'attempt may have run')
-
-
-def _mismatch(table: _Table, token: int) -> claimtables.Reply:
-    table.counters.mismatched += 1
-    return claimtables.Reply(token,
-                             _Verdict.MISMATCH,
-                             detail='the idempotency key names another request')
-
-
-def _still_running(table: _Table, token: int) -> claimtables.Reply:
-    table.counters.repeated += 1
-    return claimtables.Reply(token,
-                             _Verdict.RUNNING,
-                             retry_after_ms=int(table.limits.retry_ms),
-                             detail='an earlier attempt is running')
-
-
-def _not_grantor(token: int) -> claimtables.Reply:
-    return claimtables.Reply(token, _Verdict.NOT_GRANTOR)
--- a/tests/claimworlds.py
+++ b/tests/claimworlds.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from lentilmoor import claimcodecs
 from lentilmoor import claimlogs
 from lentilmoor import claims
 from lentilmoor import claimtables
@@ -451,7 +452,7 @@
             self.count += 1
             tail = claimlogs.Tail(self.epoch, self.count, 0.0, (), (claim,))
             self.call = claimtables.SwapSegment(
-                f'log/{self.epoch}/{self.count}', claimlogs.encode_tail(tail),
+                f'log/{self.epoch}/{self.count}', claimcodecs.encode_tail(tail),
                 0)
 
     def finish(self, outcome):
@@ -465,5 +466,5 @@
             self.emit(claimtables.Reply(self.sent.token, Verdict.GRANTED))
             return
         for record in outcome if isinstance(outcome, tuple) else ():
-            for claim in claimlogs.decode_tail(record).claims:
+            for claim in claimcodecs.decode_tail(record).claims:
                 self.seen[claim.digest] = claim
--- a/tests/test_claimlogs.py
+++ b/tests/test_claimlogs.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from lentilmoor import answers
+from lentilmoor import claimcodecs
 from lentilmoor import claimcommits
 from lentilmoor import claimlogs
 from lentilmoor import claimsets
@@ -34,17 +35,17 @@
             claimlogs.Claim(bytes(16), b'87654321', '', 4), _Kind.ANSWERED,
             b'answer')
         tail = claimlogs.Tail(3, 9, 1234.0, (settlement,), (_CLAIM,))
-        value = claimlogs.encode_tail(tail)
-        self.assertEqual(claimlogs.decode_tail(_record(value)), tail)
+        value = claimcodecs.encode_tail(tail)
+        self.assertEqual(claimcodecs.decode_tail(_record(value)), tail)
 
     def test_archive_is_read_as_it_was_written(self):
         run = claimsets.Run(array('Q', [1, 2**64 - 1]), array('I', [7, 8]), 5.0)
         archive = claimlogs.Archive(3, 9, 5.0, run, (_CLAIM,))
-        value = claimlogs.encode_archive(archive)
-        self.assertEqual(claimlogs.decode_archive(_record(value)), archive)
+        value = claimcodecs.encode_archive(archive)
+        self.assertEqual(claimcodecs.decode_archive(_record(value)), archive)
 
     def test_what_does_not_parse_is_a_typed_failure(self):
-        for decode in (claimlogs.decode_tail, claimlogs.decode_archive):
+        for decode in (claimcodecs.decode_tail, claimcodecs.decode_archive):
             failed = decode(_record(b'\xff\xff'))
             self.assertIs(failed.reason, outcomes.Reason.INVALID)
 
