--- a/lentilmoor/gossip.py
+++ b/lentilmoor/gossip.py
@@ -117,6 +117,8 @@
       healed_at: When somebody out of reach was last tried, ms.
       beats: Count of beats.
       pushed_at: When each peer was last pushed to, ms.
+      domain_names: All known failure domains, in order.
+      domain_hash: Hash of those names.
     """
 
     members: membership.Members
@@ -137,6 +139,8 @@
     healed_at: float = 0.0
     beats: int = 0
     pushed_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    domain_names: tuple[str, ...] = ()
+    domain_hash: int = 0
 
 
 def make_gossip(own: tables.Instance,
@@ -205,12 +209,14 @@
                     now: float) -> peer_pb2.ExchangeMessage:
     """Takes in a peer's exchange and returns the reply."""
     peer = message.instance
+    lacking = _take_exchange(gossip, message, now)
     reply = _make_exchange(gossip, now)
-    _take_exchange(gossip, message, reply, now)
+    _add_news(gossip, reply, lacking)
     _add_news(gossip, reply, spread.pick_news(gossip.replica, peer))
     _answer_level(gossip, message, reply)
-    _answer_counts(gossip, message, reply)
-    reply.root = gossip.replica.table.root
+    if message.count_keys:
+        asked = [read_own_count(gossip, key) for key in message.count_keys]
+        reply.counts.extend(messages.write_counts(asked))
     return reply
 
 
@@ -238,9 +244,8 @@
         return _take_fetched(gossip, outgoing, reply, now)
     if outgoing.told:
         counts.note_told(gossip.counts, outgoing.told)
-    answer = _make_exchange(gossip, now)
-    _take_exchange(gossip, reply, answer, now)
-    return _compare(gossip, outgoing, reply, answer, now)
+    lacking = _take_exchange(gossip, reply, now)
+    return _compare(gossip, outgoing.peer, reply, lacking, now)
 
 
 def ask_counts(gossip: Gossip, keys: Iterable[str],
@@ -396,22 +401,29 @@
 
 def _make_exchange(gossip: Gossip, now: float) -> peer_pb2.ExchangeMessage:
     own = gossip.members.rows[gossip.members.own].instance
-    message = peer_pb2.ExchangeMessage(protocol=PROTOCOL,
-                                       instance=own.id,
-                                       failure_domain=own.failure_domain,
-                                       root=gossip.replica.table.root)
-    names = sorted(gossip.members.domains_heard)
-    message.domain_names = _hash_names(names)
-    for name in names:
-        age = now - gossip.members.domains_heard[name]
-        if name == own.failure_domain:
-            age = 0.0
-        message.domain_ages.append(min(int(age / _AGE_UNIT_MS), _LONGEST_AGE))
-    return message
+    heard = gossip.members.domains_heard
+    heard[own.failure_domain] = now
+    _name_domains(gossip)
+    oldest = now - _LONGEST_AGE * _AGE_UNIT_MS
+    ages = [
+        int((now - max(heard[name], oldest)) / _AGE_UNIT_MS)
+        for name in gossip.domain_names
+    ]
+    return peer_pb2.ExchangeMessage(protocol=PROTOCOL,
+                                    instance=own.id,
+                                    failure_domain=own.failure_domain,
+                                    root=gossip.replica.table.root,
+                                    domain_names=gossip.domain_hash,
+                                    domain_ages=ages)
 
 
-def _hash_names(names: list[str]) -> int:
-    return xxhash.xxh32_intdigest('\0'.join(names).encode())
+def _name_domains(gossip: Gossip) -> None:
+    heard = gossip.members.domains_heard
+    if len(gossip.domain_names) == len(heard):
+        return  # Domains are only ever added.
+    gossip.domain_names = tuple(sorted(heard))
+    names = '\0'.join(gossip.domain_names)
+    gossip.domain_hash = xxhash.xxh32_intdigest(names.encode())
 
 
 def _add_news(gossip: Gossip, message: peer_pb2.ExchangeMessage,
@@ -450,41 +462,41 @@
 
 
 def _take_exchange(gossip: Gossip, message: peer_pb2.ExchangeMessage,
-                   answer: peer_pb2.ExchangeMessage, now: float) -> None:
-    """Takes in a message; what its sender lacks goes into an answer."""
+                   now: float) -> list[str]:
+    """Takes in a message; returns keys of items that its sender lacks."""
     peer = message.instance
     membership.hear(gossip.members, peer, now)
     _take_ages(gossip, message, now)
+    lacking = []
     for entry in message.digest:
         if entry.full:
             _put(gossip, messages.read_item(entry), now, peer)
         behind = spread.take_notice(gossip.replica, peer,
                                     messages.read_notice(entry))
         if behind is not None:
-            _add_news(gossip, answer, [behind.key])
-    counts.take_counts(gossip.counts, peer,
-                       messages.read_counts(message.counts))
-    _tell_sender_of_itself(gossip, peer, answer)
+            lacking.append(behind.key)
+    if message.counts:
+        told = messages.read_counts(message.counts)
+        counts.take_counts(gossip.counts, peer, told)
+    member = gossip.members.rows.get(peer)
+    if member and membership.read_state(member) in _REFUTABLE:
+        # It may refute that it is suspected or dead.
+        lacking.append(membership.PREFIX + peer)
+    return lacking
 
 
 def _take_ages(gossip: Gossip, message: peer_pb2.ExchangeMessage,
                now: float) -> None:
-    names = sorted(gossip.members.domains_heard)
-    if message.domain_names != _hash_names(names):
+    _name_domains(gossip)
+    if message.domain_names != gossip.domain_hash:
         return
-    for name, age in zip(names, message.domain_ages, strict=True):
-        heard_at = now - age * _AGE_UNIT_MS - _HOP_MS
-        membership.hear_domain(gossip.members, name, heard_at)
-
-
-def _tell_sender_of_itself(gossip: Gossip, peer: str,
-                           answer: peer_pb2.ExchangeMessage) -> None:
-    member = gossip.members.rows.get(peer)
-    if member is None:
-        return
-    if membership.read_state(member) in _REFUTABLE:
-        # It may refute that it is suspected or dead.
-        _add_news(gossip, answer, [membership.PREFIX + peer])
+    heard = gossip.members.domains_heard
+    newest = now - _HOP_MS
+    told = zip(gossip.domain_names, message.domain_ages, strict=False)
+    for name, age in told:
+        heard_at = newest - age * _AGE_UNIT_MS
+        if heard_at > heard[name]:
+            membership.hear_domain(gossip.members, name, heard_at)
 
 
 def _put(gossip: Gossip, item: items.Item, now: float, source: str) -> None:
@@ -509,29 +521,25 @@
             reply.level.digests.extend(items.read_branch(replica.table, branch))
 
 
-def _answer_counts(gossip: Gossip, message: peer_pb2.ExchangeMessage,
-                   reply: peer_pb2.ExchangeMessage) -> None:
-    asked = [counts.read_count(gossip.counts, x) for x in message.count_keys]
-    reply.counts.extend(messages.write_counts(asked))
-
-
-def _compare(gossip: Gossip, outgoing: Outgoing,
-             reply: peer_pb2.ExchangeMessage, answer: peer_pb2.ExchangeMessage,
-             now: float) -> list[Outgoing]:
+def _compare(gossip: Gossip, peer: str, reply: peer_pb2.ExchangeMessage,
+             lacking: list[str], now: float) -> list[Outgoing]:
     """Goes down the digest tree, one level with each call."""
     replica = gossip.replica
     buckets = spread.pick_buckets(replica, reply.level.branch,
                                   list(reply.level.digests))
+    begins = not buckets and _is_time_to_compare(gossip, reply.root, now)
+    if not (buckets or begins or lacking):
+        return []
+    message = _make_exchange(gossip, now)
+    _add_news(gossip, message, lacking)
     if buckets:
-        answer.listed.extend(buckets)
+        message.listed.extend(buckets)
         listed = items.list_buckets(replica.table, buckets)
-        answer.digest.extend(messages.write_notice(x) for x in listed)
-    elif _is_time_to_compare(gossip, reply.root, now):
+        message.digest.extend(messages.write_notice(x) for x in listed)
+    if begins:
         gossip.compared_at = now
-        answer.level.digests.extend(replica.table.branches)
-    elif not answer.digest:
-        return []
-    return [_send(gossip, outgoing.peer, answer)]
+        message.level.digests.extend(replica.table.branches)
+    return [_send(gossip, peer, message)]
 
 
 def _is_time_to_compare(gossip: Gossip, root: int, now: float) -> bool:
--- a/lentilmoor/links.py
+++ b/lentilmoor/links.py
@@ -189,6 +189,12 @@
 
 def _forget(links: Links, link: _Link) -> None:
     del links.by_address[link.address]
+    _close(links, link)
+
+
+def _close(links: Links, link: _Link) -> None:
+    # Its calls end here: a task that has not begun runs no clean-up.
+    _fail_calls(links, link, outcomes.Reason.PEER_UNAVAILABLE, 'link closed')
     if link.task is not None:
         link.task.cancel()
 
@@ -224,7 +230,7 @@
 
 def _give_up(links: Links, link: _Link) -> None:
     # Silent: the next call gets a fresh connection at once.
-    link.task.cancel()
+    _close(links, link)
     fresh = _Link(link.address,
                   failures=link.failures,
                   heard_at=link.heard_at,
--- a/lentilmoor/members.py
+++ b/lentilmoor/members.py
@@ -36,6 +36,8 @@
 
 _STATES = 8
 
+FIRST_VERSION = _STATES + State.LIVE
+
 _LIVENESS = {
     State.LIVE: tables.Liveness.LIVE,
     State.SUSPECT: tables.Liveness.SUSPECT,
--- a/lentilmoor/peers.py
+++ b/lentilmoor/peers.py
@@ -9,6 +9,7 @@
 # pylint: disable=no-member
 
 import asyncio
+import collections
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
@@ -23,7 +24,6 @@
 from lentilmoor import clocks
 from lentilmoor import links as peer_links
 from lentilmoor import listeners
-from lentilmoor import outcomes
 from lentilmoor.protocol import peer_pb2
 
 PROTOCOL = 1
@@ -103,6 +103,17 @@
     stop: Callable[[float], None]
 
 
+@dataclasses.dataclass(slots=True)
+class _Inbox:
+    """Calls on their way from other threads to the loop's."""
+
+    loop: asyncio.AbstractEventLoop
+    links: peer_links.Links
+    calls: collections.deque = dataclasses.field(
+        default_factory=collections.deque)
+    awake: bool = False
+
+
 def start_peers(settings: PeerSettings, handlers: Handlers,
                 clock: clocks.Clock) -> Peers:
     """Starts to listen and returns the running adapter.
@@ -120,6 +131,7 @@
     links = peer_links.Links(settings.limits, clock, token, settings.client_tls,
                              peer_links.LinkCounters())
     loop = asyncio.new_event_loop()
+    inbox = _Inbox(loop, links)
     thread = threading.Thread(target=_run_loop,
                               args=(loop,),
                               name='peers',
@@ -128,21 +140,21 @@
     try:
         _run_on(loop, _start(listener, links, settings))
     except OSError:
-        _end_loop(loop, thread)
+        _end_loop(inbox, thread)
         raise
 
     def stop(grace_ms: float = 0.0) -> None:
         if loop.is_closed():
             return
         _run_on(loop, _stop(listener, links, clock, grace_ms))
-        _end_loop(loop, thread)
+        _end_loop(inbox, thread)
 
     return Peers(address=listener.address,
-                 call_exchange=_make_call(loop, links, 'exchange'),
-                 call_fetch=_make_call(loop, links, 'fetch'),
-                 call_lease=_make_call(loop, links, 'lease'),
-                 call_claim=_make_call(loop, links, 'claim'),
-                 call_settle=_make_call(loop, links, 'settle'),
+                 call_exchange=_make_call(inbox, 'exchange'),
+                 call_fetch=_make_call(inbox, 'fetch'),
+                 call_lease=_make_call(inbox, 'lease'),
+                 call_claim=_make_call(inbox, 'claim'),
+                 call_settle=_make_call(inbox, 'settle'),
                  heard_at=lambda peer: peer_links.read_heard(links, peer),
                  served=listener.counters,
                  called=links.counters,
@@ -162,24 +174,39 @@
                               listeners.ServerCounters())
 
 
-def _make_call(loop: asyncio.AbstractEventLoop, links: peer_links.Links,
-               kind: str) -> Call:
+def _make_call(inbox: _Inbox, kind: str) -> Call:
 
     def call(address: str, message: protobuf.Message,
              timeout_ms: float) -> futures.Future:
         future: futures.Future = futures.Future()
         future.set_running_or_notify_cancel()  # It can't be cancelled.
         envelope = peer_pb2.Envelope(**{kind: message})
-        try:
-            loop.call_soon_threadsafe(peer_links.submit, links, address,
-                                      envelope, timeout_ms, future)
-        except RuntimeError:  # The loop is closed.
-            future.set_result(outcomes.Failed(outcomes.Reason.SHUTTING_DOWN))
+        inbox.calls.append((address, envelope, timeout_ms, future))
+        _wake(inbox)
         return future
 
     return call
 
 
+def _wake(inbox: _Inbox) -> None:
+    # A burst of calls wakes the loop once: waking it is a system call.
+    if inbox.awake:
+        return
+    inbox.awake = True
+    try:
+        inbox.loop.call_soon_threadsafe(_drain, inbox)
+    except RuntimeError:  # The loop is closed.
+        inbox.links.stopping = True
+        _drain(inbox)
+
+
+def _drain(inbox: _Inbox) -> None:
+    inbox.awake = False  # First: what is appended from now on wakes again.
+    while inbox.calls:
+        address, envelope, timeout_ms, future = inbox.calls.popleft()
+        peer_links.submit(inbox.links, address, envelope, timeout_ms, future)
+
+
 def _run_loop(loop: asyncio.AbstractEventLoop) -> None:
     asyncio.set_event_loop(loop)
     # The library tells of each lost stream; outcomes are counted instead.
@@ -194,10 +221,11 @@
     asyncio.run_coroutine_threadsafe(coroutine, loop).result()
 
 
-def _end_loop(loop: asyncio.AbstractEventLoop,
-              thread: threading.Thread) -> None:
-    loop.call_soon_threadsafe(loop.stop)
+def _end_loop(inbox: _Inbox, thread: threading.Thread) -> None:
+    inbox.loop.call_soon_threadsafe(inbox.loop.stop)
     thread.join()
+    inbox.links.stopping = True
+    _drain(inbox)  # Calls that came too late for the loop.
 
 
 async def _start(listener: listeners.Listener, links: peer_links.Links,
--- a/lentilmoor/roles.py
+++ b/lentilmoor/roles.py
@@ -10,13 +10,15 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import itertools
+import math
 
 import xxhash
 
 from lentilmoor import tables
 
 DELEGATES = 12
-WATCHERS_PER_DOMAIN = 2
+WATCHERS_PER_DOMAIN = 1
+LEAST_WATCHERS = 3
 PROBERS = 3
 
 _WATCHER_ROLE = 'watcher'
@@ -79,13 +81,20 @@
 def pick_watchers(
         instances: Iterable[tables.Instance],
         per_domain: int = WATCHERS_PER_DOMAIN) -> dict[str, tuple[str, ...]]:
-    """Returns the ids of the store's watchers by failure domain."""
+    """Returns the ids of the store's watchers by failure domain.
+
+    Args:
+      instances: Rows to choose from.
+      per_domain: Watchers in each failure domain; more if there would be
+        fewer than `LEAST_WATCHERS` in all. One is enough where the others'
+        domains go on hearing from theirs.
+    """
     domains: dict[str, list[str]] = {}
     for row in rank(_WATCHER_ROLE, instances):
-        chosen = domains.setdefault(row.failure_domain, [])
-        if len(chosen) < per_domain:
-            chosen.append(row.id)
-    return {name: tuple(chosen) for name, chosen in domains.items()}
+        domains.setdefault(row.failure_domain, []).append(row.id)
+    least = math.ceil(LEAST_WATCHERS / max(len(domains), 1))
+    count = max(per_domain, least)
+    return {name: tuple(ranked[:count]) for name, ranked in domains.items()}
 
 
 def is_watcher(instance: str,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -113,6 +113,19 @@
         call = one.call_lease('127.0.0.1:9', REQUEST, LONG_MS)
         self.assert_failed(call.result(), outcomes.Reason.SHUTTING_DOWN)
 
+    def test_calls_made_while_it_ends_all_end(self):
+        two = self.start()
+        for _ in range(10):
+            one = self.start()
+            ending = threading.Thread(target=one.stop, args=(0.0,))
+            ending.start()
+            calls = [
+                one.call_lease(two.address, REQUEST, LONG_MS) for _ in range(50)
+            ]
+            ending.join()
+            ended = futures.wait(calls, timeout=LONG_MS / 1_000)
+            self.assertEqual(len(ended.done), 50)
+
     def test_an_address_in_use_is_an_error(self):
         with self.assertRaises(OSError):
             peers.start_peers(make_settings(address=self.start().address),
