--- a/lentilmoor/authority.py
+++ b/lentilmoor/authority.py
@@ -49,6 +49,11 @@
         for members in lists)
 
 
+def can_return(row: grants.GrantorRow) -> bool:
+    """Returns whether a majority of each electorate may answer yet."""
+    return has_majorities(row, lambda lease: lease.id not in row.ended)
+
+
 def find_end(row: grants.GrantorRow) -> float:
     """Returns when this grantor's authority ends, ms; -inf if it has none."""
     lists = list_electorates(row)
--- a/lentilmoor/grantors.py
+++ b/lentilmoor/grantors.py
@@ -161,7 +161,7 @@
     leases.track_members(row, now)
     if now < row.settled_at:
         row.settled_at = authority.find_settled(row)
-    _note_authority(row, now)
+    _note_authority(row, authority.find_end(row) > now, now)
     _commit_by_delegates(row)
     if row.committed is not None:
         _drop_servers(row, now)
@@ -169,16 +169,15 @@
         _propose(row, now)
         _refresh_grants(row)
     _publish(row, now)
-    end = authority.find_end(row)
     actions = _step_store(row, now)
+    end = authority.find_end(row)
     actions.extend(leases.send_leases(row, _find_published(row, now), end, now))
     if row.committed is not None:
         actions.extend(leases.send_grants(row, end, now))
     return actions
 
 
-def _note_authority(row: grants.GrantorRow, now: float) -> None:
-    has = authority.find_end(row) > now
+def _note_authority(row: grants.GrantorRow, has: bool, now: float) -> None:
     if has and not row.had_authority:
         leases.call_all(row)
     if row.had_authority and not has:
@@ -317,7 +316,8 @@
         return row.unsettled.record.delegates
     if not row.wanted or set(row.wanted) == set(present) or not settled:
         return present
-    if not row.had_authority and now < row.lapsed_at + SHRINK_AFTER_MS:
+    if (not row.had_authority and authority.can_return(row) and
+            now < row.lapsed_at + SHRINK_AFTER_MS):
         return present
     return row.wanted
 
--- a/lentilmoor/leases.py
+++ b/lentilmoor/leases.py
@@ -17,13 +17,17 @@
 
 
 def track_members(row: grants.GrantorRow, now: float) -> None:
-    """Makes rows for new delegates; drops former ones whose leases ended."""
+    """Makes rows for new delegates; drops former ones of no consequence.
+
+    A former delegate counts until its last request must have arrived.
+    """
     members = authority.list_members(row)
     for member in members:
         if member not in row.delegates:
             row.delegates[member] = grants.DelegateLease(id=member)
     for member, lease in list(row.delegates.items()):
-        if member not in members and lease.until <= now:
+        arrived_at = lease.until + row.order_delay_ms
+        if member not in members and arrived_at <= now:
             del row.delegates[member]
 
 
