Merge cold slices, place large keys, and follow changes of load

Cause: the table only grew, a new hottest key stayed on a full server, and means that had started again in the midst of a rise stayed low for 30 s. Change: merges.py joins cold neighbours and brings fragments home; largekeys.py moves a large key to the server that can make room by hot keys alone; a row that has changed follows its fast mean for 9 s; fast means count as shares, so late or lost reports don't look like changes.

--- a/lentilmoor/balance.py
+++ b/lentilmoor/balance.py
@@ -13,7 +13,9 @@
 from lentilmoor import bins as bins_lib
 from lentilmoor import choices
 from lentilmoor import drafts
+from lentilmoor import largekeys
 from lentilmoor import means
+from lentilmoor import merges
 from lentilmoor import models
 from lentilmoor import plans
 from lentilmoor import scales
@@ -22,6 +24,8 @@
 
 # A lost server's hot points above this part of a slot's fair share go singly.
 _LARGE_SHARE = 0.05
+# Of the bound on slices, what makes the planner look for merges alone.
+_COMFORTABLE_SHARE = 0.5
 
 
 def plan(slice_map: slices.SliceMap, seen: means.Loads,
@@ -50,16 +54,28 @@
     lost = slices.NO_OWNER in slice_map.owners or any(
         item.gone and item.slices for item in bins)
     over = observed and any(scales.is_overloaded(item, scale) for item in bins)
-    if not lost and not over:
+    large = _is_large(slice_map, bins, limits)
+    if not lost and not over and not large:
         return plans.Plan(notes=notes, peak_before=peak, peak_after=peak)
     draft = drafts.make_draft(slice_map, seen, bins, limits, now)
     if lost:
         _evacuate(draft, scale)
     if over:
+        draft = largekeys.place(draft, scale)
         choices.relieve(draft, scale)
+    if observed:
+        merges.tidy(draft, scale)
     return plans.Plan(tuple(draft.splits), tuple(draft.merges),
                       tuple(draft.moves), notes, peak,
-                      bins_lib.measure_peak(bins))
+                      bins_lib.measure_peak(draft.bins))
+
+
+def _is_large(slice_map: slices.SliceMap, bins: list[bins_lib.Bin],
+              limits: plans.Limits) -> bool:
+    """Returns whether the table is past its size for comfort."""
+    powered = sum(1 for item in bins if item.capacity)
+    most = limits.slices_per_server * powered
+    return len(slice_map.bounds) > _COMFORTABLE_SHARE * most
 
 
 def _note_no_target(slice_map: slices.SliceMap,
@@ -85,6 +101,7 @@
         if hot.cost <= fair or slots <= item.accepts:
             break
         item.oversized = hot.cost
+        item.oversized_point = hot.point
         notes.append(plans.OversizedKey(hot.point, item.name, hot.cost, fair))
         rest -= hot.cost
         slots -= item.accepts
--- a/lentilmoor/bins.py
+++ b/lentilmoor/bins.py
@@ -29,6 +29,7 @@
       load: Cost of its slices, ms per second.
       requests: Number of requests that the load rests on.
       oversized: Cost of its key that exceeds its fair share, or 0.
+      oversized_point: The point of that key, or None.
     """
 
     name: str
@@ -39,6 +40,7 @@
     load: float = 0.0
     requests: float = 0.0
     oversized: float = 0.0
+    oversized_point: int | None = None
 
     @property
     def gone(self) -> bool:
--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -94,7 +94,7 @@
         0.0,
         limits.slices_per_server * powered - len(slice_map.bounds),
     )
-    _add_pieces(draft, slice_map, seen, now - limits.residence_ms)
+    _add_pieces(draft, slice_map, seen, limits, now)
     for owner, item in enumerate(bins):
         item.load = sum(piece.rate for piece in draft.pieces[owner])
     _add_hot(draft, slice_map, seen)
@@ -102,7 +102,7 @@
 
 
 def _add_pieces(draft: Draft, slice_map: slices.SliceMap, seen: means.Loads,
-                settled_by: float) -> None:
+                limits: plans.Limits, now: float) -> None:
     prior = (sum(seen.rates) * _PRIOR_SHARE or 1.0) / draft.span
     end = slices.HASH_SPAN
     rows = zip(slice_map.bounds,
@@ -112,8 +112,10 @@
                strict=True)
     for first, owner, rate, since in reversed(list(rows)):
         rate += prior * (end - first)
+        single = end - first == 1
+        residence = limits.hot_residence_ms if single else limits.residence_ms
         draft.pieces[owner].append(
-            Piece(first, end - 1, rate, owner, since > settled_by))
+            Piece(first, end - 1, rate, owner, now - since < residence))
         draft.total += rate
         end = first
 
--- a/lentilmoor/loads.py
+++ b/lentilmoor/loads.py
@@ -7,8 +7,9 @@
 """
 
 from array import array
-from collections.abc import Iterable
+import bisect
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 
 from lentilmoor import sketches
@@ -87,8 +88,8 @@
     return recorder
 
 
-def record(recorder: Recorder, points: Iterable[int],
-           costs: Iterable[float]) -> None:
+def record(recorder: Recorder, points: Sequence[int],
+           costs: Sequence[float]) -> None:
     """Adds a batch of served requests.
 
     Args:
@@ -96,12 +97,14 @@
       points: The point of each request's key.
       costs: The service time of each request, ms.
     """
-    find = recorder.slice_map.find
+    bounds = recorder.slice_map.bounds
+    sums = recorder.costs
+    requests = recorder.requests
     for point, cost in zip(points, costs, strict=True):
-        index = find(point)
-        recorder.costs[index] += cost
-        recorder.requests[index] += 1
-        sketches.add(recorder.sketch, point, cost)
+        index = bisect.bisect_right(bounds, point) - 1
+        sums[index] += cost
+        requests[index] += 1
+    sketches.add(recorder.sketch, points, costs)
 
 
 def take_report(recorder: Recorder,
--- a/lentilmoor/means.py
+++ b/lentilmoor/means.py
@@ -20,7 +20,11 @@
 FAST_MS = 3_000.0
 # A change is held to be real beyond this many standard deviations.
 _DEVIATIONS = 4.0
+# How long a row follows its fast mean once it has changed.
+_FOLLOW_MS = 3.0 * FAST_MS
 _LARGEST_EXPONENT = 40.0
+# After this many windows a mean counts as resting on a whole one.
+_SETTLED_WINDOWS = 7.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,7 +93,7 @@
 
 def make_table(slice_map: slices.SliceMap,
                now: float,
-               capacity: int = 2 * sketches.CAPACITY) -> LoadTable:
+               capacity: int = sketches.CAPACITY) -> LoadTable:
     """Returns an empty table for a map.
 
     Args:
@@ -124,17 +128,25 @@
     slow = _weigh(table, table.slow, now)
     fast = _weigh(table, table.fast, now)
     epoch, sequence = report.version
-    rows = report.slices if epoch == table.slice_map.epoch else ()
+    if epoch == table.slice_map.epoch:
+        _fold_rows(table, report.slices, sequence, slow, fast)
+    points = [hot.point for hot in report.hot]
+    sketches.add(table.slow.sketch, points,
+                 [hot.cost * slow for hot in report.hot])
+    sketches.add(table.fast.sketch, points,
+                 [hot.cost * fast for hot in report.hot])
+
+
+def _fold_rows(table: LoadTable, rows: tuple[loads.SliceCost, ...],
+               sequence: int, slow: float, fast: float) -> None:
+    find = table.slice_map.find
     for row in rows:
-        index = table.slice_map.find(row.first)
+        index = find(row.first)
         if table.changed[index] > sequence:
             continue
         table.slow.costs[index] += row.cost_ms * slow
         table.fast.costs[index] += row.cost_ms * fast
         table.requests[index] += row.requests * slow
-    for hot in report.hot:
-        sketches.add(table.slow.sketch, hot.point, hot.cost * slow)
-        sketches.add(table.fast.sketch, hot.point, hot.cost * fast)
 
 
 def _weigh(table: LoadTable, window: Window, now: float) -> float:
@@ -158,18 +170,57 @@
       table: Rows whose load has changed start again from their fast mean.
       now: Time, ms.
     """
+    gauge = _make_gauge(table, now)
+    _restart_changed(table, gauge, now)
+    rates = _rate_rows(table, gauge, now)
+    requests = array('d', (item / gauge.slow for item in table.requests))
+    return Loads(rates, requests, table.owned_since,
+                 _rate_hot(table, gauge, now), now - table.started_at)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Gauge:
+    """Turns sums into rates as of one moment.
+
+    Attributes:
+      slow: Weight of an addition to the slow means.
+      fast: Factor from a fast sum to a rate, without what all rows share.
+      seconds: Seconds that the fast means rest on.
+      mean_cost: Mean cost of a request, ms.
+    """
+
+    slow: float
+    fast: float
+    seconds: float
+    mean_cost: float
+
+
+def _make_gauge(table: LoadTable, now: float) -> _Gauge:
     slow = _weigh(table, table.slow, now)
     fast = _weigh(table, table.fast, now)
-    mean_cost = sum(table.slow.costs) / max(sum(table.requests), 1e-9)
-    _restart_changed(table, mean_cost, slow, fast, now)
-    fills = [_fill_of(table.slow, now - since) for since in table.since]
-    rates = array('d',
-                  (cost / (slow * fill)
-                   for cost, fill in zip(table.slow.costs, fills, strict=True)))
-    requests = array('d', (item / slow for item in table.requests))
-    return Loads(rates, requests, table.owned_since,
-                 _rate_hot(table, mean_cost, slow, fast, now),
-                 now - table.started_at)
+    observed = now - table.started_at
+    total = sum(table.slow.costs)
+    mean_cost = total / max(sum(table.requests), 1e-9)
+    seconds = _fill_of(table.fast, observed)
+    # Reports that are late or lost lower all fast means alike, and those that
+    # come at once raise them: so the fast means count as shares of the whole.
+    rate = total / (slow * _fill_of(table.slow, observed))
+    factor = rate / max(sum(table.fast.costs), 1e-9)
+    if total <= 0.0:
+        factor = 1.0 / (fast * seconds)
+    return _Gauge(slow, factor, seconds, mean_cost)
+
+
+def _rate_rows(table: LoadTable, gauge: _Gauge, now: float) -> array:
+    rates = array('d', table.slow.costs)
+    settled = now - _SETTLED_WINDOWS * SLOW_MS
+    full = gauge.slow * _fill_of(table.slow, _SETTLED_WINDOWS * SLOW_MS)
+    for index, since in enumerate(table.since):
+        if since <= settled:
+            rates[index] /= full
+        else:
+            rates[index] /= gauge.slow * _fill_of(table.slow, now - since)
+    return rates
 
 
 def _fill_of(window: Window, observed_ms: float) -> float:
@@ -179,48 +230,46 @@
     return length_s * share
 
 
-def _restart_changed(table: LoadTable, mean_cost: float, slow: float,
-                     fast: float, now: float) -> None:
-    # The slow mean then rests on as many seconds as the fast one.
-    share = FAST_MS / SLOW_MS
-    back_ms = -SLOW_MS * math.log(1.0 - share)
-    for index, cost in enumerate(table.slow.costs):
-        observed = now - table.since[index]
-        if observed <= back_ms:
-            continue
-        fill = _fill_of(table.fast, observed)
-        rate = cost / (slow * _fill_of(table.slow, observed))
-        recent = table.fast.costs[index] / (fast * fill)
-        if not _differ(rate, recent, mean_cost, fill):
-            continue
-        fresh = recent * fill * slow
-        if cost > 0.0:
-            table.requests[index] *= fresh / cost
-        table.slow.costs[index] = fresh
-        table.since[index] = now - back_ms
+def _restart_changed(table: LoadTable, gauge: _Gauge, now: float) -> None:
+    """Starts rows again that have changed, and lets them follow for a while."""
+    rates = _rate_rows(table, gauge, now)
+    for index, cost in enumerate(table.fast.costs):
+        recent = cost * gauge.fast
+        changed = _differ(rates[index], recent, gauge)
+        age = now - table.since[index]
+        if age >= _FOLLOW_MS and changed:
+            table.since[index] = now
+            age = 0.0
+        if age < _FOLLOW_MS:
+            _restart(table, index, recent * gauge.slow, age)
+
 
+def _restart(table: LoadTable, index: int, rate: float, age: float) -> None:
+    fresh = rate * _fill_of(table.slow, age)
+    cost = table.slow.costs[index]
+    if cost > 0.0:
+        table.requests[index] *= fresh / cost
+    table.slow.costs[index] = fresh
 
-def _differ(rate: float, recent: float, mean_cost: float,
-            seconds: float) -> bool:
+
+def _differ(rate: float, recent: float, gauge: _Gauge) -> bool:
     """Returns whether noise does not explain the difference of two means."""
-    noise = math.sqrt(max(rate, recent) * seconds * mean_cost) / seconds
-    return abs(rate - recent) > _DEVIATIONS * noise
+    gap = rate - recent
+    more = rate if gap > 0.0 else recent
+    variance = more * gauge.mean_cost / gauge.seconds
+    return gap * gap > _DEVIATIONS * _DEVIATIONS * variance
 
 
-def _rate_hot(table: LoadTable, mean_cost: float, slow: float, fast: float,
+def _rate_hot(table: LoadTable, gauge: _Gauge,
               now: float) -> tuple[loads.HotPoint, ...]:
-    observed = now - table.started_at
-    slow_fill = _fill_of(table.slow, observed)
-    fast_fill = _fill_of(table.fast, observed)
-    fast_costs = table.fast.sketch.costs
+    factor = 1.0 / (gauge.slow * _fill_of(table.slow, now - table.started_at))
+    recents = table.fast.sketch.costs
     rates = {
-        point: cost / (slow * slow_fill)
-        for point, cost in table.slow.sketch.costs.items()
+        point: cost * factor for point, cost in table.slow.sketch.costs.items()
     }
-    for point in set(rates) | set(fast_costs):
-        rate = rates.get(point, 0.0)
-        recent = fast_costs.get(point, 0.0) / (fast * fast_fill)
-        if _differ(rate, recent, mean_cost, fast_fill):
+    for point in rates.keys() | recents.keys():
+        recent = recents.get(point, 0.0) * gauge.fast
+        if _differ(rates.get(point, 0.0), recent, gauge):
             rates[point] = recent
     ranked = sorted(rates.items(), key=lambda item: (-item[1], item[0]))
     kept = ranked[:table.slow.sketch.capacity]
--- a/lentilmoor/plans.py
+++ b/lentilmoor/plans.py
@@ -126,6 +126,7 @@
       keys: Keys in use in the shard, as a guess.
       hold_ms: How long requests are held while a slice moves.
       residence_ms: How long a slice stays where it came, but for a loss.
+      hot_residence_ms: The same of a single hot key.
       warm_up_ms: How long a cold server's share ramps up.
       observe_ms: How long loads are observed before moves for balance.
     """
@@ -139,6 +140,7 @@
     keys: int = 100_000
     hold_ms: float = 200.0
     residence_ms: float = 20_000.0
+    hot_residence_ms: float = 4_000.0
     warm_up_ms: float = 3_000.0
     observe_ms: float = 5_000.0
 
--- a/lentilmoor/sketches.py
+++ b/lentilmoor/sketches.py
@@ -5,6 +5,7 @@
 cost is overstated.
 """
 
+from collections.abc import Iterable
 import dataclasses
 
 CAPACITY = 256
@@ -25,12 +26,15 @@
     undercount: float = 0.0
 
 
-def add(sketch: Sketch, point: int, cost: float) -> None:
-    """Adds the cost of a point; constant time but for a cut now and then."""
-    costs = sketch.costs
-    costs[point] = costs.get(point, 0.0) + cost
-    if len(costs) >= 2 * sketch.capacity:
-        _cut(sketch)
+def add(sketch: Sketch, points: Iterable[int], costs: Iterable[float]) -> None:
+    """Adds costs of points; constant time each but for a cut now and then."""
+    sums = sketch.costs
+    most = 2 * sketch.capacity
+    for point, cost in zip(points, costs, strict=True):
+        sums[point] = sums.get(point, 0.0) + cost
+        if len(sums) >= most:
+            _cut(sketch)
+            sums = sketch.costs
 
 
 def _cut(sketch: Sketch) -> None:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -36,7 +36,7 @@
         truth = dict.fromkeys(range(41), 0)
         for point, cost in items:
             truth[point] += cost
-            sketches.add(sketch, point, cost)
+            sketches.add(sketch, [point], [cost])
         total = sum(truth.values())
         self.assertLess(len(sketch.costs), 2 * capacity)
         self.assertLessEqual(sketch.undercount, total / (capacity + 1))
@@ -53,7 +53,7 @@
         sketch = sketches.Sketch(32)
         naive = {}
         for point in stream:
-            sketches.add(sketch, point, 1.0)
+            sketches.add(sketch, [point], [1.0])
             if point in naive or len(naive) < 32:
                 naive[point] = naive.get(point, 0) + 1
         self.assertNotIn(7, naive)
