--- a/lentilmoor/grants.py
+++ b/lentilmoor/grants.py
@@ -458,6 +458,7 @@
       leases: Per delegate, when leases of older versions have ended.
       holds: Per delegate, when it acknowledged the hold.
       revoke_ends: When the source's grant has ended without its answer.
+      then: Where it is to go on to if the target is lost meanwhile.
     """
 
     first: int
@@ -470,6 +471,7 @@
     leases: dict[str, float] = dataclasses.field(default_factory=dict)
     holds: dict[str, float] = dataclasses.field(default_factory=dict)
     revoke_ends: float = 0.0
+    then: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/lentilmoor/moves.py
+++ b/lentilmoor/moves.py
@@ -51,8 +51,7 @@
         return
     current = row.moves.get(item[0])
     if current is not None and current.last == item[1]:
-        if current.stage in (_Stage.HOLDING, _Stage.REVOKING, _Stage.READY):
-            current.target = target
+        _retarget(current, target)
         return
     if any(
             ranges.overlaps(item, (move.first, move.last))
@@ -65,6 +64,13 @@
                                           started_at=now)
 
 
+def _retarget(move: grants.SliceMove, target: str) -> None:
+    if move.stage in (_Stage.HOLDING, _Stage.REVOKING, _Stage.READY):
+        move.target = target
+    else:
+        move.then = target
+
+
 def is_lost(row: grants.GrantorRow, source: str) -> bool:
     """Returns whether an owner cannot be drained."""
     server = row.servers.get(source)
@@ -128,7 +134,7 @@
         if move.stage is _Stage.REVOKING:
             _step_revoking(row, move, now)
         if move.stage is _Stage.GRANTING:
-            _step_granting(row, move)
+            _step_granting(row, move, now)
 
 
 def is_draining(row: grants.GrantorRow, lease: grants.DelegateLease) -> bool:
@@ -247,13 +253,16 @@
             not any(ranges.overlaps(item, owned) for owned in server.owned))
 
 
-def _step_granting(row: grants.GrantorRow, move: grants.SliceMove) -> None:
+def _step_granting(row: grants.GrantorRow, move: grants.SliceMove,
+                   now: float) -> None:
     target = row.servers.get(move.target)
     if (target is None or target.lost or not target.checks_grants or
         (target.acked == target.sequence and
          any(first <= move.first and move.last <= last
              for first, last in target.owned))):
         del row.moves[move.first]
+        if is_lost(row, move.target) and move.then:
+            _begin(row, (move.first, move.last), move.target, move.then, now)
 
 
 def _reshape(slice_map: slices.SliceMap, splits, merges) -> slices.SliceMap:
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -15,6 +15,7 @@
 from lentilmoor import grants
 from lentilmoor import plans
 from lentilmoor import ranges
+from lentilmoor import records
 
 SHARD = 'team/service/0'
 LIFETIME_MS = 500.0
@@ -88,7 +89,7 @@
 class Store:
     """One record, with the ways in which a store's calls go wrong."""
 
-    record: object = None
+    record: records.ShardRecord | None = None
     version: int = 0
     down: bool = False
     slow_ms: float = 0.0
@@ -98,7 +99,13 @@
 class World:
     """Entries, servers and a store under one seed."""
 
-    def __init__(self, seed, entries=4, servers=3, checks=True, listed=3):
+    def __init__(self,
+                 seed,
+                 entries=4,
+                 servers=3,
+                 checks=True,
+                 listed=3,
+                 moving=0.2):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.checks = checks
@@ -111,7 +118,7 @@
         self.lost_since = {}
         self.doubled = False
         self.added = 0
-        self.moving = 0.2
+        self.moving = moving
         self.history = {}
         self.proposals = {}
         self.trace = None
