--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -12,6 +12,7 @@
 
 from benchmarks import bounds
 from lentilmoor import counts
+from lentilmoor import domains as failuredomains
 from lentilmoor import gossip
 from lentilmoor import items
 from lentilmoor import members as membership
@@ -236,7 +237,7 @@
     own = dataclasses.replace(row)
     members = membership.make_members(own, 1, fleet.now)
     for domain in domains:
-        membership.hear_domain(members, domain, fleet.now)
+        failuredomains.add(members.domains, domain, fleet.now)
     links = neighbours.choose(row, known.values())
     place_in_heap = counts.find_place(row, known.values())
     wanted = links.list_all() + place_in_heap.children
--- a/lentilmoor/gossip.py
+++ b/lentilmoor/gossip.py
@@ -14,27 +14,21 @@
 import random
 
 from google.protobuf import message as protobuf
-import xxhash
 
 from lentilmoor import counts
+from lentilmoor import detectors
+from lentilmoor import domains
 from lentilmoor import items
 from lentilmoor import members as membership
 from lentilmoor import messages
 from lentilmoor import neighbours
 from lentilmoor import outcomes
-from lentilmoor import roles
 from lentilmoor import spread
 from lentilmoor import tables
 from lentilmoor.protocol import peer_pb2
 
 PROTOCOL = 1
 
-_AGE_UNIT_MS = 100.0
-_LONGEST_AGE = 250
-# A domain's age grows by this with each hop, so that it can't live on by
-# being told round and round.
-_HOP_MS = 200.0
-_CONFIRMERS = 3
 _REFUTABLE = (membership.State.SUSPECT, membership.State.DEAD)
 
 
@@ -117,8 +111,6 @@
       healed_at: When somebody out of reach was last tried, ms.
       beats: Count of beats.
       pushed_at: When each peer was last pushed to, ms.
-      domain_names: All known failure domains, in order.
-      domain_hash: Hash of those names.
     """
 
     members: membership.Members
@@ -139,8 +131,6 @@
     healed_at: float = 0.0
     beats: int = 0
     pushed_at: dict[str, float] = dataclasses.field(default_factory=dict)
-    domain_names: tuple[str, ...] = ()
-    domain_hash: int = 0
 
 
 def make_gossip(own: tables.Instance,
@@ -271,7 +261,7 @@
 
 
 def _beat(gossip: Gossip, now: float) -> list[Outgoing]:
-    put_items(gossip, membership.step(gossip.members, now), now)
+    put_items(gossip, detectors.step(gossip.members, now), now)
     _forget(gossip)
     _relink(gossip, now)
     gossip.beats += 1
@@ -279,7 +269,8 @@
     for group in (gossip.links.local, gossip.links.remote):
         if group:
             targets.append(group[gossip.beats % len(group)])
-    targets += _pick_unreachable(gossip, now) + _pick_suspects(gossip)
+    targets += detectors.list_to_confirm(gossip.members)
+    targets += _pick_unreachable(gossip, now)
     sent = [
         _exchange(gossip, peer, now)
         for peer in dict.fromkeys(targets)
@@ -352,32 +343,13 @@
     """Tries somebody who is out of reach, so that partitions heal."""
     if now - gossip.healed_at < gossip.settings.heal_ms:
         return []
-    lost = [
-        name for name, member in gossip.members.rows.items()
-        if member.instance.liveness in (
-            tables.Liveness.SUSPECT,
-            tables.Liveness.DEAD) and name != gossip.members.own
-    ]
+    lost = detectors.list_unreachable(gossip.members)
     if not lost:
         return []
     gossip.healed_at = now
     return [gossip.rng.choice(lost)]
 
 
-def _pick_suspects(gossip: Gossip) -> list[str]:
-    """Returns the suspects that we are to call as a second witness."""
-    suspects = membership.list_suspects(gossip.members)
-    if not suspects:
-        return []
-    rows = membership.list_instances(gossip.members)
-    called = []
-    for suspect in suspects:
-        witnesses = roles.deal(f'confirm/{suspect}', rows, _CONFIRMERS)
-        if any(row.id == gossip.members.own for row in witnesses):
-            called.append(suspect)
-    return called
-
-
 def _relink(gossip: Gossip, now: float) -> None:
     if gossip.members.changes == gossip.linked_changes:
         return
@@ -401,29 +373,12 @@
 
 def _make_exchange(gossip: Gossip, now: float) -> peer_pb2.ExchangeMessage:
     own = gossip.members.rows[gossip.members.own].instance
-    heard = gossip.members.domains_heard
-    heard[own.failure_domain] = now
-    _name_domains(gossip)
-    oldest = now - _LONGEST_AGE * _AGE_UNIT_MS
-    ages = [
-        int((now - max(heard[name], oldest)) / _AGE_UNIT_MS)
-        for name in gossip.domain_names
-    ]
-    return peer_pb2.ExchangeMessage(protocol=PROTOCOL,
-                                    instance=own.id,
-                                    failure_domain=own.failure_domain,
-                                    root=gossip.replica.table.root,
-                                    domain_names=gossip.domain_hash,
-                                    domain_ages=ages)
-
-
-def _name_domains(gossip: Gossip) -> None:
-    heard = gossip.members.domains_heard
-    if len(gossip.domain_names) == len(heard):
-        return  # Domains are only ever added.
-    gossip.domain_names = tuple(sorted(heard))
-    names = '\0'.join(gossip.domain_names)
-    gossip.domain_hash = xxhash.xxh32_intdigest(names.encode())
+    message = peer_pb2.ExchangeMessage(protocol=PROTOCOL,
+                                       instance=own.id,
+                                       failure_domain=own.failure_domain,
+                                       root=gossip.replica.table.root)
+    domains.write_ages(gossip.members.domains, message, now)
+    return message
 
 
 def _add_news(gossip: Gossip, message: peer_pb2.ExchangeMessage,
@@ -466,7 +421,7 @@
     """Takes in a message; returns keys of items that its sender lacks."""
     peer = message.instance
     membership.hear(gossip.members, peer, now)
-    _take_ages(gossip, message, now)
+    domains.take_ages(gossip.members.domains, message, now)
     lacking = []
     for entry in message.digest:
         if entry.full:
@@ -485,20 +440,6 @@
     return lacking
 
 
-def _take_ages(gossip: Gossip, message: peer_pb2.ExchangeMessage,
-               now: float) -> None:
-    _name_domains(gossip)
-    if message.domain_names != gossip.domain_hash:
-        return
-    heard = gossip.members.domains_heard
-    newest = now - _HOP_MS
-    told = zip(gossip.domain_names, message.domain_ages, strict=False)
-    for name, age in told:
-        heard_at = newest - age * _AGE_UNIT_MS
-        if heard_at > heard[name]:
-            membership.hear_domain(gossip.members, name, heard_at)
-
-
 def _put(gossip: Gossip, item: items.Item, now: float, source: str) -> None:
     if not spread.put(gossip.replica, item, now, source):
         return
@@ -570,7 +511,7 @@
 
 def _take_failure(gossip: Gossip, outgoing: Outgoing,
                   now: float) -> list[Outgoing]:
-    put_items(gossip, membership.miss(gossip.members, outgoing.peer, now), now)
+    put_items(gossip, detectors.miss(gossip.members, outgoing.peer, now), now)
     if outgoing.call is Call.EXCHANGE:
         spread.return_news(gossip.replica, outgoing.peer, outgoing.keys)
         # Don't push to it again and again: the next beat tries it.
--- a/lentilmoor/members.py
+++ b/lentilmoor/members.py
@@ -5,8 +5,8 @@
 suspected or dead takes the next incarnation and is live again (as in SWIM).
 No entry's view condemns an instance alone: one that misses it suspects it, and
 only another one that misses it too, or its absence from the platform's list,
-makes it dead. Inside a failure domain entries watch each other; a domain of
-which nobody has heard for a while is out of reach as a whole, which each entry
+makes it dead; `detectors` weighs that evidence. A failure domain of which
+nobody has heard for a while is out of reach as a whole, which each entry
 concludes for itself and which leaves no trace once it is heard again.
 """
 
@@ -16,7 +16,9 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import sys
 
+from lentilmoor import domains as failuredomains
 from lentilmoor import items
 from lentilmoor import stores
 from lentilmoor import tables
@@ -35,6 +37,8 @@
 
 
 _STATES = 8
+_LIST_MS = 1_000.0
+_LIST_ROW_MS = 50.0
 
 FIRST_VERSION = _STATES + State.LIVE
 
@@ -109,10 +113,10 @@
       own: Id of this entry's instance.
       settings: Times.
       rows: Rows by id, our own among them.
-      domains_heard: When anybody of a failure domain was last heard, ms.
+      domains: When anybody of each failure domain was last heard.
       heard_any_at: When anybody was last heard directly, ms.
       stepped_at: When the last step ran, ms.
-      silent: Failure domains out of reach.
+      leaving: Whether this entry itself is ending.
       open: Ids of rows that a step has to look at: missed, suspected, dead or
         absent from the list.
       forgotten: Keys of items of members forgotten lately.
@@ -122,10 +126,10 @@
     own: str
     settings: MemberSettings
     rows: dict[str, Member]
-    domains_heard: dict[str, float]
+    domains: failuredomains.Domains
     heard_any_at: float
     stepped_at: float
-    silent: frozenset[str] = frozenset()
+    leaving: bool = False
     open: set[str] = dataclasses.field(default_factory=set)
     forgotten: list[str] = dataclasses.field(default_factory=list)
     changes: int = 0
@@ -148,7 +152,8 @@
     return Members(own=own.id,
                    settings=settings or MemberSettings(),
                    rows={own.id: row},
-                   domains_heard={own.failure_domain: now},
+                   domains=failuredomains.Domains(own.failure_domain,
+                                                  {own.failure_domain: now}),
                    heard_any_at=now,
                    stepped_at=now)
 
@@ -173,7 +178,8 @@
 
 def leave(members: Members, now: float) -> list[items.Item]:
     """Announces that this entry is leaving."""
-    return _advance(members, members.rows[members.own], State.LEAVING, now)
+    members.leaving = True
+    return advance(members, members.rows[members.own], State.LEAVING, now)
 
 
 def take_list(members: Members, listed: Iterable[stores.ListedInstance],
@@ -200,7 +206,9 @@
         member.listed = True
         member.absent_since = 0.0
         if line.state is stores.InstanceState.LEAVING:
-            news += _advance(members, member, State.LEAVING, now)
+            news += advance(members, member, State.LEAVING, now)
+        elif wants_list(members) and line.id == members.own:
+            news += _come_back(members, member, now)
     for member in members.rows.values():
         if member.listed and member.instance.id not in seen:
             member.absent_since = member.absent_since or now
@@ -208,6 +216,23 @@
     return news
 
 
+def list_every_ms(members: Members) -> float:
+    """Returns how often a watcher reads the platform's list.
+
+    Seldom enough that the list, some 100 bytes a row, takes 2 KB a second.
+    """
+    return max(_LIST_MS, len(members.rows) * _LIST_ROW_MS)
+
+
+def wants_list(members: Members) -> bool:
+    """Returns whether this entry is held to be leaving and is not ending.
+
+    The list may have lagged: reading it again tells.
+    """
+    own = members.rows[members.own]
+    return read_state(own) is State.LEAVING and not members.leaving
+
+
 def take_item(members: Members, item: items.Item,
               now: float) -> list[items.Item]:
     """Takes over what another entry says of an instance.
@@ -237,64 +262,13 @@
     member = members.rows.get(instance)
     if member is None:
         return
-    hear_domain(members, member.instance.failure_domain, now)
+    failuredomains.hear(members.domains, member.instance.failure_domain, now)
     member.instance.heard_at = now
     member.misses = 0
     member.rest_ms = 0.0
     member.rest_until = 0.0
     if member.instance.liveness is tables.Liveness.SUSPECT:
-        _derive(members, member)
-
-
-def hear_domain(members: Members, domain: str, heard_at: float) -> None:
-    """Notes that somebody of a failure domain was heard, maybe by others."""
-    if heard_at > members.domains_heard.get(domain, 0.0):
-        members.domains_heard[domain] = heard_at
-
-
-def miss(members: Members, instance: str, now: float) -> list[items.Item]:
-    """Notes that a call to an instance failed.
-
-    Returns:
-      Items to be spread: a suspicion, or the confirmation of another's.
-    """
-    member = members.rows.get(instance)
-    if member is None or instance == members.own:
-        return []
-    member.misses += 1
-    members.open.add(instance)
-    if member.misses < members.settings.misses:
-        return []
-    news = _judge(members, member, now)
-    _derive(members, member)
-    return news
-
-
-def step(members: Members, now: float) -> list[items.Item]:
-    """Runs once a tick: pauses, silent domains, confirmations, forgetting.
-
-    Returns:
-      Items to be spread.
-    """
-    gap = now - members.stepped_at
-    members.stepped_at = now
-    if gap > members.settings.pause_ms:
-        _forgive(members, gap, now)
-    _find_silent(members, now)
-    news = []
-    for instance in list(members.open):
-        member = members.rows[instance]
-        if _is_forgotten(members, member, now):
-            del members.rows[instance]
-            members.open.remove(instance)
-            members.forgotten.append(PREFIX + instance)
-            members.changes += 1
-            continue
-        news += _confirm(members, member, now)
-        _derive(members, member)
-        if not _is_open(member):
-            members.open.remove(instance)
-    return news
+        derive(members, member)
 
 
 def collect_forgotten(members: Members) -> list[str]:
@@ -303,24 +277,6 @@
     return forgotten
 
 
-def is_isolated(members: Members, now: float) -> bool:
-    """Returns whether this entry has heard nobody for long: itself cut off."""
-    alone = all(member.instance.liveness in (tables.Liveness.DEAD,
-                                             tables.Liveness.LEAVING)
-                for name, member in members.rows.items()
-                if name != members.own)
-    silent = now - members.heard_any_at
-    return not alone and silent > members.settings.domain_silent_ms
-
-
-def list_suspects(members: Members) -> list[str]:
-    """Returns the ids of instances that another entry suspects."""
-    return [
-        name for name in members.open if members.rows[name].suspected_at and
-        not members.rows[name].suspected_by_us
-    ]
-
-
 def list_instances(members: Members) -> list[tables.Instance]:
     """Returns the rows that roles are chosen from, our own among them."""
     return [member.instance for member in members.rows.values()]
@@ -342,16 +298,17 @@
 
 def _parse(instance: str, value: bytes) -> tables.Instance:
     parsed = peer_pb2.Member.FromString(value)
+    # Thousands of rows share few regions and domains.
     return tables.Instance(instance, parsed.peer_address, parsed.relay_address,
-                           parsed.region, parsed.failure_domain)
+                           sys.intern(parsed.region),
+                           sys.intern(parsed.failure_domain))
 
 
 def _add(members: Members, instance: tables.Instance, version: int,
          now: float) -> Member:
     member = Member(instance, version)
     members.rows[instance.id] = member
-    # A domain is out of reach only once it was given time to be heard.
-    members.domains_heard.setdefault(instance.failure_domain, now)
+    failuredomains.add(members.domains, instance.failure_domain, now)
     _set_version(members, member, version, now)
     return member
 
@@ -366,16 +323,21 @@
     elif not member.suspected_at:
         member.suspected_at = now
     member.dead_at = now if state is State.DEAD else 0.0
-    if _is_open(member):
+    if is_open(member):
         members.open.add(member.instance.id)
     if state is State.LIVE:
         member.misses = 0
-    _derive(members, member)
+    derive(members, member)
     members.changes += 1
 
 
-def _advance(members: Members, member: Member, state: State,
-             now: float) -> list[items.Item]:
+def advance(members: Members, member: Member, state: State,
+            now: float) -> list[items.Item]:
+    """Moves a member on to a state of its incarnation, if that is ahead.
+
+    Returns:
+      Its item, to be spread, if it moved.
+    """
     if state <= read_state(member):
         return []
     incarnation = member.version // _STATES
@@ -383,6 +345,12 @@
     return [make_item(member)]
 
 
+def _come_back(members: Members, own: Member, now: float) -> list[items.Item]:
+    incarnation = own.version // _STATES + 1
+    _set_version(members, own, _version(incarnation, State.LIVE), now)
+    return [make_item(own)]
+
+
 def _refute(members: Members, own: Member, version: int,
             now: float) -> list[items.Item]:
     if version <= own.version:
@@ -397,73 +365,14 @@
     return [make_item(own)]
 
 
-def _judge(members: Members, member: Member, now: float) -> list[items.Item]:
-    """Turns our own misses into a suspicion, if it is ours to raise."""
-    home = members.rows[members.own].instance.failure_domain
-    if member.instance.failure_domain != home:
-        return []
-    if read_state(member) is not State.LIVE or now < member.rest_until:
-        return []
-    if is_isolated(members, now):
-        return []
-    member.rest_ms = min(max(member.rest_ms * 2, members.settings.rest_ms),
-                         members.settings.longest_rest_ms)
-    member.rest_until = now + member.rest_ms
-    member.suspected_by_us = True
-    return _advance(members, member, State.SUSPECT, now)
-
-
-def _confirm(members: Members, member: Member, now: float) -> list[items.Item]:
-    """Makes an instance dead if a second witness agrees: we, or the list."""
-    if is_isolated(members, now):
-        return []
-    if _is_missed_by_two(members, member, now) or _is_absent(
-            members, member, now):
-        return _advance(members, member, State.DEAD, now)
-    return []
-
-
-def _is_missed_by_two(members: Members, member: Member, now: float) -> bool:
-    if not member.suspected_at or member.suspected_by_us:
-        return False
-    if member.instance.failure_domain in members.silent:
-        return False  # Not it, but the way to its domain may be at fault.
-    if now - member.suspected_at < members.settings.confirm_ms:
-        return False
-    return member.misses >= members.settings.misses
-
-
-def _is_absent(members: Members, member: Member, now: float) -> bool:
-    if not member.absent_since:
-        return False
-    if member.instance.liveness is not tables.Liveness.SUSPECT:
-        return False
-    return now - member.absent_since >= members.settings.absent_ms
-
-
-def _find_silent(members: Members, now: float) -> None:
-    home = members.rows[members.own].instance.failure_domain
-    oldest = now - members.settings.domain_silent_ms
-    silent = frozenset(
-        domain for domain, heard in members.domains_heard.items()
-        if heard < oldest and domain != home)
-    changed = silent ^ members.silent
-    members.silent = silent
-    if not changed:
-        return
-    for member in members.rows.values():
-        if member.instance.failure_domain in changed:
-            member.misses = 0  # It was the way to its domain.
-            _derive(members, member)
-
-
-def _is_open(member: Member) -> bool:
+def is_open(member: Member) -> bool:
+    """Returns whether a step has to look at a member."""
     return bool(member.misses or member.suspected_at or member.dead_at or
                 member.absent_since)
 
 
-def _derive(members: Members, member: Member) -> None:
-    """Works out the liveness that roles are chosen by."""
+def derive(members: Members, member: Member) -> None:
+    """Works out the liveness of a member that roles are chosen by."""
     liveness = _LIVENESS[read_state(member)]
     if liveness is tables.Liveness.LIVE and _is_doubted(members, member):
         liveness = tables.Liveness.SUSPECT
@@ -477,23 +386,4 @@
         return False
     if member.misses >= members.settings.misses:
         return True
-    return member.instance.failure_domain in members.silent
-
-
-def _forgive(members: Members, gap: float, now: float) -> None:
-    """After a pause of our own, nobody's silence in it counts."""
-    members.heard_any_at = now
-    for domain, heard in members.domains_heard.items():
-        members.domains_heard[domain] = min(heard + gap, now)
-    for member in members.rows.values():
-        member.misses = 0
-        if member.suspected_at:
-            member.suspected_at = now
-        if member.absent_since:
-            member.absent_since = now
-
-
-def _is_forgotten(members: Members, member: Member, now: float) -> bool:
-    if not member.dead_at or member.instance.id == members.own:
-        return False
-    return now - member.dead_at > members.settings.forget_ms
+    return member.instance.failure_domain in members.domains.silent
--- a/lentilmoor/roles.py
+++ b/lentilmoor/roles.py
@@ -68,14 +68,14 @@
       At most `count` instances, best first.
     """
     regions: dict[str, dict[str, list[tables.Instance]]] = {}
-    for row in rank(role, instances):
+    for row in list_eligible(instances):
         domains = regions.setdefault(row.region, {})
         domains.setdefault(row.failure_domain, []).append(row)
     turns = [
         _take_turns(role, domains)
         for _, domains in _order_groups(role, regions)
     ]
-    return _merge_turns(turns, count)
+    return list(itertools.islice(_round_robin(turns), count))
 
 
 def pick_watchers(
@@ -89,12 +89,17 @@
         fewer than `LEAST_WATCHERS` in all. One is enough where the others'
         domains go on hearing from theirs.
     """
-    domains: dict[str, list[str]] = {}
-    for row in rank(_WATCHER_ROLE, instances):
-        domains.setdefault(row.failure_domain, []).append(row.id)
+    domains: dict[str, list[tables.Instance]] = {}
+    for row in list_eligible(instances):
+        domains.setdefault(row.failure_domain, []).append(row)
     least = math.ceil(LEAST_WATCHERS / max(len(domains), 1))
     count = max(per_domain, least)
-    return {name: tuple(ranked[:count]) for name, ranked in domains.items()}
+    return {
+        name:
+            tuple(row.id for row in itertools.islice(
+                _rank_lazily(_WATCHER_ROLE, rows), count))
+        for name, rows in domains.items()
+    }
 
 
 def is_watcher(instance: str,
@@ -150,14 +155,18 @@
 def _take_turns(
         role: str,
         domains: dict[str, list[tables.Instance]]) -> Iterator[tables.Instance]:
-    queues = [iter(rows) for _, rows in _order_groups(role, domains)]
+    queues = [
+        _rank_lazily(role, rows) for _, rows in _order_groups(role, domains)
+    ]
     yield from _round_robin(queues)
 
 
-def _merge_turns(turns: list[Iterator[tables.Instance]],
-                 count: int) -> list[tables.Instance]:
-    merged = _round_robin(turns)
-    return list(itertools.islice(merged, count))
+def _rank_lazily(role: str,
+                 rows: list[tables.Instance]) -> Iterator[tables.Instance]:
+    """Yields rows in rank; ranks them only as far as they are asked for."""
+    best = max(rows, key=lambda row: (score(role, row.id), row.id))
+    yield best
+    yield from rank(role, (row for row in rows if row is not best))
 
 
 def _round_robin(queues: list[Iterator]) -> Iterator:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,12 +4,14 @@
 carried by eligible entries only, settings go on where the store is reached.
 """
 
+import dataclasses
 import random
 import unittest
 
 import hypothesis
 from hypothesis import strategies
 
+from lentilmoor import detectors
 from lentilmoor import gossip
 from lentilmoor import items
 from lentilmoor import members as membership
@@ -23,6 +25,7 @@
 SHARD = 'team/service/0'
 
 Liveness = tables.Liveness
+_LEAVING = stores.InstanceState.LEAVING
 
 
 def see(fleet, viewer, viewed):
@@ -144,6 +147,28 @@
         own = fleet.nodes['i0004'].members.rows['i0004'].instance
         self.assertIs(own.liveness, Liveness.LEAVING)
 
+    def test_one_listed_so_by_an_old_list_comes_back_when_it_reads_anew(self):
+        fleet = start()
+        rows = fleets.list_rows(fleet.rows.values())
+        old = [dataclasses.replace(rows[4], state=_LEAVING)]
+        gossip.take_list(fleet.nodes['i0001'], rows[:4] + old + rows[5:],
+                         fleet.now)
+        fleet.run(1_000.0)
+        node = fleet.nodes['i0004']
+        self.assertTrue(membership.wants_list(node.members))
+        gossip.take_list(node, rows, fleet.now)
+        fleet.run_until(lambda: all_see(fleet, 'i0004', Liveness.LIVE),
+                        DETECT_MS)
+
+    def test_one_that_leaves_by_itself_is_not_brought_back_by_the_list(self):
+        fleet = start()
+        gossip.leave(fleet.nodes['i0004'], fleet.now)
+        rows = fleets.list_rows(fleet.rows.values())
+        for node in fleet.nodes.values():
+            gossip.take_list(node, rows, fleet.now)
+        fleet.run(2_000.0)
+        self.assertTrue(all_see(fleet, 'i0004', Liveness.LEAVING))
+
     def test_a_process_started_again_under_its_id_is_live(self):
         fleet = start()
         gossip.leave(fleet.nodes['i0004'], fleet.now)
@@ -163,7 +188,7 @@
         fleet.cut = lambda one, two: 'i0004' in (one, two)
         fleet.run(20_000.0)
         lone = fleet.nodes['i0004'].members
-        self.assertTrue(membership.is_isolated(lone, fleet.now))
+        self.assertTrue(detectors.is_isolated(lone, fleet.now))
         states = {membership.read_state(row) for row in lone.rows.values()}
         self.assertNotIn(membership.State.DEAD, states)
         self.assertTrue(all_see(fleet, 'i0004', Liveness.DEAD))
