Confirm a loss before it counts, and damp false alarms about servers

Cause: in the model, two entries cut off from all servers condemned 122 of 240 servers, a server without room for new connections was taken for dead, and overloaded servers drew 68 probes a second from each entry.

--- a/lentilmoor/evidence.py
+++ b/lentilmoor/evidence.py
@@ -10,6 +10,7 @@
 import enum
 import math
 
+from lentilmoor import clocks
 from lentilmoor import tables
 
 NEVER = -math.inf
@@ -47,23 +48,35 @@
       requests_ms: Least span of failing requests while probes are answered:
         a health endpoint may lie.
       request_failures: Failures in a row for that.
+      contradicted_ms: Least span of an entry that failed long before the last
+        answer to anybody: it may just be cut off, and answers to others are
+        told only now and then.
+      confirm_ms: Least time from a suspicion, when peers are told and asked,
+        to a loss: those who have answers must have had time to say so.
       fresh_ms: An opinion counts while its newest failure is younger.
       alone_factor: Spans are so much longer if only one domain is live.
       isolated_ms: An entry that sees most servers fail distrusts itself for
         so long before it counts its own opinions.
+      isolated_alone_ms: The same if it hears entries of its own domain only.
+      tells_per_s: Messages a second about all servers together, also the
+        most at once; the rest wait.
       pause_ms: A step later than this shows that this process was paused.
       back_ms: A lost server must answer for so long; doubles with each loss.
     """
 
     failures: int = 3
-    refused_ms: float = 40.0
-    silent_ms: float = 180.0
+    refused_ms: float = 60.0
+    silent_ms: float = 220.0
     second_share: float = 0.6
     requests_ms: float = 3_000.0
     request_failures: int = 5
+    contradicted_ms: float = 1_500.0
+    confirm_ms: float = 60.0
     fresh_ms: float = 600.0
     alone_factor: float = 3.0
     isolated_ms: float = 1_000.0
+    isolated_alone_ms: float = 10_000.0
+    tells_per_s: float = 30.0
     pause_ms: float = 200.0
     back_ms: float = 200.0
 
@@ -127,6 +140,10 @@
       answered_at: Newest answer to anybody.
       request_answered_at: Newest answered request.
       changed_at: When the verdict last changed.
+      suspected_since: Since when it is suspected; inf if it is not.
+      cleared_at: When a suspicion last ended.
+      alarms: Suspicions of late that an answer cleared; each makes the next
+        slower, so that an overloaded server is not asked all the time.
       lost_since: Begin of the evidence for its loss.
       back_since: Since when enough entries have had answers after a loss.
       losses: How often it was lost.
@@ -139,6 +156,9 @@
     answered_at: float = NEVER
     request_answered_at: float = NEVER
     changed_at: float = NEVER
+    suspected_since: float = math.inf
+    cleared_at: float = NEVER
+    alarms: int = 0
     lost_since: float = NEVER
     back_since: float = NEVER
     losses: int = 0
@@ -154,10 +174,12 @@
       thresholds: When evidence is enough.
       servers: Views by (shard, server).
       active: Servers that `liveness.step` has to look at.
+      tells: Messages that `liveness.step` may still ask for now.
       stepped_at: When the table was last used.
       resumed_at: When this process last came back from a pause.
       isolated_since: Since when most servers fail for this entry; NEVER if
         they do not.
+      alone: Whether only entries of its own domain were heard of late.
       pauses: Pauses noticed.
     """
 
@@ -167,9 +189,11 @@
     servers: dict[ServerKey,
                   ServerView] = dataclasses.field(default_factory=dict)
     active: set[ServerKey] = dataclasses.field(default_factory=set)
+    tells: float = 0.0
     stepped_at: float = NEVER
     resumed_at: float = NEVER
     isolated_since: float = NEVER
+    alone: bool = False
     pauses: int = 0
 
 
@@ -204,7 +228,7 @@
       began_at: When the try began, ms.
       now: When it ended, ms.
     """
-    notice_pause(table, now)
+    note_time(table, now)
     view = table.servers.get(key)
     if view is None:
         return
@@ -229,7 +253,7 @@
       items: Its evidence.
       now: ms.
     """
-    notice_pause(table, now)
+    note_time(table, now)
     for item in items:
         key = (item.shard, item.server)
         view = table.servers.get(key)
@@ -257,8 +281,13 @@
     ]
 
 
-def notice_pause(table: LivenessTable, now: float) -> None:
-    """Drops all failures after a pause: what was timed then is worthless."""
+def note_time(table: LivenessTable, now: float) -> None:
+    """Takes note of the time that went by since the table was last used.
+
+    After a pause of this process all failures are dropped: what was timed
+    meanwhile is worthless.
+    """
+    limit = table.thresholds.tells_per_s
     late = now - table.stepped_at > table.thresholds.pause_ms
     if late and table.stepped_at != NEVER:
         table.pauses += 1
@@ -266,6 +295,8 @@
         for key in table.active:
             for opinion in table.servers[key].opinions.values():
                 opinion.failures = opinion.refused = 0
+    earned = (now - table.stepped_at) * limit / clocks.MS_PER_S
+    table.tells = min(limit, table.tells + max(0.0, earned))
     table.stepped_at = max(table.stepped_at, now)
 
 
--- a/lentilmoor/liveness.py
+++ b/lentilmoor/liveness.py
@@ -7,6 +7,8 @@
 only a shard's grantor acts on a lost server, others take verdicts as hints.
 """
 
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
@@ -15,6 +17,19 @@
 from lentilmoor import evidence
 from lentilmoor import tables
 
+# The last answer may have come so much later than the first failure began.
+_OVERLAP_MS = 100.0
+# Unanswered requests are told of and looked into after such a span, as some
+# are just slow; a probe that failed or a refused connection at once.
+_REQUEST_SPAN_MS = 100.0
+# Least time between two messages on one server: failures, answers.
+_FAILURE_PACE_MS = 25.0
+_ANSWER_PACE_MS = 100.0
+# Each false alarm lengthens the spans for this server by so much, for a while.
+_REFUSED_ALARM_MS = 10.0
+_SILENT_ALARM_MS = 40.0
+_MOST_ALARMS = 10
+_ALARM_LIFETIME_MS = 5_000.0
 # A hold before a server counts as back doubles with each loss, this often.
 _MOST_DOUBLINGS = 8
 
@@ -44,11 +59,16 @@
 class Tell:
     """Evidence that others should have at once.
 
-    It goes to the shard's grantor, to the next candidates for that role and
-    to the entries that probe the server.
+    All of it goes to the shard's grantor and the next candidates for that
+    role; failures also go to the entries that probe the server.
+
+    Attributes:
+      item: The evidence.
+      doubters: Entries that fail; an answer goes to them instead.
     """
 
     item: evidence.Evidence
+    doubters: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,11 +99,12 @@
     Returns:
       Changed verdicts, and evidence that peers should have at once.
     """
-    evidence.notice_pause(table, now)
+    evidence.note_time(table, now)
     if not table.active:
         return []
-    _judge_self(table, now)
     quorum = _find_quorum(table, instances, now)
+    table.alone = quorum.by_entry
+    _judge_self(table, now)
     actions: list[Change | Tell] = []
     for key in sorted(table.active):
         view = table.servers[key]
@@ -98,8 +119,9 @@
 
 def is_isolated(table: evidence.LivenessTable, now: float) -> bool:
     """Returns whether this entry distrusts its own failures for now."""
-    since = table.isolated_since
-    return since >= 0 and now - since < table.thresholds.isolated_ms
+    limits = table.thresholds
+    limit = limits.isolated_alone_ms if table.alone else limits.isolated_ms
+    return table.isolated_since >= 0 and now - table.isolated_since < limit
 
 
 def is_cut_off(table: evidence.LivenessTable, key: evidence.ServerKey) -> bool:
@@ -165,6 +187,7 @@
 def _judge(table: evidence.LivenessTable, view: evidence.ServerView,
            quorum: _Quorum, now: float) -> tables.Liveness:
     """Returns the verdict on one server."""
+    suspected = _note_suspicion(table, view, now)
     if view.liveness is _Liveness.DEAD:
         if not _is_back(table, view, quorum, now):
             return _Liveness.DEAD
@@ -172,46 +195,81 @@
         return _Liveness.DEAD
     if view.leaving:
         return _Liveness.LEAVING
-    suspected = _is_suspected(table, view, now)
     return _Liveness.SUSPECT if suspected else _Liveness.LIVE
 
 
+def _note_suspicion(table: evidence.LivenessTable, view: evidence.ServerView,
+                    now: float) -> bool:
+    """Returns whether a server is suspected now, and counts false alarms."""
+    suspected = _is_suspected(table, view, now)
+    if suspected and view.suspected_since == math.inf:
+        if now - view.cleared_at > _ALARM_LIFETIME_MS:
+            view.alarms = 0
+        view.suspected_since = now
+    elif not suspected and view.suspected_since < math.inf:
+        view.suspected_since = math.inf
+        view.cleared_at = now
+        view.alarms = min(view.alarms + 1, _MOST_ALARMS)
+    return suspected
+
+
 def _is_lost(table: evidence.LivenessTable, view: evidence.ServerView,
              quorum: _Quorum, now: float) -> bool:
+    if now - view.suspected_since >= table.thresholds.confirm_ms:
+        if _do_agree(table, view, quorum, _weigh_silence, now):
+            return True
+    return _do_agree(table, view, quorum, _weigh_requests, now)
+
+
+_Weigh = Callable[[
+    evidence.Thresholds, evidence.ServerView, evidence.Source, evidence.Opinion
+], float]
+
+
+def _do_agree(table: evidence.LivenessTable, view: evidence.ServerView,
+              quorum: _Quorum, weigh: _Weigh, now: float) -> bool:
+    """Returns whether enough entries hold a server dead by one measure."""
+    limits = table.thresholds
     first = False
     agreeing = set()
     since = math.inf
     for entry, source, opinion in _trusted(table, view, now):
-        share = _weigh(table, view, source, opinion, now) / quorum.factor
-        if share < table.thresholds.second_share:
+        if now - opinion.failed_at > limits.fresh_ms:
             continue
-        first |= share >= 1.0
-        agreeing.add(entry if quorum.by_entry else opinion.domain)
-        since = min(since, opinion.failing_since)
+        share = weigh(limits, view, source, opinion) / quorum.factor
+        if share >= limits.second_share:
+            first |= share >= 1.0
+            agreeing.add(entry if quorum.by_entry else opinion.domain)
+            since = min(since, opinion.failing_since)
     if not first or len(agreeing) < quorum.needed:
         return False
     view.lost_since = since
     return True
 
 
-def _weigh(table: evidence.LivenessTable, view: evidence.ServerView,
-           source: evidence.Source, opinion: evidence.Opinion,
-           now: float) -> float:
+def _weigh_silence(limits: evidence.Thresholds, view: evidence.ServerView,
+                   _: evidence.Source, opinion: evidence.Opinion) -> float:
     """Returns how strongly one opinion holds the server dead; 1 is enough."""
-    limits = table.thresholds
     if opinion.failures < limits.failures:
         return 0.0
-    if now - opinion.failed_at > limits.fresh_ms:
+    if view.answered_at - opinion.failing_since > _OVERLAP_MS:
+        least_ms = limits.contradicted_ms
+    elif opinion.refused >= limits.failures:
+        least_ms = limits.refused_ms + view.alarms * _REFUSED_ALARM_MS
+    else:
+        least_ms = limits.silent_ms + view.alarms * _SILENT_ALARM_MS
+    return _span(opinion, view.answered_at) / least_ms
+
+
+def _weigh_requests(limits: evidence.Thresholds, view: evidence.ServerView,
+                    source: evidence.Source,
+                    opinion: evidence.Opinion) -> float:
+    """Weighs failing requests alone, whatever became of probes."""
+    if source is evidence.Source.PROBE:
         return 0.0
-    least_ms = limits.silent_ms
-    if opinion.refused >= limits.failures:
-        least_ms = limits.refused_ms
-    share = _span(opinion, view.answered_at) / least_ms
-    if (source is evidence.Source.REQUEST and
-            opinion.failures >= limits.request_failures):
-        span = _span(opinion, view.request_answered_at)
-        share = max(share, span / limits.requests_ms)
-    return share
+    if opinion.failures < limits.request_failures:
+        return 0.0
+    return _span(opinion, view.request_answered_at) / limits.requests_ms
 
 
 def _span(opinion: evidence.Opinion, answered_at: float) -> float:
@@ -235,7 +293,7 @@
     cut off itself; it is no reason to go on probing.
     """
     limits = table.thresholds
-    if not _is_worth_telling(source, opinion):
+    if not _is_serious(view, source, opinion):
         return False
     if now - opinion.failed_at > limits.fresh_ms:
         return False
@@ -244,12 +302,16 @@
     return opinion.failed_at > view.answered_at
 
 
-def _is_worth_telling(source: evidence.Source,
-                      opinion: evidence.Opinion) -> bool:
-    """Returns whether failures are more than one request gone astray."""
-    if source is evidence.Source.PROBE or opinion.refused:
-        return opinion.failures > 0
-    return opinion.failures > 1
+def _is_serious(view: evidence.ServerView, source: evidence.Source,
+                opinion: evidence.Opinion) -> bool:
+    """Returns whether failures are more than a slow answer or two."""
+    span = _span(opinion, view.answered_at)
+    if opinion.refused:
+        return span >= view.alarms * _REFUSED_ALARM_MS
+    least_ms = view.alarms * _SILENT_ALARM_MS
+    if source is evidence.Source.PROBE:
+        return opinion.failures > 0 and span >= least_ms
+    return opinion.failures > 1 and span >= max(least_ms, _REQUEST_SPAN_MS)
 
 
 def _is_back(table: evidence.LivenessTable, view: evidence.ServerView,
@@ -295,37 +357,66 @@
 def _tell(table: evidence.LivenessTable, view: evidence.ServerView,
           key: evidence.ServerKey, now: float) -> Iterator[Tell]:
     """Yields this entry's opinions on a server that somebody suspects."""
-    newest = max(
-        (item.failed_at for item in view.opinions.values() if item.failures),
-        default=evidence.NEVER)
+    failing = {
+        entry: opinion
+        for (entry, _), opinion in view.opinions.items()
+        if opinion.failures
+    }
+    doubters = frozenset(failing) - {table.me}
     for source in evidence.Source:
         opinion = view.opinions.get((table.me, source))
-        if opinion is None or not _is_due(table, source, opinion, newest, now):
+        if opinion is None:
             continue
-        opinion.told_at = now
-        opinion.told = opinion.failures
-        yield Tell(_make_evidence(key, source, opinion, now))
+        if opinion.failures:
+            due = _is_failure_due(table, view, source, opinion, now)
+        else:
+            due = _is_answer_due(table, view, opinion, failing.values(), now)
+        if due and table.tells >= 1:
+            table.tells -= 1
+            opinion.told_at = now
+            opinion.told = opinion.failures
+            yield Tell(_make_evidence(key, source, opinion, now),
+                       frozenset() if opinion.failures else doubters)
+
+
+def _is_failure_due(table: evidence.LivenessTable, view: evidence.ServerView,
+                    source: evidence.Source, opinion: evidence.Opinion,
+                    now: float) -> bool:
+    """Returns whether peers should hear of this entry's failures now."""
+    if is_isolated(table, now) or not _is_serious(view, source, opinion):
+        return False
+    span = opinion.failed_at - opinion.failing_since
+    longest = table.thresholds.fresh_ms / 2
+    shortest = _FAILURE_PACE_MS * (1 + view.alarms)
+    pace = min(max(span / 4, shortest), longest)
+    return opinion.failed_at > opinion.told_at and now - opinion.told_at >= pace
 
 
-def _is_due(table: evidence.LivenessTable, source: evidence.Source,
-            opinion: evidence.Opinion, newest: float, now: float) -> bool:
-    """Returns whether peers should hear an opinion now.
+def _is_answer_due(table: evidence.LivenessTable, view: evidence.ServerView,
+                   opinion: evidence.Opinion,
+                   failing: Collection[evidence.Opinion], now: float) -> bool:
+    """Returns whether peers should hear of this entry's answer now.
 
     Args:
       table: The table.
-      source: Of the opinion.
+      view: The server.
       opinion: This entry's own.
-      newest: Newest failure of any entry that fails, ms.
+      failing: Those of entries that fail and have said so.
       now: ms.
     """
-    if not opinion.failures:
-        contradicts = opinion.told_at < newest < opinion.answered_at
-        return contradicts or opinion.told > 0
-    if is_isolated(table, now) or not _is_worth_telling(source, opinion):
+    pace = _ANSWER_PACE_MS + view.alarms * _SILENT_ALARM_MS
+    if now - opinion.told_at < pace:
         return False
-    span = opinion.failed_at - opinion.failing_since
-    pace = min(max(span / 4, 25.0), table.thresholds.fresh_ms / 2)
-    return opinion.failed_at > opinion.told_at and now - opinion.told_at >= pace
+    if opinion.told or not failing:
+        return opinion.told > 0
+    oldest = min(item.failing_since for item in failing)
+    newest = max(item.failed_at for item in failing)
+    if opinion.answered_at <= oldest or opinion.told_at >= newest:
+        return False
+    # Once somebody else has said so, nobody need repeat it.
+    return not any(item.answered_at > newest
+                   for (entry, _), item in view.opinions.items()
+                   if entry != table.me)
 
 
 def _make_evidence(key: evidence.ServerKey, source: evidence.Source,
--- a/lentilmoor/probes.py
+++ b/lentilmoor/probes.py
@@ -3,8 +3,10 @@
 Each server has a few probers in different failure domains, chosen by
 rendezvous hash (`roles.pick_probers`). In quiet times a prober asks only if it
 has had no answer for a while; a suspect is asked often, so that two domains
-can agree within a fraction of a second. A probe always takes a fresh
-connection: it must not share the fate of a connection that went silent.
+can agree within a fraction of a second. Probes take fresh connections, so that
+they don't share the fate of one that went silent; only a grantor probes over
+the connection that its grants go by, so that a server which has no room for
+new connections is not taken for dead.
 """
 
 from collections.abc import Mapping
@@ -46,12 +48,14 @@
       address: host:port.
       witness: Whether others probe it; this entry does so only to learn
         whether most servers are lost or just this entry is cut off.
+      kept: Whether this entry grants to it, and asks over that connection.
       sent_at: When it was last probed, ms.
       running: Probes under way.
     """
 
     address: str
     witness: bool = False
+    kept: bool = False
     sent_at: float = evidence.NEVER
     running: int = 0
 
@@ -78,13 +82,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask a server for any answer, over a fresh connection.
+    """Ask a server for any answer.
 
     Attributes:
       shard: Shard id.
       server: Server id.
       address: host:port.
       timeout_ms: When to give up.
+      kept: Whether to use the connection that grants go by, not a fresh one.
       sent_at: When it was decided, ms.
     """
 
@@ -92,17 +97,20 @@
     server: str
     address: str
     timeout_ms: float
+    kept: bool
     sent_at: float
 
 
 def assign(table: ProbeTable, servers: Mapping[evidence.ServerKey, str],
-           mine: Set[evidence.ServerKey]) -> None:
+           mine: Set[evidence.ServerKey],
+           granted: Set[evidence.ServerKey]) -> None:
     """Sets which servers this entry probes.
 
     Args:
       table: The table; updated.
       servers: Addresses of all servers kept, by (shard, server).
       mine: Those for which `roles.pick_probers` chose this entry.
+      granted: Those of the shards whose grantor this entry is.
     """
     for key in table.rows.keys() - servers.keys():
         del table.rows[key]
@@ -110,7 +118,8 @@
         row = table.rows.get(key)
         if row is None or row.address != address:
             row = table.rows[key] = ProbeRow(address)
-        row.witness = key not in mine
+        row.kept = key in granted
+        row.witness = not row.kept and key not in mine
 
 
 def step(table: ProbeTable, views: evidence.LivenessTable,
@@ -136,7 +145,7 @@
         row.running += 1
         row.sent_at = now
         probes.append(
-            Probe(*key, row.address, table.paces.timeout_ms, sent_at=now))
+            Probe(*key, row.address, table.paces.timeout_ms, row.kept, now))
     return probes
 
 
@@ -166,7 +175,8 @@
     if view.liveness is tables.Liveness.DEAD:
         return row.sent_at + paces.dead_ms
     if liveness.is_suspected(views, key, now):
-        return row.sent_at + paces.suspect_ms
+        # False alarms of late make it slower: it may just be overloaded.
+        return row.sent_at + paces.suspect_ms * (1 + view.alarms / 4)
     return max(row.sent_at, view.answered_at) + paces.idle_ms
 
 
