Give the end of a try its map version last

Cause: the request path fills the fields of an ending by position. Change: version, which has a default that never matters, comes last. Conclusion: callers by position are right again.

--- a/lentilmoor/retries.py
+++ b/lentilmoor/retries.py
@@ -87,18 +87,18 @@
         CONNECTION_LOST, ANSWER_CUT or TIMED_OUT.
       at: When it ended, ms.
       may_have_run: False only if no byte left or the server said so.
-      version: Version of the slice map that the try went by.
       reused: Whether the connection had served before.
       retry_after_ms: The server's own hint, or 0.
+      version: Version of the slice map that the try went by.
     """
 
     server: str
     reason: outcomes.Reason
     at: float
     may_have_run: bool
-    version: tuple[int, int] = (0, 0)
     reused: bool = False
     retry_after_ms: int = 0
+    version: tuple[int, int] = (0, 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -18,7 +18,7 @@
 
 
 def _end(reason=_Reason.CONNECTION_LOST, **changes) -> retries.Ending:
-    ending = retries.Ending('a', reason, 100.0, reason in _SENT, (1, 1))
+    ending = retries.Ending('a', reason, 100.0, reason in _SENT, version=(1, 1))
     return dataclasses.replace(ending, **changes)
 
 
