--- a/lentilmoor/claiming.py
+++ b/lentilmoor/claiming.py
@@ -12,6 +12,7 @@
 from concurrent import futures
 import dataclasses
 import itertools
+import secrets
 import threading
 
 from lentilmoor import calls
@@ -32,10 +33,12 @@
 LONGEST_ASKING_MS = 2_000.0
 RETRY_AFTER_MS = 1_000
 MAX_KEPT_BODY = 2_048
+_ATTEMPT_BITS = 63
 
 _Reason = outcomes.Reason
 _Verdict = peer_pb2.ClaimReply
-_attempts = itertools.count(1)
+# An attempt's number must not come again, not even after a restart.
+_attempts = itertools.count(secrets.randbits(_ATTEMPT_BITS))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,10 +70,15 @@
         message = _make_request(dispatcher.instance, call, fingerprint)
         reply = _ask_until(dispatcher, lines, call, message)
         if reply is None or reply.verdict == _Verdict.NOT_GRANTOR:
+            # This attempt is not run, but an earlier one with the same key
+            # may have been, and nobody who would know has answered.
+            _settle(dispatcher, lines, message, not_run=True)
+            return outcomes.Unknown(_Reason.CLAIM_UNAVAILABLE,
+                                    'whether the key was used is not known',
+                                    RETRY_AFTER_MS)
+        if reply.verdict == _Verdict.UNAVAILABLE:
+            # Its commit may have landed all the same.
             _settle(dispatcher, lines, message, not_run=True)
-            return outcomes.NotRun(_Reason.CLAIM_UNAVAILABLE,
-                                   'the claim could not be made',
-                                   RETRY_AFTER_MS)
         if reply.verdict != _Verdict.GRANTED:
             return _read_verdict(reply)
         return dispatch.Claimed(
@@ -145,12 +153,14 @@
     if reply.verdict == _Verdict.ANSWERED:
         return _read_answer(reply.answer)
     if reply.verdict == _Verdict.RUNNING:
-        return outcomes.Unknown(_Reason.ALREADY_CLAIMED,
-                                'the first request is still running')
+        return outcomes.Unknown(
+            _Reason.ALREADY_CLAIMED, reply.detail or
+            'the first request is still running', reply.retry_after_ms)
     if reply.verdict == _Verdict.ENDED:
         return outcomes.Unknown(
-            _Reason.RESULT_NOT_KEPT,
-            'the first request ran or may have run; its answer is not kept')
+            _Reason.RESULT_NOT_KEPT, reply.detail or
+            'the first request ran or may have run; its answer is not kept',
+            reply.retry_after_ms)
     if reply.verdict == _Verdict.MISMATCH:
         return outcomes.NotRun(_Reason.KEY_REUSED,
                                'the key was used for another request')
--- a/lentilmoor/controltables.py
+++ b/lentilmoor/controltables.py
@@ -65,6 +65,7 @@
       store_seen_at: When the store last answered the watcher, ms.
       store_answers: Whether its last call was answered.
       leaving: Whether this entry is leaving.
+      probes_due: Which servers this entry probes is to be worked out again.
     """
 
     own: tables.Instance
@@ -91,6 +92,7 @@
     store_seen_at: float = 0.0
     store_answers: bool = False
     leaving: bool = False
+    probes_due: bool = False
 
     @property
     def me(self) -> str:
--- a/lentilmoor/dispatch.py
+++ b/lentilmoor/dispatch.py
@@ -34,6 +34,7 @@
 
 _Reason = outcomes.Reason
 _End = dispatchers.TryEnd
+_NO_VERSION = (0, 0)
 
 _ENDS = {
     _Reason.CONNECT_FAILED: _End.REFUSED,
@@ -230,7 +231,7 @@
             return result
         if isinstance(result, outcomes.Unknown):
             self.avoid |= {route.instance}
-            return self._weigh(route.instance, sent)
+            return self._weigh(route.instance, sent, _NO_VERSION)
         if result.reason in _REROUTED:
             self.avoid |= {route.instance}
             return None
@@ -261,7 +262,7 @@
         finish(_judge(result), sent.opened_at)
         if isinstance(result, tries.Answer):
             return result
-        return self._weigh(route.server.id, sent)
+        return self._weigh(route.server.id, sent, (route.epoch, route.sequence))
 
     def _send(self, route: routes.Straight) -> tries.Try:
         gate = self.dispatcher.gate_of(self.call, route.server.id)
@@ -329,6 +330,7 @@
             dispatchers.Observation(call.shard_id, route.server.id, end,
                                     row.started_at, now, call.point, cost_ms))
         if end is _End.ANSWERED:
+            dispatcher.proven[call.shard_id, route.server.id] = now
             self._note_clean_run(route, opened_at, now)
         elif end is _End.LOST:
             self._note_crash(route, now)
@@ -339,23 +341,28 @@
         gate.leave(slot, took_ms, self.dispatcher.clock.now(),
                    _SLOT_ENDINGS[end])
 
-    def _weigh(self, server: str, sent: tries.Try) -> tries.Result | None:
+    def _weigh(self, server: str, sent: tries.Try,
+               version: tuple[int, int]) -> tries.Result | None:
         """Decides whether another try follows; None if it does."""
         dispatcher, call, result = self.dispatcher, self.call, sent.result
         now = dispatcher.clock.now()
-        ending = retries.Ending(server, result.reason, now,
-                                isinstance(result,
-                                           outcomes.Unknown), sent.reused,
-                                getattr(result, 'retry_after_ms', 0))
+        ending = retries.Ending(server=server,
+                                reason=result.reason,
+                                at=now,
+                                may_have_run=isinstance(result,
+                                                        outcomes.Unknown),
+                                version=version,
+                                reused=sent.reused,
+                                retry_after_ms=result.retry_after_ms)
         budget = dispatcher.budget_of(call)
         if not self.body.may_resend or not _is_retried(result):
             return self._conclude_as(result)
-        step = retries.decide(self.progress, ending, self._see_route(), budget,
-                              now, dispatcher.generator)
+        step = retries.decide(self.progress, ending, self._see_route(server),
+                              budget, now, dispatcher.generator)
         if isinstance(step, retries.AwaitChange):
             self._await_change(ending, step.until)
             step = retries.resume(self.progress, ending,
-                                  self._see_route(), budget,
+                                  self._see_route(server), budget,
                                   dispatcher.clock.now(), dispatcher.generator)
         if isinstance(step, retries.GiveUp):
             return step.outcome
@@ -374,22 +381,32 @@
         dispatcher = self.dispatcher
         while True:
             snapshot = dispatcher.snapshot
-            route = self._see_route()
+            route = self._see_route(ending.server)
             if route.server not in (None, ending.server):
                 return
+            if route.server and route.version > ending.version:
+                return
             if not dispatcher.hold(snapshot, until - dispatcher.clock.now()):
                 return
 
-    def _see_route(self) -> retries.Route:
-        call = self.call
-        shard = self.dispatcher.snapshot.shards.get(call.shard_id)
-        if shard is None or shard.map is None or not shard.keyed:
+    def _see_route(self, tried: str) -> retries.Route:
+        """Returns where the call would go now, after a try at `tried`."""
+        dispatcher, call = self.dispatcher, self.call
+        shard = dispatcher.snapshot.shards.get(call.shard_id)
+        if shard is None or shard.map is None:
             return retries.Route(None)
+        version = (shard.epoch, shard.sequence)
+        if not shard.keyed:
+            self.avoid |= {tried}
+            others = shard.servers.keys() - self.avoid
+            return retries.Route(min(others, default=None), version=version)
         owner = shard.map.owner_of(call.point)
         if owner is None or owner not in shard.servers:
-            return retries.Route(None, moving=True)
+            return retries.Route(None, moving=True, version=version)
         liveness = shard.servers[owner].liveness
-        return retries.Route(owner, liveness is not tables.Liveness.LIVE)
+        proven_at = dispatcher.proven.get((shard.id, owner), 0.0)
+        return retries.Route(owner, liveness is not tables.Liveness.LIVE,
+                             proven_at, version)
 
     def _note_clean_run(self, route: routes.Straight, opened_at: float,
                         now: float) -> None:
--- a/lentilmoor/dispatchers.py
+++ b/lentilmoor/dispatchers.py
@@ -96,6 +96,7 @@
       inflight: Requests at servers.
       suspects: Requests that crash servers.
       observations: Ends of tries, not yet taken in by the control actor.
+      proven: When a server last answered here, ms, by (shard, server).
       holding: Requests waiting for a snapshot.
       most_holding: Most that may wait at once.
     """
@@ -113,6 +114,7 @@
         self.inflight = inflight.InflightTable()
         self.suspects = quarantine.Quarantine()
         self.observations: collections.deque[Observation] = collections.deque()
+        self.proven: dict[tuple[str, str], float] = {}
         self.holding = 0
         self.most_holding = most_holding
         self.chance = routes.Chance(generator.random, self.inflight.count_at)
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -7,6 +7,7 @@
 import dataclasses
 import functools
 import logging
+import os
 import random
 import secrets
 import signal
@@ -190,7 +191,8 @@
         asked.wait(_LOOK_EVERY_MS / clocks.MS_PER_S)
     if entry.base.failed.is_set():
         entry.base.logger.error('invariant_broken')
-        return EXIT_FAILED
+        # Nothing of this process is to be trusted, its own clean-up included.
+        os._exit(EXIT_FAILED)  # pylint: disable=protected-access
     stop_entry(entry)
     return EXIT_OK
 
--- a/lentilmoor/evidencework.py
+++ b/lentilmoor/evidencework.py
@@ -25,6 +25,9 @@
 _Tables = controltables.ControlTables
 _End = dispatchers.TryEnd
 
+# Evidence goes to the grantor and to so many who would follow it.
+TOLD_CANDIDATES = 2
+
 # How a try's end counts for the liveness of its server. A server that
 # refuses for load, or for want of a grant, is alive.
 _RESULTS = {
@@ -41,11 +44,14 @@
     """Takes in what requests saw, weighs all evidence and sends probes."""
     _take_observations(tables, now)
     instances = tables.instances()
+    if tables.probes_due:
+        tables.probes_due = False
+        assign_probes(tables, instances)
     for action in liveness.step(tables.liveness, instances, now):
         if isinstance(action, liveness.Change):
             _change(tables, action, now)
         else:
-            _tell(tables, action.evidence, instances)
+            _tell(tables, action, instances)
     for probe in probes.step(tables.probes, tables.liveness, now):
         tables.calls.probe(probe)
     quarantine.step(tables.dispatcher.suspects, now)
@@ -99,14 +105,17 @@
     """Sets which servers this entry probes."""
     addresses = {}
     mine = set()
+    granted = set()
     for state in tables.shards.values():
+        if shardstates.is_grantor(state):
+            granted.update((state.shard.id, name) for name in state.servers)
         for server in state.servers.values():
             addresses[state.shard.id, server.id] = server.address
             name = f'{state.shard.id}/{server.id}'
             probers = roles.pick_probers(name, instances.values())
             if any(row.id == tables.me for row in probers):
                 mine.add((state.shard.id, server.id))
-    probes.assign(tables.probes, addresses, mine)
+    probes.assign(tables.probes, addresses, mine, granted)
 
 
 def _take_observations(tables: _Tables, now: float) -> None:
@@ -144,15 +153,22 @@
     shardwork.rebuild_route(tables, state)
 
 
-def _tell(tables: _Tables, item: evidence.Evidence,
+def _tell(tables: _Tables, told: liveness.Tell,
           instances: Mapping[str, rows.Instance]) -> None:
-    """Sends an opinion to the shard's grantor and the server's probers."""
+    """Sends an opinion to who is to act on it, and to who may confirm it."""
+    item = told.item
     state = tables.shards.get(item.shard)
     if state is None:
         return
-    probers = roles.pick_probers(f'{item.shard}/{item.server}',
-                                 instances.values())
-    names = {row.id for row in probers} | {state.watch.grantor}
+    chosen = roles.pick_delegates(item.shard, instances.values())
+    candidates = roles.rank_grantors(item.shard, chosen)[:TOLD_CANDIDATES]
+    names = {row.id for row in candidates} | {state.watch.grantor}
+    if item.failures:
+        probers = roles.pick_probers(f'{item.shard}/{item.server}',
+                                     instances.values())
+        names |= {row.id for row in probers}
+    else:
+        names |= told.doubters
     _send(tables, names, instances, servers=[reports.write_evidence(item)])
 
 
--- a/lentilmoor/fleetwork.py
+++ b/lentilmoor/fleetwork.py
@@ -93,7 +93,7 @@
         tables.calls.note_change('entry_liveness', row.id, row.liveness)
         if row.liveness is rows.Liveness.DEAD:
             shardclaims.lose_instance(tables.claims, row.id, now)
-    evidencework.assign_probes(tables, instances)
+    tables.probes_due = True
     for state in tables.shards.values():
         shardwork.rebuild_route(tables, state)
     shardwork.put_snapshot(tables)
--- a/lentilmoor/outcomes.py
+++ b/lentilmoor/outcomes.py
@@ -70,10 +70,12 @@
     Attributes:
       reason: Why it cannot be told.
       detail: One sentence for a person.
+      retry_after_ms: When asking again may tell more, or 0.
     """
 
     reason: Reason
     detail: str = ''
+    retry_after_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/settingswork.py
+++ b/lentilmoor/settingswork.py
@@ -4,7 +4,6 @@
 from lentilmoor import catalogs
 from lentilmoor import controltables
 from lentilmoor import evidence
-from lentilmoor import evidencework
 from lentilmoor import gossip
 from lentilmoor import inbox
 from lentilmoor import items
@@ -82,7 +81,7 @@
             shardstates.take_settings(state, shard, now)
         _follow_servers(tables, state)
         shardwork.rebuild_route(tables, state)
-    evidencework.assign_probes(tables, tables.instances())
+    tables.probes_due = True
     shardwork.put_snapshot(tables)
 
 
--- a/lentilmoor/shardclaims.py
+++ b/lentilmoor/shardclaims.py
@@ -46,15 +46,36 @@
         default_factory=lambda: itertools.count(1))
 
 
-def serve(state: ShardClaims, shard: str, epoch: int, retention_s: float,
-          until: float, now: float) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Term:
+    """This entry's time as grantor of a shard.
+
+    Attributes:
+      shard: Shard id.
+      epoch: Its epoch.
+      until: When its authority ends, ms.
+      retention_s: How long claims are remembered.
+      shards: Shards that share the store's writes.
+    """
+
+    shard: str
+    epoch: int
+    until: float
+    retention_s: float
+    shards: int
+
+
+def serve(state: ShardClaims, term: Term, now: float) -> None:
     """Serves a shard's claims under an epoch, until its authority ends."""
+    shard = term.shard
     table = state.tables.get(shard)
-    if table is None or table.epoch != epoch:
+    if table is None or table.epoch != term.epoch:
         drop(state, shard)
-        table = claimtables.make_table(shard, epoch, retention_s, state.clock)
-        state.tables[shard] = table
-    _apply(state, shard, claimtables.AuthorityHeld(until), now)
+        limits = claimtables.share_budget(term.shards)
+        state.tables[shard] = claimtables.make_table(shard, term.epoch,
+                                                     term.retention_s,
+                                                     state.clock, limits)
+    _apply(state, shard, claimtables.AuthorityHeld(term.until), now)
 
 
 def drop(state: ShardClaims, shard: str) -> None:
@@ -154,7 +175,7 @@
                 _finish(state, action.token,
                         peer_pb2.SettleReply(accepted=action.accepted))
             case claimtables.StepDown():
-                drop(state, shard)
+                pass  # The table is kept: it tells whoever asks to go on.
             case _:
                 state.run(shard, action)
 
--- a/lentilmoor/shardstates.py
+++ b/lentilmoor/shardstates.py
@@ -28,6 +28,9 @@
 LOAD_LIFETIME_MS = 1_000.0
 # An entry heard so lately counts as there.
 HEARD_MS = 2_500.0
+# The grantor of a shard that is new to this entry: there may be one, so it
+# is waited for and asked about like one that went silent.
+UNKNOWN = '?'
 
 _Liveness = tables.Liveness
 
@@ -108,7 +111,7 @@
                             slices_per_server=shard.settings.slices_per_server,
                             keyed=shard.settings.keyed)
     state = ShardState(shard, row, delegates.make_row(shard.id, me, now),
-                       successors.GrantorWatch('', row.renew_ms, now))
+                       successors.GrantorWatch(UNKNOWN, row.renew_ms, now))
     take_settings(state, shard, now)
     return state
 
@@ -235,6 +238,9 @@
             resign(state, now)
         return
     ranked = roles.rank_grantors(state.shard.id, chosen)
+    if all(item.id != me for item in ranked):
+        state.asks = False
+        return
     heard = frozenset(
         item.id for item in ranked if now - item.heard_at < HEARD_MS)
     advice = successors.advise(state.watch, me, [item.id for item in ranked],
--- a/lentilmoor/shardwork.py
+++ b/lentilmoor/shardwork.py
@@ -22,6 +22,7 @@
 from lentilmoor.protocol import peer_pb2
 
 _Tables = controltables.ControlTables
+_LONGEST_AGE_MS = 1e9
 _ANSWERS = (grants.CallFailed, grants.ServerAnswered, grants.GrantAnswered,
             grants.GrantRefused)
 
@@ -107,8 +108,9 @@
               instances: Mapping[str, rows.Instance], now: float) -> None:
     actions = shardstates.step(state, instances, tables.gossip.members.changes,
                                tables.me, now)
-    tables.calls.note_change('grantor_stage', state.shard.id,
-                             state.grantor.stage)
+    if tables.calls.note_change('grantor_stage', state.shard.id,
+                                state.grantor.stage):
+        tables.probes_due = True
     _step_claims(tables, state, now)
     _run(tables, actions)
 
@@ -120,9 +122,12 @@
         if not shardstates.is_grantor(state):
             shardclaims.drop(tables.claims, shard.id)
         return
-    shardclaims.serve(tables.claims, shard.id, state.grantor.epoch,
-                      shard.settings.claim_retention_s,
-                      shardstates.authority_until(state), now)
+    shardclaims.serve(
+        tables.claims,
+        shardclaims.Term(shard.id, state.grantor.epoch,
+                         shardstates.authority_until(state),
+                         shard.settings.claim_retention_s, len(tables.shards)),
+        now)
 
 
 def _run(tables: _Tables, actions: list[grants.Action]) -> None:
@@ -169,7 +174,7 @@
         state = tables.shards.get(shard)
         if state is None:
             continue
-        age_ms = min(now - state.watch.heard_at, 1e9)
+        age_ms = min(now - state.watch.heard_at, _LONGEST_AGE_MS)
         heard.append(
             peer_pb2.GrantorHeard(shard=shard,
                                   grantor=state.watch.grantor,
@@ -182,5 +187,17 @@
     """Takes in a peer's answer to the question when it heard grantors."""
     for item in heard:
         state = tables.shards.get(item.shard)
-        if state is not None and item.grantor == state.watch.grantor:
+        if state is None:
+            continue
+        if _is_news(state, item):
+            successors.note_heard(state.watch, item.grantor, now - item.age_ms)
+        elif item.grantor in (state.watch.grantor, shardstates.UNKNOWN):
             successors.note_answer(state.watch, peer, float(item.age_ms), now)
+
+
+def _is_news(state: shardstates.ShardState,
+             item: peer_pb2.GrantorHeard) -> bool:
+    """Returns whether a peer lately heard a grantor unknown to this entry."""
+    return (state.watch.grantor == shardstates.UNKNOWN and
+            item.grantor not in ('', shardstates.UNKNOWN) and
+            item.age_ms < state.watch.renew_ms * 2)
--- a/lentilmoor/watchers.py
+++ b/lentilmoor/watchers.py
@@ -71,9 +71,12 @@
         if not answered:
             _pause(wiring, RETRY_MS)
             continue
-        revision = changes.revision
         if changes.records:
             wiring.tell(inbox.BranchesFound(changes.records))
+        elif changes.revision == revision:
+            # A watch that ends with nothing, at once, must not spin.
+            _pause(wiring, IDLE_MS)
+        revision = changes.revision
 
 
 def read_instances(wiring: WatchWiring) -> None:
