Close links of silent peers, and test TLS between peers

Cause: a link whose other end is gone without a word stayed open at the server for good; TLS was wired and not tried. A failed TLS handshake left a connection without state that broke the stop: found by these tests. Conclusion: the shared secret is the default, mutual TLS is there for those who need secrecy on the wire.

--- a/lentilmoor/listeners.py
+++ b/lentilmoor/listeners.py
@@ -16,6 +16,7 @@
 import hmac
 import socket
 import ssl
+import time
 from typing import Any
 import weakref
 
@@ -49,6 +50,7 @@
     refused: int = 0
     overloaded: int = 0
     abandoned: int = 0
+    closed: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,17 +93,26 @@
 
     def __init__(self, service: _Service):
         super().__init__([service])
-        self.connections: weakref.WeakSet = weakref.WeakSet()
+        self.accepted: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
 
     def _protocol_factory(self) -> protocol.H2Protocol:
-        connection = super()._protocol_factory()
-        self.connections.add(connection)
-        return connection
-
-    def close_connections(self) -> None:
-        """Closes every connection that was accepted."""
-        for connection in list(self.connections):
-            connection.processor.close('stopped')
+        accepted = super()._protocol_factory()
+        self.accepted[accepted] = time.monotonic()
+        return accepted
+
+    def close_silent(self, longest_s: float) -> int:
+        """Closes connections on which nothing came for so long."""
+        closed = 0
+        oldest = time.monotonic() - longest_s
+        for accepted, since in list(self.accepted.items()):
+            connection = getattr(accepted, 'connection', None)
+            if connection is None:
+                continue  # No TLS handshake; the library ends it by itself.
+            if (connection.last_data_received or since) <= oldest:
+                del self.accepted[accepted]
+                accepted.processor.close('silent')
+                closed += 1
+        return closed
 
 
 async def start(listener: Listener, host: str, port: int,
@@ -134,7 +145,13 @@
     while listener.serving and clock.now() < end:
         await asyncio.sleep(_POLL_S)
     listener.grpc.close()
-    listener.grpc.close_connections()
+    listener.grpc.close_silent(0.0)
+
+
+def close_silent(listener: Listener, longest_ms: float) -> None:
+    """Closes links whose other end sent nothing for long; it may be gone."""
+    seconds = longest_ms / clocks.MS_PER_S
+    listener.counters.closed += listener.grpc.close_silent(seconds)
 
 
 def _make_service(listener: Listener) -> _Service:
--- a/lentilmoor/peers.py
+++ b/lentilmoor/peers.py
@@ -29,7 +29,6 @@
 PROTOCOL = 1
 
 _SECRET_CONTEXT = b'lentilmoor peer\0'
-_IDLE_CHECK_S = 15.0
 _CLOSE_S = 0.25
 
 Reply = Any  # A protobuf message, a Future of one, or an outcomes.Failed.
@@ -60,6 +59,8 @@
       secret: Shared by all entries; a caller without it is refused.
       serving: Requests of all peers that are handled at once.
       limits: Bounds of our own calls.
+      silent_ms: A peer's link on which nothing came for so long is closed.
+      check_ms: How often idle and silent links are looked for.
       server_tls: TLS of the listener, if any.
       client_tls: TLS towards peers, if any.
     """
@@ -68,6 +69,8 @@
     secret: bytes
     serving: int = 256
     limits: peer_links.LinkLimits = peer_links.LinkLimits()
+    silent_ms: float = 120_000.0
+    check_ms: float = 15_000.0
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
 
@@ -233,12 +236,16 @@
     host, _, port = settings.address.rpartition(':')
     await listeners.start(listener, host.strip('[]'), int(port),
                           settings.server_tls)
-    _check_idle(links)
+    _check_idle(listener, links, settings)
 
 
-def _check_idle(links: peer_links.Links) -> None:
+def _check_idle(listener: listeners.Listener, links: peer_links.Links,
+                settings: PeerSettings) -> None:
     peer_links.close_idle(links)
-    asyncio.get_running_loop().call_later(_IDLE_CHECK_S, _check_idle, links)
+    listeners.close_silent(listener, settings.silent_ms)
+    asyncio.get_running_loop().call_later(settings.check_ms / clocks.MS_PER_S,
+                                          _check_idle, listener, links,
+                                          settings)
 
 
 async def _stop(listener: listeners.Listener, links: peer_links.Links,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,9 +5,12 @@
 
 from concurrent import futures
 import socket
+import ssl
 import threading
 import unittest
 
+import trustme
+
 from lentilmoor import clocks
 from lentilmoor import links
 from lentilmoor import outcomes
@@ -34,6 +37,11 @@
     return peers.PeerSettings(**{**values, **changes})
 
 
+def split(address: str) -> tuple[str, int]:
+    host, port = address.rsplit(':', 1)
+    return host, int(port)
+
+
 class PeersTestCase(unittest.TestCase):
 
     def start(self, handlers=None, clock=None, **changes):
@@ -172,6 +180,58 @@
         self.assertEqual(again.result().epoch, 7)
         self.assertEqual(one.called.connections, 2)
 
+    def test_a_link_from_a_silent_peer_is_closed(self):
+        two = self.start(silent_ms=20.0, check_ms=10.0)
+        stranger = socket.create_connection(split(two.address))
+        self.addCleanup(stranger.close)
+        while stranger.recv(4_096):
+            pass  # Its greeting, then the end.
+        self.assertEqual(two.served.closed, 1)
+
+    def test_an_idle_link_is_closed_and_opened_again(self):
+        one = self.start(limits=links.LinkLimits(idle_ms=0.0), check_ms=10.0)
+        two = self.start()
+        one.call_lease(two.address, REQUEST, LONG_MS).result()
+        while one.heard_at(two.address):
+            pass  # Until it is forgotten.
+        call = one.call_lease(two.address, REQUEST, LONG_MS)
+        self.assertEqual(call.result().epoch, 3)
+        self.assertEqual(one.called.connections, 2)
+
+
+class TlsTest(PeersTestCase):
+
+    def setUp(self):
+        authority = trustme.CA()
+        self.server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        authority.issue_cert('127.0.0.1').configure_cert(self.server)
+        authority.configure_trust(self.server)
+        self.server.verify_mode = ssl.CERT_REQUIRED
+        self.client = ssl.create_default_context()
+        authority.configure_trust(self.client)
+        for context in (self.server, self.client):
+            context.set_alpn_protocols(['h2'])
+        self.authority = authority
+
+    def test_peers_with_certificates_talk(self):
+        self.authority.issue_cert('127.0.0.1').configure_cert(self.client)
+        two = self.start(server_tls=self.server)
+        one = self.start(client_tls=self.client)
+        call = one.call_lease(two.address, REQUEST, LONG_MS)
+        self.assertEqual(call.result().epoch, 3)
+
+    def test_a_peer_without_a_certificate_is_refused(self):
+        two = self.start(server_tls=self.server)
+        one = self.start(client_tls=self.client)
+        call = one.call_lease(two.address, REQUEST, LONG_MS)
+        self.assert_failed(call.result(), outcomes.Reason.PEER_UNAVAILABLE)
+        self.assertEqual(two.served.served, 0)
+
+    def test_a_peer_without_tls_is_refused(self):
+        two = self.start(server_tls=self.server)
+        call = self.start().call_lease(two.address, REQUEST, LONG_MS)
+        self.assert_failed(call.result(), outcomes.Reason.PEER_UNAVAILABLE)
+
 
 class BoundTest(PeersTestCase):
 
