Serve the best class by arrival within the fair share

Cause: ordering urgent requests by the callers' past service makes some wait long though the class is not crowded; a ramp by time starves a server that is only a little cold; a class never served got no time to come back. Change: within their shares callers of the best class go by arrival, a burst of 25 mean requests, the ramp by requests served, the pace bounded from below.

--- a/lentilmoor/controllers.py
+++ b/lentilmoor/controllers.py
@@ -41,7 +41,7 @@
       pipeline: Requests sent beyond the slots, so that none idles during the
         gap; None chooses by the gap and the measured response times.
       queue_limit: Most requests that may wait.
-      warm_up_ms: How long a cold server is ramped up.
+      warm_up_ms: How long the ramp of a cold server takes at most.
       order: Which of one caller's requests goes first.
       patience: Part of a request's slack that it may be expected to wait in a
         standing queue; see `queues`.
@@ -98,7 +98,9 @@
         self.queue = queues.ServerQueue(settings.classes, settings.queue_limit,
                                         self.limiter.limit, settings.order,
                                         settings.patience)
+        self._ramping = False
         self._warm_since = 0.0
+        self._served_cold = 0
         self._warm_up_ms = settings.warm_up_ms
 
     @property
@@ -137,7 +139,7 @@
         elif ending is Ending.SHED:
             limits.back_off(self.limiter)
         self.in_flight -= 1
-        if self._warm_since:
+        if self._ramping:
             self._ramp_up(now)
         if not self.queue.length:
             return NOTHING
@@ -145,7 +147,9 @@
 
     def warm(self, since: float) -> None:
         """Starts the ramp of a server that came up cold at `since`, ms."""
+        self._ramping = True
         self._warm_since = since
+        self._served_cold = self.served
         self.limiter.limit = 1
 
     def _learn(self, ticket: queues.Ticket, response_ms: float) -> None:
@@ -173,10 +177,11 @@
             limits.set_ceiling(self.limiter, self._slots + chosen)
 
     def _ramp_up(self, now: float) -> None:
-        share = limits.ramp(self._warm_since, self._warm_up_ms, now)
-        self.limiter.limit = max(1, int(share * self.limiter.ceiling))
-        if share >= 1.0:
-            self._warm_since = 0.0
+        limiter = self.limiter
+        limiter.limit = limits.ramp(limiter.ceiling,
+                                    self.served - self._served_cold,
+                                    now - self._warm_since, self._warm_up_ms)
+        self._ramping = limiter.limit < limiter.ceiling
 
     def _start_waiting(self, now: float, shed: list[queues.Shed]) -> Decision:
         queue = self.queue
--- a/lentilmoor/flows.py
+++ b/lentilmoor/flows.py
@@ -1,17 +1,22 @@
 """Fair shares of one server between callers, by the cost of their requests.
 
-Each caller has an account of the service it was given, over all classes. The
-caller with the least goes next. An account that comes back after a pause
-starts near the least of those that wait, so idleness earns no claim; and a
-caller far ahead of that least is over its share, whatever its class.
+Each caller has an account of the service it was given, over all classes. A
+caller that is ahead of the least of those that wait by more than a burst is
+over its share, whatever its class, and is passed over until the others have
+caught up. Within their shares, callers are served in the order of arrival in
+the best class, which is seldom crowded, and by least service in the others,
+which keeps the accounts close. An account that comes back after a pause starts
+near that least, so idleness earns no claim.
 """
 
 import collections
 from collections.abc import Iterable
 import dataclasses
+import itertools
 from typing import Protocol
 
-BURST_MS = 100.0
+BURST = 25  # Mean requests that a caller may be ahead of the others.
+_MEAN_WEIGHT = 0.02
 _SPARE_ACCOUNTS = 64
 
 
@@ -44,10 +49,12 @@
 
     Attributes:
       floor_ms: The least used by a caller that waits; never goes back.
+      burst_ms: How far a caller may be ahead of it.
     """
 
     def __init__(self):
         self.floor_ms = 0.0
+        self.burst_ms = 0.0
         self._accounts: dict[str, Account] = {}
         self._waiting: dict[str, Account] = {}
 
@@ -63,7 +70,7 @@
                 self._prune()
             account = self._accounts[caller] = Account(self.floor_ms)
         if not account.holding:
-            least = self.floor_ms - BURST_MS
+            least = self.floor_ms - self.burst_ms
             account.used_ms = max(account.used_ms, least)
         account.waiting += 1
         account.holding += not deferrable
@@ -84,6 +91,11 @@
         if account is not None:
             account.used_ms += cost_ms
 
+    def learn(self, cost_ms: float) -> None:
+        """Follows the mean cost of requests with the burst."""
+        change = BURST * cost_ms - self.burst_ms
+        self.burst_ms += change * (_MEAN_WEIGHT if self.burst_ms else 1.0)
+
     def raise_floor(self) -> float:
         """Brings the floor up to date and returns it.
 
@@ -118,12 +130,12 @@
 
     Attributes:
       account: The caller's.
-      items: Oldest first; an ordered set.
+      items: Oldest first, with their numbers in the order of arrival.
       backlog_ms: Their cost together.
     """
 
     account: Account
-    items: 'collections.OrderedDict[Item, None]' = dataclasses.field(
+    items: 'collections.OrderedDict[Item, int]' = dataclasses.field(
         default_factory=collections.OrderedDict)
     backlog_ms: float = 0.0
 
@@ -136,20 +148,25 @@
       backlog_ms: Their cost together.
     """
 
-    def __init__(self, ledger: Ledger, deferrable: bool, newest_first: bool):
+    def __init__(self, ledger: Ledger, deferrable: bool, by_arrival: bool,
+                 newest_first: bool):
         """Makes an empty queue.
 
         Args:
           ledger: Accounts, shared by the classes of a server.
           deferrable: Whether its requests hold nobody back.
+          by_arrival: Whether callers within their shares take turns by
+            arrival, not by least service.
           newest_first: Which of one caller's requests is served first.
         """
         self.length = 0
         self.backlog_ms = 0.0
         self._ledger = ledger
         self._deferrable = deferrable
+        self._by_arrival = by_arrival
         self._newest_first = newest_first
         self._flows: dict[str, Flow] = {}
+        self._numbers = itertools.count()
 
     def add(self, item: Item) -> None:
         """Adds an item behind the others of its caller."""
@@ -157,7 +174,7 @@
         flow = self._flows.get(item.caller)
         if flow is None:
             flow = self._flows[item.caller] = Flow(account)
-        flow.items[item] = None
+        flow.items[item] = next(self._numbers)
         flow.backlog_ms += item.cost_ms
         self.backlog_ms += item.cost_ms
         self.length += 1
@@ -175,17 +192,35 @@
             self.backlog_ms = 0.0
         self._ledger.part(item.caller, self._deferrable)
 
-    def next_flow(self) -> Flow:
-        """Returns the flow whose turn it is; the queue is not empty."""
-        return min(self._flows.values(), key=lambda flow: flow.account.used_ms)
+    def next_flow(self, most_ms: float) -> Flow | None:
+        """Returns the flow whose turn it is.
+
+        Args:
+          most_ms: Callers whose accounts show more are over their shares.
 
-    def take(self) -> Item:
-        """Takes the item whose turn it is and charges its caller."""
-        flow = self.next_flow()
+        Returns:
+          None if nobody is within the share.
+        """
+        within = [
+            flow for flow in self._flows.values()
+            if flow.account.used_ms <= most_ms
+        ]
+        return min(within, key=self._rank_flow, default=None)
+
+    def _rank_flow(self, flow: Flow) -> float:
+        if not self._by_arrival:
+            return flow.account.used_ms
+        if self._newest_first:
+            return -next(reversed(flow.items.values()))
+        return next(iter(flow.items.values()))
+
+    def take(self, flow: Flow) -> Item:
+        """Takes the first item of a flow and charges its caller."""
         item = next(
             reversed(flow.items) if self._newest_first else iter(flow.items))
         self.remove(item)
         flow.account.used_ms += item.cost_ms
+        self._ledger.learn(item.cost_ms)
         return item
 
     def give_up(self) -> Item:
@@ -206,7 +241,8 @@
         account = self._ledger.find(caller)
         mine = own.backlog_ms if own else 0.0
         used = account.used_ms if account else self._ledger.floor_ms
-        turn = used + mine + cost_ms
+        turn = used + mine + cost_ms + (self._ledger.burst_ms
+                                        if self._by_arrival else 0.0)
         total = mine
         for flow in self._flows.values():
             ahead = turn - flow.account.used_ms
--- a/lentilmoor/limits.py
+++ b/lentilmoor/limits.py
@@ -13,6 +13,7 @@
 SHRINK_RATIO = 3.0
 GROW_RATIO = 2.0
 SHRINK_FACTOR = 0.7
+RAMP_REQUESTS = 20  # Served before the limit of a cold server grows by 1.
 PIPELINE_ABOVE = 0.05
 PIPELINE_BELOW = 0.03
 _LEAST_MS = 0.001
@@ -97,17 +98,21 @@
     limiter.limit = max(1, int(limiter.limit * SHRINK_FACTOR))
 
 
-def ramp(warm_since: float, warm_up_ms: float, now: float) -> float:
-    """Returns the share of its capacity that a cold server is given, 0 to 1.
+def ramp(ceiling: int, served: int, age_ms: float, warm_up_ms: float) -> int:
+    """Returns the limit of a server that came up cold.
+
+    The limit grows with the requests served, since they are what warms a
+    server: a ramp by time alone starves a server that is only a little cold.
 
     Args:
-      warm_since: When it began to serve, ms; 0 if it was always warm.
-      warm_up_ms: How long the ramp takes.
-      now: Milliseconds.
+      ceiling: The limit at the end of the ramp.
+      served: Requests served since it came up.
+      age_ms: Time since it came up.
+      warm_up_ms: When the ramp ends in any case.
     """
-    if not warm_since or warm_up_ms <= 0:
-        return 1.0
-    return min(1.0, max(0.0, (now - warm_since) / warm_up_ms))
+    if age_ms >= warm_up_ms:
+        return ceiling
+    return min(ceiling, 1 + served // RAMP_REQUESTS)
 
 
 def _close_window(limiter: Limiter) -> None:
--- a/lentilmoor/queues.py
+++ b/lentilmoor/queues.py
@@ -17,6 +17,7 @@
 from lentilmoor import flows
 
 MAX_RETRY_AFTER_MS = 30_000
+MAX_SPREAD_MS = 5_000.0
 BEST_PATIENCE = 8  # Requests owed before the best class gives way.
 STANDING_MS = 500.0
 PATIENCE = 0.25
@@ -117,6 +118,11 @@
     share: float = 1.0
     empty_at: float = 0.0
 
+    @property
+    def mean_ms(self) -> float:
+        """Mean cost of the requests that wait; there must be one."""
+        return self.fair.backlog_ms / self.fair.length
+
 
 class ServerQueue:
     """Requests waiting for one server.
@@ -145,14 +151,16 @@
         """
         total = max(1.0, sum(policy.floor for policy in classes))
         newest_first = order is Order.NEWEST_FIRST
+        best = min(policy.priority for policy in classes)
         self._ledger = flows.Ledger()
-        self._classes = [
-            _Class(
-                policy, policy.floor / total,
-                max(1, int(policy.floor / total * limit)),
-                flows.FairQueue(self._ledger, policy.deferrable, newest_first))
-            for policy in classes
-        ]
+        self._classes = []
+        for policy in classes:
+            by_arrival = len(classes) > 1 and policy.priority == best
+            fair = flows.FairQueue(self._ledger, policy.deferrable, by_arrival,
+                                   newest_first)
+            floor = policy.floor / total
+            reserved = max(1, int(floor * limit))
+            self._classes.append(_Class(policy, floor, reserved, fair))
         self._by_priority = sorted(self._classes,
                                    key=lambda item: item.policy.priority)
         self._patience = patience
@@ -204,8 +212,8 @@
         if not self.length:
             return None, shed
         waiting = [item for item in self._by_priority if item.fair.length]
-        chosen = self._pick_class(waiting)
-        ticket = chosen.fair.take()
+        chosen, flow = self._pick(waiting)
+        ticket = chosen.fair.take(flow)
         self._count_out(ticket)
         self._note_service(waiting, chosen, ticket.cost_ms)
         return ticket, shed
@@ -248,7 +256,7 @@
         """
         own = self._classes[ticket.rank]
         before = own.fair.work_before(ticket.caller, ticket.cost_ms)
-        return before / (self.lanes * max(own.share, own.floor, _LEAST_SHARE))
+        return before / self._pace(own)
 
     def lengths(self) -> list[int]:
         """Returns how many requests wait in each class, by rank."""
@@ -266,10 +274,16 @@
         if account is None:
             return Shed(ticket, cut, _round_up(wait + ticket.cost_ms))
         callers = max(1, own.fair.count_callers())
-        step = ticket.cost_ms * callers / (self.lanes * own.share)
-        account.return_at = max(account.return_at, now + wait) + step
+        step = ticket.cost_ms * callers / self._pace(own)
+        account.return_at = min(
+            max(account.return_at, now + wait) + step,
+            now + wait + MAX_SPREAD_MS)
         return Shed(ticket, cut, _round_up(account.return_at - now))
 
+    def _pace(self, own: _Class) -> float:
+        """Returns how much of a class's work is done in a millisecond, ms."""
+        return self.lanes * max(own.share, own.floor, _LEAST_SHARE)
+
     def _add(self, ticket: Ticket) -> None:
         ticket.waiting = True
         self._classes[ticket.rank].fair.add(ticket)
@@ -286,27 +300,27 @@
         if not self.length:
             self._ledger.forget()
 
-    def _pick_class(self, waiting: list[_Class]) -> _Class:
+    def _pick(self, waiting: list[_Class]) -> tuple[_Class, flows.Flow]:
         """Returns the best class, or one that the floor owes a request.
 
-        Classes whose next caller is over its share are passed over. The best
-        class gives way only to a large debt: as a rule there is a moment
-        without it in which the floor is paid.
+        Callers over their shares are passed over. The best class gives way
+        only to a large debt: as a rule there is a moment without it in which
+        the floor is paid.
         """
-        most = self._ledger.raise_floor() + flows.BURST_MS
-        within = [
-            item for item in waiting
-            if item.fair.next_flow().account.used_ms <= most
-        ]
-        if not within:
+        most_ms = self._ledger.raise_floor() + self._ledger.burst_ms
+        found = None
+        for item in waiting:
+            flow = item.fair.next_flow(most_ms)
+            if flow is None:
+                continue
+            if found is None:
+                found = item, flow
+                owed = BEST_PATIENCE if item is self._by_priority[0] else 1
+            elif item.credit_ms >= owed * item.mean_ms:
+                return item, flow
+        if found is None:
             raise exceptions.InvariantError('every caller is over its share')
-        first = within[0]
-        owed = BEST_PATIENCE if first is self._by_priority[0] else 1
-        for item in within[1:]:
-            mean_ms = item.fair.backlog_ms / item.fair.length
-            if item.credit_ms >= owed * mean_ms:
-                return item
-        return first
+        return found
 
     def _note_service(self, waited: list[_Class], chosen: _Class,
                       cost_ms: float) -> None:
