--- a/lentilmoor/retries.py
+++ b/lentilmoor/retries.py
@@ -15,8 +15,8 @@
 from lentilmoor import outcomes
 
 # Retries allowed per first try, and the most that may be saved up.
-RETRY_RATIO = 0.08
-SAVED_RETRIES = 8.0
+RETRY_RATIO = 0.05
+SAVED_RETRIES = 4.0
 # A lost server's keys are served again within this time; see LIVENESS.md.
 TAKEOVER_MS = 1_000.0
 # A server that lost a grant gets it again within two renewals.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,6 +6,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from benchmarks import quarantine as benchmark
+from benchmarks import quarantine_model
 from lentilmoor import fingerprints
 from lentilmoor import quarantine
 
@@ -128,6 +130,22 @@
                           quarantine.check(second, fingerprint, now + 60))
 
 
+class ModelTest(unittest.TestCase):
+
+    def _run(self, policy):
+        model = quarantine_model.Model(1, benchmark.POLICIES[policy], 4, 1.5)
+        model.run(8_000.0)
+        return model.tally
+
+    def test_innocents_retried_beside_killers_stay_free(self):
+        """Blocking whatever was in flight at two crashes blocks innocents."""
+        naive, ours = self._run('two crashes'), self._run('ours')
+        self.assertGreater(naive.innocents_blocked, 0)
+        self.assertEqual(ours.innocents_blocked, 0)
+        self.assertLessEqual(ours.crashes, 2 * 4)
+        self.assertGreater(ours.killers_blocked, 0)
+
+
 class FingerprintTest(unittest.TestCase):
 
     def _make(self, target='/stock', key='lot-1', body=b'', length=-1, **more):
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -8,6 +8,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from benchmarks import retries as benchmark
+from benchmarks import retries_model
 from lentilmoor import outcomes
 from lentilmoor import retries
 
@@ -140,5 +142,24 @@
         self.assertLess(tries, 1.1 * requests)
 
 
+class ModelTest(unittest.TestCase):
+
+    def _lose_all(self, policy):
+        model = retries_model.Model(3, benchmark.POLICIES[policy], 0.6)
+        model.run(1_000.0)
+        model.tally = retries_model.Tally()
+        for index in range(retries_model.SERVERS):
+            model.lose(index, retries_model.State.BROKEN, moves=False)
+        model.run(4_000.0)
+        return model.tally
+
+    def test_failing_servers_get_little_more_and_nothing_is_doubled(self):
+        naive, ours = self._lose_all('x3'), self._lose_all('ours')
+        self.assertGreater(naive.extra, 2.0)
+        self.assertGreater(naive.doubled, 0)
+        self.assertLess(ours.extra, 0.1)
+        self.assertEqual((ours.doubled, ours.untrue), (0, 0))
+
+
 if __name__ == '__main__':
     unittest.main()
