--- a/standins/backend.py
+++ b/standins/backend.py
@@ -24,8 +24,6 @@
 from standins import serving
 
 _ID = flags.DEFINE_string('id', 's1', 'Server id.')
-_PORT = flags.DEFINE_integer('port', 0, 'TCP port on loopback; 0: any.')
-_PORT_FILE = flags.DEFINE_string('port_file', '', 'Where to write host:port.')
 _JOURNAL_FILE = flags.DEFINE_string(
     'journal_file', '', 'Where to append each start and end of a run, as JSON.')
 _CONNECTIONS = flags.DEFINE_integer('connections', 125,
@@ -43,6 +41,8 @@
                               'Whether it checks who gives it orders.')
 
 _CHUNK_BYTES = 64 * 1024
+# They turn away connections beyond the limit.
+_SPARE_THREADS = 4
 _LOOK_EVERY_MS = 10.0
 _DEFAULT_DEADLINE_MS = 60_000
 _CANCELLED_STATUS = 499
@@ -96,7 +96,7 @@
     handler = make_handler(
         state, lambda connection: server.silence_connections(connection))
     # A thread for each connection, so that control never waits for jobs.
-    server = serving.make_server(handler, port, connections)
+    server = serving.make_server(handler, port, connections + _SPARE_THREADS)
     server.max_connections = connections
     server.connect_ms = connect_ms
     return server
@@ -314,10 +314,9 @@
                                       drain_ms=_DRAIN_MS.value)
     with _open_journal() as journal_file:
         state = State(_ID.value, clocks.Clock(), switches, journal_file)
-        server = make_server(state, _PORT.value, _CONNECTIONS.value,
+        server = make_server(state, serving.PORT.value, _CONNECTIONS.value,
                              _CONNECT_MS.value)
-        serving.write_port(server, _PORT_FILE.value)
-        server.serve()
+        serving.serve(server)
 
 
 if __name__ == '__main__':
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -210,7 +210,7 @@
             if waiting.refusal:
                 return waiting.refusal
             if not waiting.turn.is_set():
-                self._queue.remove(waiting)
+                self._leave_queue(waiting)
                 return Refusal.DEADLINE
             return self._begin(order)
 
@@ -229,7 +229,7 @@
             for waiting in self._queue:
                 if waiting.order.request_id == request_id:
                     waiting.refusal = Refusal.CANCELLED
-                    self._queue.remove(waiting)
+                    self._leave_queue(waiting)
                     waiting.turn.set()
                     return True
             found = [
@@ -255,10 +255,10 @@
         """Returns its load as it was `load_lag_ms` ago."""
         with self._lock:
             shown_at = self.now() - self.switches.load_lag_ms
-            return max(
-                (sample for sample in self._loads if sample.at <= shown_at),
-                key=lambda sample: sample.at,
-                default=self._loads[0])
+            for sample in reversed(self._loads):
+                if sample.at <= shown_at:
+                    return sample
+            return self._loads[0]
 
     def list_runs(self) -> list[Run]:
         """Returns the journal."""
@@ -309,6 +309,10 @@
             self._taken -= 1
         self._note_load()
 
+    def _leave_queue(self, waiting: _Waiting) -> None:
+        self._queue.remove(waiting)
+        self._note_load()
+
     def _touch(self, order: Order) -> bool:
         if not order.key or ranges.covers(self._warm, order.point):
             return False
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -17,13 +17,16 @@
 import time
 from typing import Any
 import urllib.parse
-import weakref
 
+from absl import flags
 from cheroot import server as http_server
 from cheroot import wsgi
 
 from lentilmoor import clocks
 
+PORT = flags.DEFINE_integer('port', 0, 'TCP port on loopback; 0: any.')
+PORT_FILE = flags.DEFINE_string('port_file', '', 'Where to write host:port.')
+
 _CONNECTION = 'standins.connection'
 
 
@@ -31,27 +34,25 @@
     """A connection that can go silent: open for good, but never answering."""
 
     silent = False
-    _accepted = False
 
     def __init__(self, server, sock, makefile=http_server.MakeFile):
         super().__init__(server, sock, makefile)
-        server.open_connections.add(self)
+        self._accepted = server.note_opened(self)
+        self._new = True
 
     def communicate(self) -> bool:
         """Answers one request; returns whether the connection stays."""
-        if self.silent:
+        if self.silent or not self._accepted:
             return False
-        if not self._accepted:
-            if len(self.server.list_connections()
-                  ) > self.server.max_connections:
-                return False
+        if self._new:
             time.sleep(self.server.connect_ms / clocks.MS_PER_S)
-            self._accepted = True
+            self._new = False
         return super().communicate()
 
     def close(self) -> None:
         """Closes the connection, unless it is to stay open and silent."""
         if not self.silent:
+            self.server.note_closed(self)
             super().close()
 
     def cut(self) -> None:
@@ -93,10 +94,12 @@
     ConnectionClass = Connection
     max_connections = sys.maxsize
     connect_ms = 0.0
+    # How long a stop may go unnoticed, seconds.
+    expiration_interval = 0.05
 
     def __init__(self, app, port: int, threads: int):
-        self.open_connections = weakref.WeakSet()
-        self._silenced = []
+        self._open: set[Connection] = set()
+        self._open_lock = threading.Lock()
         super().__init__(('127.0.0.1', port),
                          app,
                          numthreads=threads,
@@ -111,14 +114,25 @@
         host, port = self.bind_addr[:2]
         return f'{host}:{port}'
 
+    def note_opened(self, connection: Connection) -> bool:
+        """Counts a connection; returns whether it is within the limit."""
+        with self._open_lock:
+            accepted = len(self._open) < self.max_connections
+            if accepted:
+                self._open.add(connection)
+            return accepted
+
+    def note_closed(self, connection: Connection) -> None:
+        """No longer counts a connection."""
+        with self._open_lock:
+            self._open.discard(connection)
+
     def list_connections(self) -> list[Connection]:
-        """Returns the connections that callers hold open."""
-        return [
-            connection for connection in list(self.open_connections)
-            if connection.socket.fileno() >= 0
-        ]
+        """Returns the connections that are open, silent ones included."""
+        with self._open_lock:
+            return list(self._open)
 
-    def silence_connections(self, spared: Connection) -> int:
+    def silence_connections(self, spared: Connection | None) -> int:
         """Makes all open connections but one silent; returns how many."""
         connections = [
             connection for connection in self.list_connections()
@@ -126,7 +140,6 @@
         ]
         for connection in connections:
             connection.silent = True
-        self._silenced.extend(connections)
         return len(connections)
 
     def error_log(self, msg='', level=20, traceback=False):
@@ -237,13 +250,14 @@
     return stop
 
 
-def write_port(server: Server, port_file: str) -> None:
-    """Writes host:port to a file, whole or not at all, if one is named."""
-    if not port_file:
-        return
-    partial = pathlib.Path(port_file + '.partial')
-    partial.write_text(server.address, encoding='utf-8')
-    partial.rename(port_file)
+def serve(server: Server) -> None:
+    """Serves until it is ended; first tells its port, if a file is named."""
+    if PORT_FILE.value:
+        # Whole or not at all: somebody waits for this file.
+        partial = pathlib.Path(PORT_FILE.value + '.partial')
+        partial.write_text(server.address, encoding='utf-8')
+        partial.rename(PORT_FILE.value)
+    server.serve()
 
 
 def _read_call(environ) -> Call:
--- a/standins/store.py
+++ b/standins/store.py
@@ -18,8 +18,6 @@
 from standins import serving
 from standins import store_state
 
-_PORT = flags.DEFINE_integer('port', 0, 'TCP port on loopback; 0: any.')
-_PORT_FILE = flags.DEFINE_string('port_file', '', 'Where to write host:port.')
 _THREADS = flags.DEFINE_integer('threads', 96, 'Calls handled at once.')
 
 _KV = '/v1/kv/'
@@ -189,12 +187,10 @@
 
 
 def _main(_) -> None:
-
     state = store_state.StoreState(clocks.Clock())
-    server = serving.make_server(make_handler(state), _PORT.value,
+    server = serving.make_server(make_handler(state), serving.PORT.value,
                                  _THREADS.value)
-    serving.write_port(server, _PORT_FILE.value)
-    server.serve()
+    serving.serve(server)
 
 
 if __name__ == '__main__':
--- a/standins/store_state.py
+++ b/standins/store_state.py
@@ -178,6 +178,15 @@
             self._record(key, None)
             return Written(Status.DONE)
 
+    def list_history(self, key: str) -> list[stores.Record]:
+        """Returns the values that a key has held, as far back as kept."""
+        with self._lock:
+            return [
+                to_record(change.entry)
+                for change in self._history
+                if change.key == key and change.entry
+            ]
+
     def grant_lease(self, ttl_ms: float) -> Lease:
         """Creates a lease."""
         with self._lock:
@@ -324,11 +333,12 @@
       clock: The caller's time.
       writer_id: Name of the writer.
     """
-    return stores.make_store(_open_transport(state), clock,
+    return stores.make_store(open_transport(state), clock,
                              stores.DEFAULT_TIMEOUT_MS, writer_id)
 
 
-def _open_transport(state: StoreState) -> stores.Transport:
+def open_transport(state: StoreState) -> stores.Transport:
+    """Returns single attempts at a state, under its switches."""
 
     def check(kind: str) -> outcomes.Failed | None:
         state.count(kind)
