--- a/benchmarks/liveness.py
+++ b/benchmarks/liveness.py
@@ -290,7 +290,8 @@
                                                             row.single,
                                                             row.health))
         print(f'{row.scenario:30}{cells}{row.probes:10.1f}{row.tells:9.1f}')
-    return find_breaches(rows, yaml.safe_load(_BOUNDS.read_text('utf-8')))
+    bounds = yaml.safe_load(_BOUNDS.read_text('utf-8'))
+    return find_breaches(rows, bounds['liveness'])
 
 
 def _format(item: Detector) -> str:
--- a/lentilmoor/successors.py
+++ b/lentilmoor/successors.py
@@ -13,6 +13,9 @@
 
 from lentilmoor import evidence
 
+# A peer misses the grantor if it has not heard it for so many renewals.
+_MISSED_RENEWALS = 1.2
+
 
 class Advice(enum.Enum):
     """What a delegate should do about its shard's grantor."""
@@ -29,14 +32,13 @@
     Attributes:
       ask: Silence before peers are asked.
       take: Silence before a candidate takes over.
-      refused: The same once the grantor's address refuses connections.
-      unheard: Silence before it takes over without most peers' answers.
+      unheard: Silence before most of the peers that are heard are enough,
+        in place of most of all delegates.
       step: Delay for each better candidate that is still heard.
     """
 
     ask: float = 1.6
     take: float = 2.6
-    refused: float = 1.2
     unheard: float = 6.0
     step: float = 0.8
 
@@ -49,7 +51,6 @@
       grantor: Its id; empty if the shard has none.
       renew_ms: How often it renews.
       heard_at: When it was last heard from by this entry.
-      refused: Refused connections to it since then.
       asked_at: When peers were last asked.
       answers: By peer: how long ago that peer heard it (inf: never), and when
         the peer said so.
@@ -58,7 +59,6 @@
     grantor: str
     renew_ms: float
     heard_at: float
-    refused: int = 0
     asked_at: float = evidence.NEVER
     answers: dict[str, tuple[float,
                              float]] = dataclasses.field(default_factory=dict)
@@ -68,15 +68,9 @@
     """Notes any message of the grantor to this entry."""
     watch.grantor = grantor
     watch.heard_at = now
-    watch.refused = 0
     watch.answers.clear()
 
 
-def note_refused(watch: GrantorWatch) -> None:
-    """Notes that the grantor's address refused a connection."""
-    watch.refused += 1
-
-
 def note_answer(watch: GrantorWatch, peer: str, heard_age_ms: float,
                 now: float) -> None:
     """Notes a peer's answer: how long ago it heard the grantor."""
@@ -86,7 +80,6 @@
 def note_paused(watch: GrantorWatch, now: float) -> None:
     """Starts anew after this process was paused: it heard nobody meanwhile."""
     watch.heard_at = now
-    watch.refused = 0
     watch.answers.clear()
 
 
@@ -110,21 +103,19 @@
       ASK: ask the other delegates for how long they have not heard the
       grantor. TAKE: try to take the epoch.
     """
+    others = [item for item in candidates if item not in (me, watch.grantor)]
+    ahead = _count_ahead(candidates, me, watch.grantor, heard)
     silence = (now - watch.heard_at) / watch.renew_ms
+    wait = patience.step * ahead
     if not watch.grantor:
-        take = 0.0
-    elif watch.refused >= 2:
-        take = patience.refused
-    else:
-        take = patience.take
-    others = [item for item in candidates if item not in (me, watch.grantor)]
-    delay = patience.step * _count_ahead(candidates, me, watch.grantor, heard)
-    agreed = silence >= patience.unheard or _most_agree(watch, others, now)
-    if silence >= take + delay and (agreed or not watch.grantor):
+        return Advice.TAKE if silence >= wait else Advice.KEEP
+    if silence >= patience.take + wait and _is_missed(watch, others, now):
         return Advice.TAKE
-    if silence < min(patience.ask, take) or not watch.grantor:
-        return Advice.KEEP
-    if now - watch.asked_at < watch.renew_ms / 2:
+    if silence >= patience.unheard + wait:
+        near = [item for item in others if item in heard]
+        if (near or not others) and _is_missed(watch, near, now):
+            return Advice.TAKE
+    if silence < patience.ask or now - watch.asked_at < watch.renew_ms / 2:
         return Advice.KEEP
     watch.asked_at = now
     return Advice.ASK
@@ -139,11 +130,15 @@
     return sum(item in heard and item != grantor for item in ahead)
 
 
-def _most_agree(watch: GrantorWatch, others: Sequence[str], now: float) -> bool:
-    """Returns whether most delegates, with this one, miss the grantor."""
+def _is_missed(watch: GrantorWatch, others: Sequence[str], now: float) -> bool:
+    """Returns whether most of some delegates, with this one, miss it.
+
+    An entry that hears nobody else is cut off itself and never takes over,
+    unless the platform lists no other either.
+    """
     missing = 1
     for peer in others:
         age_ms, said_at = watch.answers.get(peer, (0.0, evidence.NEVER))
         recent = now - said_at <= 2 * watch.renew_ms
-        missing += recent and age_ms > 1.2 * watch.renew_ms
+        missing += recent and age_ms > _MISSED_RENEWALS * watch.renew_ms
     return 2 * missing > len(others) + 1
