--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -85,6 +85,7 @@
       rows: Members known.
       step_us: A quiet step of membership.
       beat_us: A whole beat: step and the exchanges to be sent.
+      exchange_us: One exchange at rest: answered, and the reply taken.
       links_us: A new choice of links, after a change.
       delegates_us: A choice of the delegates of one shard.
       row_bytes: Memory for each member and its item.
@@ -93,6 +94,7 @@
     rows: int
     step_us: float
     beat_us: float
+    exchange_us: float
     links_us: float
     delegates_us: float
     row_bytes: float
@@ -157,13 +159,14 @@
     tracemalloc.stop()
     instances = membership.list_instances(node.members)
     own = instances[0]
-    gossip.tick(node, 1.0)
+    call = gossip.tick(node, 1.0)[0]
     for queue in node.replica.unsent.values():
         queue.clear()
     return TableCost(
         rows=count,
         step_us=_time(lambda: detectors.step(node.members, 1_000.0)),
         beat_us=_time(lambda: _beat(node)),
+        exchange_us=_time(lambda: _exchange(node, call)),
         links_us=_time(lambda: neighbours.choose(own, instances), 5),
         delegates_us=_time(lambda: roles.pick_delegates('a/b/0', instances), 5),
         row_bytes=(after - before - 8 * items.BUCKETS) / count)
@@ -189,11 +192,13 @@
         print(f'{moves.name:20} {moves.roles:6} {moves.moved:20.1f} '
               f'{moves.least:6.1f}')
         values[f'{moves.name}: moved'] = moves.moved
-    print('  rows  step us  beat us  links us  delegates us  bytes a row')
+    print('  rows  step us  beat us  exchange us  links us  delegates us  '
+          'bytes a row')
     for count in TABLE_ROWS:
         cost = measure_table(count)
         print(f'{count:6} {cost.step_us:8.1f} {cost.beat_us:8.0f} '
-              f'{cost.links_us:9.0f} {cost.delegates_us:13.0f} '
+              f'{cost.exchange_us:12.0f} {cost.links_us:9.0f} '
+              f'{cost.delegates_us:13.0f} '
               f'{cost.row_bytes:12.0f}')
     return bounds.check('membership', values)
 
@@ -299,6 +304,12 @@
     gossip.tick(node, 1_000.0)
 
 
+def _exchange(node: gossip.Gossip, call: gossip.Outgoing) -> None:
+    # The node answers itself: the work of both sides, without the wire.
+    reply = gossip.answer_exchange(node, call.message, 1_000.0)
+    gossip.take_reply(node, call, reply, 1_000.0)
+
+
 def _time(act: Callable[[], object], times: int = 50) -> float:
     act()
     began = time.process_time()
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -12,6 +12,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 
 import hdrh.histogram
 
@@ -28,6 +29,7 @@
 _TIMEOUT_MS = 10_000.0
 _IP_TCP_HEADER = 52
 _BLOCK = 65_536
+_LINKS = 41
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +112,25 @@
         caller.stop(0.0)
 
 
+def measure_memory() -> float:
+    """Returns the bytes of memory that one link takes, both ends together."""
+    callee = _start('0.0.0.0:0')
+    caller = _start('127.0.0.1:0')
+    _, port = callee.address.rsplit(':', 1)
+    # Each loopback address is another peer to the caller.
+    others = [f'127.0.0.{number}:{port}' for number in range(2, 2 + _LINKS)]
+    _ask(caller.call_lease, others[0], make_lease())
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for address in others[1:]:
+        _ask(caller.call_lease, address, make_lease())
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    caller.stop(0.0)
+    callee.stop(0.0)
+    return (after - before) / (_LINKS - 1)
+
+
 def run() -> list[str]:
     """Prints the table and returns the breached bounds."""
     table = measure()
@@ -121,8 +142,11 @@
               f'{row.p50_us:5.0f}us {row.p99_us:5.0f}us '
               f'{row.message_bytes:6}B {row.wire_bytes:5.0f}B '
               f'{SECOND_LIMIT / busy:10.0f}')
-    return bounds.check(
-        'peers', {f'{row.name}: wire_bytes': row.wire_bytes for row in table})
+    memory = measure_memory()
+    print(f'memory of one link, both ends: {memory:.0f} bytes')
+    values = {f'{row.name}: wire_bytes': row.wire_bytes for row in table}
+    values['memory of a link'] = memory
+    return bounds.check('peers', values)
 
 
 def _start(address: str) -> peers.Peers:
