--- /dev/null
+++ b/tests/pathhelp.py
@@ -0,0 +1,282 @@
+"""Requests, snapshots and small servers for tests of the request path."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import socket
+import threading
+import time
+from typing import BinaryIO
+
+from lentilmoor import bodies
+from lentilmoor import calls
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import dispatch
+from lentilmoor import dispatchers
+from lentilmoor import metrics
+from lentilmoor import models
+from lentilmoor import outcomes
+from lentilmoor import routes
+from lentilmoor import slices
+from lentilmoor import tables
+from lentilmoor import traces
+from lentilmoor import tries
+
+TEAM = 'shop'
+SERVICE = 'stock'
+SHARD = f'{TEAM}/{SERVICE}/0'
+ME = 'entry-1'
+HEAD = b'HTTP/1.1 200 OK\r\n'
+# Only ends a test that hangs; nothing is judged by it.
+PATIENCE_S = 30.0
+_LOOK_EVERY_S = 0.01
+
+
+def make_settings(**fields) -> models.ServiceSettings:
+    """Returns settings of a service with servers a and b."""
+    servers = [
+        models.ServerSettings(id=name,
+                              address=f'127.0.0.1:{port}',
+                              failure_domain='d')
+        for name, port in (('a', 9001), ('b', 9002))
+    ]
+    return models.ServiceSettings(**{'servers': servers} | fields)
+
+
+def make_raw(method: str = 'GET',
+             path: str = f'/{TEAM}/{SERVICE}/lots',
+             body: bytes = b'',
+             query: str = '',
+             **headers: str) -> calls.RawRequest:
+    """Returns a parsed request; header names come with underscores."""
+    left = [body]
+
+    def read(size: int) -> bytes:
+        chunk, left[0] = left[0][:size], left[0][size:]
+        return chunk
+
+    fields = {
+        name.replace('_', '-').title().encode(): value.encode()
+        for name, value in headers.items()
+    }
+    return calls.RawRequest(method, path, query, fields, len(body), read,
+                            lambda: False)
+
+
+def make_call(settings: models.ServiceSettings,
+              now: float = 0.0,
+              **fields) -> calls.Call:
+    """Returns a call for key k, as `make_raw` makes it."""
+    if settings.keyed:
+        fields = {'lentilmoor_key': 'k'} | fields
+    call = calls.read_call(make_raw(**fields), lambda *_: settings, now)
+    assert isinstance(call, calls.Call), call
+    return call
+
+
+def make_route(owner: str = 'a', **fields) -> routes.ShardRoute:
+    """Returns a shard with servers a and b; one owns all of it."""
+    servers = {
+        name: routes.ServerRoute(name, f'127.0.0.1:{port}')
+        for name, port in (('a', 9001), ('b', 9002))
+    }
+    whole = slices.make_map((owner or 'a',), 1)
+    if not owner:
+        whole.owners[0] = slices.NO_OWNER
+    sequence = fields.get('sequence', 1)
+    return routes.ShardRoute(
+        **{
+            'id': SHARD,
+            'keyed': True,
+            'servers': servers,
+            'map': whole,
+            'expires_at': 1e9,
+            'epoch': 1,
+            'sequence': sequence
+        } | fields)
+
+
+def make_snapshot(settings: models.ServiceSettings,
+                  route: routes.ShardRoute | None = None,
+                  relays: dict[str, str] | None = None) -> routes.Snapshot:
+    """Returns a snapshot with one shard."""
+    shards = {SHARD: route} if route else {}
+    return routes.Snapshot({(TEAM, SERVICE): settings}, shards, relays or {},
+                           {})
+
+
+def make_dispatcher(snapshot: routes.Snapshot,
+                    clock: clocks.Clock,
+                    most_holding: int = 4) -> dispatchers.Dispatcher:
+    """Returns a dispatcher with a snapshot in force."""
+    registry = metrics.Registry(clock)
+    made = dispatchers.Dispatcher(ME, clock, dispatchers.make_meters(registry),
+                                  random.Random(1), most_holding)
+    made.swap(snapshot)
+    return made
+
+
+@dataclasses.dataclass
+class Wires:
+    """Fake wiring: what is to come back, and what was asked.
+
+    Attributes:
+      results: What tries at servers end with, in their order; the last stays.
+      relayed: What handing over ends with, likewise.
+      claimed: What claiming ends with.
+      sent: Ids of the servers tried.
+      handed: Ids of the entries handed to.
+      crashes: Evidence that was spread.
+      on_send: Called before each try ends.
+    """
+
+    results: list = dataclasses.field(default_factory=list)
+    relayed: list = dataclasses.field(default_factory=list)
+    claimed: object = None
+    sent: list = dataclasses.field(default_factory=list)
+    handed: list = dataclasses.field(default_factory=list)
+    crashes: list = dataclasses.field(default_factory=list)
+    on_send: Callable[[dispatch.Outgoing], None] = lambda outgoing: None
+
+    def wiring(self) -> dispatch.Wiring:
+        """Returns the closures that `dispatch` is given."""
+        return dispatch.Wiring(send=self._send,
+                               relay=self._relay,
+                               claim=lambda call, fingerprint: self.claimed,
+                               spread_crash=self.crashes.append)
+
+    def _send(self, route, outgoing):
+        self.sent.append(route.server.id)
+        self.on_send(outgoing)
+        return _next(self.results)
+
+    def _relay(self, route, outgoing):
+        del outgoing
+        self.handed.append(route.instance)
+        return _next(self.relayed)
+
+
+def _next(results: list):
+    made = results.pop(0) if len(results) > 1 else results[0]
+    return made if isinstance(made, tries.Try) else tries.Try(made)
+
+
+def ok(body: bytes = b'ok') -> tries.Answer:
+    """Returns a whole answer."""
+    return tries.make_whole(200, [], body)
+
+
+def not_run(reason: outcomes.Reason) -> outcomes.NotRun:
+    """Returns the end of a try that certainly ran nothing."""
+    return outcomes.NotRun(reason, 'fake')
+
+
+def dispatch_one(dispatcher: dispatchers.Dispatcher, wires: Wires,
+                 call: calls.Call) -> tries.Result:
+    """Carries one call to its outcome."""
+    body = bodies.Body(call.raw.read, call.raw.length, 1 << 20)
+    return dispatch.dispatch_call(dispatcher, wires.wiring(), call, body,
+                                  traces.NO_SPAN)
+
+
+def await_true(condition: Callable[[], object]) -> None:
+    """Waits until a condition holds."""
+    until = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < until, 'it never came to that'
+        time.sleep(_LOOK_EVERY_S)
+
+
+def in_thread(work: Callable[[], object]) -> Callable[[], object]:
+    """Starts work in a thread; returns what waits for its result."""
+    found = []
+    thread = threading.Thread(target=lambda: found.append(work()), daemon=True)
+    thread.start()
+
+    def join():
+        thread.join(PATIENCE_S)
+        assert found, 'the work did not end'
+        return found[0]
+
+    return join
+
+
+class ScriptedServer:
+    """Answers each request with the bytes of a script, one step each.
+
+    A step is the bytes to send; None sends nothing and keeps the connection
+    open; bytes that end in b'CUT' are sent without it and the connection is
+    closed.
+    """
+
+    def __init__(self, *steps: bytes | None):
+        self._steps = list(steps)
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
+        self.requests: list[bytes] = []
+        self.accepted: list[socket.socket] = []
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Closes the listener and all connections."""
+        for item in (self._listener, *self.accepted):
+            try:
+                item.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # The other end was first.
+            item.close()
+        self._thread.join()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted.append(connection)
+            threading.Thread(target=self._serve,
+                             args=(connection,),
+                             daemon=True).start()
+
+    def _serve(self, connection):
+        try:
+            with connection.makefile('rb') as source:
+                while request := _read_request(source):
+                    self.requests.append(request)
+                    step = self._steps.pop(0) if self._steps else None
+                    if step is None:
+                        continue
+                    connection.sendall(step.removesuffix(b'CUT'))
+                    if step.endswith(b'CUT'):
+                        connection.shutdown(socket.SHUT_RDWR)
+                        return
+        except OSError:
+            pass  # The test has closed it.
+
+
+def _read_request(source: BinaryIO) -> bytes:
+    """Reads one request, its body by its length; b'' at the end."""
+    lines = []
+    length = 0
+    while line := source.readline():
+        lines.append(line)
+        if line == b'\r\n':
+            return b''.join(lines) + source.read(length)
+        if line.lower().startswith(b'content-length:'):
+            length = int(line.split(b':')[1])
+    return b''
+
+
+def make_pool(address: str,
+              clock: clocks.Clock | None = None,
+              **rules) -> connections.Pool:
+    """Returns a pool of connections to an address."""
+    return connections.Pool(address, connections.Rules(**rules), clock or
+                            clocks.Clock())
+
+
+def suspect_row(liveness: tables.Liveness) -> routes.ServerRoute:
+    """Returns server a with a liveness."""
+    return routes.ServerRoute('a', '127.0.0.1:9001', liveness=liveness)
