--- a/lentilmoor/balance.py
+++ b/lentilmoor/balance.py
@@ -106,6 +106,7 @@
         rest -= hot.cost
         slots -= item.accepts
     scale.level = max(rest, 0.0) / slots
+    scales.widen(scale, bins)
     return tuple(notes)
 
 
@@ -124,9 +125,11 @@
 
 def _isolate_large(draft: drafts.Draft, scale: scales.Scale,
                    owner: int) -> None:
-    for hot in list(draft.hot[owner]):
-        if draft.room >= 2 and hot.cost > _LARGE_SHARE * scale.level:
-            drafts.isolate(draft, owner, hot)
+    least = _LARGE_SHARE * scale.level
+    for piece in list(draft.pieces[owner]):
+        for hot in sorted(piece.hot, key=lambda item: -item.point):
+            if draft.room >= 2 and hot.cost > least:
+                drafts.isolate(draft, piece, hot)
 
 
 def _find_cause(draft: drafts.Draft, piece: drafts.Piece) -> plans.Cause:
--- a/lentilmoor/choices.py
+++ b/lentilmoor/choices.py
@@ -61,7 +61,7 @@
     """Makes a chosen move."""
     piece = choice.piece
     if choice.hot is not None:
-        piece = drafts.isolate(draft, piece.owner, choice.hot)
+        piece = drafts.isolate(draft, piece, choice.hot)
     drafts.move_piece(draft, piece, choice.target, plans.Cause.IMBALANCE)
 
 
@@ -72,36 +72,34 @@
     if target is None:
         return None
     best = None
+    may_cut = draft.room >= _SLICES_OF_A_CUT
     for piece in draft.pieces[source]:
-        if not piece.recent and not piece.moved:
-            choice = _weigh(draft, scale, piece, None, target)
-            best = _pick(best, choice)
-    if draft.room < _SLICES_OF_A_CUT:
-        return best
-    for hot in draft.hot[source]:
-        piece = drafts.find_piece(draft, source, hot.point)
-        if not piece.moved:
-            choice = _weigh(draft, scale, piece, hot, target)
-            best = _pick(best, choice)
-    return best
-
-
-def _pick(best: Choice | None, choice: Choice) -> Choice | None:
-    if choice.gain <= choice.price:
-        return best
-    if best is None or choice.gain * best.price > best.gain * choice.price:
-        return choice
+        if piece.moved:
+            continue
+        if not piece.recent:
+            best = _pick(draft, scale, best, target, piece, None)
+        for hot in piece.hot if may_cut else ():
+            best = _pick(draft, scale, best, target, piece, hot)
     return best
 
 
-def _weigh(draft: drafts.Draft, scale: scales.Scale, piece: drafts.Piece,
-           hot: loads.HotPoint | None, target: int) -> Choice:
+def _pick(draft: drafts.Draft, scale: scales.Scale, best: Choice | None,
+          target: int, piece: drafts.Piece,
+          hot: loads.HotPoint | None) -> Choice | None:
+    """Returns the better of a choice and a move, if that is worth its price."""
     rate = piece.rate if hot is None else hot.cost
     span = piece.span if hot is None else 1
     relief = scales.measure_relief(draft.bins[piece.owner], draft.bins[target],
                                    rate, scale)
-    return Choice(target, piece, hot, scales.find_gain(relief, span, scale),
-                  scales.find_price(rate, span, draft.span, scale))
+    if relief <= 0.0:
+        return best
+    gain = scales.find_gain(relief, span, scale)
+    price = scales.find_price(rate, span, draft.span, scale)
+    if gain <= price:
+        return best
+    if best is None or gain * best.price > best.gain * price:
+        return Choice(target, piece, hot, gain, price)
+    return best
 
 
 def find_roomiest(draft: drafts.Draft, scale: scales.Scale,
--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -28,6 +28,7 @@
       owner: Index of its bin, or `slices.NO_OWNER`.
       recent: Whether it came to its owner lately.
       moved: Whether this plan moves it.
+      hot: Its hot points, if it is not itself a single point.
     """
 
     first: int
@@ -36,6 +37,7 @@
     owner: int
     recent: bool = False
     moved: bool = False
+    hot: list[loads.HotPoint] = dataclasses.field(default_factory=list)
 
     @property
     def span(self) -> int:
@@ -50,7 +52,6 @@
     Attributes:
       bins: The servers.
       pieces: The pieces of each bin, by its index or `slices.NO_OWNER`.
-      hot: Hot points that are no slices of their own, alike.
       span: Points that the map covers.
       total: Cost of all pieces, ms per second.
       room: Slices that may still be added.
@@ -62,7 +63,6 @@
 
     bins: list[bins_lib.Bin]
     pieces: dict[int, list[Piece]]
-    hot: dict[int, list[loads.HotPoint]]
     span: int
     total: float
     room: int
@@ -89,21 +89,27 @@
     draft = Draft(
         bins,
         {owner: [] for owner in owners},
-        {owner: [] for owner in owners},
         slices.HASH_SPAN - slice_map.bounds[0],
         0.0,
         limits.slices_per_server * powered - len(slice_map.bounds),
     )
-    _add_pieces(draft, slice_map, seen, limits, now)
+    pieces = _cut_pieces(draft, slice_map, seen, limits, now)
+    for piece in pieces:
+        draft.pieces[piece.owner].append(piece)
     for owner, item in enumerate(bins):
         item.load = sum(piece.rate for piece in draft.pieces[owner])
-    _add_hot(draft, slice_map, seen)
+    draft.total = sum(piece.rate for piece in pieces)
+    for hot in seen.hot:
+        piece = pieces[slice_map.find(hot.point)]
+        if piece.span > 1:
+            piece.hot.append(hot)
     return draft
 
 
-def _add_pieces(draft: Draft, slice_map: slices.SliceMap, seen: means.Loads,
-                limits: plans.Limits, now: float) -> None:
+def _cut_pieces(draft: Draft, slice_map: slices.SliceMap, seen: means.Loads,
+                limits: plans.Limits, now: float) -> list[Piece]:
     prior = (sum(seen.rates) * _PRIOR_SHARE or 1.0) / draft.span
+    pieces = []
     end = slices.HASH_SPAN
     rows = zip(slice_map.bounds,
                slice_map.owners,
@@ -111,21 +117,31 @@
                seen.owned_since,
                strict=True)
     for first, owner, rate, since in reversed(list(rows)):
-        rate += prior * (end - first)
         single = end - first == 1
         residence = limits.hot_residence_ms if single else limits.residence_ms
-        draft.pieces[owner].append(
-            Piece(first, end - 1, rate, owner, now - since < residence))
-        draft.total += rate
+        pieces.append(
+            Piece(first, end - 1, rate + prior * (end - first), owner,
+                  now - since < residence))
         end = first
-
-
-def _add_hot(draft: Draft, slice_map: slices.SliceMap,
-             seen: means.Loads) -> None:
-    for hot in seen.hot:
-        index = slice_map.find(hot.point)
-        if slice_map.last_point(index) > slice_map.bounds[index]:
-            draft.hot[slice_map.owners[index]].append(hot)
+    pieces.reverse()
+    return pieces
+
+
+def copy_draft(draft: Draft) -> Draft:
+    """Returns a draft that can be changed without changing this one."""
+    return dataclasses.replace(
+        draft,
+        bins=[dataclasses.replace(item) for item in draft.bins],
+        pieces={
+            owner: [
+                dataclasses.replace(piece, hot=list(piece.hot))
+                for piece in pieces
+            ] for owner, pieces in draft.pieces.items()
+        },
+        splits=list(draft.splits),
+        merges=list(draft.merges),
+        moves=list(draft.moves),
+    )
 
 
 def move_piece(draft: Draft, piece: Piece, target: int,
@@ -138,23 +154,12 @@
         draft.bins[piece.owner].load -= piece.rate
     draft.moves.append(
         plans.Move(piece.first, source, draft.bins[target].name, cause))
-    _move_hot(draft, piece, target)
     piece.owner = target
     piece.moved = True
     draft.pieces[target].append(piece)
     draft.bins[target].load += piece.rate
 
 
-def _move_hot(draft: Draft, piece: Piece, target: int) -> None:
-    inside = [
-        hot for hot in draft.hot[piece.owner]
-        if piece.first <= hot.point <= piece.last
-    ]
-    for hot in inside:
-        draft.hot[piece.owner].remove(hot)
-        draft.hot[target].append(hot)
-
-
 def find_piece(draft: Draft, owner: int, point: int) -> Piece:
     """Returns the piece of an owner that covers a point."""
     for piece in draft.pieces[owner]:
@@ -163,23 +168,22 @@
     raise exceptions.InvariantError(f'no piece of {owner} covers {point}')
 
 
-def isolate(draft: Draft, owner: int, hot: loads.HotPoint) -> Piece:
+def isolate(draft: Draft, piece: Piece, hot: loads.HotPoint) -> Piece:
     """Cuts a hot point out of its piece.
 
     Args:
       draft: Is changed.
-      owner: Owner of the point.
-      hot: The point, in `draft.hot[owner]`.
+      piece: Is cut.
+      hot: The point, in `piece.hot`.
 
     Returns:
       The piece of this point only.
     """
-    piece = find_piece(draft, owner, hot.point)
     if piece.first < hot.point:
         piece = split(draft, piece, hot.point)
     if hot.point < piece.last:
         split(draft, piece, hot.point + 1)
-    draft.hot[owner].remove(hot)
+    piece.hot = []
     return piece
 
 
@@ -196,8 +200,14 @@
     """
     if piece.moved:
         raise exceptions.InvariantError(f'{piece} was moved and is cut')
-    kept = _estimate_kept(draft, piece, point)
-    cut = Piece(point, piece.last, piece.rate - kept, piece.owner, piece.recent)
+    kept = _estimate_kept(piece, point)
+    cut = Piece(point,
+                piece.last,
+                piece.rate - kept,
+                piece.owner,
+                piece.recent,
+                hot=[item for item in piece.hot if item.point >= point])
+    piece.hot = [item for item in piece.hot if item.point < point]
     piece.last = point - 1
     piece.rate = kept
     draft.pieces[piece.owner].append(cut)
@@ -206,14 +216,10 @@
     return cut
 
 
-def _estimate_kept(draft: Draft, piece: Piece, point: int) -> float:
+def _estimate_kept(piece: Piece, point: int) -> float:
     """Returns what [first, point) costs: its hot points, and by its span."""
-    inside = 0.0
-    hot = 0.0
-    for item in draft.hot[piece.owner]:
-        if piece.first <= item.point <= piece.last:
-            hot += item.cost
-            inside += item.cost if item.point < point else 0.0
+    hot = sum(item.cost for item in piece.hot)
+    inside = sum(item.cost for item in piece.hot if item.point < point)
     if hot > piece.rate:
         inside *= piece.rate / hot
         hot = piece.rate
--- a/lentilmoor/largekeys.py
+++ b/lentilmoor/largekeys.py
@@ -6,13 +6,11 @@
 large key finds the same server. A key beyond a fair share ends up alone.
 """
 
-import copy
 import dataclasses
 
 from lentilmoor import bins as bins_lib
 from lentilmoor import choices
 from lentilmoor import drafts
-from lentilmoor import loads
 from lentilmoor import scales
 
 # Of a bin's fair share, what makes a key large.
@@ -26,14 +24,14 @@
     """A large key.
 
     Attributes:
-      owner: Its bin.
-      hot: Its point and its rate.
-      alone: Whether it is a slice of its own.
+      piece: The piece that it is, or is in.
+      point: Its point.
+      rate: Its cost, ms per second.
     """
 
-    owner: int
-    hot: loads.HotPoint
-    alone: bool
+    piece: drafts.Piece
+    point: int
+    rate: float
 
 
 def place(draft: drafts.Draft, scale: scales.Scale) -> drafts.Draft:
@@ -54,10 +52,9 @@
         target = None if large is None else _find_target(draft, scale, large)
         if target is None:
             continue
-        changed = copy.deepcopy(draft)
-        changed_scale = dataclasses.replace(scale)
-        _move(changed, large, target)
-        choices.relieve(changed, changed_scale)
+        changed = drafts.copy_draft(draft)
+        _move(changed, owner, large.point, target)
+        choices.relieve(changed, scale)
         if bins_lib.measure_peak(changed.bins) < peak:
             return changed
     return draft
@@ -66,63 +63,58 @@
 def _find_large(draft: drafts.Draft, scale: scales.Scale,
                 owner: int) -> _Large | None:
     """Returns the largest key of a bin, if it is large and free to move."""
-    singles = [
-        _Large(owner, loads.HotPoint(piece.first, piece.rate), True)
-        for piece in draft.pieces[owner]
-        if piece.span == 1 and not piece.recent and not piece.moved
-    ]
-    if draft.room >= 2:
-        singles.extend(
-            _Large(owner, hot, False)
-            for hot in draft.hot[owner]
-            if not drafts.find_piece(draft, owner, hot.point).moved)
-    large = max(singles, key=lambda item: item.hot.cost, default=None)
+    keys = []
+    for piece in draft.pieces[owner]:
+        if piece.moved:
+            continue
+        if piece.span == 1 and not piece.recent:
+            keys.append(_Large(piece, piece.first, piece.rate))
+        if draft.room >= 2:
+            keys.extend(_Large(piece, hot.point, hot.cost) for hot in piece.hot)
+    large = max(keys, key=lambda item: item.rate, default=None)
     least = _LARGE_SHARE * scale.level * draft.bins[owner].capacity
-    return large if large is not None and large.hot.cost >= least else None
+    return large if large is not None and large.rate >= least else None
 
 
 def _find_target(draft: drafts.Draft, scale: scales.Scale,
                  large: _Large) -> int | None:
-    rate = large.hot.cost
-    here = draft.bins[large.owner]
-    least = _WORTH_SHARE * scale.level * here.capacity
+    """Returns the bin where least load that is hard to move is in the way."""
+    owner = large.piece.owner
+    least = _WORTH_SHARE * scale.level * draft.bins[owner].capacity
     hard = {}
     for index, item in enumerate(draft.bins):
-        if not item.accepts or item.oversized and index != large.owner:
+        if not item.accepts or (item.oversized and index != owner):
             continue
-        load = item.load - rate if index == large.owner else item.load
-        room = scale.level * item.accepts - rate
-        movable = _sum_movable(draft, scale, index, large.hot.point)
-        hard[index] = max(load - max(room, 0.0) - movable, 0.0)
+        load = item.load - large.rate if index == owner else item.load
+        room = max(scale.level * item.accepts - large.rate, 0.0)
+        movable = _sum_movable(draft, scale, index, large.point)
+        hard[index] = max(load - room - movable, 0.0)
+    if owner not in hard:
+        return None
     target = min(hard, key=lambda index: (hard[index], index))
-    return target if hard[target] + least < hard[large.owner] else None
+    return target if hard[target] + least < hard[owner] else None
 
 
 def _sum_movable(draft: drafts.Draft, scale: scales.Scale, owner: int,
                  but: int) -> float:
     """Returns the load of the hot keys that one plan could move off a bin."""
-    rates = [
-        piece.rate
-        for piece in draft.pieces[owner]
-        if piece.span == 1 and not piece.recent and piece.first != but
-    ]
-    rates.extend(hot.cost for hot in draft.hot[owner] if hot.point != but)
+    rates = []
+    for piece in draft.pieces[owner]:
+        if piece.span == 1 and not piece.recent and piece.first != but:
+            rates.append(piece.rate)
+        rates.extend(hot.cost for hot in piece.hot if hot.point != but)
     rates.sort(reverse=True)
     return sum(rates[:scale.limits.moves_per_plan - 1])
 
 
-def _move(draft: drafts.Draft, large: _Large, target: int) -> None:
-    owner = large.owner
-    piece = drafts.find_piece(draft, owner, large.hot.point)
-    hot = None if large.alone else _find_hot(draft, large)
+def _move(draft: drafts.Draft, owner: int, point: int, target: int) -> None:
+    piece = drafts.find_piece(draft, owner, point)
+    hot = next((item for item in piece.hot if item.point == point), None)
     choices.carry_out(draft, choices.Choice(target, piece, hot, 0.0, 0.0))
-    if draft.bins[owner].oversized_point == large.hot.point:
-        draft.bins[target].oversized = draft.bins[owner].oversized
-        draft.bins[target].oversized_point = large.hot.point
-        draft.bins[owner].oversized = 0.0
-        draft.bins[owner].oversized_point = None
-
-
-def _find_hot(draft: drafts.Draft, large: _Large) -> loads.HotPoint:
-    return next(
-        hot for hot in draft.hot[large.owner] if hot.point == large.hot.point)
+    giver = draft.bins[owner]
+    taker = draft.bins[target]
+    if giver.oversized_point == point:
+        taker.oversized = giver.oversized
+        taker.oversized_point = point
+        giver.oversized = 0.0
+        giver.oversized_point = None
--- a/lentilmoor/merges.py
+++ b/lentilmoor/merges.py
@@ -10,8 +10,6 @@
 from lentilmoor import scales
 from lentilmoor import slices
 
-# Slices for each server that the table is kept near to.
-_GRANULARITY = 32
 # Of a slice's even share of load or points, what makes it cold or a fragment.
 _COLD_SHARE = 0.25
 _FRAGMENT_SHARE = 0.03
@@ -21,7 +19,8 @@
     """Merges cold neighbours and brings cold fragments home."""
     pieces = [piece for owned in draft.pieces.values() for piece in owned]
     pieces.sort(key=lambda piece: piece.first)
-    even = sum(1 for item in draft.bins if item.capacity) * _GRANULARITY
+    powered = sum(1 for item in draft.bins if item.capacity)
+    even = powered * scale.limits.even_slices
     span = draft.span // even
     rate = draft.total / even
     cut = {item.point for item in draft.splits}
@@ -38,6 +37,7 @@
             draft.pieces[right.owner].remove(right)
             left.last = right.last
             left.rate += right.rate
+            left.hot.extend(right.hot)
             left.recent = left.recent or right.recent
             draft.room += 1
         else:
--- a/lentilmoor/plans.py
+++ b/lentilmoor/plans.py
@@ -9,8 +9,14 @@
 import enum
 
 from lentilmoor import exceptions
+from lentilmoor import models
 from lentilmoor import slices
 
+# The bound on a server's slices, over those of the first assignment.
+_SLICES_FACTOR = 4
+# How long a planned move holds requests where servers check grants.
+HOLD_MS = 200.0
+
 
 class Cause(enum.Enum):
     """Why a slice moves."""
@@ -118,6 +124,7 @@
 
     Attributes:
       slices_per_server: The table's bound, times the servers of the shard.
+      even_slices: Slices of a server that cold ones are merged back to.
       moves_per_plan: Moves for balance in one plan.
       tolerance: Load over the fair share that makes no move by itself.
       horizon_ms: How long the move of a range is expected to stay useful.
@@ -132,19 +139,35 @@
     """
 
     slices_per_server: int = 128
+    even_slices: int = 32
     moves_per_plan: int = 32
     tolerance: float = 0.03
     horizon_ms: float = 600_000.0
     hot_horizon_ms: float = 60_000.0
     cold_start_ms: float = 20.0
     keys: int = 100_000
-    hold_ms: float = 200.0
+    hold_ms: float = HOLD_MS
     residence_ms: float = 20_000.0
     hot_residence_ms: float = 2_000.0
     warm_up_ms: float = 3_000.0
     observe_ms: float = 5_000.0
 
 
+def make_limits(service: models.ServiceSettings) -> Limits:
+    """Returns the limits for a service; the prices are the defaults.
+
+    Where some server does not check grants, a move holds requests for as long
+    as an order may be on its way to it.
+    """
+    hold_ms = HOLD_MS
+    if not all(server.checks_grants for server in service.servers):
+        hold_ms += service.grants.order_delay_ms
+    return Limits(slices_per_server=_SLICES_FACTOR * service.slices_per_server,
+                  even_slices=service.slices_per_server,
+                  hold_ms=hold_ms,
+                  warm_up_ms=service.warm_up_ms)
+
+
 def apply(slice_map: slices.SliceMap, plan: Plan) -> slices.SliceMap:
     """Returns the map after a plan, one sequence later.
 
--- a/lentilmoor/scales.py
+++ b/lentilmoor/scales.py
@@ -17,6 +17,7 @@
 _NOISE_DEVIATIONS = 1.5
 # What a move costs by itself, in ms of work: messages and a larger map.
 _MOVE_MS = 100.0
+_WIDEST = 0.12
 _SMALLEST_FACTOR = 0.5
 _LARGEST_FACTOR = 2.0
 
@@ -63,6 +64,18 @@
     return min(max(factor, _SMALLEST_FACTOR), _LARGEST_FACTOR)
 
 
+def widen(scale: Scale, bins: Iterable[bins_lib.Bin]) -> None:
+    """Widens the tolerance beside a key that exceeds a fair share.
+
+    No move lowers the peak below that key; the others need only stay clear of
+    it, and moves among them would be churn for little.
+    """
+    highest = max(
+        item.oversized / item.carries for item in bins if item.carries)
+    spare = (highest / scale.level - 1.0) / 2.0 if scale.level else 0.0
+    scale.tolerance = max(scale.tolerance, min(spare, _WIDEST))
+
+
 def find_settled(item: bins_lib.Bin, scale: Scale) -> float:
     """Returns the load down to which a bin is relieved, ms per second."""
     if item.oversized:
