Measure the unavailable time of a loss, and close two gaps in a takeover

Cause: in the benchmark a takeover cut routes at delegates whose clock the new grantor did not know yet, and late steps added up to renewals every 150 ms instead of 125. Change: such a delegate is only asked, so what it has lasts until the lease comes; the next renewal is counted from when the last one was due.

--- a/lentilmoor/leases.py
+++ b/lentilmoor/leases.py
@@ -65,28 +65,19 @@
 
 def send_gathers(row: grants.GrantorRow, now: float) -> list[grants.Action]:
     """Returns what asks delegates for their promise and newest assignment."""
-    assert row.record is not None
-    actions: list[grants.Action] = []
-    for member in authority.list_members(row):
-        lease = row.delegates[member]
-        if lease.next_at > now:
-            continue
-        lease.next_at = now + row.renew_ms
-        order = grants.LeaseOrder(row.shard,
-                                  member,
-                                  row.me,
-                                  row.epoch,
-                                  0,
-                                  map_version=row.record.assignment.version,
-                                  gather=True)
-        actions.append(grants.SendLease(row.shard, member, order, now))
-    return actions
+    return [
+        _ask_delegate(row, lease, row.record.assignment, now)
+        for lease in _list_due(row, now)
+    ]
 
 
 def send_leases(row: grants.GrantorRow, published: slices.SliceMap, end: float,
                 now: float) -> list[grants.Action]:
     """Returns the routing leases that are due.
 
+    Where no lease can be given, for want of authority or of the delegate's
+    clock, it is only asked: what older epochs gave it may still last.
+
     Args:
       row: The shard's row.
       published: The assignment that delegates are to hold.
@@ -95,19 +86,19 @@
     """
     actions: list[grants.Action] = []
     homes = tuple(row.homes.get(server, '') for server in published.servers)
-    for member in authority.list_members(row):
-        lease = row.delegates[member]
-        if lease.next_at > now:
+    for lease in _list_due(row, now):
+        lifetime = _take_lifetime(row, lease, end, now)
+        if not lifetime:
+            actions.append(_ask_delegate(row, lease, published, now))
             continue
-        lease.next_at = now + row.renew_ms
         lacks_map = lease.map_version != published.version
         order = grants.LeaseOrder(
             row.shard,
-            member,
+            lease.id,
             row.me,
             row.epoch,
             row.sequence,
-            lifetime_ms=_take_lifetime(row, lease, end, now),
+            lifetime_ms=lifetime,
             clock_echo_ms=lease.clock_echo_ms,
             map_version=published.version,
             assignment=published if lacks_map else None,
@@ -115,7 +106,7 @@
             homes=homes,
             contended=row.contended,
         )
-        actions.append(grants.SendLease(row.shard, member, order, now))
+        actions.append(grants.SendLease(row.shard, lease.id, order, now))
     return actions
 
 
@@ -146,7 +137,7 @@
             continue
         if server.elsewhere_until > now:
             continue
-        server.next_at = now + row.renew_ms
+        _schedule(row, server, now)
         renews = server.acked == server.sequence
         actions.append(
             grants.SendGrant(row.shard,
@@ -234,9 +225,36 @@
     row.read_at = min(row.read_at, now + RECHECK_MS)
 
 
+def _list_due(row: grants.GrantorRow, now: float) -> list[grants.DelegateLease]:
+    """Returns the delegates that are due, and when they are so again."""
+    leases = [row.delegates[member] for member in authority.list_members(row)]
+    due = [lease for lease in leases if lease.next_at <= now]
+    for lease in due:
+        _schedule(row, lease, now)
+    return due
+
+
+def _schedule(row: grants.GrantorRow, peer: grants.Peer, now: float) -> None:
+    """Sets when it is due again, so that late steps do not add up."""
+    since = peer.next_at if peer.next_at > now - row.renew_ms else now
+    peer.next_at = since + row.renew_ms
+
+
+def _ask_delegate(row: grants.GrantorRow, lease: grants.DelegateLease,
+                  known: slices.SliceMap, now: float) -> grants.SendLease:
+    order = grants.LeaseOrder(row.shard,
+                              lease.id,
+                              row.me,
+                              row.epoch,
+                              row.sequence,
+                              map_version=known.version,
+                              gather=True)
+    return grants.SendLease(row.shard, lease.id, order, now)
+
+
 def _ask(row: grants.GrantorRow, server: grants.ServerGrant,
          now: float) -> grants.AskServer:
-    server.next_at = now + row.renew_ms
+    _schedule(row, server, now)
     return grants.AskServer(row.shard, server.id, server.address, row.epoch,
                             now)
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -27,7 +27,7 @@
 def make_late(world, length, entry=None):
     """Orders of an entry, to servers, delegates and the store, are late."""
     entry = entry or find_grantor(world)
-    entry.late_ms = 1.5 * worlds.LIFETIME_MS
+    entry.late_ms = 1.5 * world.timing.lifetime
     world.after(length + 100.0, setattr, entry, 'late_ms', 0.0)
 
 
@@ -48,7 +48,7 @@
 
 
 def slow_store(world, length):
-    world.store.slow_ms = 2 * worlds.STORE_TIMEOUT_MS
+    world.store.slow_ms = 2 * world.timing.store_timeout
     world.after(length, setattr, world.store, 'slow_ms', 0.0)
 
 
@@ -183,8 +183,8 @@
     """
     world = worlds.World(seed, checks=checks)
     if seed % 2:  # Every other world is quick to condemn.
-        world.takeover_after_ms = worlds.RENEW_MS
-        world.lost_after_ms = worlds.TICK_MS
+        world.takeover_after_ms = world.timing.renew
+        world.lost_after_ms = world.timing.tick
     for kind in kinds:
         world.after(world.rng.uniform(150, 900), kind, world,
                     world.rng.uniform(100, 1200))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest import mock
 
+from benchmarks import ownership
 from lentilmoor import authority
 from lentilmoor import delegates
 from lentilmoor import grantors
@@ -85,9 +86,9 @@
     'delegates count a lifetime from receipt':
         (_replace(delegates, '_find_expiry', _lease_from_receipt), False,
          (faults.make_late, faults.cut_one)),
-    'servers check no fence': (_replace(worlds.Server, 'offer',
-                                        _offer_unfenced), True,
-                               (faults.make_late, faults.lose_replies)),
+    'servers check no fence':
+        (_replace(worlds.Server, 'offer', _offer_unfenced), True,
+         (faults.make_late, faults.make_late, faults.mislead_liveness)),
     'renews without a majority':
         (_replace(authority, 'find_end',
                   lambda row: math.inf), True, (faults.cut_corner,)),
@@ -125,6 +126,17 @@
                                             checks)
 
 
+class BoundsTest(unittest.TestCase):
+
+    def test_a_passed_bound_and_a_loss_not_measured_are_told(self):
+        row = ownership.Row('ours', 'server', ownership.Times(most=601.0),
+                            ownership.Times())
+        bounds = {'server': {'lost': 600, 'others': 5}, 'grantor': {}}
+        self.assertEqual(len(ownership.find_breaches([row], bounds)), 2)
+        bounds = {'server': {'lost': 601}}
+        self.assertEqual(ownership.find_breaches([row], bounds), [])
+
+
 class NaiveTest(unittest.TestCase):
 
     def test_each_missing_rule_is_noticed(self):
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -18,12 +18,25 @@
 from lentilmoor import records
 
 SHARD = 'team/service/0'
-LIFETIME_MS = 500.0
-RENEW_MS = 160.0
-ORDER_DELAY_MS = 100.0
-TICK_MS = 40.0
-STORE_TIMEOUT_MS = 300.0
-LOST_AFTER_MS = 200.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Times of a world, ms; spans of the wires are ranges."""
+
+    lifetime: float = 500.0
+    renew: float = 160.0
+    order_delay: float = 100.0
+    tick: float = 40.0
+    store_timeout: float = 300.0
+    lost_after: float = 200.0
+    takeover_after: float = 300.0
+    takeover_step: float = 60.0
+    wire: tuple[float, float] = (0.2, 2.0)
+    store_wire: tuple[float, float] = (1.0, 3.0)
+
+
+TIMING = Timing()
 
 
 class BrokenInvariantError(AssertionError):
@@ -54,6 +67,7 @@
     fence: tuple = (0, 0)
     owned: tuple = ()
     expires_at: float = float('-inf')
+    granted: tuple = ()
 
     def offer(self, order: grants.SendGrant, clock_ms: float) -> bool:
         fence = (order.epoch, order.sequence)
@@ -105,7 +119,9 @@
                  servers=3,
                  checks=True,
                  listed=3,
-                 moving=0.2):
+                 moving=0.2,
+                 timing=TIMING):
+        self.timing = timing
         self.rng = random.Random(seed)
         self.now = 0.0
         self.checks = checks
@@ -122,8 +138,8 @@
         self.history = {}
         self.proposals = {}
         self.trace = None
-        self.lost_after_ms = LOST_AFTER_MS
-        self.takeover_after_ms = 300.0
+        self.lost_after_ms = timing.lost_after
+        self.takeover_after_ms = timing.takeover_after
         for index in range(servers):
             self.servers[f's{index}'] = self.start(Server, f's{index}')
         for index in range(entries):
@@ -143,9 +159,9 @@
         entry = self.start(Entry, name)
         row = grantors.make_row(SHARD,
                                 name,
-                                LIFETIME_MS,
-                                RENEW_MS,
-                                ORDER_DELAY_MS,
+                                self.timing.lifetime,
+                                self.timing.renew,
+                                self.timing.order_delay,
                                 slices_per_server=2)
         entry.table[SHARD] = row
         entry.lease = delegates.make_row(SHARD, name, entry.clock(self.now))
@@ -153,7 +169,7 @@
         for server in self.servers:
             self.apply(entry, grants.ServerAdded(SHARD, server, '',
                                                  self.checks))
-        self.after(self.rng.uniform(0, TICK_MS), self.tick, entry)
+        self.after(self.rng.uniform(0, self.timing.tick), self.tick, entry)
         return entry
 
     def restart_server(self, name):
@@ -194,7 +210,7 @@
     def send(self, one, other, call, *args, late=0.0):
         if self.is_cut(one, other):
             return
-        delay = self.rng.uniform(0.2, 2.0) + self.rng.uniform(0, late)
+        delay = self.rng.uniform(*self.timing.wire) + self.rng.uniform(0, late)
         self.after(delay, call, *args)
         if self.doubled and self.rng.random() < 0.3:
             self.after(delay + self.rng.uniform(0, 1000.0), call, *args)
@@ -217,7 +233,7 @@
         if entry.paused_until > self.now:
             self.after(entry.paused_until - self.now, self.tick, entry)
             return
-        self.after(TICK_MS, self.tick, entry)
+        self.after(self.timing.tick, self.tick, entry)
         row = entry.table[SHARD]
         if row.stage is grants.Stage.SERVING:
             self.watch_servers(entry, row)
@@ -293,7 +309,8 @@
         ]
         quiet = min(
             item.clock(self.now) - item.lease.accepted_at for item in seen)
-        wait = self.takeover_after_ms + 60.0 * seen.index(entry)
+        wait = self.takeover_after_ms + self.timing.takeover_step * seen.index(
+            entry)
         if quiet > wait and self.now > entry.tried_at + wait:
             entry.tried_at = self.now
             self.takeover(entry)
@@ -387,14 +404,17 @@
             event = self.run_store(action)
             if not self.is_cut('store', entry.id) and not (
                     self.store.lose_reply and self.rng.random() < 0.6):
-                self.after(self.rng.uniform(1, 3 + self.store.slow_ms), finish,
-                           event)
+                self.after(self.draw_store(), finish, event)
 
         if not self.store.down and not self.is_cut(entry.id, 'store'):
-            self.after(
-                self.rng.uniform(1, 3 + self.store.slow_ms) +
-                self.rng.uniform(0, entry.late_ms), run)
-        self.after(STORE_TIMEOUT_MS, finish, grants.StoreFailed(action))
+            self.after(self.draw_store() + self.rng.uniform(0, entry.late_ms),
+                       run)
+        self.after(self.timing.store_timeout, finish,
+                   grants.StoreFailed(action))
+
+    def draw_store(self):
+        shortest, longest = self.timing.store_wire
+        return self.rng.uniform(shortest, longest + self.store.slow_ms)
 
     def run_store(self, action):
         store = self.store
@@ -431,7 +451,7 @@
             views = list(other.former)
             routes = other.lease.routes
             if routes is not None and other.alive:
-                views.append((other.until + ORDER_DELAY_MS, routes))
+                views.append((other.until + self.timing.order_delay, routes))
             for ended, view in views:
                 if view.version != fresh.version and ended > self.now:
                     self.check_pair(entry, fresh, other, view)
@@ -439,7 +459,8 @@
     def end_running(self, entry):
         """Returns when the last request under a replaced view has arrived."""
         last = min(self.now, entry.until)
-        return last + ORDER_DELAY_MS * self.rng.choice((0.01, 0.3, 1.0))
+        return last + self.timing.order_delay * self.rng.choice(
+            (0.01, 0.3, 1.0))
 
     def check_pair(self, entry, fresh, other, view):
         for item in ranges.find_differences(fresh.map, view.map):
