Split suspicions and crashes off, and lock what request threads share

Change: suspicions.py and crashes.py; a lock in each shared table. Conclusion: no change of behaviour meant.

--- a/lentilmoor/liveness.py
+++ b/lentilmoor/liveness.py
@@ -8,31 +8,21 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Collection
-from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
 import math
 
 from lentilmoor import evidence
+from lentilmoor import suspicions
 from lentilmoor import tables
 
 # The last answer may have come so much later than the first failure began.
 _OVERLAP_MS = 100.0
-# Unanswered requests are told of and looked into after such a span, as some
-# are just slow; a probe that failed or a refused connection at once.
-_REQUEST_SPAN_MS = 100.0
-# Least time between two messages on one server: failures, answers.
-_FAILURE_PACE_MS = 25.0
-_ANSWER_PACE_MS = 100.0
-# Each false alarm lengthens the spans for this server by so much, for a while.
-_REFUSED_ALARM_MS = 10.0
-_SILENT_ALARM_MS = 40.0
-_MOST_ALARMS = 10
-_ALARM_LIFETIME_MS = 5_000.0
 # A hold before a server counts as back doubles with each loss, this often.
 _MOST_DOUBLINGS = 8
 
+Tell = suspicions.Tell
+
 _Liveness = tables.Liveness
 
 
@@ -55,22 +45,6 @@
     since: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tell:
-    """Evidence that others should have at once.
-
-    All of it goes to the shard's grantor and the next candidates for that
-    role; failures also go to the entries that probe the server.
-
-    Attributes:
-      item: The evidence.
-      doubters: Entries that fail; an answer goes to them instead.
-    """
-
-    item: evidence.Evidence
-    doubters: frozenset[str] = frozenset()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Quorum:
     """Who must agree on a loss or a return.
@@ -88,7 +62,7 @@
 
 def step(table: evidence.LivenessTable, instances: Mapping[str,
                                                            tables.Instance],
-         now: float) -> list[Change | Tell]:
+         now: float) -> list[Change | suspicions.Tell]:
     """Weighs all evidence; to be called at least every 50 ms.
 
     Args:
@@ -105,25 +79,18 @@
     quorum = _find_quorum(table, instances, now)
     table.alone = quorum.by_entry
     _judge_self(table, now)
-    actions: list[Change | Tell] = []
+    actions: list[Change | suspicions.Tell] = []
     for key in sorted(table.active):
         view = table.servers[key]
         after = _judge(table, view, quorum, now)
         if after is not view.liveness:
             actions.append(_change(view, key, after, now))
-        actions.extend(_tell(table, view, key, now))
+        actions.extend(suspicions.tell(table, view, key, now))
         if _is_quiet(table, view, now):
             _retire(table, key)
     return actions
 
 
-def is_isolated(table: evidence.LivenessTable, now: float) -> bool:
-    """Returns whether this entry distrusts its own failures for now."""
-    limits = table.thresholds
-    limit = limits.isolated_alone_ms if table.alone else limits.isolated_ms
-    return table.isolated_since >= 0 and now - table.isolated_since < limit
-
-
 def is_cut_off(table: evidence.LivenessTable, key: evidence.ServerKey) -> bool:
     """Returns whether only this entry can't reach a server others reach.
 
@@ -142,7 +109,9 @@
 def is_suspected(table: evidence.LivenessTable, key: evidence.ServerKey,
                  now: float) -> bool:
     """Returns whether a server should be looked at closely, also if leaving."""
-    return key in table.active and _is_suspected(table, table.servers[key], now)
+    if key not in table.active:
+        return False
+    return suspicions.is_suspected(table, table.servers[key], now)
 
 
 def _judge_self(table: evidence.LivenessTable, now: float) -> None:
@@ -187,7 +156,7 @@
 def _judge(table: evidence.LivenessTable, view: evidence.ServerView,
            quorum: _Quorum, now: float) -> tables.Liveness:
     """Returns the verdict on one server."""
-    suspected = _note_suspicion(table, view, now)
+    suspected = suspicions.note_suspicion(table, view, now)
     if view.liveness is _Liveness.DEAD:
         if not _is_back(table, view, quorum, now):
             return _Liveness.DEAD
@@ -198,21 +167,6 @@
     return _Liveness.SUSPECT if suspected else _Liveness.LIVE
 
 
-def _note_suspicion(table: evidence.LivenessTable, view: evidence.ServerView,
-                    now: float) -> bool:
-    """Returns whether a server is suspected now, and counts false alarms."""
-    suspected = _is_suspected(table, view, now)
-    if suspected and view.suspected_since == math.inf:
-        if now - view.cleared_at > _ALARM_LIFETIME_MS:
-            view.alarms = 0
-        view.suspected_since = now
-    elif not suspected and view.suspected_since < math.inf:
-        view.suspected_since = math.inf
-        view.cleared_at = now
-        view.alarms = min(view.alarms + 1, _MOST_ALARMS)
-    return suspected
-
-
 def _is_lost(table: evidence.LivenessTable, view: evidence.ServerView,
              quorum: _Quorum, now: float) -> bool:
     if now - view.suspected_since >= table.thresholds.confirm_ms:
@@ -233,7 +187,7 @@
     first = False
     agreeing = set()
     since = math.inf
-    for entry, source, opinion in _trusted(table, view, now):
+    for entry, source, opinion in suspicions.list_trusted(table, view, now):
         if now - opinion.failed_at > limits.fresh_ms:
             continue
         share = weigh(limits, view, source, opinion) / quorum.factor
@@ -255,10 +209,10 @@
     if view.answered_at - opinion.failing_since > _OVERLAP_MS:
         least_ms = limits.contradicted_ms
     elif opinion.refused >= limits.failures:
-        least_ms = limits.refused_ms + view.alarms * _REFUSED_ALARM_MS
+        least_ms = limits.refused_ms + view.alarms * suspicions.REFUSED_ALARM_MS
     else:
-        least_ms = limits.silent_ms + view.alarms * _SILENT_ALARM_MS
-    return _span(opinion, view.answered_at) / least_ms
+        least_ms = limits.silent_ms + view.alarms * suspicions.SILENT_ALARM_MS
+    return suspicions.span_of(opinion, view.answered_at) / least_ms
 
 
 def _weigh_requests(limits: evidence.Thresholds, view: evidence.ServerView,
@@ -269,49 +223,8 @@
         return 0.0
     if opinion.failures < limits.request_failures:
         return 0.0
-    return _span(opinion, view.request_answered_at) / limits.requests_ms
-
-
-def _span(opinion: evidence.Opinion, answered_at: float) -> float:
-    """Returns for how long an entry has failed with no answer to anybody."""
-    return opinion.failed_at - max(opinion.failing_since, answered_at)
-
-
-def _is_suspected(table: evidence.LivenessTable, view: evidence.ServerView,
-                  now: float) -> bool:
-    return any(
-        _is_suspicion(table, view, source, opinion, now)
-        for _, source, opinion in _trusted(table, view, now))
-
-
-def _is_suspicion(table: evidence.LivenessTable, view: evidence.ServerView,
-                  source: evidence.Source, opinion: evidence.Opinion,
-                  now: float) -> bool:
-    """Returns whether an opinion is reason enough to look closer.
-
-    An entry whose failures others have long contradicted by their answers is
-    cut off itself; it is no reason to go on probing.
-    """
-    limits = table.thresholds
-    if not _is_serious(view, source, opinion):
-        return False
-    if now - opinion.failed_at > limits.fresh_ms:
-        return False
-    if view.answered_at - opinion.failing_since > limits.isolated_ms:
-        return False
-    return opinion.failed_at > view.answered_at
-
-
-def _is_serious(view: evidence.ServerView, source: evidence.Source,
-                opinion: evidence.Opinion) -> bool:
-    """Returns whether failures are more than a slow answer or two."""
-    span = _span(opinion, view.answered_at)
-    if opinion.refused:
-        return span >= view.alarms * _REFUSED_ALARM_MS
-    least_ms = view.alarms * _SILENT_ALARM_MS
-    if source is evidence.Source.PROBE:
-        return opinion.failures > 0 and span >= least_ms
-    return opinion.failures > 1 and span >= max(least_ms, _REQUEST_SPAN_MS)
+    return suspicions.span_of(opinion,
+                              view.request_answered_at) / limits.requests_ms
 
 
 def _is_back(table: evidence.LivenessTable, view: evidence.ServerView,
@@ -332,16 +245,6 @@
     return now - view.back_since >= hold_ms
 
 
-def _trusted(
-        table: evidence.LivenessTable, view: evidence.ServerView,
-        now: float) -> Iterator[tuple[str, evidence.Source, evidence.Opinion]]:
-    """Yields opinions, without this entry's own while it is isolated."""
-    isolated = is_isolated(table, now)
-    for (entry, source), opinion in view.opinions.items():
-        if entry != table.me or not isolated:
-            yield entry, source, opinion
-
-
 def _change(view: evidence.ServerView, key: evidence.ServerKey,
             after: tables.Liveness, now: float) -> Change:
     before, view.liveness = view.liveness, after
@@ -354,80 +257,6 @@
     return Change(*key, before, after, since)
 
 
-def _tell(table: evidence.LivenessTable, view: evidence.ServerView,
-          key: evidence.ServerKey, now: float) -> Iterator[Tell]:
-    """Yields this entry's opinions on a server that somebody suspects."""
-    failing = {
-        entry: opinion
-        for (entry, _), opinion in view.opinions.items()
-        if opinion.failures
-    }
-    doubters = frozenset(failing) - {table.me}
-    for source in evidence.Source:
-        opinion = view.opinions.get((table.me, source))
-        if opinion is None:
-            continue
-        if opinion.failures:
-            due = _is_failure_due(table, view, source, opinion, now)
-        else:
-            due = _is_answer_due(table, view, opinion, failing.values(), now)
-        if due and table.tells >= 1:
-            table.tells -= 1
-            opinion.told_at = now
-            opinion.told = opinion.failures
-            yield Tell(_make_evidence(key, source, opinion, now),
-                       frozenset() if opinion.failures else doubters)
-
-
-def _is_failure_due(table: evidence.LivenessTable, view: evidence.ServerView,
-                    source: evidence.Source, opinion: evidence.Opinion,
-                    now: float) -> bool:
-    """Returns whether peers should hear of this entry's failures now."""
-    if is_isolated(table, now) or not _is_serious(view, source, opinion):
-        return False
-    span = opinion.failed_at - opinion.failing_since
-    longest = table.thresholds.fresh_ms / 2
-    shortest = _FAILURE_PACE_MS * (1 + view.alarms)
-    pace = min(max(span / 4, shortest), longest)
-    return opinion.failed_at > opinion.told_at and now - opinion.told_at >= pace
-
-
-def _is_answer_due(table: evidence.LivenessTable, view: evidence.ServerView,
-                   opinion: evidence.Opinion,
-                   failing: Collection[evidence.Opinion], now: float) -> bool:
-    """Returns whether peers should hear of this entry's answer now.
-
-    Args:
-      table: The table.
-      view: The server.
-      opinion: This entry's own.
-      failing: Those of entries that fail and have said so.
-      now: ms.
-    """
-    pace = _ANSWER_PACE_MS + view.alarms * _SILENT_ALARM_MS
-    if now - opinion.told_at < pace:
-        return False
-    if opinion.told or not failing:
-        return opinion.told > 0
-    oldest = min(item.failing_since for item in failing)
-    newest = max(item.failed_at for item in failing)
-    if opinion.answered_at <= oldest or opinion.told_at >= newest:
-        return False
-    # Once somebody else has said so, nobody need repeat it.
-    return not any(item.answered_at > newest
-                   for (entry, _), item in view.opinions.items()
-                   if entry != table.me)
-
-
-def _make_evidence(key: evidence.ServerKey, source: evidence.Source,
-                   opinion: evidence.Opinion, now: float) -> evidence.Evidence:
-    if not opinion.failures:
-        return evidence.Evidence(*key, source, 0, 0, now - opinion.answered_at)
-    return evidence.Evidence(*key, source, opinion.failures, opinion.refused,
-                             now - opinion.failed_at,
-                             opinion.failed_at - opinion.failing_since)
-
-
 def _is_quiet(table: evidence.LivenessTable, view: evidence.ServerView,
               now: float) -> bool:
     """Returns whether nobody has had a failure of late."""
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -1,25 +1,23 @@
 """Quarantine: requests that crash each server that runs them.
 
-A request is known by its fingerprint (see `fingerprints`). Each
-request in flight on a server when its process ended is a suspect; a suspect
-runs again only alone among suspects, so the next crash names it. Two crashes
-with no clean run between them block a fingerprint: it is answered as not run
-without reaching a server. All follows from the crashes, the last clean run and
-the last release; entries gossip these, so they agree without counting a crash
-twice. Functions are not thread-safe, but for `check`, which may run beside
-them.
+A request is known by its fingerprint (see `fingerprints`). Each request in
+flight on a server when its process ended is a suspect; a suspect runs again
+only alone among suspects, so the next crash names it. Two crashes with no clean
+run between them block a fingerprint: it is answered as not run without
+reaching a server. All follows from the crashes, the last clean run and the last
+release; entries gossip these, so they agree without counting a crash twice.
+Request threads and the control actor share the table, so each change holds its
+lock; `check` takes none.
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import enum
+import threading
+
+from lentilmoor import crashes
 
-CRASHES_TO_BLOCK = 2
-# Reports of one crash by several entries lie closer together than this.
-SAME_CRASH_MS = 1_000.0
-# A first block lasts this long; each further crash doubles the next.
-BLOCK_MS = 600_000.0
-_MOST_CRASHES = 8
 # A server that was taken for crashed may be proven alive for this long.
 _DOUBT_MS = 10_000.0
 _MOST_SUSPECTS = 4_096
@@ -54,38 +52,6 @@
     released: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """The end of a server's process.
-
-    Attributes:
-      server: Server id.
-      at: When, ms.
-    """
-
-    server: str
-    at: float
-
-
-@dataclasses.dataclass(slots=True)
-class Suspect:
-    """What is known of one fingerprint.
-
-    Attributes:
-      service: 'team/service'.
-      crashes: Crashes it was in flight at, since it last ran well.
-      ran_well_at: When its last clean run ended, ms; -1 if never.
-      released_at: When an operator released it, ms; -1 if never.
-      blocked_until: End of its block, ms; 0 if it was not blocked.
-    """
-
-    service: str
-    crashes: list[Crash] = dataclasses.field(default_factory=list)
-    ran_well_at: float = -1.0
-    released_at: float = -1.0
-    blocked_until: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """The table of suspects, by fingerprint, and which of them run now.
@@ -98,14 +64,17 @@
       explained: Crashes that a blocked request accounts for.
       blocked: Requests answered as not run.
       dropped: Suspects forgotten for want of room.
+      lock: Held while the table changes.
     """
 
-    suspects: dict[bytes, Suspect] = dataclasses.field(default_factory=dict)
+    suspects: dict[bytes,
+                   crashes.Suspect] = dataclasses.field(default_factory=dict)
     running: dict[str, bytes] = dataclasses.field(default_factory=dict)
     doubtful: dict[str, float] = dataclasses.field(default_factory=dict)
-    explained: list[Crash] = dataclasses.field(default_factory=list)
+    explained: list[crashes.Crash] = dataclasses.field(default_factory=list)
     blocked: int = 0
     dropped: int = 0
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
 def check(table: Quarantine, fingerprint: bytes, now: float) -> Verdict:
@@ -142,10 +111,11 @@
       Whether it may run now. If not, another suspect runs there: wait for
       its end, then `check` again, as it may have been cleared.
     """
-    if server in table.running:
-        return False
-    table.running[server] = fingerprint
-    return True
+    with table.lock:
+        if server in table.running:
+            return False
+        table.running[server] = fingerprint
+        return True
 
 
 def end_alone(table: Quarantine, server: str) -> None:
@@ -167,7 +137,8 @@
     Returns:
       Evidence to send to the shard's grantor before any retry.
     """
-    _add_crash(table, fingerprint, service, Crash(server, now))
+    with table.lock:
+        _add_crash(table, fingerprint, service, crashes.Crash(server, now))
     return Evidence(fingerprint, service, 1, 0.0, server)
 
 
@@ -187,7 +158,8 @@
     suspect = table.suspects.get(fingerprint)
     if suspect is None or not suspect.crashes:
         return None
-    _clear(suspect, now)
+    with table.lock:
+        crashes.clear(suspect, now)
     return Evidence(fingerprint, suspect.service, 0, 0.0, server)
 
 
@@ -207,7 +179,13 @@
     """
     if table.doubtful.get(server, since) <= since:
         return []
-    del table.doubtful[server]
+    with table.lock:
+        table.doubtful.pop(server, None)
+        return _take_back(table, server, since, now)
+
+
+def _take_back(table: Quarantine, server: str, since: float,
+               now: float) -> list[Evidence]:
     cleared = []
     for fingerprint, suspect in table.suspects.items():
         kept = [
@@ -216,7 +194,7 @@
         ]
         if len(kept) == len(suspect.crashes):
             continue
-        _set_crashes(suspect, kept)
+        crashes.set_crashes(suspect, kept)
         if not kept:
             suspect.ran_well_at = now
             cleared.append(
@@ -232,15 +210,19 @@
       items: Evidence.
       now: ms.
     """
-    for item in items:
-        at = now - item.age_ms
-        if item.released:
-            _release(table, item.fingerprint, item.service, at)
-        elif item.crashes:
-            _add_crash(table, item.fingerprint, item.service,
-                       Crash(item.server, at))
-        elif item.fingerprint in table.suspects:
-            _merge_clean_run(table.suspects[item.fingerprint], at)
+    with table.lock:
+        for item in items:
+            _merge_item(table, item, now - item.age_ms)
+
+
+def _merge_item(table: Quarantine, item: Evidence, at: float) -> None:
+    if item.released:
+        _release(table, item.fingerprint, item.service, at)
+    elif item.crashes:
+        _add_crash(table, item.fingerprint, item.service,
+                   crashes.Crash(item.server, at))
+    elif item.fingerprint in table.suspects:
+        crashes.merge_clean_run(table.suspects[item.fingerprint], at)
 
 
 def release(table: Quarantine, fingerprint: bytes, service: str,
@@ -256,36 +238,40 @@
     Returns:
       Evidence for the peers; crashes before now no longer count anywhere.
     """
-    _release(table, fingerprint, service, now)
+    with table.lock:
+        _release(table, fingerprint, service, now)
     return Evidence(fingerprint, service, 0, 0.0, released=True)
 
 
 def export(table: Quarantine, now: float) -> list[Evidence]:
     """Returns all that peers should know, for the periodic exchange."""
-    items = []
-    for fingerprint, suspect in table.suspects.items():
-        service = suspect.service
-        for crash in suspect.crashes:
-            age_ms = now - crash.at
-            items.append(Evidence(fingerprint, service, 1, age_ms,
-                                  crash.server))
-        if suspect.ran_well_at >= 0:
-            age_ms = now - suspect.ran_well_at
-            items.append(Evidence(fingerprint, service, 0, age_ms))
-        if suspect.released_at >= 0:
-            age_ms = now - suspect.released_at
-            items.append(
-                Evidence(fingerprint, service, 0, age_ms, released=True))
-    return items
-
-
-def list_blocked(table: Quarantine, now: float) -> dict[bytes, Suspect]:
+    with table.lock:
+        return [
+            item for fingerprint, suspect in table.suspects.items()
+            for item in _describe(fingerprint, suspect, now)
+        ]
+
+
+def _describe(fingerprint: bytes, suspect: crashes.Suspect,
+              now: float) -> Iterator[Evidence]:
+    service = suspect.service
+    for crash in suspect.crashes:
+        yield Evidence(fingerprint, service, 1, now - crash.at, crash.server)
+    if suspect.ran_well_at >= 0:
+        yield Evidence(fingerprint, service, 0, now - suspect.ran_well_at)
+    if suspect.released_at >= 0:
+        age_ms = now - suspect.released_at
+        yield Evidence(fingerprint, service, 0, age_ms, released=True)
+
+
+def list_blocked(table: Quarantine, now: float) -> dict[bytes, crashes.Suspect]:
     """Returns what is blocked now, for operators."""
-    return {
-        fingerprint: suspect
-        for fingerprint, suspect in table.suspects.items()
-        if suspect.blocked_until > now
-    }
+    with table.lock:
+        return {
+            fingerprint: suspect
+            for fingerprint, suspect in table.suspects.items()
+            if suspect.blocked_until > now
+        }
 
 
 def step(table: Quarantine, now: float) -> None:
@@ -295,8 +281,12 @@
       table: The quarantine; updated.
       now: ms.
     """
-    if not table.suspects:
-        return
+    if table.suspects:
+        with table.lock:
+            _forget(table, now)
+
+
+def _forget(table: Quarantine, now: float) -> None:
     table.doubtful = {
         server: at
         for server, at in table.doubtful.items()
@@ -304,7 +294,7 @@
     }
     # Reports of a crash may still be under way for a while; only then is it
     # known which requests shared both crashes.
-    settled = now - SAME_CRASH_MS
+    settled = now - crashes.SAME_CRASH_MS
     table.explained = [
         crash for suspect in table.suspects.values()
         if suspect.blocked_until > now for crash in suspect.crashes
@@ -313,19 +303,11 @@
     for fingerprint, suspect in list(table.suspects.items()):
         if not suspect.blocked_until:
             _drop_explained(table, suspect)
-        if _is_past(suspect, now):
+        if crashes.is_past(suspect, now):
             del table.suspects[fingerprint]
 
 
-def _is_past(suspect: Suspect, now: float) -> bool:
-    """Returns whether nothing said of a suspect matters any more."""
-    newest = max(suspect.ran_well_at,
-                 suspect.released_at, suspect.blocked_until,
-                 *(crash.at for crash in suspect.crashes))
-    return newest + BLOCK_MS < now
-
-
-def _drop_explained(table: Quarantine, suspect: Suspect) -> None:
+def _drop_explained(table: Quarantine, suspect: crashes.Suspect) -> None:
     if not table.explained or not suspect.crashes:
         return
     suspect.crashes = [
@@ -333,70 +315,34 @@
     ]
 
 
-def _is_explained(table: Quarantine, crash: Crash) -> bool:
-    return any(_is_same(crash, known) for known in table.explained)
+def _is_explained(table: Quarantine, crash: crashes.Crash) -> bool:
+    return any(crashes.is_same(crash, known) for known in table.explained)
 
 
 def _add_crash(table: Quarantine, fingerprint: bytes, service: str,
-               crash: Crash) -> None:
+               crash: crashes.Crash) -> None:
     """Adds a crash to a suspect, unless it is known or says nothing."""
     suspect = table.suspects.get(fingerprint)
     if suspect is None:
         if _is_explained(table, crash):
             return
         _make_room(table)
-        suspect = table.suspects[fingerprint] = Suspect(service)
+        suspect = table.suspects[fingerprint] = crashes.Suspect(service)
     if crash.at <= max(suspect.ran_well_at, suspect.released_at):
         return
-    if any(_is_same(crash, known) for known in suspect.crashes):
+    if any(crashes.is_same(crash, known) for known in suspect.crashes):
         return
     if not suspect.crashes and _is_explained(table, crash):
         return
     table.doubtful[crash.server] = crash.at
-    crashes = sorted([*suspect.crashes, crash], key=lambda item: item.at)
-    _set_crashes(suspect, crashes[-_MOST_CRASHES:])
-
-
-def _set_crashes(suspect: Suspect, crashes: list[Crash]) -> None:
-    """Sets the crashes and the block that follows from them."""
-    suspect.crashes = crashes
-    surplus = len(crashes) - CRASHES_TO_BLOCK
-    if surplus < 0:
-        suspect.blocked_until = 0.0
-    else:
-        suspect.blocked_until = crashes[-1].at + BLOCK_MS * 2**surplus
-
-
-def _is_same(one: Crash, other: Crash) -> bool:
-    return (one.server == other.server and
-            abs(one.at - other.at) < SAME_CRASH_MS)
-
-
-def _clear(suspect: Suspect, at: float) -> None:
-    """Drops the crashes before a clean run."""
-    suspect.ran_well_at = max(suspect.ran_well_at, at)
-    kept = [crash for crash in suspect.crashes if crash.at > at]
-    _set_crashes(suspect, kept)
-
-
-def _merge_clean_run(suspect: Suspect, at: float) -> None:
-    """Takes in a peer's clean run if it clears anything.
-
-    An item's age grows a little with each hop; were every echo taken in, the
-    time of one clean run would creep forward for ever.
-    """
-    if any(crash.at <= at for crash in suspect.crashes):
-        _clear(suspect, at)
+    known = sorted([*suspect.crashes, crash], key=lambda item: item.at)
+    crashes.set_crashes(suspect, known[-crashes.MOST_CRASHES:])
 
 
 def _release(table: Quarantine, fingerprint: bytes, service: str,
              at: float) -> None:
-    suspect = table.suspects.setdefault(fingerprint, Suspect(service))
-    if at < suspect.released_at + SAME_CRASH_MS:
-        return  # The same release by another way.
-    suspect.released_at = at
-    kept = [crash for crash in suspect.crashes if crash.at > at]
-    _set_crashes(suspect, kept)
+    new = crashes.Suspect(service)
+    crashes.release(table.suspects.setdefault(fingerprint, new), at)
 
 
 def _make_room(table: Quarantine) -> None:
--- a/lentilmoor/retries.py
+++ b/lentilmoor/retries.py
@@ -5,12 +5,13 @@
 fresh connection in place of a used one, or news of the server. Retries that
 could add load to servers in trouble draw on one token bucket per service, so
 they stay a fixed share of the first tries. Whatever is given up on is
-answered at once. Functions here keep no clock and are cheap enough for the
-request path; counts may be off by one per thread if called without a lock.
+answered at once. Functions here read no clock and are cheap enough for the
+request path, whose threads share a budget.
 """
 
 import dataclasses
 import random
+import threading
 
 from lentilmoor import outcomes
 
@@ -44,6 +45,7 @@
       retries: Retries so far that took a token.
       redirects: Retries so far that took none.
       refused: Retries not made for want of a token.
+      lock: Held while a retry is decided.
     """
 
     ratio: float = RETRY_RATIO
@@ -55,6 +57,7 @@
     retries: int = 0
     redirects: int = 0
     refused: int = 0
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,11 +188,8 @@
         step = _plan(ending, route, now, generator)
     if step is None or not _fits(step, progress.deadline, now):
         return give_up(progress, ending, budget, generator)
-    if isinstance(step, AwaitChange):
-        admitted = budget.waiting < budget.most_waiting and _withdraw(budget)
-        budget.waiting += admitted
-    else:
-        admitted = _redirect(progress, ending, budget) or _withdraw(budget)
+    with budget.lock:
+        admitted = _admit(step, progress, ending, budget)
     return step if admitted else give_up(progress, ending, budget, generator)
 
 
@@ -208,7 +208,8 @@
     Returns:
       A retry if the owner changed or answered somebody since, else the end.
     """
-    budget.waiting -= 1
+    with budget.lock:
+        budget.waiting -= 1
     step = _plan(ending, route, now, generator)
     if not isinstance(step, Retry) or not _fits(step, progress.deadline, now):
         return give_up(progress, ending, budget, generator)
@@ -286,6 +287,17 @@
     return now + step.delay_ms + SHORTEST_TRY_MS <= deadline
 
 
+def _admit(step: Retry | AwaitChange, progress: Progress, ending: Ending,
+           budget: Budget) -> bool:
+    """Takes what a step costs, if it can be had."""
+    if isinstance(step, Retry):
+        return _redirect(progress, ending, budget) or _withdraw(budget)
+    if budget.waiting >= budget.most_waiting or not _withdraw(budget):
+        return False
+    budget.waiting += 1
+    return True
+
+
 def _redirect(progress: Progress, ending: Ending, budget: Budget) -> bool:
     """Counts a retry that costs no token, if this is one.
 
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -9,6 +9,7 @@
 from benchmarks import liveness_model
 from lentilmoor import evidence
 from lentilmoor import liveness
+from lentilmoor import suspicions
 from lentilmoor import tables
 
 _KEY = ('t/s/0', 'a')
@@ -139,7 +140,7 @@
             for action in liveness.step(self.table, _others(now, e2='d2'), now):
                 self.assertIsInstance(action, liveness.Change)
                 self.assertIsNot(action.after, _DEAD)
-        self.assertTrue(liveness.is_isolated(self.table, 1_800))
+        self.assertTrue(suspicions.is_isolated(self.table, 1_800))
 
     def test_cut_off_entry_knows_that_others_reach_the_server(self):
         _fail(self.table, 1_000, 1_100)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 
 from benchmarks import quarantine as benchmark
 from benchmarks import quarantine_model
+from lentilmoor import crashes
 from lentilmoor import fingerprints
 from lentilmoor import quarantine
 
@@ -50,14 +51,14 @@
 
     def test_block_ends_and_one_more_crash_blocks_for_longer(self):
         table = _blocked_table()
-        end = 2_000.0 + quarantine.BLOCK_MS
+        end = 2_000.0 + crashes.BLOCK_MS
         quarantine.step(table, end)
         self.assertIs(quarantine.check(table, _KILLER, end - 1), _BLOCKED)
         self.assertIs(quarantine.check(table, _KILLER, end), _SUSPECT)
         _crash(table, _KILLER, 'c', end)
-        later = end + 1.5 * quarantine.BLOCK_MS
+        later = end + 1.5 * crashes.BLOCK_MS
         self.assertIs(quarantine.check(table, _KILLER, later), _BLOCKED)
-        quarantine.step(table, end + 4 * quarantine.BLOCK_MS)
+        quarantine.step(table, end + 4 * crashes.BLOCK_MS)
         self.assertFalse(table.suspects)
 
     def test_operator_releases_it_at_every_entry(self):
