Split gossip into its tables, its calls and what it decides

Change: gossiptables.py, gossipcalls.py; gossip.py keeps the public names. Conclusion: no behaviour changes.

--- a/lentilmoor/gossip.py
+++ b/lentilmoor/gossip.py
@@ -9,8 +9,6 @@
 # pylint: disable=no-member
 
 from collections.abc import Iterable
-import dataclasses
-import enum
 import random
 
 from google.protobuf import message as protobuf
@@ -18,6 +16,8 @@
 from lentilmoor import counts
 from lentilmoor import detectors
 from lentilmoor import domains
+from lentilmoor import gossipcalls
+from lentilmoor import gossiptables
 from lentilmoor import items
 from lentilmoor import members as membership
 from lentilmoor import messages
@@ -27,112 +27,14 @@
 from lentilmoor import tables
 from lentilmoor.protocol import peer_pb2
 
-PROTOCOL = 1
+Call = gossiptables.Call
+Gossip = gossiptables.Gossip
+GossipSettings = gossiptables.GossipSettings
+Outgoing = gossiptables.Outgoing
 
 _REFUTABLE = (membership.State.SUSPECT, membership.State.DEAD)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GossipSettings:
-    """Times of the exchanges, ms.
-
-    Attributes:
-      beat_ms: How often the watched and one more of each kind are called.
-      push_ms: Least time between two pushes to the same peer.
-      relink_ms: Least time between two choices of links.
-      settle_ms: A difference is looked into once our copy was quiet so long.
-      force_ms: A difference is looked into after so long in any case.
-      heal_ms: How often somebody out of reach is tried.
-      timeout_ms: Deadline of a call.
-      fetch_timeout_ms: Deadline of a fetch.
-    """
-
-    beat_ms: float = 1_000.0
-    push_ms: float = 100.0
-    relink_ms: float = 1_000.0
-    settle_ms: float = 1_000.0
-    force_ms: float = 10_000.0
-    heal_ms: float = 5_000.0
-    timeout_ms: float = 500.0
-    fetch_timeout_ms: float = 2_000.0
-
-
-class Call(enum.Enum):
-    """Which call of the peer protocol carries a message."""
-
-    EXCHANGE = 'exchange'
-    FETCH = 'fetch'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A call to be made; its outcome goes to `take_reply`.
-
-    Attributes:
-      peer: Instance id.
-      address: host:port of the peer protocol.
-      call: Which call.
-      message: ExchangeMessage or FetchRequest; a runner may add evidence and
-        load to an ExchangeMessage.
-      timeout_ms: Its deadline.
-      keys: Items pushed or fetched by it.
-      told: Counts told by it.
-    """
-
-    peer: str
-    address: str
-    call: Call
-    message: protobuf.Message
-    timeout_ms: float
-    keys: tuple[str, ...] = ()
-    told: tuple[counts.Count, ...] = ()
-
-
-@dataclasses.dataclass(slots=True)
-class Gossip:
-    """State of one entry's part.
-
-    Attributes:
-      members: Who is there.
-      replica: Our copy of all items.
-      counts: Who has which version in force.
-      rng: Seeded source of chance.
-      settings: Times.
-      links: Present links.
-      busy: Peers with a push or a fetch under way.
-      joined: Whether everything that a peer held at our start is here.
-      listed: Whether the platform's list has been read.
-      joining: Peer from which it is being fetched; empty if from none.
-      page_after: Last key fetched so.
-      beat_at: When the last beat was, ms.
-      linked_at: When links were last chosen, ms.
-      linked_changes: `members.changes` at that time.
-      compared_at: When a comparison of trees last began, ms.
-      healed_at: When somebody out of reach was last tried, ms.
-      beats: Count of beats.
-      pushed_at: When each peer was last pushed to, ms.
-    """
-
-    members: membership.Members
-    replica: spread.Replica
-    counts: counts.Counts
-    rng: random.Random
-    settings: GossipSettings
-    links: neighbours.Neighbours = neighbours.Neighbours()
-    busy: set[str] = dataclasses.field(default_factory=set)
-    joined: bool = False
-    listed: bool = False
-    joining: str = ''
-    page_after: str = ''
-    beat_at: float = float('-inf')
-    linked_at: float = float('-inf')
-    linked_changes: int = -1
-    compared_at: float = 0.0
-    healed_at: float = 0.0
-    beats: int = 0
-    pushed_at: dict[str, float] = dataclasses.field(default_factory=dict)
-
-
 def make_gossip(own: tables.Instance,
                 incarnation: int,
                 now: float,
@@ -190,8 +92,8 @@
     if now - gossip.beat_at >= gossip.settings.beat_ms:
         gossip.beat_at = now
         sent += _beat(gossip, now)
-    sent += _push(gossip, now)
-    sent += _fetch(gossip, now)
+    sent += gossipcalls.push(gossip, now)
+    sent += gossipcalls.fetch(gossip, now)
     return sent
 
 
@@ -200,9 +102,9 @@
     """Takes in a peer's exchange and returns the reply."""
     peer = message.instance
     lacking = _take_exchange(gossip, message, now)
-    reply = _make_exchange(gossip, now)
-    _add_news(gossip, reply, lacking)
-    _add_news(gossip, reply, spread.pick_news(gossip.replica, peer))
+    reply = gossipcalls.make_exchange(gossip, now)
+    gossipcalls.add_news(gossip, reply, lacking)
+    gossipcalls.add_news(gossip, reply, spread.pick_news(gossip.replica, peer))
     _answer_level(gossip, message, reply)
     if message.count_keys:
         asked = [read_own_count(gossip, key) for key in message.count_keys]
@@ -246,9 +148,9 @@
     for domain in sorted({row.failure_domain for row in rows}):
         order = counts.order_domain(domain, rows)
         if order and order[0] != gossip.members.own:
-            message = _make_exchange(gossip, now)
+            message = gossipcalls.make_exchange(gossip, now)
             message.count_keys.extend(keys)
-            asked.append(_send(gossip, order[0], message))
+            asked.append(gossipcalls.send(gossip, order[0], message))
     return asked
 
 
@@ -257,9 +159,6 @@
     return counts.read_count(gossip.counts, key)
 
 
-# What is sent.
-
-
 def _beat(gossip: Gossip, now: float) -> list[Outgoing]:
     put_items(gossip, detectors.step(gossip.members, now), now)
     _forget(gossip)
@@ -272,71 +171,12 @@
     targets += detectors.list_to_confirm(gossip.members)
     targets += _pick_unreachable(gossip, now)
     sent = [
-        _exchange(gossip, peer, now)
+        gossipcalls.exchange(gossip, peer, now)
         for peer in dict.fromkeys(targets)
         if peer in gossip.members.rows
     ]
-    return sent + _tell_parent(gossip, now) + _join(gossip)
-
-
-def _exchange(gossip: Gossip, peer: str, now: float) -> Outgoing:
-    message = _make_exchange(gossip, now)
-    keys = spread.pick_news(gossip.replica, peer)
-    _add_news(gossip, message, keys)
-    gossip.pushed_at[peer] = now
-    return _send(gossip, peer, message, keys=tuple(keys))
-
-
-def _push(gossip: Gossip, now: float) -> list[Outgoing]:
-    sent = []
-    for peer, queue in gossip.replica.unsent.items():
-        due = gossip.pushed_at.get(peer, 0.0) + gossip.settings.push_ms
-        if peer not in gossip.members.rows or peer in gossip.busy:
-            continue
-        if queue and now >= due:
-            gossip.busy.add(peer)
-            sent.append(_exchange(gossip, peer, now))
-    return sent
-
-
-def _fetch(gossip: Gossip, now: float) -> list[Outgoing]:
-    sent = []
-    for fetch in spread.pick_fetches(gossip.replica, now):
-        if fetch.peer not in gossip.members.rows:
-            spread.end_fetch(gossip.replica, fetch, more=False)
-            continue
-        request = peer_pb2.FetchRequest(instance=gossip.members.own,
-                                        keys=fetch.keys)
-        sent.append(_send(gossip, fetch.peer, request, keys=fetch.keys))
-    return sent
-
-
-def _join(gossip: Gossip) -> list[Outgoing]:
-    """Fetches everything from one peer, page by page, after a start."""
-    if gossip.joined or gossip.joining:
-        return []
-    peers = gossip.links.list_all()
-    if not peers:
-        gossip.joined = gossip.listed
-        return []
-    gossip.joining = gossip.rng.choice(peers)
-    return [_next_page(gossip)]
-
-
-def _next_page(gossip: Gossip) -> Outgoing:
-    request = peer_pb2.FetchRequest(instance=gossip.members.own,
-                                    all=True,
-                                    after=gossip.page_after)
-    return _send(gossip, gossip.joining, request)
-
-
-def _tell_parent(gossip: Gossip, now: float) -> list[Outgoing]:
-    untold = counts.list_untold(gossip.counts)
-    if not untold or gossip.counts.parent not in gossip.members.rows:
-        return []
-    message = _make_exchange(gossip, now)
-    message.counts.extend(messages.write_counts(untold))
-    return [_send(gossip, gossip.counts.parent, message, told=tuple(untold))]
+    sent += gossipcalls.tell_parent(gossip, now)
+    return sent + gossipcalls.join(gossip)
 
 
 def _pick_unreachable(gossip: Gossip, now: float) -> list[str]:
@@ -371,51 +211,6 @@
         items.drop(gossip.replica.table, key)
 
 
-def _make_exchange(gossip: Gossip, now: float) -> peer_pb2.ExchangeMessage:
-    own = gossip.members.rows[gossip.members.own].instance
-    message = peer_pb2.ExchangeMessage(protocol=PROTOCOL,
-                                       instance=own.id,
-                                       failure_domain=own.failure_domain,
-                                       root=gossip.replica.table.root)
-    domains.write_ages(gossip.members.domains, message, now)
-    return message
-
-
-def _add_news(gossip: Gossip, message: peer_pb2.ExchangeMessage,
-              keys: Iterable[str]) -> None:
-    for key in keys:
-        item = gossip.replica.table.items.get(key)
-        if item is None:
-            continue
-        if spread.is_eager(gossip.replica, item):
-            message.digest.append(messages.write_item(item))
-        else:
-            notice = items.Notice(item.key, item.version)
-            message.digest.append(messages.write_notice(notice))
-
-
-def _send(
-    gossip: Gossip,
-    peer: str,
-    message: protobuf.Message,
-    keys: tuple[str, ...] = (),
-    told: tuple[counts.Count, ...] = ()
-) -> Outgoing:
-    fetching = isinstance(message, peer_pb2.FetchRequest)
-    settings = gossip.settings
-    return Outgoing(peer=peer,
-                    address=gossip.members.rows[peer].instance.peer_address,
-                    call=Call.FETCH if fetching else Call.EXCHANGE,
-                    message=message,
-                    timeout_ms=(settings.fetch_timeout_ms
-                                if fetching else settings.timeout_ms),
-                    keys=keys,
-                    told=told)
-
-
-# What comes in.
-
-
 def _take_exchange(gossip: Gossip, message: peer_pb2.ExchangeMessage,
                    now: float) -> list[str]:
     """Takes in a message; returns keys of items that its sender lacks."""
@@ -455,7 +250,7 @@
     if message.listed:
         listed = [messages.read_notice(entry) for entry in message.digest]
         missing = spread.list_missing(replica, message.listed, listed)
-        _add_news(gossip, reply, [notice.key for notice in missing])
+        gossipcalls.add_news(gossip, reply, [notice.key for notice in missing])
     elif len(message.level.digests) == items.FAN_OUT:
         for branch in spread.pick_branches(replica, message.level.digests):
             reply.level.branch.append(branch)
@@ -471,8 +266,8 @@
     begins = not buckets and _is_time_to_compare(gossip, reply.root, now)
     if not (buckets or begins or lacking):
         return []
-    message = _make_exchange(gossip, now)
-    _add_news(gossip, message, lacking)
+    message = gossipcalls.make_exchange(gossip, now)
+    gossipcalls.add_news(gossip, message, lacking)
     if buckets:
         message.listed.extend(buckets)
         listed = items.list_buckets(replica.table, buckets)
@@ -480,7 +275,7 @@
     if begins:
         gossip.compared_at = now
         message.level.digests.extend(replica.table.branches)
-    return [_send(gossip, peer, message)]
+    return [gossipcalls.send(gossip, peer, message)]
 
 
 def _is_time_to_compare(gossip: Gossip, root: int, now: float) -> bool:
@@ -500,13 +295,13 @@
     if not outgoing.message.all:
         fetch = spread.Fetch(outgoing.peer, outgoing.keys)
         spread.end_fetch(gossip.replica, fetch, reply.more)
-        return _fetch(gossip, now)
+        return gossipcalls.fetch(gossip, now)
     if not reply.more:
         gossip.joined = True
         gossip.joining = ''
         return []
     gossip.page_after = reply.items[-1].key
-    return [_next_page(gossip)]
+    return [gossipcalls.next_page(gossip)]
 
 
 def _take_failure(gossip: Gossip, outgoing: Outgoing,
--- a/lentilmoor/peers.py
+++ b/lentilmoor/peers.py
@@ -26,8 +26,6 @@
 from lentilmoor import listeners
 from lentilmoor.protocol import peer_pb2
 
-PROTOCOL = 1
-
 _SECRET_CONTEXT = b'lentilmoor peer\0'
 _CLOSE_S = 0.25
 
