Wait for an open connection while new ones are refused

Cause: a server without room for new connections was given up on at once, although connections in use would be put back a moment later. Change: while new connections fail, a request waits for one in use, at most as long as opening one may take. Conclusion: a full server is reached by what is open.

--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -207,11 +207,12 @@
           refused. TIMED_OUT: it was not reached. OVERLOADED and NO_SERVER:
           none was opened, so this says nothing new of the server.
         """
-        until = self._clock.now() + patience_ms
+        began_at = self._clock.now()
+        until = began_at + patience_ms
         with self._changed:
             connection = None if fresh else self._pick_idle(repeatable)
             while connection is None and not self._may_open():
-                refusal = self._wait(until)
+                refusal = self._wait(began_at, until, fresh)
                 if refusal is not None:
                     return refusal
                 connection = None if fresh else self._pick_idle(repeatable)
@@ -289,17 +290,23 @@
         self.row.open += 1
         return True
 
-    def _wait(self, until: float) -> outcomes.Failed | None:
+    def _wait(self, began_at: float, until: float,
+              fresh: bool) -> outcomes.Failed | None:
         """Waits for a change; returns why it is no use, if so."""
         now = self._clock.now()
         self.row.held += 1
-        if is_failing(self.row):
+        # While new connections fail, one in use may still be put back.
+        hopeless = fresh or not self.row.open
+        late = now >= began_at + self.rules.connect_ms
+        if is_failing(self.row) and (hopeless or late):
             return outcomes.Failed(outcomes.Reason.NO_SERVER,
                                    'new connections fail, none is tried now')
         if now >= until:
             return outcomes.Failed(outcomes.Reason.OVERLOADED,
                                    'all connections to the server are in use')
         wait_ms = until - now
+        if is_failing(self.row):
+            wait_ms = min(wait_ms, began_at + self.rules.connect_ms - now)
         if self.row.open < self.rules.most:
             wait_ms = min(wait_ms, find_wait(self.rules, self.row, now))
         self._changed.wait(wait_ms / clocks.MS_PER_S)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -29,11 +29,15 @@
         """Makes all connections of now silent; new ones work."""
         self.silent = len(self.accepted)
 
-    def close(self):
+    def refuse(self):
+        """Refuses new connections; old ones work."""
         # Wakes the thread that accepts; closing alone would not.
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+
+    def close(self):
+        self.refuse()
         for item in self.accepted:
             with contextlib.suppress(OSError):
                 item.shutdown(socket.SHUT_RDWR)
@@ -119,6 +123,25 @@
         self.assertEqual(reasons.count(outcomes.Reason.NO_SERVER), 48)
         self.assertEqual(self.pool.row.open, 0)
 
+    def test_server_without_room_is_still_reached_by_what_is_open(self):
+        self.pool = self._make_pool(burst=2,
+                                    opens_per_s=0.001,
+                                    connect_ms=60_000.0)
+        first = self._take()
+        self._ask(first)  # It is accepted now.
+        self.server.refuse()
+        refused = self._take()
+        self.assertIs(refused.reason, outcomes.Reason.CONNECT_FAILED)
+        taken = []
+        waiting = threading.Thread(target=lambda: taken.append(self._take()))
+        waiting.start()
+        self._ask(first)
+        self.pool.put_back(first)
+        waiting.join()
+        self.assertIs(taken[0], first)
+        hopeless = self._take(fresh=True)
+        self.assertIs(hopeless.reason, outcomes.Reason.NO_SERVER)
+
     def test_number_of_connections_is_bounded(self):
         self.pool = self._make_pool(most=2)
         taken = [self._take(), self._take()]
