--- a/lentilmoor/gossip.py
+++ b/lentilmoor/gossip.py
@@ -142,7 +142,11 @@
 
 def ask_counts(gossip: Gossip, keys: Iterable[str],
                now: float) -> list[Outgoing]:
-    """Returns the calls that ask each failure domain's root for counts."""
+    """Returns the calls that ask each failure domain's root for counts.
+
+    If `gossip.counts.parent` is empty, this entry is the root of its own
+    domain and `read_own_count` gives that domain's count.
+    """
     rows = membership.list_instances(gossip.members)
     asked = []
     for domain in sorted({row.failure_domain for row in rows}):
