Carry a hot key's cost into its own slice, whichever mean shows it

Cause: a key that had just become hot was cut out with the cost its slow mean showed; its server looked a third too light for 10 s and was given more load. Change: rows of new slices take their share from the rates as read; reports counted under older bounds still count for slices of one point; a row rests on more and more seconds after it has followed its fast mean.

--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -200,27 +200,19 @@
     """
     if piece.moved:
         raise exceptions.InvariantError(f'{piece} was moved and is cut')
-    kept = _estimate_kept(piece, point)
+    inside = [item for item in piece.hot if item.point < point]
+    kept = piece.rate * means.share_rate(piece.rate, piece.hot, inside,
+                                         (point - piece.first) / piece.span)
     cut = Piece(point,
                 piece.last,
                 piece.rate - kept,
                 piece.owner,
                 piece.recent,
                 hot=[item for item in piece.hot if item.point >= point])
-    piece.hot = [item for item in piece.hot if item.point < point]
+    piece.hot = inside
     piece.last = point - 1
     piece.rate = kept
     draft.pieces[piece.owner].append(cut)
     draft.splits.append(plans.Split(point))
     draft.room -= 1
     return cut
-
-
-def _estimate_kept(piece: Piece, point: int) -> float:
-    """Returns what [first, point) costs: its hot points, and by its span."""
-    hot = sum(item.cost for item in piece.hot)
-    inside = sum(item.cost for item in piece.hot if item.point < point)
-    if hot > piece.rate:
-        inside *= piece.rate / hot
-        hot = piece.rate
-    return inside + (piece.rate - hot) * (point - piece.first) / piece.span
--- a/lentilmoor/means.py
+++ b/lentilmoor/means.py
@@ -8,6 +8,7 @@
 """
 
 from array import array
+from collections.abc import Sequence
 import dataclasses
 import math
 
@@ -19,7 +20,7 @@
 SLOW_MS = 30_000.0
 FAST_MS = 3_000.0
 # A change is held to be real beyond this many standard deviations.
-_DEVIATIONS = 3.0
+_DEVIATIONS = 4.0
 # Of all cost, what makes a point hot.
 _HOT_SHARE = 0.0005
 # How long a row follows its fast mean once it has changed.
@@ -79,6 +80,7 @@
       fast: The means that show changes.
       requests: Requests by slice, weighted as in `slow`; typecode d.
       since: When the slow mean of a row starts, ms; typecode d.
+      follows_until: Until when the slow mean follows the fast one, ms.
       changed: Sequence of the map that gave the slice its bounds.
       owned_since: When the slice came to its owner, ms; typecode d.
     """
@@ -89,6 +91,7 @@
     fast: Window
     requests: array
     since: array
+    follows_until: array
     changed: array
     owned_since: array
 
@@ -107,7 +110,7 @@
     slow = Window(SLOW_MS, now, _fill('d', 0, count), sketches.Sketch(capacity))
     fast = Window(FAST_MS, now, _fill('d', 0, count), sketches.Sketch(capacity))
     return LoadTable(slice_map, now, slow, fast, _fill('d', 0, count),
-                     _fill('d', now, count),
+                     _fill('d', now, count), _fill('d', now, count),
                      _fill('Q', slice_map.sequence, count),
                      _fill('d', -math.inf, count))
 
@@ -119,8 +122,9 @@
 def fold(table: LoadTable, report: loads.Report, now: float) -> None:
     """Folds a delegate's report into the means.
 
-    Rows counted before a slice got its present bounds are passed over, as
-    are all rows of another epoch: they can't be told apart by slice.
+    What was counted before a slice got its present bounds is passed over,
+    unless the slice is a hot point of the report; so is all that was counted
+    under another epoch.
 
     Args:
       table: Is changed.
@@ -132,6 +136,7 @@
     epoch, sequence = report.version
     if epoch == table.slice_map.epoch:
         _fold_rows(table, report.slices, sequence, slow, fast)
+        _fold_singles(table, report.hot, sequence, slow, fast)
     points = [hot.point for hot in report.hot]
     sketches.add(table.slow.sketch, points,
                  [hot.cost * slow for hot in report.hot])
@@ -151,6 +156,19 @@
         table.requests[index] += row.requests * slow
 
 
+def _fold_singles(table: LoadTable, hot: tuple[loads.HotPoint, ...],
+                  sequence: int, slow: float, fast: float) -> None:
+    """Adds what points cost that have a slice of their own since."""
+    bounds = table.slice_map.bounds
+    for item in hot:
+        index = table.slice_map.find(item.point)
+        if table.changed[index] <= sequence:
+            continue
+        if bounds[index] == table.slice_map.last_point(index):
+            table.slow.costs[index] += item.cost * slow
+            table.fast.costs[index] += item.cost * fast
+
+
 def _weigh(table: LoadTable, window: Window, now: float) -> float:
     """Returns the weight of an addition; moves a landmark long past."""
     exponent = (now - window.landmark) / window.length_ms
@@ -234,26 +252,26 @@
 
 def _restart_changed(table: LoadTable, gauge: _Gauge, rates: array,
                      now: float) -> None:
-    """Starts rows again that have changed, and lets them follow for a while."""
-    following = now - _FOLLOW_MS
+    """Lets rows that have changed follow their fast mean for a while.
+
+    The slow mean of such a row rests on as many seconds as the fast one does,
+    and on more and more afterwards.
+    """
+    fill = _fill_of(table.slow, FAST_MS)
     for index, cost in enumerate(table.fast.costs):
         recent = cost * gauge.fast
-        if table.since[index] <= following:
+        if table.follows_until[index] <= now:
             if not _differ(rates[index], recent, gauge):
                 continue
-            table.since[index] = now
-        _restart(table, index, recent * gauge.slow, now - table.since[index])
+            table.follows_until[index] = now + _FOLLOW_MS
+        fresh = recent * fill * gauge.slow
+        if table.slow.costs[index] > 0.0:
+            table.requests[index] *= fresh / table.slow.costs[index]
+        table.slow.costs[index] = fresh
+        table.since[index] = now - FAST_MS
         rates[index] = recent
 
 
-def _restart(table: LoadTable, index: int, rate: float, age: float) -> None:
-    fresh = rate * _fill_of(table.slow, age)
-    cost = table.slow.costs[index]
-    if cost > 0.0:
-        table.requests[index] *= fresh / cost
-    table.slow.costs[index] = fresh
-
-
 def _differ(rate: float, recent: float, gauge: _Gauge) -> bool:
     """Returns whether noise does not explain the difference of two means."""
     gap = rate - recent
@@ -293,6 +311,7 @@
       slice_map: A map of the same epoch or a later one.
       now: Time, ms.
     """
+    seen = read(table, now)
     before = _copy(table)
     _empty(table, slice_map, now)
     kept = dict(loads.match_rows(before.slice_map, slice_map))
@@ -300,10 +319,11 @@
         was = kept.get(index)
         if was is None:
             was = before.slice_map.find(bound)
-            _derive(before, table, index, was)
+            _derive(before, seen, table, index)
         else:
             _carry(before, table, index, was, 1.0)
             table.changed[index] = before.changed[was]
+            table.follows_until[index] = before.follows_until[was]
         if _name_owner(before.slice_map, was) == _name_owner(slice_map, index):
             table.owned_since[index] = before.owned_since[was]
 
@@ -321,6 +341,7 @@
     table.fast.costs = _fill('d', 0, count)
     table.requests = _fill('d', 0, count)
     table.since = _fill('d', now, count)
+    table.follows_until = _fill('d', now + _FOLLOW_MS, count)
     table.changed = _fill('Q', slice_map.sequence, count)
     table.owned_since = _fill('d', now, count)
 
@@ -334,37 +355,43 @@
     table.since[index] = min(table.since[index], before.since[was])
 
 
-def _derive(before: LoadTable, table: LoadTable, index: int, was: int) -> None:
+def _derive(before: LoadTable, seen: Loads, table: LoadTable,
+            index: int) -> None:
     """Fills the row of a slice with new bounds from the rows it overlaps."""
     first = table.slice_map.bounds[index]
     last = table.slice_map.last_point(index)
     old = before.slice_map
+    was = old.find(first)
     while was < len(old.bounds) and old.bounds[was] <= last:
-        share = _share_of(before, was, first, last)
+        low, high = old.bounds[was], old.last_point(was)
+        hot = [item for item in seen.hot if low <= item.point <= high]
+        inside = [item for item in hot if first <= item.point <= last]
+        overlap = min(high, last) - max(low, first) + 1
+        share = share_rate(seen.rates[was], hot, inside,
+                           overlap / (high - low + 1))
         _carry(before, table, index, was, share)
         was += 1
 
 
-def _share_of(before: LoadTable, was: int, first: int, last: int) -> float:
-    """Returns the part of an old slice's cost that falls in [first, last]."""
-    low = before.slice_map.bounds[was]
-    high = before.slice_map.last_point(was)
-    if first <= low and high <= last:
-        return 1.0
-    cost = before.slow.costs[was]
-    hot = 0.0
-    inside = 0.0
-    for point, value in before.slow.sketch.costs.items():
-        if low <= point <= high:
-            hot += value
-            inside += value if first <= point <= last else 0.0
-    if hot > cost:
-        inside *= cost / hot
-        hot = cost
-    overlap = (min(high, last) - max(low, first) + 1) / (high - low + 1)
-    if cost <= 0.0:
+def share_rate(rate: float, hot: Sequence[loads.HotPoint],
+               inside: Sequence[loads.HotPoint], overlap: float) -> float:
+    """Returns which part of a slice's cost falls in a part of its points.
+
+    Args:
+      rate: Cost of the slice, ms per second.
+      hot: Its hot points.
+      inside: Those of them in the part.
+      overlap: Share of its points in the part.
+
+    Returns:
+      The hot points' share, and of the rest the part by its points.
+    """
+    if rate <= 0.0 or overlap >= 1.0:
         return overlap
-    return (inside + (cost - hot) * overlap) / cost
+    hottest = sum(item.cost for item in hot)
+    scale = min(rate / hottest, 1.0) if hottest else 0.0
+    named = sum(item.cost for item in inside) * scale
+    return (named + (rate - hottest * scale) * overlap) / rate
 
 
 def _name_owner(slice_map: slices.SliceMap, index: int) -> str | None:
