Name who follows a dead home, and split accounts from flows

Cause: an entry that finds a home dead had only the choice to send straight; flows.py had grown past its one job.

--- a/benchmarks/admission_model.py
+++ b/benchmarks/admission_model.py
@@ -493,12 +493,8 @@
     found = [int(chosen[server.id][1:]) for server in servers]
     following = []
     for server, home in zip(servers, found, strict=True):
-        ranked = homes.rank_homes(server, entries)
-        following.append(
-            next(
-                int(place.id[1:])
-                for place in ranked
-                if place.id != f'e{home}'))
+        following.append(int(
+            homes.pick_next(server, entries, {f'e{home}'})[1:]))
     return found, following
 
 
--- a/lentilmoor/homes.py
+++ b/lentilmoor/homes.py
@@ -5,6 +5,7 @@
 decides who goes next.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -67,6 +68,22 @@
     return chosen
 
 
+def pick_next(server: Place, delegates: Iterable[Place],
+              avoid: Collection[str]) -> str | None:
+    """Returns the delegate to relay to when the home doesn't answer.
+
+    Every entry picks alike, so the server has one queue again without anybody
+    being asked; sending straight instead would undo the priorities.
+
+    Args:
+      server: The server.
+      delegates: Delegates of its shard.
+      avoid: Delegates that did not answer, the home among them.
+    """
+    ranked = rank_homes(server, delegates)
+    return next((place.id for place in ranked if place.id not in avoid), None)
+
+
 @dataclasses.dataclass(slots=True)
 class Contention:
     """Whether requests for a server go by its home.
--- a/lentilmoor/queues.py
+++ b/lentilmoor/queues.py
@@ -1,8 +1,8 @@
 """The queue of requests that wait for one backend server.
 
 A pure data structure: no clock, no threads. Classes are served by priority
-with a floor against starvation; callers share the server fairly (see `flows`),
-and one that is over its share loses the priority of its class. Work that can
+with a floor against starvation; callers share the server fairly (see
+`accounts`), and one that is over its share loses the priority of its class. Work that can
 no longer finish by its deadline is cut before it runs. The queue is bounded,
 and what it sheds comes with the time after which it is worth coming back.
 """
@@ -13,6 +13,7 @@
 import heapq
 import itertools
 
+from lentilmoor import accounts
 from lentilmoor import exceptions
 from lentilmoor import flows
 
@@ -152,7 +153,7 @@
         total = max(1.0, sum(policy.floor for policy in classes))
         newest_first = order is Order.NEWEST_FIRST
         best = min(policy.priority for policy in classes)
-        self._ledger = flows.Ledger()
+        self._ledger = accounts.Ledger()
         self._classes = []
         for policy in classes:
             by_arrival = len(classes) > 1 and policy.priority == best
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -66,6 +66,18 @@
         self.assertLessEqual(max(collections.Counter(chosen.values()).values()),
                              2)
 
+    def test_entries_agree_on_who_follows_a_dead_home(self):
+        server, delegates = places('s', 1)[0], places('e', 12)
+        home = homes.assign_homes([server], delegates)[server.id]
+        following = homes.pick_next(server, delegates, {home})
+        self.assertNotEqual(home, following)
+        left = [place for place in reversed(delegates) if place.id != home]
+        self.assertEqual(following,
+                         homes.assign_homes([server], left)[server.id])
+        self.assertIsNone(
+            homes.pick_next(server, delegates,
+                            {place.id for place in delegates}))
+
     def test_nobody_left(self):
         self.assertEqual({}, homes.assign_homes(places('s', 3), []))
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -8,7 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from lentilmoor import flows
+from lentilmoor import accounts
 from lentilmoor import queues
 
 CLASSES = (queues.ClassPolicy('urgent', 0,
@@ -151,7 +151,8 @@
             item, _ = queue.pop(0.0)
             used[item.caller] += item.cost_ms
         least = min(used[str(caller)] for caller in range(callers))
-        self.assertLessEqual(used['greedy'] - least, (flows.BURST + 2) * cost)
+        self.assertLessEqual(used['greedy'] - least,
+                             (accounts.BURST + 2) * cost)
 
     @FAST
     @hypothesis.given(strategies.floats(0.02, 0.3), strategies.integers(1, 3))
