--- a/benchmarks/liveness.py
+++ b/benchmarks/liveness.py
@@ -34,6 +34,7 @@
       loss: Share of tries that get no answer by themselves.
       span_ms: How long the model runs afterwards.
       seeds: Models run in CI.
+      latency_ms: Between failure domains: 1.5 at Hsinchu, 0.5 at Nilebridge.
     """
 
     name: str
@@ -42,6 +43,7 @@
     loss: float = 0.0
     span_ms: float = 1_500.0
     seeds: int = _SOME
+    latency_ms: float = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +177,8 @@
     Scenario('killed, traffic', _kill_one, seeds=_MANY),
     Scenario('frozen, no traffic', _freeze_one, rate=0, seeds=_MANY),
     Scenario('frozen, traffic', _freeze_one, seeds=_MANY),
+    Scenario('killed, Nilebridge', _kill_one, seeds=_MANY, latency_ms=0.5),
+    Scenario('frozen, Nilebridge', _freeze_one, seeds=_MANY, latency_ms=0.5),
     Scenario('killed, 1% loss', _kill_one, loss=0.01),
     Scenario('domain lost, no traffic', _lose_domain, rate=0),
     Scenario('domain lost, traffic', _lose_domain),
@@ -221,7 +225,10 @@
 def _run_model(scenario: Scenario,
                seed: int) -> tuple[liveness_model.Model, float]:
     """Returns a model that has run, and when the scenario began."""
-    model = liveness_model.Model(seed, rate=scenario.rate, loss=scenario.loss)
+    model = liveness_model.Model(seed,
+                                 rate=scenario.rate,
+                                 loss=scenario.loss,
+                                 latency_ms=scenario.latency_ms)
     model.run(_WARM_UP_MS + 17 * seed)
     model.probes = model.tells = 0
     began_at = model.now
--- a/benchmarks/liveness_model.py
+++ b/benchmarks/liveness_model.py
@@ -23,7 +23,6 @@
 RENEW_TIMEOUT_MS = 100.0
 TRY_TIMEOUT_MS = 250.0
 HEALTH_POLL_MS = 1_000.0
-_LATENCY_MS = 1.5
 # Share of requests that need a new connection.
 _FRESH_SHARE = 0.1
 NAIVE_FAILURES = 3
@@ -108,11 +107,13 @@
                  entries: int = 12,
                  servers: int = 12,
                  rate: float = 20.0,
-                 loss: float = 0.0):
+                 loss: float = 0.0,
+                 latency_ms: float = 1.5):
         self.random = random.Random(seed)
         self.now = 10_000.0
         self.rate = rate
         self.loss = loss
+        self.latency_ms = latency_ms
         self.service_ms = 5.0
         self.probe_ms = 1.0
         self.lost_at: dict[str, float] = {}
@@ -247,7 +248,7 @@
             action()
 
     def _delay(self, one: str, other: str) -> float:
-        base = 0.3 if one == other else _LATENCY_MS
+        base = 0.3 if one == other else self.latency_ms
         return base * self.random.uniform(0.8, 1.5)
 
     def _reaches(self, entry: ModelEntry, server: ModelServer) -> bool:
