--- a/tests/pathhelp.py
+++ b/tests/pathhelp.py
@@ -163,8 +163,8 @@
 
 
 def ok(body: bytes = b'ok') -> tries.Answer:
-    """Returns a whole answer."""
-    return tries.make_whole(200, [], body)
+    """Returns a whole answer, with its length as servers send it."""
+    return tries.make_whole(200, [('Content-Length', str(len(body)))], body)
 
 
 def not_run(reason: outcomes.Reason) -> outcomes.NotRun:
