Count a failure domain as live for five seconds after it was heard

Cause: in quiet times an entry may hear each peer only every few seconds; with a window of one second it would believe that it hears its own domain only, and take spans three times as long. Change: a window of 5 s, and peers that send evidence count as heard; unknown outcomes carry when to come back; tests that passed bounds are found. Conclusion: the strict rule of two domains holds for longer, which is the safe side.

--- a/lentilmoor/evidence.py
+++ b/lentilmoor/evidence.py
@@ -54,6 +54,8 @@
       confirm_ms: Least time from a suspicion, when peers are told and asked,
         to a loss: those who have answers must have had time to say so.
       fresh_ms: An opinion counts while its newest failure is younger.
+      heard_ms: A failure domain counts as live if any of its entries was
+        heard so lately.
       alone_factor: Spans are so much longer if only one domain is live.
       isolated_ms: An entry that sees most servers fail distrusts itself for
         so long before it counts its own opinions.
@@ -73,6 +75,7 @@
     contradicted_ms: float = 1_500.0
     confirm_ms: float = 60.0
     fresh_ms: float = 600.0
+    heard_ms: float = 5_000.0
     alone_factor: float = 3.0
     isolated_ms: float = 1_000.0
     isolated_alone_ms: float = 10_000.0
@@ -173,6 +176,7 @@
       domain: Its failure domain.
       thresholds: When evidence is enough.
       servers: Views by (shard, server).
+      heard: When evidence last came from a peer: its domain and the time.
       active: Servers that `liveness.step` has to look at.
       tells: Messages that `liveness.step` may still ask for now.
       stepped_at: When the table was last used.
@@ -188,6 +192,8 @@
     thresholds: Thresholds = Thresholds()
     servers: dict[ServerKey,
                   ServerView] = dataclasses.field(default_factory=dict)
+    heard: dict[str, tuple[str,
+                           float]] = dataclasses.field(default_factory=dict)
     active: set[ServerKey] = dataclasses.field(default_factory=set)
     tells: float = 0.0
     stepped_at: float = NEVER
@@ -254,6 +260,7 @@
       now: ms.
     """
     note_time(table, now)
+    table.heard[peer] = (domain, now)
     for item in items:
         key = (item.shard, item.server)
         view = table.servers.get(key)
--- a/lentilmoor/liveness.py
+++ b/lentilmoor/liveness.py
@@ -140,12 +140,15 @@
                                     tables.Instance], now: float) -> _Quorum:
     """Returns two domains, or fewer where fewer are live."""
     limits = table.thresholds
-    domains = {table.domain}
-    entries = {table.me}
-    for row in instances.values():
-        if row.heard_at and now - row.heard_at <= limits.isolated_ms:
-            domains.add(row.failure_domain)
-            entries.add(row.id)
+    oldest = now - limits.heard_ms
+    heard = [(row.id, row.failure_domain)
+             for row in instances.values()
+             if row.heard_at and row.heard_at >= oldest]
+    heard += [(peer, domain)
+              for peer, (domain, at) in table.heard.items()
+              if at >= oldest]
+    entries = {table.me, *(entry for entry, _ in heard)}
+    domains = {table.domain, *(domain for _, domain in heard)}
     if len(domains) > 1:
         return _Quorum(2, False, 1.0)
     if len(entries) > 1:
--- a/lentilmoor/retries.py
+++ b/lentilmoor/retries.py
@@ -225,7 +225,8 @@
     retry_after_ms = int(least * generator.uniform(1.0, 1.5))
     if progress.may_have_run:
         outcome = outcomes.Unknown(ending.reason,
-                                   f'a try at {ending.server} may have run')
+                                   f'a try at {ending.server} may have run',
+                                   retry_after_ms)
     else:
         outcome = outcomes.NotRun(ending.reason,
                                   f'no try was run, last at {ending.server}',
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -6,7 +6,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from benchmarks import liveness as benchmark
 from benchmarks import liveness_model
+from benchmarks import successors as takeovers
 from lentilmoor import evidence
 from lentilmoor import liveness
 from lentilmoor import suspicions
@@ -218,6 +220,17 @@
         self.assertFalse(model.lost_at)
         self.assertEqual(len(model.naive_lost_at), len(model.servers))
 
+    def test_passed_bounds_are_found(self):
+        good = benchmark.Detector(100.0, 200.0, 250.0, 0, 0)
+        bad = benchmark.Detector(100.0, 200.0, 300.5, 1, 2)
+        bounds = {'x': {'most_ms': 300, 'missed': 0, 'condemned': 0}}
+        for ours, count in ((good, 0), (bad, 3)):
+            row = benchmark.Row('x', ours, bad, bad, 0.0, 0.0)
+            self.assertEqual(len(benchmark.find_breaches([row], bounds)), count)
+        row = takeovers.Row('x', 280.0, 390.0, 0, 1, 0, 0)
+        bounds = {'x': {'most': 380, 'missed': 0, 'needless': 0}}
+        self.assertEqual(len(takeovers.find_breaches([row], bounds)), 2)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -146,6 +146,11 @@
         self.assertLessEqual(ours.crashes, 2 * 4)
         self.assertGreater(ours.killers_blocked, 0)
 
+    def test_passed_bounds_are_found(self):
+        row = benchmark.Row('x', 'ours', 2.5, 100, 1, 0.0)
+        bounds = {'x': {'crashes': 2, 'blocked': 0}}
+        self.assertEqual(len(benchmark.find_breaches([row], bounds)), 2)
+
 
 class FingerprintTest(unittest.TestCase):
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -160,6 +160,13 @@
         self.assertLess(ours.extra, 0.1)
         self.assertEqual((ours.doubled, ours.untrue), (0, 0))
 
+    def test_passed_bounds_are_found(self):
+        row = benchmark.Row('x', 'ours', 0.11, 0.9, 1, 0, 5.0, 9.0)
+        bounds = {'x': {'extra': 0.1, 'doubled': 0, 'untrue': 0}}
+        self.assertEqual(len(benchmark.find_breaches([row], bounds)), 2)
+        bounds = {'x': {'least_answered': 0.95}}
+        self.assertEqual(len(benchmark.find_breaches([row], bounds)), 1)
+
 
 if __name__ == '__main__':
     unittest.main()
