--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,5 +1,7 @@
 """Tests of the adapter of backend servers."""
 
+from concurrent import futures
+import json
 import socket
 import threading
 import unittest
@@ -11,6 +13,7 @@
 from standins import backend
 from standins import backend_state
 from standins import serving
+from tests import waits
 
 _Reason = outcomes.Reason
 _LOW = ((0, 99),)
@@ -69,6 +72,15 @@
         held = self.servers.ask(self.address, None)
         self.assertEqual(held.remaining_ms, 0.0)
 
+    def test_grant_without_a_clock_is_written_in_standard_json(self):
+        bodies = []
+        address = self.serve(
+            lambda call: bodies.append(call.body()) or serving.DROPPED)
+        self.servers.grant(
+            address, servers.GrantOrder('t/s/0', 1, 1, float('-inf'), 1.0,
+                                        None))
+        self.assertEqual(json.loads(bodies[0])['clock_echo_ms'], 0.0)
+
     def test_first_grant_without_a_clock_has_expired_on_arrival(self):
         self.grant(2, 7, _LOW, echo=float('-inf'))
         held = self.servers.ask(self.address, None)
@@ -126,6 +138,31 @@
         self.assertEqual(
             caller.call(self.address, request, 100.0).reason, _Reason.TIMED_OUT)
 
+    def call_at_once(self, caller, limit_ms):
+        """Makes three calls that are all under way at the same time."""
+        request = httpcalls.Request('GET', servers.HEALTH_PATH)
+        before = self.server.list_connections()
+        self.state.frozen_until = float('inf')
+        with futures.ThreadPoolExecutor(3) as threads:
+            calls = [
+                threads.submit(caller.call, self.address, request, limit_ms)
+                for _ in range(3)
+            ]
+            waits.wait_for(
+                lambda: len(self.server.list_connections()) >= len(before) + 3)
+            self.state.frozen_until = 0.0
+            return [call.result() for call in calls]
+
+    def test_idle_connections_beside_a_silent_one_are_not_used_again(self):
+        caller = httpcalls.Caller(clocks.Clock(), 4)
+        self.call_at_once(caller, 20_000.0)
+        self.server.silence_connections(None)
+        request = httpcalls.Request('GET', servers.HEALTH_PATH)
+        lost = caller.call(self.address, request, 100.0)
+        self.assertEqual(lost.reason, _Reason.TIMED_OUT)
+        replies = self.call_at_once(caller, 20_000.0)
+        self.assertEqual([reply.status for reply in replies], [200] * 3)
+
     def test_connection_that_timed_out_is_not_used_again(self):
         caller = httpcalls.Caller(clocks.Clock(), 4)
         seen = []
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,7 +8,6 @@
 import sys
 import tempfile
 import threading
-import time
 import unittest
 
 import hypothesis
@@ -23,6 +22,7 @@
 from standins import grants_held
 from standins import serving
 from standins import store_state
+from tests import waits
 
 _SETTINGS = hypothesis.settings(derandomize=True,
                                 deadline=None,
@@ -33,14 +33,6 @@
 _ROOT = str(pathlib.Path(__file__).parents[1])
 
 
-def _wait_for(condition):
-    for _ in range(10_000):
-        if condition():
-            return
-        time.sleep(0.002)
-    raise AssertionError('it never came')
-
-
 def _make_grant(epoch, sequence, echo, owned, lifetime=500.0):
     return servers.GrantOrder('t/s/0', epoch, sequence, echo, lifetime, owned)
 
@@ -149,7 +141,7 @@
         thread = threading.Thread(target=lambda: started.append(
             self.state.start(self.order(request_id, **fields))))
         thread.start()
-        _wait_for(lambda: self.state.read_load().queued > queued)
+        waits.wait_for(lambda: self.state.read_load().queued > queued)
         return thread, started
 
     def test_slots_and_queue_in_order(self):
@@ -316,7 +308,7 @@
         thread = threading.Thread(target=lambda: replies.append(
             self.ask('/a?ms=60000', headers={'Request-Id': 'r1'})))
         thread.start()
-        _wait_for(self.state.list_runs)
+        waits.wait_for(self.state.list_runs)
         reply = self.ask('/control/cancel', 'POST', json={'request_id': 'r1'})
         self.assertTrue(reply.json()['cancelled'])
         thread.join()
@@ -346,11 +338,11 @@
         held = [socket.create_connection(address) for _ in range(6)]
         for connection in held:
             self.addCleanup(connection.close)
-        _wait_for(lambda: len(self.server.list_connections()) == 6)
+        waits.wait_for(lambda: len(self.server.list_connections()) == 6)
         with self.assertRaises(urllib3.exceptions.ProtocolError):
             self.ask('/a')
         held.pop().close()
-        _wait_for(lambda: len(self.server.list_connections()) < 6)
+        waits.wait_for(lambda: len(self.server.list_connections()) < 6)
         self.assertEqual(self.ask('/a').status, 200)
 
 
@@ -364,8 +356,8 @@
                               cwd=folder,
                               env={'PYTHONPATH': _ROOT}) as process:
             try:
-                _wait_for(lambda: process.poll() is not None or
-                          (folder / 'port').exists())
+                waits.wait_for(lambda: process.poll() is not None or
+                               (folder / 'port').exists())
                 yield process, (folder / 'port').read_text('utf-8'), folder
             finally:
                 process.kill()
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -3,7 +3,6 @@
 import dataclasses
 import socket
 import threading
-import time
 import unittest
 
 import hypothesis
@@ -16,6 +15,7 @@
 from standins import serving
 from standins import store
 from standins import store_state
+from tests import waits
 
 _Reason = outcomes.Reason
 
@@ -242,8 +242,7 @@
             target=lambda: found.append(self.opened.watch('k', 1, 20_000)))
         self.state.put('z', b'', None)
         watcher.start()
-        while not self.state.calls['watch']:
-            time.sleep(0.002)
+        waits.wait_for(lambda: self.state.calls['watch'])
         self.state.put('k', b'v', None)
         watcher.join()
         self.assertEqual(found[0].records, (stores.Record('k', b'v', 2),))
@@ -319,6 +318,21 @@
         self.assertEqual(
             alone.swap('k', b'v', 1).reason, _Reason.STORE_UNAVAILABLE)
 
+    def test_write_that_may_have_been_sent_goes_to_no_second_address(self):
+        """Its conflict there would hide that it was in force for a while."""
+
+        def write_and_drop(call):
+            self.state.put('k', call.body(), None)
+            self.state.put('k', b'other', None)
+            return serving.DROPPED
+
+        lossy = self.serve(write_and_drop).address
+        result = self.connect(lossy, self.address).swap('k', b'v', 0)
+        self.assertEqual(
+            result,
+            stores.Conflict(stores.Record('k', b'other', 2),
+                            maybe_applied=True))
+
     def test_silent_store_is_left_for_the_next_address(self):
         with socket.create_server(('127.0.0.1', 0)) as silent:
             quiet = f'127.0.0.1:{silent.getsockname()[1]}'
