--- a/lentilmoor/adapters.py
+++ b/lentilmoor/adapters.py
@@ -22,17 +22,21 @@
 _Reason = outcomes.Reason
 _VIA = '1.1 lentilmoor'
 
-# Headers that only the router itself may set towards a server.
-_RESERVED = frozenset(name.lower()
-                      for name in (*servers.RESERVED_HEADERS, 'Host', 'Expect',
-                                   'Content-Length', header_names.TRACEPARENT,
-                                   header_names.RELAY_SECRET,
-                                   header_names.RELAY_REQUEST_ID))
-_DROPPED = header_names.HOP_BY_HOP | _RESERVED
+
+def _lower(*names: str) -> frozenset[str]:
+    return frozenset(name.lower() for name in names)
+
+
+# Headers that a caller may not set, or that are written anew for each hop.
+_DROPPED = header_names.HOP_BY_HOP | _lower(
+    *servers.RESERVED_HEADERS, 'Host', 'Expect', 'Content-Length',
+    header_names.TRACEPARENT, header_names.RELAY_SECRET,
+    header_names.RELAY_REQUEST_ID, header_names.DEADLINE_MS)
+# What a server is told in headers of its own, or has no use for.
+_DROPPED_AT_SERVERS = _DROPPED | _lower(header_names.KEY, header_names.CLASS)
 # Headers of an entry's answer that the next entry writes itself.
-_OUTCOME_HEADERS = frozenset(name.lower() for name in (problems.OUTCOME_HEADER,
-                                                       problems.REASON_HEADER,
-                                                       header_names.REQUEST_ID))
+_OUTCOME_HEADERS = _lower(problems.OUTCOME_HEADER, problems.REASON_HEADER,
+                          header_names.REQUEST_ID)
 
 
 class Pools:
@@ -71,7 +75,7 @@
         remaining_ms = call.deadline - clock.now()
         if remaining_ms <= 0:
             return _LATE
-        headers = _copy_headers(outgoing)
+        headers = _copy_headers(outgoing, _DROPPED_AT_SERVERS)
         servers.put_headers(
             headers,
             servers.OrderHeaders(call.request_id, remaining_ms, call.key,
@@ -103,7 +107,7 @@
         remaining_ms = call.deadline - clock.now()
         if remaining_ms <= 0:
             return _LATE
-        headers = _copy_headers(outgoing)
+        headers = _copy_headers(outgoing, _DROPPED)
         headers[header_names.RELAY_SECRET] = secret
         headers[header_names.RELAY_REQUEST_ID] = call.request_id
         headers[header_names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
@@ -137,16 +141,18 @@
                        service_ms=outgoing.service_ms)
 
 
-def _copy_headers(outgoing: dispatch.Outgoing) -> dict[str, str]:
+def _copy_headers(outgoing: dispatch.Outgoing,
+                  dropped: frozenset[str]) -> dict[str, str]:
     call, body = outgoing.call, outgoing.body
-    named = call.raw.header('Connection').lower()
+    listed = call.raw.header('Connection')
+    if listed:
+        named = (name.strip() for name in listed.split(','))
+        dropped = dropped | _lower(*named)
     headers = {}
     for name, value in call.raw.headers.items():
         text = name.decode('latin-1')
-        lower = text.lower()
-        if lower in _DROPPED or (named and lower in named):
-            continue
-        headers[text] = value.decode('latin-1')
+        if text.lower() not in dropped:
+            headers[text] = value.decode('latin-1')
     headers['Via'] = _VIA
     if body.whole:
         if body.start or body.length:
--- a/lentilmoor/admin.py
+++ b/lentilmoor/admin.py
@@ -22,7 +22,6 @@
 from lentilmoor import teampages
 
 MAX_KEY_CHARS = 4_096
-_MAX_BEHIND = 100
 
 _Reason = outcomes.Reason
 _Status = http.HTTPStatus
@@ -139,21 +138,12 @@
 
 
 def _show_applied(call: hooks.Call) -> pages.Reply:
-    applied = call.hooks.applied_versions(call.team)
-    newest = max((item.version for item in applied), default=0)
-    counts: dict[int, int] = {}
-    for item in applied:
-        counts[item.version] = counts.get(item.version, 0) + 1
-    behind = sorted(item.instance for item in applied if item.version < newest)
+    applied = call.hooks.count_applied(call.team)
     return pages.reply_json({
         'team': call.team,
-        'entries': len(applied),
-        'newest': newest,
-        'versions': [{
-            'version': version,
-            'entries': counts[version]
-        } for version in sorted(counts, reverse=True)],
-        'behind': behind[:_MAX_BEHIND],
+        'version': applied.version,
+        'in_force': applied.entries,
+        'entries': applied.total,
     })
 
 
--- a/lentilmoor/adminhooks.py
+++ b/lentilmoor/adminhooks.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
+from lentilmoor import branches
 from lentilmoor import controltables
 from lentilmoor import evidencework
+from lentilmoor import gossip
 from lentilmoor import hooks
 from lentilmoor import inbox
 from lentilmoor import outcomes
 from lentilmoor import quarantine
+from lentilmoor import roles
 from lentilmoor import shardstates
 from lentilmoor import slices
 from lentilmoor import statuses
@@ -34,8 +38,7 @@
             tables, entry.ready, now)),
         find_owner=lambda team, service, key: _find_owner(
             entry, team, service, key),
-        applied_versions=lambda team: entry.ask(lambda tables, now:
-                                                _read_applied(tables, team)),
+        count_applied=lambda team: _count_applied(entry, team),
         list_quarantine=lambda: entry.ask(_list_quarantine),
         release_quarantine=lambda fingerprint: entry.ask(
             lambda tables, now: _release(tables, fingerprint, now)),
@@ -109,10 +112,43 @@
                           route.sequence, f'{point:016x}')
 
 
-def _read_applied(tables: _Tables, team: str) -> tuple[statuses.Applied, ...]:
+def _count_applied(entry: entries.Entry, team: str) -> statuses.Applied:
+    """Asks the root of each failure domain how many have it in force."""
+    key = branches.make_key(team)
+    asked = entry.ask(lambda tables, now: _ask_counts(tables, team, key, now))
+    replies = [
+        entry.peers.call_exchange(call.address, call.message, call.timeout_ms)
+        for call in asked.calls
+    ]
+    count = asked.own
+    for reply in replies:
+        message = reply.result()
+        if isinstance(message, outcomes.Failed):
+            continue
+        count += sum(item.entries
+                     for item in message.counts
+                     if item.key == key and item.version >= asked.version)
+    return statuses.Applied(asked.version, count, asked.total)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Counting:
+    """What is to be asked and what is known already."""
+
+    calls: list[gossip.Outgoing]
+    own: int
+    version: int
+    total: int
+
+
+def _ask_counts(tables: _Tables, team: str, key: str, now: float) -> _Counting:
     branch = tables.branches.get(team)
-    version = branch.version if branch else 0
-    return (statuses.Applied(tables.me, version),)
+    own = 0
+    if branch is not None and not tables.gossip.counts.parent:
+        own = gossip.read_own_count(tables.gossip, key).entries
+    live = roles.list_eligible(tables.instances().values())
+    return _Counting(gossip.ask_counts(tables.gossip, [key], now), own,
+                     branch.version if branch else 0, len(live))
 
 
 def _list_quarantine(tables: _Tables,
--- a/lentilmoor/calls.py
+++ b/lentilmoor/calls.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import itertools
 import uuid
 
@@ -23,6 +24,12 @@
 _numbers = itertools.count(1)
 
 
+@functools.cache
+def _encode_name(name: str) -> bytes:
+    """Returns a header's name as cheroot keeps it."""
+    return name.title().encode()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RawRequest:
     """A parsed HTTP request, not yet interpreted.
@@ -47,7 +54,7 @@
 
     def header(self, name: str) -> str:
         """Returns the value of a header, or '' if it is absent."""
-        value = self.headers.get(name.title().encode())
+        value = self.headers.get(_encode_name(name))
         return value.decode('latin-1') if value else ''
 
 
--- a/lentilmoor/dispatch.py
+++ b/lentilmoor/dispatch.py
@@ -280,14 +280,14 @@
         gate = dispatcher.gate_of(call, route.server.id)
         now = dispatcher.clock.now()
         ticket = queues.Ticket(call.caller, call.class_index, call.deadline)
-        home = route.server.home
+        home = routes.pick_home(route.server, self.avoid)
         if home not in ('', dispatcher.instance) and not call.relayed:
             share = homes.straight_share(route.server.contended)
             slot = gate.try_enter(ticket, now, share)
             if slot is not None:
                 return slot
             address = dispatcher.snapshot.relays.get(home)
-            if address and home not in self.avoid:
+            if address:
                 return routes.Relay(home, address)
         with self.span.child('queue'):
             slot = gate.enter(ticket, now)
--- a/lentilmoor/dispatchers.py
+++ b/lentilmoor/dispatchers.py
@@ -91,6 +91,7 @@
       generator: Seeded source of random numbers.
       snapshot: The routing snapshot in force; swapped by reference.
       changed: Notified after each swap.
+      waiting: Threads that may wait for a slot, shared by all gates.
       gates: Admission gates by (shard, server).
       budgets: Retry budgets by (team, service).
       inflight: Requests at servers.
@@ -102,13 +103,14 @@
     """
 
     def __init__(self, instance: str, clock: clocks.Clock, meters: Meters,
-                 generator: random.Random, most_holding: int):
+                 generator: random.Random, most_waiting: int):
         self.instance = instance
         self.clock = clock
         self.meters = meters
         self.generator = generator
         self.snapshot = routes.EMPTY
         self.changed = threading.Condition()
+        self.waiting = admission.Pool(most_waiting)
         self.gates: dict[tuple[str, str], admission.Gate] = {}
         self.budgets: dict[tuple[str, str], retries.Budget] = {}
         self.inflight = inflight.InflightTable()
@@ -116,7 +118,7 @@
         self.observations: collections.deque[Observation] = collections.deque()
         self.proven: dict[tuple[str, str], float] = {}
         self.holding = 0
-        self.most_holding = most_holding
+        self.most_holding = most_waiting
         self.chance = routes.Chance(generator.random, self.inflight.count_at)
 
     def swap(self, snapshot: routes.Snapshot) -> None:
@@ -157,18 +159,20 @@
         name = (call.shard_id, server)
         gate = self.gates.get(name)
         if gate is None:
-            gate = self.gates.setdefault(name, _make_gate(call, server))
+            gate = self.gates.setdefault(name,
+                                         _make_gate(call, server, self.waiting))
         return gate
 
 
-def _make_gate(call: calls.Call, server: str) -> admission.Gate:
+def _make_gate(call: calls.Call, server: str,
+               waiting: admission.Pool) -> admission.Gate:
     slots = next(
         (item.slots for item in call.settings.servers if item.id == server), 1)
     policies = tuple(
-        queues.ClassPolicy(item.name, item.priority, item.floor)
-        for item in call.settings.classes)
+        queues.ClassPolicy(item.name, item.priority, item.floor,
+                           item.deferrable) for item in call.settings.classes)
     return admission.Gate(
         server,
         admission.GateSettings(policies,
                                slots=slots,
-                               warm_up_ms=call.settings.warm_up_ms))
+                               warm_up_ms=call.settings.warm_up_ms), waiting)
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -8,6 +8,7 @@
 import functools
 import logging
 import os
+import pathlib
 import random
 import secrets
 import signal
@@ -34,6 +35,7 @@
 from lentilmoor import gossip
 from lentilmoor import inbox
 from lentilmoor import logs
+from lentilmoor import members
 from lentilmoor import metrics
 from lentilmoor import models
 from lentilmoor import outcomes
@@ -49,7 +51,7 @@
 from lentilmoor import traces
 from lentilmoor import watchers
 
-TICK_MS = 25.0
+TICK_MS = 50.0
 ADMIN_THREADS = 4
 SETTLE_THREADS = 4
 SERVER_TIMEOUT_MS = 300.0
@@ -142,14 +144,17 @@
         return reply.result(_ASK_TIMEOUT_MS / clocks.MS_PER_S)
 
 
-def start_entry(settings: models.ProcessSettings, secret: str) -> Entry:
+def start_entry(settings: models.ProcessSettings) -> Entry:
     """Starts an entry and returns it running.
 
     Args:
       settings: The process's settings.
-      secret: Shared by all entries.
+
+    Raises:
+      OSError: The peers' secret can't be read or an address not listened on.
     """
-    base = _make_base(settings, secret)
+    secret = pathlib.Path(settings.peer_secret_file).read_text(encoding='utf-8')
+    base = _make_base(settings, secret.strip())
     holding = int(settings.threads * HOLDING_SHARE)
     dispatcher = dispatchers.Dispatcher(base.id, base.clock,
                                         dispatchers.make_meters(base.registry),
@@ -159,7 +164,7 @@
     control_of_servers = servers.connect_servers(base.clock, SERVER_TIMEOUT_MS)
     _listen(entry, store, control_of_servers)
     entry.runner = runners.Runner(
-        runners.Outside(store, control_of_servers, entry.peers,
+        runners.Outside(base.id, store, control_of_servers, entry.peers,
                         _make_finder(dispatcher), entry.tell))
     entry.actor = control.Control.start(_make_tables(entry), base.failed)
     _start_threads(entry, store, control_of_servers)
@@ -181,9 +186,7 @@
 
 def run(settings: models.ProcessSettings) -> int:
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
-    with open(settings.peer_secret_file, encoding='utf-8') as file:
-        secret = file.read().strip()
-    entry = start_entry(settings, secret)
+    entry = start_entry(settings)
     asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.set())
@@ -358,6 +361,8 @@
         watchers.WatchWiring(store=store,
                              own=lambda: _list_self(entry),
                              is_watcher=lambda: entry.ask(_is_watcher),
+                             has_joined=lambda: entry.ask(_has_joined),
+                             list_every_ms=lambda: entry.ask(_find_list_pace),
                              tell=entry.tell,
                              stopped=base.stopped))
     cancellations.start_canceller(
@@ -381,6 +386,19 @@
     return roles.is_watcher(tables_.me, tables_.instances().values())
 
 
+def _has_joined(tables_: controltables.ControlTables, now: float) -> bool:
+    del now
+    return tables_.gossip.joined
+
+
+def _find_list_pace(tables_: controltables.ControlTables, now: float) -> float:
+    """Returns how often this entry is to read the platform's list; 0: not."""
+    known = tables_.gossip.members
+    if _is_watcher(tables_, now) or members.wants_list(known):
+        return members.list_every_ms(known)
+    return 0.0
+
+
 def _await_handover(entry: Entry) -> None:
     """Waits until other entries are grantors of what this one was."""
     until = entry.base.clock.now() + HANDOVER_MS
--- a/lentilmoor/gateways.py
+++ b/lentilmoor/gateways.py
@@ -7,11 +7,9 @@
 
 from collections.abc import Callable
 import hmac
-import http
 import select
 import socket
 
-from cheroot import errors
 from cheroot import server as cheroot_server
 
 from lentilmoor import bodies
@@ -20,6 +18,7 @@
 from lentilmoor import headers as header_names
 from lentilmoor import outcomes
 from lentilmoor import problems
+from lentilmoor import responses
 from lentilmoor import shutdowns
 from lentilmoor import traces
 from lentilmoor import tries
@@ -28,10 +27,6 @@
 SMALLEST_HEADER_LIMIT = 64 * 1024
 
 _Reason = outcomes.Reason
-_PHRASES = {
-    item.value: f'{item.value} {item.phrase}'.encode()
-    for item in http.HTTPStatus
-}
 _EMPTY = b''
 
 DispatchCall = Callable[[calls.Call, bodies.Body, traces.Span], tries.Result]
@@ -102,12 +97,13 @@
     began = dispatcher.clock.now()
     if relay_secret and not _is_peer(request, relay_secret):
         refusal = outcomes.NotRun(_Reason.NOT_AUTHORIZED, 'peers only')
-        _write_problem(request, problems.make(refusal, dispatcher.instance))
+        responses.write_problem(request,
+                                problems.make(refusal, dispatcher.instance))
         return
     raw = _read_raw(request)
     call = calls.read_call(raw, dispatcher.snapshot.find_settings, began)
     if isinstance(call, outcomes.NotRun):
-        _finish(request, dispatcher, raw.path, call)
+        _refuse(request, dispatcher, call)
         return
     start = tracer.join if relay_secret else tracer.begin
     with start('relayed' if relay_secret else 'request',
@@ -179,74 +175,21 @@
     dispatcher.meters.request_ms.at(call.service, name).record(took_ms)
 
 
-def _finish(request: cheroot_server.HTTPRequest,
-            dispatcher: dispatchers.Dispatcher, path: str,
+def _refuse(request: cheroot_server.HTTPRequest,
+            dispatcher: dispatchers.Dispatcher,
             refusal: outcomes.NotRun) -> None:
-    del path
     dispatcher.meters.requests.at('', problems.Outcome.NOT_RUN.value,
                                   refusal.reason.value).add()
-    _write_problem(request, problems.make(refusal, dispatcher.instance))
+    responses.write_problem(request, problems.make(refusal,
+                                                   dispatcher.instance))
 
 
 def _write_result(request: cheroot_server.HTTPRequest,
                   dispatcher: dispatchers.Dispatcher, call: calls.Call,
                   result: tries.Result) -> None:
-    if not isinstance(result, tries.Answer):
-        _write_problem(request, problems.make(result, dispatcher.instance),
-                       call.request_id)
-        return
-    _write_answer(request, call.request_id, result)
-
-
-def _write_answer(request: cheroot_server.HTTPRequest, request_id: str,
-                  answer: tries.Answer) -> None:
-    request.status = _PHRASES.get(answer.status, str(answer.status).encode())
-    sent = request.outheaders
-    for name, value in answer.headers:
-        sent.append((name.encode('latin-1'), value.encode('latin-1')))
-    sent.append((problems.OUTCOME_HEADER.encode(),
-                 problems.Outcome.ANSWERED.value.encode()))
-    sent.append((header_names.REQUEST_ID.encode(), request_id.encode()))
-    request.sent_headers = True
-    try:
-        request.send_headers()
-        if answer.body:
-            request.write(answer.body)
-        if answer.rest is not None:
-            _stream_rest(request, answer)
-    except OSError as error:
-        if error.args and error.args[0] in errors.socket_errors_to_ignore:
-            _cut(request)
-            return
-        raise
-    finally:
-        answer.close()
-
-
-def _stream_rest(request: cheroot_server.HTTPRequest,
-                 answer: tries.Answer) -> None:
-    try:
-        for chunk in answer.rest:
-            request.write(chunk)
-    except tries.CutError:
-        _cut(request)
-
-
-def _cut(request: cheroot_server.HTTPRequest) -> None:
-    """Closes the connection without the mark that ends a whole answer."""
-    request.chunked_write = False
-    request.close_connection = True
-
-
-def _write_problem(request: cheroot_server.HTTPRequest,
-                   problem: problems.Problem,
-                   request_id: str = '') -> None:
-    request.status = problem.status_line.encode()
-    for name, value in problem.headers:
-        request.outheaders.append((name.encode(), value.encode('latin-1')))
-    if request_id:
-        request.outheaders.append(
-            (header_names.REQUEST_ID.encode(), request_id.encode()))
-    request.sent_headers = True
-    request.send_headers()
-    request.write(problem.body)
+    if isinstance(result, tries.Answer):
+        responses.write_answer(request, call.request_id, result)
+    else:
+        responses.write_problem(request,
+                                problems.make(result, dispatcher.instance),
+                                call.request_id)
--- a/lentilmoor/headers.py
+++ b/lentilmoor/headers.py
@@ -14,7 +14,6 @@
 # From an entry to the entry that is home or delegate for a server.
 RELAY_SECRET = 'Lentilmoor-Relay-Secret'
 RELAY_REQUEST_ID = 'Lentilmoor-Relay-Request-Id'
-RELAY_CLAIMED = 'Lentilmoor-Relay-Claimed'
 
 # Headers that describe one connection and are never passed on (RFC 9110,
 # section 7.6.1).
--- a/lentilmoor/hooks.py
+++ b/lentilmoor/hooks.py
@@ -23,7 +23,7 @@
       show_metrics: Returns the metrics' text form.
       read_status: Returns the state of the deployment.
       find_owner: (team, service, key) -> its owner, from the map in force.
-      applied_versions: (team) -> which version is in force at which entry.
+      count_applied: (team) -> at how many entries its branch is in force.
       list_quarantine: Returns the requests that are held.
       release_quarantine: (fingerprint, hexadecimal) -> whether it was held.
       spread_now: Takes a branch's record that was just accepted, so that it
@@ -37,7 +37,7 @@
     show_metrics: Callable[[], bytes]
     read_status: Callable[[], statuses.Status]
     find_owner: Callable[[str, str, str], statuses.Owner | outcomes.Failed]
-    applied_versions: Callable[[str], tuple[statuses.Applied, ...]]
+    count_applied: Callable[[str], statuses.Applied]
     list_quarantine: Callable[[], tuple[statuses.Quarantined, ...]]
     release_quarantine: Callable[[str], bool]
     spread_now: Callable[[stores.Record], None]
--- a/lentilmoor/models.py
+++ b/lentilmoor/models.py
@@ -121,11 +121,13 @@
     Attributes:
       floor: Share of a server that lower classes keep from this one on, so
         that none starves.
+      deferrable: Whether its requests can wait, like an overnight sync.
     """
 
     name: Name
     priority: int = pydantic.Field(default=0, ge=0, le=9)
     floor: float = pydantic.Field(default=0.05, ge=0, le=1)
+    deferrable: bool = False
 
 
 class RepeatRule(_Model):
--- a/lentilmoor/operations.py
+++ b/lentilmoor/operations.py
@@ -96,9 +96,9 @@
 def show_applied(team: str) -> _ExitCode:
     """Says how many entries have which version in force."""
     return consoles.print_answer(
-        consoles.call('GET', _team_path(team, 'applied')), lambda members: '\n'.
-        join(f'version {item["version"]}: {item["entries"]} of '
-             f'{members["entries"]} entries' for item in members['versions']))
+        consoles.call('GET', _team_path(team, 'applied')), lambda members:
+        f'version {members["version"]}: {members["in_force"]} of '
+        f'{members["entries"]} entries')
 
 
 def show_status() -> _ExitCode:
@@ -208,9 +208,9 @@
         if not consoles.is_good(answer):
             return consoles.explain(answer)
         total = answer.members['entries']
-        reached = sum(item['entries']
-                      for item in answer.members['versions']
-                      if item['version'] >= version)
+        reached = 0
+        if answer.members['version'] >= version:
+            reached = answer.members['in_force']
         if total and reached == total:
             print(f'in force at {reached} of {total} entries')
             return _ExitCode.DONE
--- a/lentilmoor/routes.py
+++ b/lentilmoor/routes.py
@@ -23,14 +23,15 @@
     Attributes:
       id: Server id.
       address: host:port.
-      home: Id of the entry that keeps the server's queue, or ''.
+      homes: Entries that keep the server's queue: the home, then who takes
+        its place while it does not answer.
       contended: Whether requests go by the home.
       liveness: What is held true of the server.
     """
 
     id: str
     address: str
-    home: str = ''
+    homes: tuple[str, ...] = ()
     contended: bool = False
     liveness: tables.Liveness = tables.Liveness.LIVE
 
@@ -197,13 +198,18 @@
 
 def _route_to_server(snapshot: Snapshot, shard: ShardRoute, server: ServerRoute,
                      instance: str, avoid: frozenset[str]) -> Route:
-    by_home = (server.contended and server.home not in ('', instance) and
-               server.home not in avoid)
-    if by_home and server.home in snapshot.relays:
-        return Relay(server.home, snapshot.relays[server.home])
+    if server.contended:
+        home = pick_home(server, avoid)
+        if home != instance and home in snapshot.relays:
+            return Relay(home, snapshot.relays[home])
     return Straight(server, shard.epoch, shard.sequence)
 
 
+def pick_home(server: ServerRoute, avoid: frozenset[str]) -> str:
+    """Returns who keeps a server's queue, as far as it answers; or ''."""
+    return next((home for home in server.homes if home not in avoid), '')
+
+
 def _relay_to_delegate(snapshot: Snapshot, shard: ShardRoute, instance: str,
                        avoid: frozenset[str]) -> Route:
     for delegate in shard.delegates:
--- a/lentilmoor/runners.py
+++ b/lentilmoor/runners.py
@@ -40,6 +40,7 @@
     """What a runner calls.
 
     Attributes:
+      me: This entry's id.
       store: The platform's store.
       servers: Backend servers' control.
       peers: Other entries.
@@ -47,6 +48,7 @@
       tell: Takes an event; must not block.
     """
 
+    me: str
     store: stores.Store
     servers: servers.Servers
     peers: peers.Peers
@@ -190,12 +192,17 @@
         return inbox.ProbeEnded(probe, answered=True, leaving=found.leaving)
 
     def _send_lease(self, action: grants.SendLease) -> None:
+        message = leasing.write_order(action.order)
         address = self.outside.find_peer(action.delegate)
-        if address is None:
+        if action.delegate == self.outside.me:
+            call: futures.Future = futures.Future()
+            self.outside.tell(inbox.LeaseAsked(message, call))
+        elif address is not None:
+            call = self.outside.peers.call_lease(address, message,
+                                                 LEASE_TIMEOUT_MS)
+        else:
             self.outside.tell(grants.CallFailed(action))
             return
-        message = leasing.write_order(action.order)
-        call = self.outside.peers.call_lease(address, message, LEASE_TIMEOUT_MS)
         call.add_done_callback(
             lambda done: self.outside.tell(_read_lease(action, done.result())))
 
--- a/lentilmoor/snapshots.py
+++ b/lentilmoor/snapshots.py
@@ -6,11 +6,15 @@
 
 from lentilmoor import catalogs
 from lentilmoor import delegates
+from lentilmoor import homes
 from lentilmoor import roles
 from lentilmoor import routes
 from lentilmoor import shardstates
 from lentilmoor import tables
 
+# A home and two that would take its place.
+HOMES = 3
+
 _RELAYED_TO = (tables.Liveness.LIVE, tables.Liveness.SUSPECT)
 
 
@@ -24,13 +28,15 @@
 
 
 def make_route(state: shardstates.ShardState,
-               delegate_ids: tuple[str, ...]) -> routes.ShardRoute:
+               nearest: list[tables.Instance]) -> routes.ShardRoute:
     """Returns the route of one shard.
 
     Args:
       state: The shard.
-      delegate_ids: Entries that may dispatch, nearest first.
+      nearest: Entries that may dispatch, nearest first.
     """
+    delegate_ids = tuple(item.id for item in nearest)
+    places = [homes.Place(item.id, item.failure_domain) for item in nearest]
     view = delegates.view(state.lease)
     keyed = state.shard.settings.keyed
     if view is None:
@@ -40,7 +46,7 @@
                                  delegates=delegate_ids)
     return routes.ShardRoute(state.shard.id,
                              keyed,
-                             _make_servers(state, view),
+                             _make_servers(state, view, places),
                              map=view.map,
                              expires_at=view.expires_at,
                              epoch=view.epoch,
@@ -56,14 +62,13 @@
 
 
 def rank_delegates(shard: str, instances: Mapping[str, tables.Instance],
-                   me: tables.Instance) -> tuple[str, ...]:
+                   me: tables.Instance) -> list[tables.Instance]:
     """Returns a shard's delegates, those in this entry's place first."""
     chosen = roles.pick_delegates(shard, instances.values())
-    ranked = sorted(
+    return sorted(
         chosen,
         key=lambda item:
         (item.failure_domain != me.failure_domain, item.region != me.region))
-    return tuple(item.id for item in ranked)
 
 
 def make_snapshot(catalog: catalogs.Catalog,
@@ -73,13 +78,17 @@
     return routes.Snapshot(catalog.services, shards, relays, peers)
 
 
-def _make_servers(state: shardstates.ShardState,
-                  view: delegates.RouteView) -> dict[str, routes.ServerRoute]:
+def _make_servers(state: shardstates.ShardState, view: delegates.RouteView,
+                  places: list[homes.Place]) -> dict[str, routes.ServerRoute]:
     home_of = dict(zip(view.map.servers, view.homes, strict=False))
     rows = {}
     for server in state.servers.values():
+        place = homes.Place(server.id, server.failure_domain)
+        ranked = [item.id for item in homes.rank_homes(place, places)]
+        home = home_of.get(server.id, '')
+        others = [name for name in ranked if name != home]
+        chosen = ([home] if home else []) + others
         rows[server.id] = routes.ServerRoute(server.id, server.address,
-                                             home_of.get(server.id,
-                                                         ''), server.id
+                                             tuple(chosen[:HOMES]), server.id
                                              in view.contended, server.liveness)
     return rows
--- a/lentilmoor/statuses.py
+++ b/lentilmoor/statuses.py
@@ -103,15 +103,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Applied:
-    """Which version of a branch is in force at an entry.
+    """At how many entries a version of a branch is in force.
 
     Attributes:
-      instance: The entry; 0 as its version means none yet.
-      version: The store's version of the branch.
+      version: The store's version that is in force at the entry asked; 0:
+        none yet.
+      entries: Entries that have it, or a newer one, in force.
+      total: Entries that are held live.
     """
 
-    instance: str
     version: int
+    entries: int
+    total: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/tries.py
+++ b/lentilmoor/tries.py
@@ -159,10 +159,7 @@
         # The server may have answered before it had read the whole body.
         if order.body is None:
             raise
-    response = taken.http.getresponse()
-    if taken.http.sock is not None:
-        taken.http.sock.settimeout(IDLE_TIMEOUT_MS / clocks.MS_PER_S)
-    return response
+    return taken.http.getresponse()
 
 
 def _read_start(pool: connections.Pool, taken: connections.Connection,
@@ -194,6 +191,8 @@
 
 def _stream(pool: connections.Pool, taken: connections.Connection,
             response: urllib3.HTTPResponse) -> Iterator[bytes]:
+    if taken.http.sock is not None:
+        taken.http.sock.settimeout(IDLE_TIMEOUT_MS / clocks.MS_PER_S)
     try:
         yield from response.stream(CHUNK_BYTES, decode_content=False)
     except _BROKEN as error:
--- a/lentilmoor/watchers.py
+++ b/lentilmoor/watchers.py
@@ -16,7 +16,8 @@
 from lentilmoor import stores
 
 WATCH_MS = 10_000.0
-LIST_EVERY_MS = 1_000.0
+JOIN_LOOKS = 20
+JOIN_LOOK_MS = 100.0
 IDLE_MS = 1_000.0
 RETRY_MS = 500.0
 
@@ -29,6 +30,8 @@
       store: The platform's service.
       own: This entry's line in the list, to be put there.
       is_watcher: Whether it is this entry's role to watch.
+      has_joined: Whether everything that a peer held is here already.
+      list_every_ms: How often to read the list; 0 if it is not to be read.
       tell: Sends the control actor a message.
       stopped: Set when the process ends.
     """
@@ -36,6 +39,8 @@
     store: stores.Store
     own: Callable[[], stores.ListedInstance]
     is_watcher: Callable[[], bool]
+    has_joined: Callable[[], bool]
+    list_every_ms: Callable[[], float]
     tell: Callable[[object], None]
     stopped: threading.Event
 
@@ -58,10 +63,15 @@
 
 
 def watch_branches(wiring: WatchWiring) -> None:
-    """Reads all branches, then watches them while that is the role."""
+    """Watches branches while that is the role.
+
+    An entry that starts reads them once, unless its peers give them to it
+    first: after an outage all entries start at once, and the store is small.
+    """
     revision = 0
+    knows = _await_peers(wiring)
     while not wiring.stopped.is_set():
-        if revision and not wiring.is_watcher():
+        if (revision or knows) and not wiring.is_watcher():
             # A watch taken up again later goes on where this one ended.
             _pause(wiring, IDLE_MS)
             continue
@@ -86,11 +96,21 @@
     while not wiring.stopped.is_set():
         if not registered:
             registered = wiring.store.register(wiring.own()) is None
-        if not read_once or wiring.is_watcher():
+        every_ms = wiring.list_every_ms()
+        if not read_once or every_ms:
             listed = wiring.store.instances()
             wiring.tell(inbox.InstancesListed(listed))
             read_once = not isinstance(listed, outcomes.Failed)
-        _pause(wiring, LIST_EVERY_MS)
+        _pause(wiring, every_ms or IDLE_MS)
+
+
+def _await_peers(wiring: WatchWiring) -> bool:
+    """Waits a while for peers to give what they hold; whether they did."""
+    for _ in range(JOIN_LOOKS):
+        if wiring.has_joined() or wiring.stopped.is_set():
+            return True
+        _pause(wiring, JOIN_LOOK_MS)
+    return False
 
 
 def _pause(wiring: WatchWiring, ms: float) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -78,11 +78,11 @@
 
 def start_store(fleet: Fleet) -> None:
     """Starts the platform's stand-in."""
-    process = _start(
+    process = start_module(
         fleet, 'standins.store', 'store',
         ['--port_file', str(fleet.folder / 'store.port')])
     fleet.others.append(process)
-    fleet.store = _await_file(fleet.folder / 'store.port', process)
+    fleet.store = await_file(fleet.folder / 'store.port', process)
 
 
 def start_server(fleet: Fleet, name: str, *options: str) -> None:
@@ -90,14 +90,14 @@
     port_file = fleet.folder / f'{name}.port'
     port_file.unlink(missing_ok=True)
     old = fleet.addresses.get(name, ':0')
-    process = _start(fleet, 'standins.backend', name, [
+    process = start_module(fleet, 'standins.backend', name, [
         '--id', name, '--port',
         old.rpartition(':')[2], '--port_file',
         str(port_file), '--journal_file',
         str(fleet.journal(name)), *options
     ])
     fleet.servers[name] = process
-    fleet.addresses[name] = _await_file(port_file, process)
+    fleet.addresses[name] = await_file(port_file, process)
 
 
 def start_entry(fleet: Fleet, name: str, **settings: object) -> EntryProcess:
@@ -111,8 +111,9 @@
     path = write_settings(fleet, name, **settings)
     log = fleet.folder / f'{name}.log'
     log.unlink(missing_ok=True)
-    process = _start(fleet, 'lentilmoor', name,
-                     ['entry', '--settings', str(path)])
+    process = start_module(
+        fleet, 'lentilmoor', name,
+        ['entry', '--settings', str(path)])
     started = _await_line(log, 'entry_started', process)
     entry = EntryProcess(name, process, started['callers'], started['admin'])
     fleet.entries[name] = entry
@@ -210,15 +211,17 @@
         process.wait()
 
 
-def _start(fleet: Fleet, module: str, name: str,
-           options: list[str]) -> subprocess.Popen:
+def start_module(fleet: Fleet, module: str, name: str,
+                 options: list[str]) -> subprocess.Popen:
+    """Starts a module as a process that logs to a file of its own."""
     with open(fleet.folder / f'{name}.log', 'ab') as log:
         return subprocess.Popen([sys.executable, '-m', module, *options],
                                 stdout=log,
                                 stderr=log)
 
 
-def _await_file(path: pathlib.Path, process: subprocess.Popen) -> str:
+def await_file(path: pathlib.Path, process: subprocess.Popen) -> str:
+    """Waits until a process has written a file and returns its text."""
     until = time.monotonic() + START_S
     while not path.exists():
         if process.poll() is not None or time.monotonic() > until:
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -59,7 +59,8 @@
         self._weights = [1 / (rank + 1)**ZIPF for rank in range(KEYS)]
         self.sent: list[Sent] = []
         self._threads = [
-            threading.Thread(target=self._call, daemon=True,
+            threading.Thread(target=self._call,
+                             daemon=True,
                              args=(f'shop-{number}',
                                    random.Random(seed + number)))
             for number in range(callers)
