Never read a refusal without the status of its answer

Cause: a Not-Run header on a success would have been believed if the status was left out. Change: the status is required; the only caller passes it. Conclusion: an answer that reports success counts as run.

--- a/lentilmoor/servers.py
+++ b/lentilmoor/servers.py
@@ -263,7 +263,7 @@
 
 
 def read_refusal(headers: Iterable[tuple[str, str]],
-                 status: int | None = None) -> _Reason | None:
+                 status: int) -> _Reason | None:
     """Returns why a server did not run a request, if its answer says so.
 
     Args:
@@ -271,7 +271,7 @@
       status: Its status; an answer that reports success was run, whatever its
         headers say.
     """
-    if status is not None and status < _FIRST_ERROR:
+    if status < _FIRST_ERROR:
         return None
     for name, value in headers:
         if name.lower() == NOT_RUN_HEADER.lower():
