Run suspects alone, and tell held-off tries from proofs of life

Cause: a request that had crashed a server was tried again beside others; a try for which no connection was opened counted as a sign of life, a connection that timed out as a refusal; a relayed request could meet another server than the one it was queued for; an entry cut off from one server kept trying it. Change: suspects go by the home, one at a time for each server; the ends of tries are told apart; the home is told which server is meant; kept probes go by the connection of grants; servers that only this entry can't reach are reached through another; crashes travel with the periodic exchange.

--- a/lentilmoor/adapters.py
+++ b/lentilmoor/adapters.py
@@ -31,7 +31,8 @@
 _DROPPED = header_names.HOP_BY_HOP | _lower(
     *servers.RESERVED_HEADERS, 'Host', 'Expect', 'Content-Length',
     header_names.TRACEPARENT, header_names.RELAY_SECRET,
-    header_names.RELAY_REQUEST_ID, header_names.DEADLINE_MS)
+    header_names.RELAY_REQUEST_ID, header_names.RELAY_SERVER,
+    header_names.RELAY_SUSPECT, header_names.DEADLINE_MS)
 # What a server is told in headers of its own, or has no use for.
 _DROPPED_AT_SERVERS = _DROPPED | _lower(header_names.KEY, header_names.CLASS)
 # Headers of an entry's answer that the next entry writes itself.
@@ -110,12 +111,20 @@
         headers = _copy_headers(outgoing, _DROPPED)
         headers[header_names.RELAY_SECRET] = secret
         headers[header_names.RELAY_REQUEST_ID] = call.request_id
+        if route.server:
+            headers[header_names.RELAY_SERVER] = route.server
+        if outgoing.suspect:
+            headers[header_names.RELAY_SUSPECT] = 'yes'
         headers[header_names.DEADLINE_MS] = str(max(1, int(remaining_ms)))
         target = f'/{call.team}/{call.service}{call.target}'
         sent = tries.send_order(
             pools.find(route.address),
             _make_order(outgoing, target, headers, remaining_ms))
-        if not isinstance(sent.result, tries.Answer):
+        if isinstance(sent.result, outcomes.NotRun):
+            refusal = outcomes.NotRun(_Reason.PEER_UNAVAILABLE,
+                                      sent.result.detail)
+            return dataclasses.replace(sent, result=refusal)
+        if isinstance(sent.result, outcomes.Unknown):
             return sent
         return dataclasses.replace(sent, result=_read_outcome(sent.result))
 
--- a/lentilmoor/calls.py
+++ b/lentilmoor/calls.py
@@ -78,6 +78,8 @@
       repeatable: Whether it may be run more than once.
       idempotency_key: The caller's key for at-most-once, or ''.
       relayed: Whether another entry handed it over.
+      server: The server that entry meant, or ''.
+      suspect: Whether that entry holds it suspect of crashing servers.
     """
 
     request_id: str
@@ -95,6 +97,8 @@
     repeatable: bool
     idempotency_key: str
     relayed: bool = False
+    server: str = ''
+    suspect: bool = False
 
     @property
     def shard_id(self) -> str:
--- a/lentilmoor/controltables.py
+++ b/lentilmoor/controltables.py
@@ -65,6 +65,7 @@
       store_seen_at: When the store last answered the watcher, ms.
       store_answers: Whether its last call was answered.
       leaving: Whether this entry is leaving.
+      pauses_seen: Pauses of this process that were acted on.
       probes_due: Which servers this entry probes is to be worked out again.
     """
 
@@ -93,6 +94,7 @@
     store_answers: bool = False
     leaving: bool = False
     probes_due: bool = False
+    pauses_seen: int = 0
 
     @property
     def me(self) -> str:
--- a/lentilmoor/dispatch.py
+++ b/lentilmoor/dispatch.py
@@ -33,8 +33,17 @@
 MAX_ROUTES = 8
 
 _Reason = outcomes.Reason
+ALONE_LOOK_MS = 10.0
 _End = dispatchers.TryEnd
+_BLOCKED = outcomes.NotRun(_Reason.QUARANTINED,
+                           'this request has crashed its servers')
+_NO_HOME = outcomes.NotRun(
+    _Reason.QUARANTINED, 'a suspect runs alone, and nobody can see to it now',
+    int(HOLD_MS))
+_NOT_ALONE = outcomes.NotRun(_Reason.DEADLINE_PASSED,
+                             'another suspect ran until the deadline')
 _NO_VERSION = (0, 0)
+_NO_LEASE = routes.Hold(_Reason.NO_LEASE)
 
 _ENDS = {
     _Reason.CONNECT_FAILED: _End.REFUSED,
@@ -43,6 +52,9 @@
     _Reason.TIMED_OUT: _End.TIMED_OUT,
     _Reason.NOT_GRANTED: _End.NOT_GRANTED,
     _Reason.DEADLINE_PASSED: _End.ABANDONED,
+    _Reason.NO_SERVER: _End.ABANDONED,
+    _Reason.OVERLOADED: _End.ABANDONED,
+    _Reason.SHUTTING_DOWN: _End.ABANDONED,
     _Reason.BAD_REQUEST: _End.ABANDONED,
     _Reason.CANCELLED: _End.ABANDONED,
 }
@@ -55,6 +67,9 @@
     _End.NOT_GRANTED: admission.Ending.UNUSED,
     _End.ABANDONED: admission.Ending.UNUSED,
 }
+# Ends of a try after which another one can't do better.
+_FINAL = frozenset(
+    (_Reason.DEADLINE_PASSED, _Reason.BAD_REQUEST, _Reason.CANCELLED))
 # Refusals of an entry after which another route may serve.
 _REROUTED = frozenset((_Reason.CONNECT_FAILED, _Reason.NO_LEASE,
                        _Reason.PEER_UNAVAILABLE, _Reason.SHUTTING_DOWN))
@@ -84,6 +99,7 @@
       span: The span of the try.
       fresh: Whether only a new connection will do.
       service_ms: Mean time of service at the server.
+      suspect: Whether it is held suspect of crashing servers.
     """
 
     call: calls.Call
@@ -91,6 +107,7 @@
     span: traces.Span
     fresh: bool = False
     service_ms: float = 0.0
+    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,14 +170,6 @@
                       span: traces.Span) -> tries.Result:
     run = _Run(dispatcher, wiring, call, body, span,
                retries.Progress(call.repeatable, call.deadline))
-    if dispatcher.suspects.suspects:
-        verdict = quarantine.check(dispatcher.suspects,
-                                   make_fingerprint(call, body),
-                                   dispatcher.clock.now())
-        if verdict is quarantine.Verdict.BLOCKED:
-            return outcomes.NotRun(_Reason.QUARANTINED,
-                                   'this request has crashed its servers')
-        run.suspect = verdict is quarantine.Verdict.SUSPECT
     return run.finish()
 
 
@@ -182,6 +191,8 @@
         """Routes and tries until there is an outcome."""
         retries.note_first_try(self.dispatcher.budget_of(self.call))
         for _ in range(MAX_ROUTES):
+            if self._is_blocked():
+                return self._conclude(_BLOCKED)
             route = self._find_route()
             if isinstance(route, outcomes.NotRun):
                 return self._conclude(route)
@@ -195,6 +206,19 @@
             outcomes.NotRun(_Reason.NO_OWNER, 'its owner keeps changing',
                             int(HOLD_MS)))
 
+    def _is_blocked(self) -> bool:
+        """Checks the quarantine; a suspect goes on, but alone."""
+        suspects = self.dispatcher.suspects
+        if not suspects.suspects:
+            self.suspect = self.call.suspect
+            return False
+        verdict = quarantine.check(suspects,
+                                   make_fingerprint(self.call, self.body),
+                                   self.dispatcher.clock.now())
+        self.suspect = (self.call.suspect or
+                        verdict is quarantine.Verdict.SUSPECT)
+        return verdict is quarantine.Verdict.BLOCKED
+
     def _conclude(self, refusal: outcomes.NotRun) -> tries.Result:
         """Says "not run" only if no earlier try may have run."""
         if self.progress.may_have_run:
@@ -207,10 +231,9 @@
         while True:
             snapshot = dispatcher.snapshot
             now = dispatcher.clock.now()
-            route = routes.pick_route(snapshot, call.shard_id, call.point, now,
-                                      dispatcher.instance, self.avoid,
-                                      dispatcher.chance)
-            if call.relayed and isinstance(route, routes.Relay):
+            route = self._pick_route(snapshot, now)
+            if call.relayed and (route == _NO_LEASE or
+                                 isinstance(route, routes.Relay)):
                 return outcomes.NotRun(_Reason.NO_LEASE,
                                        'handed to an entry without a lease', 1)
             if not isinstance(route, routes.Hold):
@@ -220,12 +243,27 @@
                                        'nobody serves the key now',
                                        int(retries.TAKEOVER_MS))
 
+    def _pick_route(self, snapshot: routes.Snapshot,
+                    now: float) -> routes.Route:
+        dispatcher, call = self.dispatcher, self.call
+        if call.relayed and call.server:
+            return routes.pick_relayed(snapshot, call.shard_id, call.point, now,
+                                       call.server)
+        return routes.pick_route(snapshot, call.shard_id, call.point, now,
+                                 dispatcher.instance, self.avoid,
+                                 dispatcher.chance)
+
     def _relay(self, route: routes.Relay) -> tries.Result | None:
         """Hands the call over; None if another route is to be found."""
         with self.span.child('relay') as span:
             span.note('entry', route.instance)
             sent = self.wiring.relay(
-                route, Outgoing(self.call, self.body, span, self.fresh))
+                route,
+                Outgoing(self.call,
+                         self.body,
+                         span,
+                         self.fresh,
+                         suspect=self.suspect))
         result = sent.result
         if isinstance(result, tries.Answer):
             return result
@@ -239,6 +277,34 @@
 
     def _go_straight(self, route: routes.Straight) -> tries.Result | None:
         """Tries a server; None if another route is to be found."""
+        if not self.suspect:
+            return self._try_server(route)
+        home = routes.pick_home(route.server, self.avoid)
+        elsewhere = route.server.homes and home != self.dispatcher.instance
+        if elsewhere and not self.call.relayed:
+            address = self.dispatcher.snapshot.relays.get(home)
+            if address is None:
+                return self._conclude(_NO_HOME)
+            return self._relay(routes.Relay(home, address, route.server.id))
+        return self._try_alone(route)
+
+    def _try_alone(self, route: routes.Straight) -> tries.Result | None:
+        """Tries a server with no other suspect running there."""
+        suspects = self.dispatcher.suspects
+        fingerprint = make_fingerprint(self.call, self.body)
+        server = route.server.id
+        while not quarantine.start_alone(suspects, server, fingerprint):
+            if self.dispatcher.clock.now() >= self.call.deadline:
+                return self._conclude(_NOT_ALONE)
+            threading.Event().wait(ALONE_LOOK_MS / clocks.MS_PER_S)
+        try:
+            if self._is_blocked():
+                return self._conclude(_BLOCKED)
+            return self._try_server(route)
+        finally:
+            quarantine.end_alone(suspects, server)
+
+    def _try_server(self, route: routes.Straight) -> tries.Result | None:
         slot = self._admit(route)
         if isinstance(slot, routes.Relay):
             return self._relay(slot)
@@ -288,7 +354,7 @@
                 return slot
             address = dispatcher.snapshot.relays.get(home)
             if address:
-                return routes.Relay(home, address)
+                return routes.Relay(home, address, route.server.id)
         with self.span.child('queue'):
             slot = gate.enter(ticket, now)
         if isinstance(slot, admission.Slot):
@@ -414,8 +480,9 @@
         if not suspects.suspects:
             return
         if opened_at:
-            quarantine.report_survived(suspects, route.server.id, opened_at,
-                                       now)
+            for item in quarantine.report_survived(suspects, route.server.id,
+                                                   opened_at, now):
+                self.wiring.spread_crash(item)
         evidence = quarantine.report_clean_run(
             suspects, make_fingerprint(self.call, self.body), route.server.id,
             now)
@@ -465,7 +532,7 @@
 
 def _is_retried(result: outcomes.NotRun | outcomes.Unknown) -> bool:
     """Returns whether the end of a try may be followed by another."""
-    return _ENDS.get(result.reason) is not _End.ABANDONED
+    return result.reason not in _FINAL
 
 
 def _still_holds(snapshot: routes.Snapshot, call: calls.Call,
--- a/lentilmoor/evidencework.py
+++ b/lentilmoor/evidencework.py
@@ -19,6 +19,7 @@
 from lentilmoor import roles
 from lentilmoor import shardstates
 from lentilmoor import shardwork
+from lentilmoor import successors
 from lentilmoor import tables as rows
 from lentilmoor.protocol import peer_pb2
 
@@ -52,6 +53,8 @@
             _change(tables, action, now)
         else:
             _tell(tables, action, instances)
+    _follow_pauses(tables, now)
+    _follow_cuts(tables)
     for probe in probes.step(tables.probes, tables.liveness, now):
         tables.calls.probe(probe)
     quarantine.step(tables.dispatcher.suspects, now)
@@ -138,6 +141,26 @@
     del now
 
 
+def _follow_pauses(tables: _Tables, now: float) -> None:
+    """After a pause of this process, no grantor's silence in it counts."""
+    if tables.liveness.pauses == tables.pauses_seen:
+        return
+    tables.pauses_seen = tables.liveness.pauses
+    for state in tables.shards.values():
+        successors.note_paused(state.watch, now)
+
+
+def _follow_cuts(tables: _Tables) -> None:
+    """Routes around servers that only this entry can't reach."""
+    for state in tables.shards.values():
+        cut_off = frozenset(
+            name for name in state.servers
+            if liveness.is_cut_off(tables.liveness, (state.shard.id, name)))
+        if cut_off != state.cut_off:
+            state.cut_off = cut_off
+            shardwork.rebuild_route(tables, state)
+
+
 def _change(tables: _Tables, change: liveness.Change, now: float) -> None:
     tables.calls.note_change('server_liveness',
                              f'{change.shard}/{change.server}', change.after)
--- a/lentilmoor/fleetwork.py
+++ b/lentilmoor/fleetwork.py
@@ -9,10 +9,16 @@
 from lentilmoor import inbox
 from lentilmoor import members
 from lentilmoor import outcomes
+from lentilmoor import quarantine
+from lentilmoor import reports
 from lentilmoor import shardclaims
 from lentilmoor import shardwork
 from lentilmoor import snapshots
 from lentilmoor import tables as rows
+from lentilmoor.protocol import peer_pb2
+
+# Crashes told in one exchange.
+MOST_CRASHES = 32
 
 _Tables = controltables.ControlTables
 
@@ -77,9 +83,20 @@
 
 def _send(tables: _Tables, calls: list[gossip.Outgoing]) -> None:
     for call in calls:
+        if call.call is gossip.Call.EXCHANGE:
+            call.message.crashes.extend(_list_crashes(tables))
         tables.calls.send_gossip(call)
 
 
+def _list_crashes(tables: _Tables) -> list[peer_pb2.CrashEvidence]:
+    """Returns what peers should know of requests that crash servers."""
+    suspects = tables.dispatcher.suspects
+    if not suspects.suspects:
+        return []
+    known = quarantine.export(suspects, tables.clock.now())
+    return [reports.write_crash(item) for item in known[:MOST_CRASHES]]
+
+
 def _follow_members(tables: _Tables, now: float) -> None:
     """Brings what depends on the list of entries up to date."""
     changes = tables.gossip.members.changes
--- a/lentilmoor/gateways.py
+++ b/lentilmoor/gateways.py
@@ -112,6 +112,8 @@
         span.note('request', call.request_id)
         if relay_secret:
             call.relayed = True
+            call.server = raw.header(header_names.RELAY_SERVER)
+            call.suspect = bool(raw.header(header_names.RELAY_SUSPECT))
             call.request_id = raw.header(header_names.RELAY_REQUEST_ID)
         result = _dispatch_body(call, dispatch_call, span)
         _measure(dispatcher, call, result, dispatcher.clock.now() - began)
--- a/lentilmoor/headers.py
+++ b/lentilmoor/headers.py
@@ -13,6 +13,8 @@
 
 # From an entry to the entry that is home or delegate for a server.
 RELAY_SECRET = 'Lentilmoor-Relay-Secret'
+RELAY_SERVER = 'Lentilmoor-Relay-Server'
+RELAY_SUSPECT = 'Lentilmoor-Relay-Suspect'
 RELAY_REQUEST_ID = 'Lentilmoor-Relay-Request-Id'
 
 # Headers that describe one connection and are never passed on (RFC 9110,
--- a/lentilmoor/routes.py
+++ b/lentilmoor/routes.py
@@ -26,6 +26,7 @@
       homes: Entries that keep the server's queue: the home, then who takes
         its place while it does not answer.
       contended: Whether requests go by the home.
+      cut_off: Whether others reach it and this entry does not.
       liveness: What is held true of the server.
     """
 
@@ -33,6 +34,7 @@
     address: str
     homes: tuple[str, ...] = ()
     contended: bool = False
+    cut_off: bool = False
     liveness: tables.Liveness = tables.Liveness.LIVE
 
 
@@ -110,10 +112,12 @@
     Attributes:
       instance: Entry id.
       address: Its relay address.
+      server: The server it is meant for; '' leaves the pick to that entry.
     """
 
     instance: str
     address: str
+    server: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +175,30 @@
     return _route_unkeyed(snapshot, shard, instance, avoid, chance)
 
 
+def pick_relayed(snapshot: Snapshot, shard_id: str, point: int, now: float,
+                 server_id: str) -> Straight | Hold:
+    """Picks the server of a request that another entry handed over.
+
+    Args:
+      snapshot: The snapshot in force.
+      shard_id: Shard of the request.
+      point: Point of its key.
+      now: Milliseconds.
+      server_id: The server that the other entry meant, or ''.
+
+    Returns:
+      The server; it is never handed on once more.
+    """
+    shard = snapshot.shards.get(shard_id)
+    if shard is None or shard.expires_at <= now or shard.map is None:
+        return Hold(_Reason.NO_LEASE)
+    chosen = shard.map.owner_of(point) if shard.keyed else server_id
+    server = shard.servers.get(chosen or '')
+    if server is None:
+        return Hold(_Reason.NO_OWNER)
+    return Straight(server, shard.epoch, shard.sequence)
+
+
 def _route_keyed(snapshot: Snapshot, shard: ShardRoute, point: int,
                  instance: str, avoid: frozenset[str]) -> Route:
     if shard.map is None:
@@ -198,10 +226,11 @@
 
 def _route_to_server(snapshot: Snapshot, shard: ShardRoute, server: ServerRoute,
                      instance: str, avoid: frozenset[str]) -> Route:
-    if server.contended:
-        home = pick_home(server, avoid)
+    if server.contended or server.cut_off:
+        others = avoid | {instance} if server.cut_off else avoid
+        home = pick_home(server, others)
         if home != instance and home in snapshot.relays:
-            return Relay(home, snapshot.relays[home])
+            return Relay(home, snapshot.relays[home], server.id)
     return Straight(server, shard.epoch, shard.sequence)
 
 
--- a/lentilmoor/runners.py
+++ b/lentilmoor/runners.py
@@ -185,12 +185,22 @@
         return grants.CallFailed(action)
 
     def _probe(self, probe: probes.Probe) -> inbox.ProbeEnded:
+        if probe.kept:
+            return self._probe_kept(probe)
         found = self.outside.servers.health(probe.address, probe.timeout_ms)
         if isinstance(found, outcomes.Failed):
             refused = found.reason is _Reason.CONNECT_FAILED
             return inbox.ProbeEnded(probe, answered=False, refused=refused)
         return inbox.ProbeEnded(probe, answered=True, leaving=found.leaving)
 
+    def _probe_kept(self, probe: probes.Probe) -> inbox.ProbeEnded:
+        """Asks on the connection that grants go by: it has one already."""
+        held = self.outside.servers.ask(probe.address, None)
+        failed = isinstance(held, outcomes.Failed)
+        answered = not failed or held.reason is _Reason.INVALID
+        refused = failed and held.reason is _Reason.CONNECT_FAILED
+        return inbox.ProbeEnded(probe, answered, refused)
+
     def _send_lease(self, action: grants.SendLease) -> None:
         message = leasing.write_order(action.order)
         address = self.outside.find_peer(action.delegate)
--- a/lentilmoor/shardstates.py
+++ b/lentilmoor/shardstates.py
@@ -71,6 +71,7 @@
       plan_now: A server came or went: plan without waiting.
       moves: Moves asked for, since the start.
       takeovers: How often this entry took the shard, since the start.
+      cut_off: Servers that others reach and this entry does not.
       asks: The other delegates are to be asked when they heard the grantor.
     """
 
@@ -93,6 +94,7 @@
     moves: int = 0
     takeovers: int = 0
     asks: bool = False
+    cut_off: frozenset[str] = frozenset()
 
     @property
     def table(self) -> grants.GrantorTable:
--- a/lentilmoor/snapshots.py
+++ b/lentilmoor/snapshots.py
@@ -88,7 +88,11 @@
         home = home_of.get(server.id, '')
         others = [name for name in ranked if name != home]
         chosen = ([home] if home else []) + others
-        rows[server.id] = routes.ServerRoute(server.id, server.address,
-                                             tuple(chosen[:HOMES]), server.id
-                                             in view.contended, server.liveness)
+        rows[server.id] = routes.ServerRoute(id=server.id,
+                                             address=server.address,
+                                             homes=tuple(chosen[:HOMES]),
+                                             contended=server.id
+                                             in view.contended,
+                                             cut_off=server.id in state.cut_off,
+                                             liveness=server.liveness)
     return rows
--- a/lentilmoor/tries.py
+++ b/lentilmoor/tries.py
@@ -117,10 +117,7 @@
     """
     taken = pool.take(order.repeatable, order.fresh, order.remaining_ms)
     if isinstance(taken, outcomes.Failed):
-        reason = taken.reason
-        if reason is _Reason.TIMED_OUT:
-            reason = _Reason.CONNECT_FAILED
-        return Try(outcomes.NotRun(reason, taken.detail))
+        return Try(outcomes.NotRun(taken.reason, taken.detail))
     return Try(_exchange(pool, taken, order), taken.reused, taken.opened_at)
 
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -4,6 +4,7 @@
 
 from lentilmoor import outcomes
 from lentilmoor import routes
+from lentilmoor import slices
 from lentilmoor import tables
 from tests import pathhelp
 
@@ -60,9 +61,9 @@
                                     contended=True)
         route = pathhelp.make_route('a', servers={'a': server})
         relays = {'e2': 'x:2', 'e3': 'x:3'}
-        self.assertEqual(_pick(route, relays), routes.Relay('e2', 'x:2'))
+        self.assertEqual(_pick(route, relays), routes.Relay('e2', 'x:2', 'a'))
         self.assertEqual(_pick(route, relays, avoid=('e2',)),
-                         routes.Relay('e3', 'x:3'))
+                         routes.Relay('e3', 'x:3', 'a'))
         for avoided in (_pick(route, relays,
                               avoid=('e2', 'e3')), _pick(route, {})):
             self.assertIsInstance(avoided, routes.Straight)
@@ -92,3 +93,39 @@
 
 if __name__ == '__main__':
     unittest.main()
+
+
+class RelayedTest(unittest.TestCase):
+    """A request that another entry handed over is never handed on."""
+
+    def _pick(self, shard, server='', now=0.0):
+        snapshot = routes.Snapshot({}, {shard.id: shard}, {'e2': 'x:2'}, {})
+        return routes.pick_relayed(snapshot, shard.id, 1, now, server)
+
+    def test_owner_decides_where_there_are_keys(self):
+        rows = {
+            name: routes.ServerRoute(name, 'x:9', ('e2',), contended=True)
+            for name in ('a', 'b')
+        }
+        shard = routes.ShardRoute('t/s/0',
+                                  True,
+                                  rows,
+                                  map=slices.make_map(('a', 'b'), 1),
+                                  expires_at=9.0)
+        self.assertEqual(self._pick(shard, 'b').server.id, 'a')
+
+    def test_the_other_entry_decides_where_there_are_none(self):
+        rows = {name: routes.ServerRoute(name, 'x:9') for name in ('a', 'b')}
+        shard = routes.ShardRoute('t/s/0',
+                                  False,
+                                  rows,
+                                  map=slices.make_map(('a', 'b'), 1),
+                                  expires_at=9.0)
+        self.assertEqual(self._pick(shard, 'b').server.id, 'b')
+        self.assertEqual(self._pick(shard, 'c'),
+                         routes.Hold(outcomes.Reason.NO_OWNER))
+
+    def test_without_a_lease_it_is_given_back(self):
+        shard = routes.ShardRoute('t/s/0', True, {}, expires_at=9.0)
+        self.assertEqual(self._pick(shard, 'a', now=9.0),
+                         routes.Hold(outcomes.Reason.NO_LEASE))
