Follow a key beyond a fair share when it moves, and test more rules

Cause: with servers of unequal slots such a key could move in a plan and its old server still counted as its holder; planning then broke an invariant. Change: the mark goes with the key. Tests now cover unequal slots over several plans, suspects, warmth, dear slices first, late reports and reports under older bounds. The benchmark takes flags for losses, turnover and weights.

--- a/benchmarks/balance.py
+++ b/benchmarks/balance.py
@@ -29,6 +29,11 @@
 _SERVICES = flags.DEFINE_list('services',
                               [service.name for service in model.SERVICES],
                               'services to run')
+_TURNOVER = flags.DEFINE_float('turnover', 180.0,
+                               'mean seconds that a hot rank keeps its key')
+_LOSSES = flags.DEFINE_bool('losses', True, 'servers leave, die and come')
+_WEIGHTS = flags.DEFINE_enum('weights', 'own', ['own', 'hsinchu', 'nilebridge'],
+                             'whose weights the services have')
 _SEEDS = flags.DEFINE_integer('seeds', 1, 'runs of each, averaged')
 
 GOAL_IMBALANCE = 1.15
@@ -54,7 +59,7 @@
       within: Share of the time that it is at most the goal.
       floor: The lowest that the dearest key leaves possible, mean over time.
       over_floor: The imbalance over that floor, mean over time.
-      keys: Share of the keys moved, over what the losses alone force.
+      keys: Share of the keys moved, over what the losses alone force, if any.
       load: Share of the load moved, over losses and the drift of hot keys.
       held: Of all request time, what was held by moves, parts in a million.
       cold: Cold starts in a thousand requests.
@@ -95,8 +100,8 @@
         within=float((imbalance <= GOAL_IMBALANCE).mean()),
         floor=float(floors.mean()),
         over_floor=float((imbalance / floors).mean()),
-        keys=figures.key_churn / figures.forced,
-        load=figures.load_churn / (figures.forced + figures.drifted),
+        keys=figures.key_churn / (figures.forced or 1.0),
+        load=figures.load_churn / (figures.forced + figures.drifted or 1.0),
         held=_PPM * figures.load_churn * plans.HOLD_MS / model.MS_PER_S /
         measured_s,
         cold=1000.0 * figures.cold_starts / figures.requests,
@@ -160,15 +165,16 @@
 
 
 def _describe(row: Row) -> str:
-    spare = GOAL_IMBALANCE - row.mean
-    verdict = 'met by' if spare >= 0 else 'missed by'
-    text = (f'{row.service}, zipf {row.zipf}: imbalance goal {verdict} '
-            f'{abs(spare):.3f}')
+    text = (f'{row.service}, zipf {row.zipf}: imbalance goal '
+            f'{_judge(GOAL_IMBALANCE - row.mean)}')
     if row.floor > 1.0:
-        text += f' (the dearest key alone makes {row.floor:.3f})'
-    spare = GOAL_CHURN - row.keys
-    verdict = 'met by' if spare >= 0 else 'missed by'
-    return f'{text}; churn goal {verdict} {abs(spare):.2f}'
+        text += (f' (the dearest key alone makes {row.floor:.3f}; over that, '
+                 f'{_judge(GOAL_IMBALANCE - row.over_floor)})')
+    return f'{text}; churn goal {_judge(GOAL_CHURN - row.keys)}'
+
+
+def _judge(spare: float) -> str:
+    return f'{"met" if spare >= 0.0 else "missed"} by {abs(spare):.3f}'
 
 
 def find_breaches(rows: Sequence[Row],
@@ -198,13 +204,23 @@
             balance_costs.find_breaches(costs, limits['costs']))
 
 
+def _weigh(service: model.Service) -> model.Service:
+    """Returns a service with the weights that the flags ask for."""
+    if _WEIGHTS.value == 'own':
+        return service
+    weights = {'hsinchu': model.HSINCHU, 'nilebridge': model.NILEBRIDGE}
+    return dataclasses.replace(service, weights=weights[_WEIGHTS.value])
+
+
 def main(_: Sequence[str]) -> None:
     """Prints the table of what the flags ask for."""
     scenarios = [
-        model.Scenario(service,
+        model.Scenario(_weigh(service),
                        zipf=float(zipf),
                        keys=_KEYS.value,
                        seconds=_SECONDS.value,
+                       turnover_s=_TURNOVER.value,
+                       losses=_LOSSES.value,
                        seed=seed) for service in model.SERVICES
         if service.name in _SERVICES.value
         for zipf in _ZIPF.value
--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -147,6 +147,7 @@
     if piece.owner != slices.NO_OWNER:
         source = draft.bins[piece.owner].name
         draft.bins[piece.owner].load -= piece.rate
+        _move_oversized(draft.bins[piece.owner], draft.bins[target], piece)
     draft.moves.append(
         plans.Move(piece.first, source, draft.bins[target].name, cause))
     piece.owner = target
@@ -155,6 +156,17 @@
     draft.bins[target].load += piece.rate
 
 
+def _move_oversized(giver: bins_lib.Bin, taker: bins_lib.Bin,
+                    piece: Piece) -> None:
+    """Marks the bin that takes over a key beyond a fair share."""
+    point = giver.oversized_point
+    if point is not None and piece.first <= point <= piece.last:
+        taker.oversized = giver.oversized
+        taker.oversized_point = point
+        giver.oversized = 0.0
+        giver.oversized_point = None
+
+
 def find_piece(draft: Draft, owner: int, point: int) -> Piece:
     """Returns the piece of an owner that covers a point."""
     for piece in draft.pieces[owner]:
--- a/lentilmoor/largekeys.py
+++ b/lentilmoor/largekeys.py
@@ -111,10 +111,3 @@
     piece = drafts.find_piece(draft, owner, point)
     hot = next((item for item in piece.hot if item.point == point), None)
     choices.carry_out(draft, choices.Choice(target, piece, hot, 0.0, 0.0))
-    giver = draft.bins[owner]
-    taker = draft.bins[target]
-    if giver.oversized_point == point:
-        taker.oversized = giver.oversized
-        taker.oversized_point = point
-        giver.oversized = 0.0
-        giver.oversized_point = None
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -80,11 +80,12 @@
     return rates
 
 
-def sum_loads(slice_map, rates, servers):
+def find_peak(slice_map, rates, servers):
+    """Returns the highest load of a slot."""
     sums = dict.fromkeys(servers, 0.0)
     for owner, rate in zip(slice_map.owners, rates, strict=True):
         sums[slice_map.servers[owner]] += rate
-    return sums
+    return max(load / servers[name].slots for name, load in sums.items())
 
 
 def measure_moved(slice_map, made):
@@ -133,20 +134,23 @@
             self.assertIsNotNone(owner)
             self.assertIn(servers[owner].liveness, (LIVE, SUSPECT))
 
-    @CHECK
+    @settings(CHECK, max_examples=80)
     @given(st.integers(0, 2**32), st.integers(2, 9), st.integers(1, 8))
     def test_peak_never_rises(self, seed, count, per_server):
         rng = random.Random(seed)
         servers = make_servers(count)
+        for server in servers.values():
+            server.slots = rng.choice((1, 2, 2, 4))
         slice_map = make_even_map(servers, per_server)
-        hot = draw_hot(rng, 20)
-        before = rate_slices(slice_map, hot, 9999.0)
-        made = make_plan(slice_map, before, servers, hot)
-        after = plans.apply(slice_map, made)
-        rates = rate_slices(after, hot, 9999.0)
-        self.assertLessEqual(
-            max(sum_loads(after, rates, servers).values()),
-            max(sum_loads(slice_map, before, servers).values()) + 1e-6)
+        for _ in range(3):
+            hot = draw_hot(rng, 20)
+            rates = rate_slices(slice_map, hot, 9999.0)
+            before = find_peak(slice_map, rates, servers)
+            made = make_plan(slice_map, rates, servers, hot)
+            slice_map = plans.apply(slice_map, made)
+            rates = rate_slices(slice_map, hot, 9999.0)
+            after = find_peak(slice_map, rates, servers)
+            self.assertLessEqual(after, before + 1e-6)
 
     @settings(CHECK, max_examples=20)
     @given(st.integers(0, 2**32))
@@ -188,6 +192,29 @@
         self.assertEqual([4] * 4,
                          [taken.count(f's{index}') for index in range(1, 5)])
 
+    def test_dearest_slices_and_large_keys_are_placed_first(self):
+        servers = make_servers(3, s0=DEAD)
+        slice_map = slices.SliceMap(0, 0, ('s0', 's1', 's2'),
+                                    array('Q', [0, 100, 200, 300, 400]),
+                                    array('H', [0, 0, 0, 1, 2]))
+        made = make_plan(slice_map, [500.0, 500.0, 1000.0, 0.0, 0.0], servers)
+        self.assertLess(made.peak_after, 1.05)
+        hot = [loads.HotPoint(110, 500.0), loads.HotPoint(120, 500.0)]
+        made = make_plan(slice_map, [0.0, 1000.0, 0.0, 0.0, 0.0], servers, hot)
+        self.assertLess(made.peak_after, 1.05)
+
+    def test_suspect_keeps_what_it_has_and_gets_no_more(self):
+        servers = make_servers(4, s1=SUSPECT)
+        slice_map = make_even_map(servers, 8)
+        made = make_plan(slice_map, [100.0] * 32, servers)
+        self.assertEqual((), made.moves)
+        rates = [100.0] * 32
+        rates[0] = 300.0
+        hot = [loads.HotPoint(5, 100.0), loads.HotPoint(9, 90.0)]
+        made = make_plan(slice_map, rates, servers, hot)
+        self.assertEqual({'s0'}, {move.source for move in made.moves})
+        self.assertNotIn('s1', {move.target for move in made.moves})
+
     def test_lost_domain_moves_only_what_it_owned(self):
         servers = make_servers(12)
         for index in range(0, 12, 3):
@@ -280,6 +307,24 @@
         self.assertEqual('s0', moved.owner_of(point))
         self.assertNotIn(point, moved.bounds)
 
+    def test_key_that_is_still_warm_stays_a_slice(self):
+        servers = make_servers(4)
+        slice_map = plans.apply(
+            make_even_map(servers, 32),
+            plans.Plan(splits=(plans.Split(700), plans.Split(701))))
+        hot = [
+            loads.HotPoint(slice_map.bounds[7] + 5, 120.0),
+            loads.HotPoint(slice_map.bounds[7] + 9, 100.0)
+        ]
+        rates = rate_slices(slice_map, hot, 3200.0)
+        rates[0:3] = [1.0, 15.0, 9.0]
+        made = make_plan(slice_map, rates, servers, hot)
+        self.assertNotEqual((), made.moves)
+        self.assertIn(700, plans.apply(slice_map, made).bounds)
+        rates[1] = 1.0
+        made = make_plan(slice_map, rates, servers, hot)
+        self.assertNotIn(700, plans.apply(slice_map, made).bounds)
+
     def test_slice_that_came_lately_stays(self):
         servers = make_servers(2)
         slice_map = make_even_map(servers, 4)
@@ -294,12 +339,28 @@
         rates = [40.0] * 128
         for index in range(0, 128, 4):
             rates[index] = 41.8
-        seen = [
-            make_plan(slice_map, rates, servers, weights=weights)
+        limits = dataclasses.replace(LIMITS, keys=1_000)
+        moves = [
+            balance.plan(slice_map, make_loads(slice_map, rates), servers,
+                         weights, limits, NOW).moves
             for weights in (balance_model.HSINCHU, balance_model.NILEBRIDGE)
         ]
-        self.assertEqual((), seen[0].moves)
-        self.assertNotEqual((), seen[1].moves)
+        self.assertEqual((), moves[0])
+        self.assertNotEqual((), moves[1])
+
+    def test_cold_server_takes_no_more_than_it_is_warm_for(self):
+        servers = make_servers(4)
+        slice_map = make_even_map(servers, 32)
+        servers['s9'] = tables.Server('s9', '', 't/s/0', 'd')
+        servers['s9'].warm_since = NOW - 600.0
+        rates = [40.0] * 128
+        for index in range(0, 128, 4):
+            rates[index] = 120.0
+        made = make_plan(slice_map, rates, servers)
+        taken = [move.target for move in made.moves].count('s9')
+        # A fifth of a fair share of 45 slices of this load.
+        self.assertGreater(taken, 0)
+        self.assertLessEqual(taken * 120.0, 0.2 * sum(rates) / 4.2)
 
     def test_cold_server_fills_as_it_warms_up(self):
         servers = make_servers(4)
@@ -333,6 +394,32 @@
         self.assertEqual((12345, owner),
                          (made.notes[0].point, made.notes[0].server))
 
+    def test_key_beyond_a_fair_share_is_cut_out_of_a_dear_slice(self):
+        servers = make_servers(4)
+        slice_map = make_even_map(servers, 2)
+        hot = [loads.HotPoint(12345, 9000.0)]
+        for _ in range(4):
+            rates = rate_slices(slice_map, hot, 16_000.0)
+            made = make_plan(slice_map, rates, servers, hot,
+                             balance_model.NILEBRIDGE)
+            slice_map = plans.apply(slice_map, made)
+        self.assertIn(12345, slice_map.bounds)
+        beside = sum(
+            last - first
+            for first, last in slice_map.owned_by(slice_map.owner_of(12345)))
+        self.assertLess(beside / slices.HASH_SPAN, 0.01)
+
+    def test_others_are_left_alone_beside_a_key_beyond_a_fair_share(self):
+        servers = make_servers(4)
+        slice_map = make_even_map(servers, 32)
+        rates = [0.0, 38.0, 40.0, 42.0] * 32
+        rates[0] = 9000.0
+        hot = [loads.HotPoint(12345, 9000.0)]
+        limits = dataclasses.replace(LIMITS, keys=1_000)
+        made = balance.plan(slice_map, make_loads(slice_map, rates, hot),
+                            servers, WEIGHTS, limits, NOW)
+        self.assertEqual((), made.moves)
+
     def test_key_goes_where_hot_keys_can_make_room(self):
         servers = make_servers(4)
         slice_map = make_even_map(servers, 8)
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -29,8 +29,9 @@
 class SketchTest(unittest.TestCase):
 
     @settings(derandomize=True, deadline=None, database=None, max_examples=60)
-    @given(st.lists(st.tuples(st.integers(0, 40), st.integers(1, 50))),
-           st.integers(2, 8))
+    @given(
+        st.lists(st.tuples(st.integers(0, 40), st.integers(1, 50)),
+                 min_size=60), st.integers(2, 8))
     def test_error_is_bounded(self, items, capacity):
         sketch = sketches.Sketch(capacity)
         truth = dict.fromkeys(range(41), 0)
--- a/tests/test_means.py
+++ b/tests/test_means.py
@@ -92,6 +92,38 @@
         self.assertAlmostEqual(9.0, rates[1], delta=0.5)
         self.assertAlmostEqual(1.0, rates[0] + rates[2], delta=0.1)
 
+    def test_single_point_counts_from_reports_under_older_bounds(self):
+        table = means.make_table(FOUR, 0.0)
+        recorder = loads.make_recorder(FOUR)
+        loads.record(recorder, [700, 701], [5.0, 3.0])
+        means.follow_map(table, add_bounds(FOUR, 700, 701), 0.0)
+        means.fold(table, loads.take_report(recorder), 1000.0)
+        costs = list(table.slow.costs)
+        self.assertEqual([0.0, 0.0], [costs[0], costs[2]])
+        self.assertGreater(costs[1], 4.9)
+
+    def test_key_that_just_became_hot_takes_its_cost_along(self):
+        table = means.make_table(FOUR, 0.0)
+        recorder = loads.make_recorder(FOUR)
+        observe(table, recorder, 300, [5] * 100, 1.0)
+        now = observe(table, recorder, 4, [5] * 100 + [700] * 200, 1.0, 3e5)
+        means.follow_map(table, add_bounds(FOUR, 700, 701), now)
+        rates = means.read(table, now).rates
+        # The slow mean alone would give the key a seventh of this.
+        self.assertGreater(rates[1], 1.2 * (rates[0] + rates[2]))
+
+    def test_late_reports_do_not_look_like_changes(self):
+        table = means.make_table(FOUR, 0.0)
+        recorder = loads.make_recorder(FOUR)
+        points = [1] * 300 + [QUARTER] * 100
+        now = observe(table, recorder, 300, points, 1.0) + 5_000.0
+        weight = math.exp((now - table.fast.landmark) / means.FAST_MS)
+        fast = table.fast.costs[0] / weight / 3.0
+        seen = means.read(table, now)
+        self.assertLess(fast, 100.0)
+        self.assertGreater(seen.rates[0], 240.0)
+        self.assertAlmostEqual(3.0, seen.rates[0] / seen.rates[1], delta=0.1)
+
     def test_merge_and_split_keep_the_total(self):
         table = means.make_table(FOUR, 0.0)
         now = observe(table, loads.make_recorder(FOUR), 30,
