Take only the platform's word for the end of a delegate; show gauges

Change: delegates end only by the platform's list, read while a takeover waits, also for an entry too young to have seen them; resigning needs an epoch; grants last 625 ms; gauges of store, claims, shards, queues; stand-in servers tell a clock of their own.

--- a/lentilmoor/controltables.py
+++ b/lentilmoor/controltables.py
@@ -30,6 +30,7 @@
       send_gossip: Makes a call of membership or spread.
       send_evidence: (peer id, address, message) of an exchange for evidence.
       probe: Probes a server.
+      read_list: Reads the platform's list of instances.
       note_change: Logs a change of state: (event, subject, state).
     """
 
@@ -37,6 +38,7 @@
     send_gossip: Callable[[gossip.Outgoing], None]
     send_evidence: Callable[[str, str, peer_pb2.ExchangeMessage], None]
     probe: Callable[[probes.Probe], None]
+    read_list: Callable[[], None]
     note_change: Callable[..., bool]
 
 
@@ -65,6 +67,9 @@
       store_seen_at: When the store last answered the watcher, ms.
       store_answers: Whether its last call was answered.
       leaving: Whether this entry is leaving.
+      listed_at: When the list was last read for a takeover, ms.
+      unlisted_since: Since when delegates of a shard that is being taken are
+        missing from the list, ms.
       pauses_seen: Pauses of this process that were acted on.
       probes_due: Which servers this entry probes is to be worked out again.
     """
@@ -95,6 +100,8 @@
     leaving: bool = False
     probes_due: bool = False
     pauses_seen: int = 0
+    listed_at: float = 0.0
+    unlisted_since: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def me(self) -> str:
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -32,6 +32,7 @@
 from lentilmoor import evidence
 from lentilmoor import fleetwork
 from lentilmoor import gateways
+from lentilmoor import gauges
 from lentilmoor import gossip
 from lentilmoor import inbox
 from lentilmoor import logs
@@ -166,7 +167,9 @@
     entry.runner = runners.Runner(
         runners.Outside(base.id, store, control_of_servers, entry.peers,
                         _make_finder(dispatcher), entry.tell))
-    entry.actor = control.Control.start(_make_tables(entry), base.failed)
+    owned = _make_tables(entry)
+    gauges.register(base.registry, gauges.Parts(dispatcher, owned, store))
+    entry.actor = control.Control.start(owned, base.failed)
     _start_threads(entry, store, control_of_servers)
     entry.ready = True
     base.logger.info('entry_started',
@@ -339,6 +342,7 @@
                                 send_gossip=runner.send_gossip,
                                 send_evidence=runner.send_evidence,
                                 probe=runner.probe,
+                                read_list=runner.read_list,
                                 note_change=logs.make_notes(base.logger))
     return controltables.ControlTables(
         own=entry.own,
--- a/lentilmoor/fleetwork.py
+++ b/lentilmoor/fleetwork.py
@@ -12,13 +12,16 @@
 from lentilmoor import quarantine
 from lentilmoor import reports
 from lentilmoor import shardclaims
+from lentilmoor import shardstates
 from lentilmoor import shardwork
 from lentilmoor import snapshots
+from lentilmoor import stores
 from lentilmoor import tables as rows
 from lentilmoor.protocol import peer_pb2
 
 # Crashes told in one exchange.
 MOST_CRASHES = 32
+LIST_AGAIN_MS = 2_000.0
 
 _Tables = controltables.ControlTables
 
@@ -27,6 +30,52 @@
     """Makes the calls that are due and follows changes of membership."""
     _send(tables, gossip.tick(tables.gossip, now))
     _follow_members(tables, now)
+    _read_list(tables, now)
+
+
+def _read_list(tables: _Tables, now: float) -> None:
+    """Has the platform's list read while a takeover waits for delegates.
+
+    Whether a delegate has ended is the platform's to say, and this entry
+    need not be one that reads the list anyway.
+    """
+    waiting = [
+        state for state in tables.shards.values()
+        if shardstates.is_gathering(state)
+    ]
+    if not waiting:
+        return
+    ended = _find_ended(tables, now)
+    for state in waiting:
+        shardstates.note_ended(state, ended, now)
+    if now - tables.listed_at >= LIST_AGAIN_MS:
+        tables.listed_at = now
+        tables.calls.read_list()
+
+
+def _find_ended(tables: _Tables, now: float) -> frozenset[str]:
+    """Returns delegates that the platform has long not listed any more."""
+    longest = tables.gossip.members.settings.absent_ms
+    return frozenset(name for name, since in tables.unlisted_since.items()
+                     if now - since >= longest)
+
+
+def _note_unlisted(tables: _Tables, listed: tuple[stores.ListedInstance, ...],
+                   now: float) -> None:
+    """Notes since when delegates of a shard to be taken are not listed.
+
+    Whoever was a delegate had been on the list; this entry may be too young
+    to have seen it there.
+    """
+    names = {line.id for line in listed}
+    wanted = {
+        member for state in tables.shards.values()
+        if shardstates.is_gathering(state)
+        for member in shardstates.list_delegates(state)
+    }
+    tables.unlisted_since = {
+        name: tables.unlisted_since.get(name, now) for name in wanted - names
+    }
 
 
 def take_list(tables: _Tables, message: inbox.InstancesListed,
@@ -35,6 +84,7 @@
     if isinstance(message.listed, outcomes.Failed):
         return
     gossip.take_list(tables.gossip, message.listed, now)
+    _note_unlisted(tables, message.listed, now)
     _follow_members(tables, now)
 
 
--- a/lentilmoor/models.py
+++ b/lentilmoor/models.py
@@ -167,7 +167,7 @@
         only protection where a server does not check grants.
     """
 
-    lifetime_ms: int = pydantic.Field(default=500, ge=50)
+    lifetime_ms: int = pydantic.Field(default=625, ge=50)
     renew_ms: int = pydantic.Field(default=125, ge=10)
     order_delay_ms: int = pydantic.Field(default=1_000, ge=0)
 
--- a/lentilmoor/runners.py
+++ b/lentilmoor/runners.py
@@ -118,6 +118,11 @@
         self.submit(self._probe_threads,
                     lambda: self.outside.tell(self._probe(probe)))
 
+    def read_list(self) -> None:
+        """Reads the platform's list of instances."""
+        self.run_store(lambda: self.outside.tell(
+            inbox.InstancesListed(self.outside.store.instances())))
+
     def run_store(self, work: Callable[[], None]) -> None:
         """Does other work with the store."""
         self.submit(self._store_threads, work)
--- a/lentilmoor/shardstates.py
+++ b/lentilmoor/shardstates.py
@@ -183,7 +183,7 @@
     chosen = roles.pick_delegates(state.shard.id, instances.values())
     _step_takeover(state, chosen, me, now)
     if is_grantor(state):
-        _step_members(state, chosen, instances, members_changes, now)
+        _step_members(state, chosen, members_changes, now)
         _step_contention(state, chosen, now)
         _step_plan(state, now)
     else:
@@ -197,6 +197,32 @@
     return grantors.step_grantor(state.table, now)
 
 
+def note_ended(state: ShardState, ended: frozenset[str], now: float) -> None:
+    """Notes which processes have certainly ended.
+
+    Only the platform's word counts here, never silence: a delegate that is
+    merely out of reach may go on with what an earlier grantor allowed it.
+
+    Args:
+      state: The shard.
+      ended: Ids of entries.
+      now: Milliseconds.
+    """
+    for name in authority.list_members(state.grantor):
+        if name in ended:
+            _apply(state, grants.DelegateEnded(state.shard.id, name), now)
+
+
+def list_delegates(state: ShardState) -> list[str]:
+    """Returns the delegates that the shard's record names."""
+    return authority.list_members(state.grantor)
+
+
+def is_gathering(state: ShardState) -> bool:
+    """Returns whether this entry waits for delegates' answers."""
+    return state.grantor.stage is grants.Stage.GATHERING
+
+
 def is_grantor(state: ShardState) -> bool:
     """Returns whether this entry is grantor, or about to be."""
     return state.grantor.stage is not grants.Stage.IDLE
@@ -236,7 +262,11 @@
                    me: str, now: float) -> None:
     row = state.grantor
     if is_grantor(state):
-        if state.lease.epoch > row.epoch and state.lease.grantor != me:
+        # Before it has an epoch of its own, any other one is higher.
+        has_epoch = row.stage in (grants.Stage.GATHERING, grants.Stage.SERVING)
+        superseded = (state.lease.epoch > row.epoch and
+                      state.lease.grantor != me)
+        if has_epoch and superseded:
             resign(state, now)
         return
     ranked = roles.rank_grantors(state.shard.id, chosen)
@@ -258,7 +288,6 @@
 
 
 def _step_members(state: ShardState, chosen: list[tables.Instance],
-                  instances: Mapping[str, tables.Instance],
                   members_changes: int, now: float) -> None:
     if state.members_seen == members_changes:
         return
@@ -267,10 +296,6 @@
     _apply(state,
            grants.ChooseDelegates(shard, tuple(item.id for item in chosen)),
            now)
-    for name in authority.list_members(state.grantor):
-        item = instances.get(name)
-        if item is not None and item.liveness is _Liveness.DEAD:
-            _apply(state, grants.DelegateEnded(shard, name), now)
 
 
 def _step_contention(state: ShardState, chosen: list[tables.Instance],
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -12,6 +12,7 @@
 import hashlib
 import http
 import os
+import random
 import time
 import typing
 
@@ -46,6 +47,7 @@
 _LOOK_EVERY_MS = 10.0
 _DEFAULT_DEADLINE_MS = 60_000
 _CANCELLED_STATUS = 499
+_MOST_OFFSET_MS = 10**9
 _BAD_REQUEST = serving.Reply(400)
 _STATUSES = {
     backend_state.Refusal.NOT_GRANTED: http.HTTPStatus.MISDIRECTED_REQUEST,
@@ -215,7 +217,8 @@
         owned = tuple((int(first), int(last)) for first, last in owned)
     accepted = state.offer(
         servers.GrantOrder(str(body['shard']), int(body['epoch']),
-                           int(body['sequence']), float(body['clock_echo_ms']),
+                           int(body['sequence']),
+                           float(body['clock_echo_ms']) - state.clock_offset_ms,
                            float(body['lifetime_ms']), owned))
     return _show_held(state, 200 if accepted else 409)
 
@@ -235,7 +238,7 @@
             'sequence': sequence,
             'ranges': state.held.owned,
             'remaining_ms': state.held.remaining_ms(state.now()),
-            'clock_ms': state.now(),
+            'clock_ms': state.now() + state.clock_offset_ms,
             'running': state.count_strays()
         }, status)
 
@@ -314,6 +317,10 @@
                                       drain_ms=_DRAIN_MS.value)
     with _open_journal() as journal_file:
         state = State(_ID.value, clocks.Clock(), switches, journal_file)
+        # An order meant for an earlier process of this server must not be
+        # taken for one of this process's own clock.
+        state.clock_offset_ms = float(
+            random.SystemRandom().randrange(_MOST_OFFSET_MS))
         server = make_server(state, serving.PORT.value, _CONNECTIONS.value,
                              _CONNECT_MS.value)
         serving.serve(server)
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -138,6 +138,7 @@
       name: Server id.
       switches: How it behaves; may be changed at any time.
       held: The grant that it holds.
+      clock_offset_ms: Added to the clock that it tells of.
       frozen_until: It does nothing until then, on its clock, ms.
       journal: The newest runs, oldest first.
     """
@@ -151,6 +152,7 @@
         self.switches = switches
         self.held = grants_held.HeldGrant()
         self.frozen_until = float('-inf')
+        self.clock_offset_ms = 0.0
         self.journal: collections.deque[Run] = collections.deque(
             maxlen=JOURNAL_LIMIT)
         self._clock = clock
