--- a/lentilmoor/claiming.py
+++ b/lentilmoor/claiming.py
@@ -30,6 +30,8 @@
 SETTLE_TIMEOUT_MS = 1_000.0
 SETTLE_TRIES = 5
 RETRY_MS = 40.0
+RUNNING_LOOKS = 4
+RUNNING_LOOK_MS = 25.0
 LONGEST_ASKING_MS = 2_000.0
 RETRY_AFTER_MS = 1_000
 MAX_KEPT_BODY = 2_048
@@ -102,7 +104,12 @@
 def _ask_until(dispatcher: dispatchers.Dispatcher, lines: Lines,
                call: calls.Call,
                message: peer_pb2.ClaimRequest) -> peer_pb2.ClaimReply | None:
-    """Asks until there is an answer; None if there is none in time."""
+    """Asks until there is an answer; None if there is none in time.
+
+    A request that is running is asked after a few more times: its settlement
+    is often on the way when a caller sends it again at once.
+    """
+    looks = RUNNING_LOOKS
     until = min(call.deadline, dispatcher.clock.now() + LONGEST_ASKING_MS)
     while True:
         left = until - dispatcher.clock.now()
@@ -112,6 +119,10 @@
                                    int(call.deadline - dispatcher.clock.now()))
         snapshot = dispatcher.snapshot
         reply = _ask(dispatcher, lines, message, min(left, ASK_TIMEOUT_MS))
+        if reply is not None and reply.verdict == _Verdict.RUNNING and looks:
+            looks -= 1
+            threading.Event().wait(RUNNING_LOOK_MS / clocks.MS_PER_S)
+            continue
         if reply is not None and reply.verdict != _Verdict.NOT_GRANTOR:
             return reply
         dispatcher.hold(snapshot, min(left, RETRY_MS))
