Split the request path: the run, its attempts, what follows a try

Change: runs holds what is known of a request, attempts carries one admitted try, followups decides what comes after; dispatch is the loop. No behaviour changed.

--- a/tests/pathhelp.py
+++ b/tests/pathhelp.py
@@ -18,6 +18,7 @@
 from lentilmoor import models
 from lentilmoor import outcomes
 from lentilmoor import routes
+from lentilmoor import runs
 from lentilmoor import slices
 from lentilmoor import tables
 from lentilmoor import traces
@@ -137,14 +138,14 @@
     sent: list = dataclasses.field(default_factory=list)
     handed: list = dataclasses.field(default_factory=list)
     crashes: list = dataclasses.field(default_factory=list)
-    on_send: Callable[[dispatch.Outgoing], None] = lambda outgoing: None
+    on_send: Callable[[runs.Outgoing], None] = lambda outgoing: None
 
-    def wiring(self) -> dispatch.Wiring:
+    def wiring(self) -> runs.Wiring:
         """Returns the closures that `dispatch` is given."""
-        return dispatch.Wiring(send=self._send,
-                               relay=self._relay,
-                               claim=lambda call, fingerprint: self.claimed,
-                               spread_crash=self.crashes.append)
+        return runs.Wiring(send=self._send,
+                           relay=self._relay,
+                           claim=lambda call, fingerprint: self.claimed,
+                           spread_crash=self.crashes.append)
 
     def _send(self, route, outgoing):
         self.sent.append(route.server.id)
--- a/tests/test_claiming.py
+++ b/tests/test_claiming.py
@@ -9,9 +9,9 @@
 
 from lentilmoor import claiming
 from lentilmoor import clocks
-from lentilmoor import dispatch
 from lentilmoor import inbox
 from lentilmoor import outcomes
+from lentilmoor import runs
 from lentilmoor import tries
 from lentilmoor.protocol import peer_pb2
 from tests import pathhelp
@@ -68,7 +68,7 @@
                                   'unknown'), (pathhelp.ok(), 'answer'),
                                  (pathhelp.ok(long), ''), (streamed, '')):
             claimed = self._claim()
-            self.assertIsInstance(claimed, dispatch.Claimed)
+            self.assertIsInstance(claimed, runs.Claimed)
             claimed.settle(result)
             message = self.settled.pop()
             kinds = [
@@ -94,7 +94,7 @@
             peer_pb2.ClaimReply(verdict=_Verdict.NOT_GRANTOR),
             peer_pb2.ClaimReply(verdict=_Verdict.GRANTED)
         ]
-        self.assertIsInstance(self._claim(), dispatch.Claimed)
+        self.assertIsInstance(self._claim(), runs.Claimed)
         self.assertEqual(len({item.attempt for item in self.asked}), 1)
         self.assertEqual(len(self.asked), 2)
 
@@ -165,7 +165,7 @@
                                   idempotency_key='i',
                                   lentilmoor_deadline_ms='20000')
         result = claiming.make_claim(dispatcher, lines)(call, b'f' * 16)
-        self.assertIsInstance(result, dispatch.Claimed)
+        self.assertIsInstance(result, runs.Claimed)
         self.assertEqual(called, [('x:2', pathhelp.SHARD, True)])
         self.assertEqual(self.asked, [])
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,10 +3,10 @@
 import unittest
 
 from lentilmoor import clocks
-from lentilmoor import dispatch
 from lentilmoor import outcomes
 from lentilmoor import quarantine
 from lentilmoor import routes
+from lentilmoor import runs
 from lentilmoor import tables
 from lentilmoor import tries
 from tests import pathhelp
@@ -274,7 +274,7 @@
     def setUp(self):
         super().setUp()
         self.settled = []
-        self.wires.claimed = dispatch.Claimed(self.settled.append)
+        self.wires.claimed = runs.Claimed(self.settled.append)
 
     def _order(self, **fields):
         return self._dispatch(method='POST', idempotency_key='i', **fields)
--- a/tests/test_tries.py
+++ b/tests/test_tries.py
@@ -7,9 +7,9 @@
 from lentilmoor import bodies
 from lentilmoor import clocks
 from lentilmoor import connections
-from lentilmoor import dispatch
 from lentilmoor import outcomes
 from lentilmoor import routes
+from lentilmoor import runs
 from lentilmoor import traces
 from lentilmoor import tries
 from standins import backend
@@ -149,7 +149,7 @@
         body = bodies.Body(call.raw.read, call.raw.length, 1 << 20)
         server = routes.ServerRoute('a', self.address)
         return self.send(routes.Straight(server, 1, 1),
-                         dispatch.Outgoing(call, body, traces.NO_SPAN))
+                         runs.Outgoing(call, body, traces.NO_SPAN))
 
     def test_a_servers_own_refusal_is_not_run(self):
         sent = self._try()
