--- a/benchmarks/slopes_systems.py
+++ b/benchmarks/slopes_systems.py
@@ -19,6 +19,7 @@
 from lentilmoor import balance
 from lentilmoor import catalogs
 from lentilmoor import delegates
+from lentilmoor import entries
 from lentilmoor import evidence
 from lentilmoor import grantors
 from lentilmoor import grants
@@ -42,7 +43,7 @@
 
 SHARD = 'team/service/0'
 SEED = 1
-TICK_MS = 25.0
+TICK_MS = entries.TICK_MS
 SERVERS = (4, 40, 400)
 NODES = (12, 120, 1_200)
 SLICES = (480, 4_800, 48_000)
@@ -414,7 +415,8 @@
     order = make_order(slice_map, True)
     state.lease.me = order.delegate
     assert delegates.accept_lease(state.lease, order, 123_457.0).accepted
-    return lambda: snapshots.make_route(state, ('a', 'b'))
+    nearest = list(_make_instances(12).values())
+    return lambda: snapshots.make_route(state, nearest)
 
 
 def _make_relays(count: int) -> Callable[[], object]:
