Wait in tests of the request path as the other tests do

Change: the request path's tests use tests/waits.py; the other one went. Conclusion: one way to wait.

--- a/tests/pathhelp.py
+++ b/tests/pathhelp.py
@@ -5,7 +5,6 @@
 import random
 import socket
 import threading
-import time
 from typing import BinaryIO
 
 from lentilmoor import bodies
@@ -31,7 +30,6 @@
 HEAD = b'HTTP/1.1 200 OK\r\n'
 # Only ends a test that hangs; nothing is judged by it.
 PATIENCE_S = 30.0
-_LOOK_EVERY_S = 0.01
 
 
 def make_settings(**fields) -> models.ServiceSettings:
@@ -181,14 +179,6 @@
                                   traces.NO_SPAN)
 
 
-def await_true(condition: Callable[[], object]) -> None:
-    """Waits until a condition holds."""
-    until = time.monotonic() + PATIENCE_S
-    while not condition():
-        assert time.monotonic() < until, 'it never came to that'
-        time.sleep(_LOOK_EVERY_S)
-
-
 def in_thread(work: Callable[[], object]) -> Callable[[], object]:
     """Starts work in a thread; returns what waits for its result."""
     found = []
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 from lentilmoor import tables
 from lentilmoor import tries
 from tests import pathhelp
+from tests import waits
 
 _Reason = outcomes.Reason
 _SETTINGS = pathhelp.make_settings()
@@ -53,7 +54,7 @@
     def test_a_moving_slice_holds_the_request_until_it_has_an_owner(self):
         self._put(pathhelp.make_route(''))
         join = pathhelp.in_thread(self._dispatch)
-        pathhelp.await_true(lambda: self.dispatcher.holding)
+        waits.wait_for(lambda: self.dispatcher.holding)
         self.assertEqual(self.wires.sent, [])
         self._swap(pathhelp.make_route('b', sequence=2))
         self.assertEqual(join().body, b'ok')
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -15,6 +15,7 @@
 from lentilmoor import traces
 from lentilmoor import tries
 from tests import pathhelp
+from tests import waits
 
 _Reason = outcomes.Reason
 _SECRET = 'peers-secret'
@@ -240,7 +241,7 @@
         self.assertIsNone(self._ask()[0].headers['Connection'])
         self.count.closing = True
         self.assertEqual(self._ask()[0].headers['Connection'], 'close')
-        pathhelp.await_true(lambda: self.count.inside == 0)
+        waits.wait_for(lambda: self.count.inside == 0)
 
 
 class RelayTest(_Base):
