Never take a refused body for a request, and settle claims after faults

Cause: gateway tests over raw connections showed that the rest of a refused chunked body was read as the next request, that a refusal waited for the whole declared body, that a negative length was accepted and that one chunk of any length went into memory; a fault while dispatching left its claim open. Change: chunks of a body are read piece by piece; connections with an unread body are closed after the refusal; two or bad lengths are refused; claims are settled as unknown after a fault; delegates are chosen when membership changes, not each tick. Conclusion: the reader of chunks is our own since cheroot's takes a whole chunk into memory; a library that reads piecewise may replace it.

--- a/lentilmoor/adapters.py
+++ b/lentilmoor/adapters.py
@@ -11,11 +11,11 @@
 
 from lentilmoor import clocks
 from lentilmoor import connections
-from lentilmoor import dispatch
 from lentilmoor import headers as header_names
 from lentilmoor import outcomes
 from lentilmoor import problems
 from lentilmoor import routes
+from lentilmoor import runs
 from lentilmoor import servers
 from lentilmoor import tries
 
@@ -64,14 +64,14 @@
             pool.close_worn()
 
 
-Send = Callable[[routes.Straight, dispatch.Outgoing], tries.Try]
-Hand = Callable[[routes.Relay, dispatch.Outgoing], tries.Try]
+Send = Callable[[routes.Straight, runs.Outgoing], tries.Try]
+Hand = Callable[[routes.Relay, runs.Outgoing], tries.Try]
 
 
 def make_send(pools: Pools, clock: clocks.Clock) -> Send:
     """Returns the closure that tries a call at a server."""
 
-    def send(route: routes.Straight, outgoing: dispatch.Outgoing) -> tries.Try:
+    def send(route: routes.Straight, outgoing: runs.Outgoing) -> tries.Try:
         call = outgoing.call
         remaining_ms = call.deadline - clock.now()
         if remaining_ms <= 0:
@@ -103,7 +103,7 @@
 def make_hand(pools: Pools, clock: clocks.Clock, secret: str) -> Hand:
     """Returns the closure that hands a call over to another entry."""
 
-    def hand(route: routes.Relay, outgoing: dispatch.Outgoing) -> tries.Try:
+    def hand(route: routes.Relay, outgoing: runs.Outgoing) -> tries.Try:
         call = outgoing.call
         remaining_ms = call.deadline - clock.now()
         if remaining_ms <= 0:
@@ -136,8 +136,8 @@
                     'the deadline passed before it was sent'))
 
 
-def _make_order(outgoing: dispatch.Outgoing, target: str,
-                headers: dict[str, str], remaining_ms: float) -> tries.Order:
+def _make_order(outgoing: runs.Outgoing, target: str, headers: dict[str, str],
+                remaining_ms: float) -> tries.Order:
     call, body = outgoing.call, outgoing.body
     return tries.Order(method=call.raw.method,
                        target=target,
@@ -150,7 +150,7 @@
                        service_ms=outgoing.service_ms)
 
 
-def _copy_headers(outgoing: dispatch.Outgoing,
+def _copy_headers(outgoing: runs.Outgoing,
                   dropped: frozenset[str]) -> dict[str, str]:
     call, body = outgoing.call, outgoing.body
     listed = call.raw.header('Connection')
--- a/lentilmoor/claiming.py
+++ b/lentilmoor/claiming.py
@@ -18,11 +18,11 @@
 from lentilmoor import calls
 from lentilmoor import claims
 from lentilmoor import clocks
-from lentilmoor import dispatch
 from lentilmoor import dispatchers
 from lentilmoor import inbox
 from lentilmoor import outcomes
 from lentilmoor import peers
+from lentilmoor import runs
 from lentilmoor import tries
 from lentilmoor.protocol import peer_pb2
 
@@ -58,9 +58,8 @@
     later: Callable[[Callable[[], None]], None]
 
 
-def make_claim(
-        dispatcher: dispatchers.Dispatcher,
-        lines: Lines) -> Callable[[calls.Call, bytes], dispatch.ClaimResult]:
+def make_claim(dispatcher: dispatchers.Dispatcher,
+               lines: Lines) -> Callable[[calls.Call, bytes], runs.ClaimResult]:
     """Returns the closure that claims a call's idempotency key.
 
     Args:
@@ -68,7 +67,7 @@
       lines: How it is asked.
     """
 
-    def claim(call: calls.Call, fingerprint: bytes) -> dispatch.ClaimResult:
+    def claim(call: calls.Call, fingerprint: bytes) -> runs.ClaimResult:
         message = _make_request(dispatcher.instance, call, fingerprint)
         reply = _ask_until(dispatcher, lines, call, message)
         if reply is None or reply.verdict == _Verdict.NOT_GRANTOR:
@@ -83,7 +82,7 @@
             _settle(dispatcher, lines, message, not_run=True)
         if reply.verdict != _Verdict.GRANTED:
             return _read_verdict(reply)
-        return dispatch.Claimed(
+        return runs.Claimed(
             lambda result: _settle_result(dispatcher, lines, message, result))
 
     return claim
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -43,6 +43,7 @@
 from lentilmoor import peers
 from lentilmoor import roles
 from lentilmoor import runners
+from lentilmoor import runs
 from lentilmoor import servers
 from lentilmoor import shardclaims
 from lentilmoor import shardstates
@@ -295,7 +296,7 @@
     return f'{host}:{port}'
 
 
-def _make_wiring(entry: Entry) -> dispatch.Wiring:
+def _make_wiring(entry: Entry) -> runs.Wiring:
     base = entry.base
     pools = adapters.Pools(connections.Rules(), base.clock)
     relays = adapters.Pools(
@@ -305,7 +306,7 @@
     lines = claiming.Lines(tell=entry.tell,
                            peers=lambda: entry.peers,
                            later=settling.submit)
-    return dispatch.Wiring(
+    return runs.Wiring(
         send=adapters.make_send(pools, base.clock),
         relay=adapters.make_hand(relays, base.clock, base.secret),
         claim=claiming.make_claim(entry.dispatcher, lines),
--- a/lentilmoor/gateways.py
+++ b/lentilmoor/gateways.py
@@ -14,6 +14,7 @@
 
 from lentilmoor import bodies
 from lentilmoor import calls
+from lentilmoor import chunks
 from lentilmoor import dispatchers
 from lentilmoor import headers as header_names
 from lentilmoor import outcomes
@@ -28,6 +29,8 @@
 
 _Reason = outcomes.Reason
 _EMPTY = b''
+_BAD_LENGTH = outcomes.NotRun(
+    _Reason.BAD_REQUEST, 'Content-Length: expected one length of at least 0')
 
 DispatchCall = Callable[[calls.Call, bodies.Body, traces.Span], tries.Result]
 """Carries a call to its outcome."""
@@ -82,6 +85,8 @@
             """Reads the request, carries it and writes its outcome."""
             count.enter()
             self.req.close_connection |= count.closing
+            if self.req.chunked_read:
+                self.req.rfile = chunks.ChunkedBody(self.req.conn.rfile)
             try:
                 _respond(self.req, dispatcher, dispatch_call, tracer,
                          relay_secret)
@@ -101,6 +106,10 @@
                                 problems.make(refusal, dispatcher.instance))
         return
     raw = _read_raw(request)
+    if _has_bad_length(request, raw):
+        request.close_connection = True
+        _refuse(request, dispatcher, _BAD_LENGTH)
+        return
     call = calls.read_call(raw, dispatcher.snapshot.find_settings, began)
     if isinstance(call, outcomes.NotRun):
         _refuse(request, dispatcher, call)
@@ -133,6 +142,14 @@
     return dispatch_call(call, body, span)
 
 
+def _has_bad_length(request: cheroot_server.HTTPRequest,
+                    raw: calls.RawRequest) -> bool:
+    """Returns whether the end of the body can't be told for sure."""
+    if request.chunked_read:
+        return b'Content-Length' in request.inheaders
+    return raw.length < 0
+
+
 def _is_peer(request: cheroot_server.HTTPRequest, secret: str) -> bool:
     given = request.inheaders.get(header_names.RELAY_SECRET.title().encode(),
                                   _EMPTY)
--- a/lentilmoor/loads.py
+++ b/lentilmoor/loads.py
@@ -11,16 +11,18 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import heapq
 
 from lentilmoor import sketches
 from lentilmoor import slices
 
-REPORTED_POINTS = 32
+REPORTED_SLICES = 32
+REPORTED_POINTS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SliceCost:
-    """What one slice cost since the last report.
+    """What one slice cost since it was last reported.
 
     Attributes:
       first: First point of the slice.
@@ -53,7 +55,7 @@
 
     Attributes:
       version: The slice map's version that the rows were counted under.
-      slices: Slices that served something.
+      slices: The slices that cost most since they were last reported.
       hot: The points that cost most, dearest first.
     """
 
@@ -108,16 +110,29 @@
 
 
 def take_report(recorder: Recorder,
+                rows: int = REPORTED_SLICES,
                 hot_points: int = REPORTED_POINTS) -> Report:
-    """Returns what was recorded since the last report, and starts anew."""
-    rows = zip(recorder.slice_map.bounds,
-               recorder.costs,
-               recorder.requests,
-               strict=True)
-    costs = tuple(SliceCost(*row) for row in rows if row[2])
+    """Returns the dearest of what was recorded and not yet reported.
+
+    A report is bounded, as it goes over the network every second. The sums of
+    slices that are left out grow until they are among the dearest.
+
+    Args:
+      recorder: What is reported is taken off its sums.
+      rows: Most slices to report.
+      hot_points: Most points to report.
+    """
+    served = (index for index, count in enumerate(recorder.requests) if count)
+    dearest = heapq.nlargest(rows, served, key=recorder.costs.__getitem__)
+    bounds = recorder.slice_map.bounds
+    costs = tuple(
+        SliceCost(bounds[index], recorder.costs[index],
+                  recorder.requests[index]) for index in sorted(dearest))
+    for index in dearest:
+        recorder.costs[index] = 0.0
+        recorder.requests[index] = 0
     hottest = sketches.find_hottest(recorder.sketch, hot_points)
     hot = tuple(HotPoint(point, cost) for point, cost in hottest)
-    _clear(recorder, recorder.slice_map)
     recorder.sketch = sketches.Sketch(recorder.sketch.capacity)
     return Report(recorder.slice_map.version, costs, hot)
 
--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -13,6 +13,7 @@
 from cheroot import errors
 from cheroot import server as cheroot_server
 
+from lentilmoor import bodies
 from lentilmoor import headers as header_names
 from lentilmoor import problems
 from lentilmoor import tries
@@ -42,6 +43,7 @@
         if answer.rest is None:
             _write_whole(request, status, headers, answer.body)
         else:
+            _leave_body(request)
             _send_headers(request, status, headers)
             _stream(request, answer)
     except OSError as error:
@@ -65,6 +67,7 @@
 
 def _write_whole(request: _Request, status: bytes, headers: list[_Header],
                  body: bytes) -> None:
+    _leave_body(request)
     if not _is_plain(request):
         _send_headers(request, status, headers)
         request.write(body)
@@ -84,6 +87,20 @@
     request.conn.wfile.write(b'\r\n'.join(lines))
 
 
+def _leave_body(request: _Request) -> None:
+    """Has the connection closed if part of the body is still to come.
+
+    cheroot would read the rest into memory at once, or take the rest of a
+    chunked body for the next request.
+    """
+    source = request.rfile
+    if request.chunked_read:
+        unread = not source.ended
+    else:
+        unread = not 0 <= source.remaining <= bodies.BUFFER_BYTES
+    request.close_connection |= unread
+
+
 def _is_plain(request: _Request) -> bool:
     """Returns whether nothing of the request needs cheroot's own care."""
     return (request.response_protocol == 'HTTP/1.1' and
--- a/lentilmoor/shardstates.py
+++ b/lentilmoor/shardstates.py
@@ -4,7 +4,6 @@
 grantor is taken over, homes are set, loads are folded and plans made.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -65,6 +64,9 @@
       contention: Verdict by server.
       recorder: What this entry's own requests cost, by slice.
       reported_at: When that was last reported, ms.
+      chosen_for: The membership's count of changes that `chosen` follows.
+      chosen: Entries that should be delegates.
+      ranked: The same as candidates for grantor, best first.
       planned_at: When loads were last weighed, ms.
       judged_at: When contention was last judged, ms.
       members_seen: The membership's count of changes last acted on.
@@ -87,6 +89,9 @@
                      homes.Contention] = dataclasses.field(default_factory=dict)
     recorder: loads.Recorder | None = None
     reported_at: float = 0.0
+    chosen_for: int = -1
+    chosen: list[tables.Instance] = dataclasses.field(default_factory=list)
+    ranked: list[tables.Instance] = dataclasses.field(default_factory=list)
     planned_at: float = 0.0
     judged_at: float = 0.0
     members_seen: int = -1
@@ -180,8 +185,12 @@
     Returns:
       Calls to be made.
     """
-    chosen = roles.pick_delegates(state.shard.id, instances.values())
-    _step_takeover(state, chosen, me, now)
+    if state.chosen_for != members_changes:
+        state.chosen_for = members_changes
+        state.chosen = roles.pick_delegates(state.shard.id, instances.values())
+        state.ranked = roles.rank_grantors(state.shard.id, state.chosen)
+    chosen = state.chosen
+    _step_takeover(state, me, now)
     if is_grantor(state):
         _step_members(state, chosen, members_changes, now)
         _step_contention(state, chosen, now)
@@ -258,8 +267,7 @@
     grantors.apply_event(state.table, event, now)
 
 
-def _step_takeover(state: ShardState, chosen: Iterable[tables.Instance],
-                   me: str, now: float) -> None:
+def _step_takeover(state: ShardState, me: str, now: float) -> None:
     row = state.grantor
     if is_grantor(state):
         # Before it has an epoch of its own, any other one is higher.
@@ -269,7 +277,7 @@
         if has_epoch and superseded:
             resign(state, now)
         return
-    ranked = roles.rank_grantors(state.shard.id, chosen)
+    ranked = state.ranked
     if all(item.id != me for item in ranked):
         state.asks = False
         return
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -280,6 +280,17 @@
     def _order(self, **fields):
         return self._dispatch(method='POST', idempotency_key='i', **fields)
 
+    def test_a_fault_while_dispatching_settles_the_claim_as_unknown(self):
+
+        def fail(_):
+            raise RuntimeError('fault')
+
+        self.wires.on_send = fail
+        with self.assertRaises(RuntimeError):
+            self._order()
+        self.assertEqual([type(item) for item in self.settled],
+                         [outcomes.Unknown])
+
     def test_a_claim_is_settled_once_with_what_came_of_it(self):
         for result in (pathhelp.ok(), outcomes.Unknown(_Reason.TIMED_OUT)):
             self.wires.results = [result]
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -143,6 +143,41 @@
                          'body-too-large')
         self.assertEqual(self.calls, [])
 
+    def test_the_body_of_a_refused_request_is_never_a_request(self):
+        inner = f'GET {_PATH} HTTP/1.1\r\nHost: x\r\nLentilmoor-Key: k\r\n\r\n'
+        chunk = f'{len(inner):x}\r\n{inner}\r\n0\r\n\r\n'
+        post = 'POST /shop/none/x HTTP/1.1\r\nHost: x\r\n'
+        for head, body in (('Transfer-Encoding: chunked', chunk),
+                           (f'Content-Length: {len(inner)}', inner)):
+            got = self._send_raw(f'{post}{head}\r\n\r\n{body}'.encode())
+            self.assertEqual(got.count(b'HTTP/1.1 '), 1, got)
+        self.assertEqual(self.calls, [])
+
+    def _send_head(self, *lines):
+        """Sends a head and no body; returns the status line."""
+        address = ('127.0.0.1', self.port)
+        with socket.create_connection(address, pathhelp.PATIENCE_S) as opened:
+            opened.sendall('\r\n'.join((*lines, '', '')).encode())
+            return opened.recv(12)
+
+    def test_a_refusal_waits_for_no_body(self):
+        for length in ('-1', str(_LIMIT)):
+            status = self._send_head('POST /shop/none/x HTTP/1.1', 'Host: x',
+                                     f'Content-Length: {length}')
+            self.assertRegex(status, rb'^HTTP/1.1 4')
+
+    def test_two_lengths_of_one_body_are_refused(self):
+        status = self._send_head(f'POST {_PATH} HTTP/1.1', 'Host: x',
+                                 'Lentilmoor-Key: k', 'Content-Length: 3',
+                                 'Transfer-Encoding: chunked')
+        self.assertRegex(status, rb'^HTTP/1.1 400')
+        self.assertEqual(self.calls, [])
+
+    def test_a_length_below_zero_is_refused_at_once(self):
+        status = self._send_head(f'POST {_PATH} HTTP/1.1', 'Host: x',
+                                 'Lentilmoor-Key: k', 'Content-Length: -1')
+        self.assertRegex(status, rb'^HTTP/1.1 400')
+
 
 class StreamTest(_Base):
 
@@ -179,6 +214,17 @@
                                                       chunks, closed.set)
         return closed
 
+    def test_a_long_chunk_is_not_read_into_memory_at_once(self):
+        self.answer = lambda call, body: pathhelp.not_run(_Reason.NO_OWNER)
+        head = (f'POST {_PATH} HTTP/1.1\r\nHost: x\r\nLentilmoor-Key: k\r\n'
+                f'Transfer-Encoding: chunked\r\n\r\n{_LIMIT:x}\r\n')
+        address = ('127.0.0.1', self.port)
+        with socket.create_connection(address, pathhelp.PATIENCE_S) as opened:
+            # Only a part of the chunk comes; the outcome does not depend on
+            # the rest.
+            opened.sendall(head.encode() + _CHUNK * 2)
+            self.assertRegex(opened.recv(12), rb'^HTTP/1.1 503')
+
     def test_a_long_answer_comes_while_it_is_made(self):
         start_read = threading.Event()
 
