--- a/benchmarks/balance_policies.py
+++ b/benchmarks/balance_policies.py
@@ -14,7 +14,7 @@
 from lentilmoor import slices
 from lentilmoor import tables
 
-DELEGATES = 3
+DELEGATES = 12
 PLAN_EVERY_S = 2
 LOST_REPORTS = 0.05
 LAGS_S = (0, 1, 2)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from benchmarks import balance as balance_bench
 from benchmarks import balance_model
 from benchmarks import balance_policies
 from lentilmoor import balance
@@ -480,5 +481,17 @@
         self.assertLess(sum(seen['ours'].imbalance), 0.9 * sum(ring.imbalance))
 
 
+class BoundsTest(unittest.TestCase):
+
+    def test_worse_figures_are_breaches(self):
+        fields = dataclasses.fields(balance_bench.Row)
+        row = balance_bench.Row('orders', 1.0, balance_bench.OURS,
+                                *[1.2] * (len(fields) - 3))
+        limits = {'orders': {'mean': 1.15, 'keys': 1.3}}
+        breaches = balance_bench.find_breaches([row], limits)
+        self.assertEqual(1, len(breaches))
+        self.assertIn('mean', breaches[0])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -73,6 +73,24 @@
         self.assertEqual(2, report.hot[0].point)
         self.assertEqual((), loads.take_report(recorder).slices)
 
+    def test_report_is_bounded_and_leaves_nothing_out_for_good(self):
+        rng = random.Random(5)
+        slice_map = slices.make_map(('a', 'b'), 50)
+        recorder = loads.make_recorder(slice_map)
+        seen = dict.fromkeys(slice_map.bounds, 0.0)
+        for _ in range(40):
+            points = [rng.getrandbits(64) for _ in range(200)] + [7] * 50
+            loads.record(recorder, points, [1.0] * 250)
+            report = loads.take_report(recorder, rows=20, hot_points=4)
+            self.assertLessEqual(len(report.slices), 20)
+            self.assertLessEqual(len(report.hot), 4)
+            self.assertEqual(0, report.slices[0].first)
+            for item in report.slices:
+                seen[item.first] += item.cost_ms
+        self.assertEqual(40 * 250.0, sum(seen.values()) + sum(recorder.costs))
+        self.assertLess(max(recorder.costs), 40.0)
+        self.assertGreater(min(seen.values()), 40.0)
+
     def test_follow_keeps_rows_of_unchanged_slices_only(self):
         recorder = loads.make_recorder(FOUR)
         loads.record(recorder, [1, QUARTER], [5.0, 2.0])
