--- a/benchmarks/slopes_sizing.py
+++ b/benchmarks/slopes_sizing.py
@@ -15,6 +15,7 @@
 from benchmarks import slopes_systems
 from lentilmoor import clocks
 from lentilmoor import entries
+from lentilmoor import loads
 from lentilmoor import models
 from lentilmoor import probes
 from lentilmoor import roles
@@ -178,7 +179,7 @@
     grants = granted * RENEWALS_PER_S
     leases = held * size.delegates * RENEWALS_PER_S
     slices = held * size.servers_per_shard * SLICES_PER_SERVER * size.keyed
-    reports = slices * size.delegates * REPORTS_PER_S
+    reports = held * size.delegates * _count_reported(size)
     lease_bytes = (prices.lease_bytes +
                    prices.lease_server_bytes * size.servers_per_shard)
     return [
@@ -205,18 +206,24 @@
     lease_bytes = (prices.lease_bytes +
                    prices.lease_server_bytes * size.servers_per_shard)
     slices = held * size.servers_per_shard * SLICES_PER_SERVER * size.keyed
+    reported = held * _count_reported(size)
     return [
         _line('delegate', f'{leases:.1f} leases taken/s, {held:.0f} shards',
               leases, prices.lease_us + prices.lease_work_us, lease_bytes),
-        _line('delegate', f'{slices * REPORTS_PER_S:.0f} slices reported/s',
-              slices * REPORTS_PER_S, prices.report_slice_us / 2,
-              prices.report_slice_bytes),
+        _line('delegate', f'{reported:.0f} slices reported/s', reported,
+              prices.report_slice_us / 2, prices.report_slice_bytes),
         _line('delegate',
               f'{slices:.0f} slices',
               memory=slices * prices.slice_bytes),
     ]
 
 
+def _count_reported(size: Size) -> float:
+    """Returns the slices that one delegate reports of a shard, each second."""
+    slices = size.servers_per_shard * SLICES_PER_SERVER
+    return size.keyed * min(slices, loads.REPORTED_SLICES) * REPORTS_PER_S
+
+
 def _size_tables(size: Size, prices: Prices) -> list[Line]:
     """What is paid for each shard and server that the settings name."""
     per_step = prices.step_us + prices.step_node_us * size.nodes
@@ -271,9 +278,10 @@
         lease_server_bytes=sizes['lease order without map'].slope +
         sizes['lease reply with loads'].slope,
         lease_work_us=converted.at(24) / 2,
-        report_slice_us=report.slope / 2 +
+        report_slice_us=report.points[0][1] / loads.REPORTED_SLICES / 2 +
         cost['means.fold and read', 'slices'].slope,
-        report_slice_bytes=sizes['lease reply with report'].slope,
+        report_slice_bytes=sizes['lease reply with report'].points[0][1] /
+        loads.REPORTED_SLICES,
         step_node_us=step.slope,
         step_us=step.base,
         probe_row_us=cost['probes.step', 'servers'].slope,
--- a/benchmarks/slopes_systems.py
+++ b/benchmarks/slopes_systems.py
@@ -51,6 +51,7 @@
 SLICES_PER_SERVER = 32
 
 _LEAST_S = 0.03
+_SETTLED_MS = 4_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +97,8 @@
                _grant_servers),
         _sweep('grantor, a second', 'delegates', (3, 12, 48, 300),
                _grant_delegates),
+        _sweep('grantor, longest step, a third lost', 'servers',
+               (6, 24, 48, 96), _lose_third),
         _sweep('lease order with map, both sides', 'slices', SLICES,
                _convert_map),
         _sweep('lease order without map, both sides', 'servers', SERVERS,
@@ -237,8 +240,8 @@
     names = tuple(f'd{index}' for index in range(members))
     grantors.apply_event(table, grants.ChooseDelegates(SHARD, names), 0.0)
     grantors.apply_event(table, grants.Takeover(SHARD), 0.0)
-    run_grantor(table, store, 0.0, 4_000.0)
-    assert grantors.is_authoritative(row, 4_000.0)
+    run_grantor(table, store, 0.0, _SETTLED_MS)
+    assert grantors.is_authoritative(row, _SETTLED_MS)
     return table
 
 
@@ -301,6 +304,54 @@
     return _grant(15, count)
 
 
+def _lose_third(count: int) -> float:
+    """Returns a grantor's longest step after it lost a third, microseconds."""
+    store = Store()
+    table = make_grantor(count, 4, store)
+    row = table[SHARD]
+    rows = _make_servers(list(row.committed.servers))
+    lost = [f's{index}' for index in range(0, count, 3)]
+    for name in lost:
+        rows[name].liveness = tables.Liveness.DEAD
+        grantors.apply_event(table, grants.ServerLost(SHARD, name), _SETTLED_MS)
+    seen = means.read(means.make_table(row.committed, 0.0), _SETTLED_MS)
+    plan = balance.plan(row.committed, seen, rows, models.Weights(),
+                        plans.Limits(), _SETTLED_MS)
+    grantors.apply_event(table, grants.PlanMoves(SHARD, plan), _SETTLED_MS)
+    longest = 0.0
+    now = _SETTLED_MS
+    while now < _SETTLED_MS + 1_000.0:
+        now += TICK_MS
+        longest = max(longest, _step_lossy(table, store, lost, now))
+    return longest * 1e6
+
+
+def _step_lossy(table: grants.GrantorTable, store: Store, lost: list[str],
+                now: float) -> float:
+    """Steps until nothing is due; returns the longest step, s."""
+    longest = 0.0
+    while True:
+        began = time.process_time()
+        actions = grantors.step_grantor(table, now)
+        longest = max(longest, time.process_time() - began)
+        if not actions:
+            return longest
+        for action in actions:
+            if getattr(action, 'server', '') in lost:
+                event = grants.CallFailed(action)
+            else:
+                event = _answer(action, store, now)
+            grantors.apply_event(table, event, now)
+
+
+def _make_servers(names: list[str]) -> dict[str, tables.Server]:
+    return {
+        name:
+            tables.Server(name, '127.0.0.1:1', SHARD, f'domain-{index % 3 + 1}')
+        for index, name in enumerate(names)
+    }
+
+
 def make_map(count: int) -> slices.SliceMap:
     """Returns a map of so many slices, 32 to a server."""
     servers = tuple(f's{index}' for index in range(count // SLICES_PER_SERVER))
