--- a/lentilmoor/drafts.py
+++ b/lentilmoor/drafts.py
@@ -208,7 +208,7 @@
     if piece.moved:
         raise exceptions.InvariantError(f'{piece} was moved and is cut')
     inside = [item for item in piece.hot if item.point < point]
-    kept = piece.rate * means.share_rate(piece.rate, piece.hot, inside,
+    kept = piece.rate * loads.share_rate(piece.rate, piece.hot, inside,
                                          (point - piece.first) / piece.span)
     cut = Piece(point,
                 piece.last,
--- a/lentilmoor/loads.py
+++ b/lentilmoor/loads.py
@@ -158,6 +158,27 @@
     recorder.requests = array('L', [0]) * count
 
 
+def share_rate(rate: float, hot: Sequence[HotPoint], inside: Sequence[HotPoint],
+               overlap: float) -> float:
+    """Returns which part of a slice's cost falls in a part of its points.
+
+    Args:
+      rate: Cost of the slice, ms per second.
+      hot: Its hot points.
+      inside: Those of them in the part.
+      overlap: Share of its points in the part.
+
+    Returns:
+      The hot points' share, and of the rest the part by its points.
+    """
+    if rate <= 0.0 or overlap >= 1.0:
+        return overlap
+    hottest = sum(item.cost for item in hot)
+    scale = min(rate / hottest, 1.0) if hottest else 0.0
+    named = sum(item.cost for item in inside) * scale
+    return (named + (rate - hottest * scale) * overlap) / rate
+
+
 def match_rows(old: slices.SliceMap,
                new: slices.SliceMap) -> Iterator[tuple[int, int]]:
     """Yields (new index, old index) of the slices with the same bounds."""
--- a/lentilmoor/means.py
+++ b/lentilmoor/means.py
@@ -8,14 +8,13 @@
 """
 
 from array import array
-from collections.abc import Sequence
 import dataclasses
 import math
 
-from lentilmoor import clocks
 from lentilmoor import loads
 from lentilmoor import sketches
 from lentilmoor import slices
+from lentilmoor import windows
 
 SLOW_MS = 30_000.0
 FAST_MS = 3_000.0
@@ -25,7 +24,6 @@
 _HOT_SHARE = 0.0005
 # How long a row follows its fast mean once it has changed.
 _FOLLOW_MS = 3.0 * FAST_MS
-_LARGEST_EXPONENT = 40.0
 # After this many windows a mean counts as resting on a whole one.
 _SETTLED_WINDOWS = 7.0
 
@@ -49,26 +47,6 @@
     observed_ms: float
 
 
-@dataclasses.dataclass(slots=True)
-class Window:
-    """Weights of a mean that decays forwards.
-
-    What is added at time t counts exp((t - landmark) / length), so that no
-    sweep is needed as time passes; the landmark moves now and then.
-
-    Attributes:
-      length_ms: Time constant.
-      landmark: When the weight of an addition is 1, ms.
-      costs: Weighted service time by slice; typecode d.
-      sketch: The points that cost most, weighted alike.
-    """
-
-    length_ms: float
-    landmark: float
-    costs: array
-    sketch: sketches.Sketch
-
-
 @dataclasses.dataclass(slots=True)
 class LoadTable:
     """The grantor's means, one row for each slice.
@@ -78,7 +56,6 @@
       started_at: When the table began to observe, ms.
       slow: The means that are read.
       fast: The means that show changes.
-      requests: Requests by slice, weighted as in `slow`; typecode d.
       since: When the slow mean of a row starts, ms; typecode d.
       follows_until: Until when the slow mean follows the fast one, ms.
       changed: Sequence of the map that gave the slice its bounds.
@@ -87,9 +64,8 @@
 
     slice_map: slices.SliceMap
     started_at: float
-    slow: Window
-    fast: Window
-    requests: array
+    slow: windows.Window
+    fast: windows.Window
     since: array
     follows_until: array
     changed: array
@@ -107,10 +83,10 @@
       capacity: Hot points kept.
     """
     count = len(slice_map.bounds)
-    slow = Window(SLOW_MS, now, _fill('d', 0, count), sketches.Sketch(capacity))
-    fast = Window(FAST_MS, now, _fill('d', 0, count), sketches.Sketch(capacity))
-    return LoadTable(slice_map, now, slow, fast, _fill('d', 0, count),
-                     _fill('d', now, count), _fill('d', now, count),
+    slow = windows.make_window(SLOW_MS, now, count, True, capacity)
+    fast = windows.make_window(FAST_MS, now, count, False, capacity)
+    return LoadTable(slice_map, now, slow, fast, _fill('d', now, count),
+                     _fill('d', now, count),
                      _fill('Q', slice_map.sequence, count),
                      _fill('d', -math.inf, count))
 
@@ -131,8 +107,8 @@
       report: What a delegate counted.
       now: Time, ms.
     """
-    slow = _weigh(table, table.slow, now)
-    fast = _weigh(table, table.fast, now)
+    slow = windows.weigh(table.slow, now)
+    fast = windows.weigh(table.fast, now)
     epoch, sequence = report.version
     if epoch == table.slice_map.epoch:
         _fold_rows(table, report.slices, sequence, slow, fast)
@@ -153,7 +129,7 @@
             continue
         table.slow.costs[index] += row.cost_ms * slow
         table.fast.costs[index] += row.cost_ms * fast
-        table.requests[index] += row.requests * slow
+        table.slow.requests[index] += row.requests * slow
 
 
 def _fold_singles(table: LoadTable, hot: tuple[loads.HotPoint, ...],
@@ -169,20 +145,6 @@
             table.fast.costs[index] += item.cost * fast
 
 
-def _weigh(table: LoadTable, window: Window, now: float) -> float:
-    """Returns the weight of an addition; moves a landmark long past."""
-    exponent = (now - window.landmark) / window.length_ms
-    if exponent <= _LARGEST_EXPONENT:
-        return math.exp(exponent)
-    factor = math.exp(-exponent)
-    window.landmark = now
-    window.costs = array('d', (cost * factor for cost in window.costs))
-    sketches.scale(window.sketch, factor)
-    if window is table.slow:
-        table.requests = array('d', (item * factor for item in table.requests))
-    return 1.0
-
-
 def read(table: LoadTable, now: float) -> Loads:
     """Returns the rates as of now, aligned with the table's map.
 
@@ -193,7 +155,7 @@
     gauge = _make_gauge(table, now)
     rates = _rate_rows(table, gauge, now)
     _restart_changed(table, gauge, rates, now)
-    requests = array('d', (item / gauge.slow for item in table.requests))
+    requests = array('d', (item / gauge.slow for item in table.slow.requests))
     return Loads(rates, requests, table.owned_since,
                  _rate_hot(table, gauge, now), now - table.started_at)
 
@@ -216,15 +178,15 @@
 
 
 def _make_gauge(table: LoadTable, now: float) -> _Gauge:
-    slow = _weigh(table, table.slow, now)
-    fast = _weigh(table, table.fast, now)
+    slow = windows.weigh(table.slow, now)
+    fast = windows.weigh(table.fast, now)
     observed = now - table.started_at
     total = sum(table.slow.costs)
-    mean_cost = total / max(sum(table.requests), 1e-9)
-    seconds = _fill_of(table.fast, observed)
+    mean_cost = total / max(sum(table.slow.requests), 1e-9)
+    seconds = windows.fill_of(table.fast, observed)
     # Reports that are late or lost lower all fast means alike, and those that
     # come at once raise them: so the fast means count as shares of the whole.
-    rate = total / (slow * _fill_of(table.slow, observed))
+    rate = total / (slow * windows.fill_of(table.slow, observed))
     factor = rate / max(sum(table.fast.costs), 1e-9)
     if total <= 0.0:
         factor = 1.0 / (fast * seconds)
@@ -234,22 +196,16 @@
 def _rate_rows(table: LoadTable, gauge: _Gauge, now: float) -> array:
     rates = array('d', table.slow.costs)
     settled = now - _SETTLED_WINDOWS * SLOW_MS
-    full = gauge.slow * _fill_of(table.slow, _SETTLED_WINDOWS * SLOW_MS)
+    full = gauge.slow * windows.fill_of(table.slow, _SETTLED_WINDOWS * SLOW_MS)
     for index, since in enumerate(table.since):
         if since <= settled:
             rates[index] /= full
         else:
-            rates[index] /= gauge.slow * _fill_of(table.slow, now - since)
+            rates[index] /= gauge.slow * windows.fill_of(
+                table.slow, now - since)
     return rates
 
 
-def _fill_of(window: Window, observed_ms: float) -> float:
-    """Returns the seconds that a mean rests on after a time of observation."""
-    length_s = window.length_ms / clocks.MS_PER_S
-    share = 1.0 - math.exp(-max(observed_ms, 1.0) / window.length_ms)
-    return length_s * share
-
-
 def _restart_changed(table: LoadTable, gauge: _Gauge, rates: array,
                      now: float) -> None:
     """Lets rows that have changed follow their fast mean for a while.
@@ -257,7 +213,7 @@
     The slow mean of such a row rests on as many seconds as the fast one does,
     and on more and more afterwards.
     """
-    fill = _fill_of(table.slow, FAST_MS)
+    fill = windows.fill_of(table.slow, FAST_MS)
     for index, cost in enumerate(table.fast.costs):
         recent = cost * gauge.fast
         if table.follows_until[index] <= now:
@@ -266,7 +222,7 @@
             table.follows_until[index] = now + _FOLLOW_MS
         fresh = recent * fill * gauge.slow
         if table.slow.costs[index] > 0.0:
-            table.requests[index] *= fresh / table.slow.costs[index]
+            table.slow.requests[index] *= fresh / table.slow.costs[index]
         table.slow.costs[index] = fresh
         table.since[index] = now - FAST_MS
         rates[index] = recent
@@ -282,7 +238,8 @@
 
 def _rate_hot(table: LoadTable, gauge: _Gauge,
               now: float) -> tuple[loads.HotPoint, ...]:
-    factor = 1.0 / (gauge.slow * _fill_of(table.slow, now - table.started_at))
+    factor = 1.0 / (gauge.slow *
+                    windows.fill_of(table.slow, now - table.started_at))
     least = _HOT_SHARE * factor * sum(table.slow.costs)
     slow = table.slow.sketch.costs
     fast = table.fast.sketch.costs
@@ -337,9 +294,8 @@
 def _empty(table: LoadTable, slice_map: slices.SliceMap, now: float) -> None:
     count = len(slice_map.bounds)
     table.slice_map = slice_map
-    table.slow.costs = _fill('d', 0, count)
-    table.fast.costs = _fill('d', 0, count)
-    table.requests = _fill('d', 0, count)
+    windows.empty(table.slow, count)
+    windows.empty(table.fast, count)
     table.since = _fill('d', now, count)
     table.follows_until = _fill('d', now + _FOLLOW_MS, count)
     table.changed = _fill('Q', slice_map.sequence, count)
@@ -351,7 +307,7 @@
     """Adds a share of an old row to a row."""
     table.slow.costs[index] += before.slow.costs[was] * share
     table.fast.costs[index] += before.fast.costs[was] * share
-    table.requests[index] += before.requests[was] * share
+    table.slow.requests[index] += before.slow.requests[was] * share
     table.since[index] = min(table.since[index], before.since[was])
 
 
@@ -367,33 +323,12 @@
         hot = [item for item in seen.hot if low <= item.point <= high]
         inside = [item for item in hot if first <= item.point <= last]
         overlap = min(high, last) - max(low, first) + 1
-        share = share_rate(seen.rates[was], hot, inside,
-                           overlap / (high - low + 1))
+        share = loads.share_rate(seen.rates[was], hot, inside,
+                                 overlap / (high - low + 1))
         _carry(before, table, index, was, share)
         was += 1
 
 
-def share_rate(rate: float, hot: Sequence[loads.HotPoint],
-               inside: Sequence[loads.HotPoint], overlap: float) -> float:
-    """Returns which part of a slice's cost falls in a part of its points.
-
-    Args:
-      rate: Cost of the slice, ms per second.
-      hot: Its hot points.
-      inside: Those of them in the part.
-      overlap: Share of its points in the part.
-
-    Returns:
-      The hot points' share, and of the rest the part by its points.
-    """
-    if rate <= 0.0 or overlap >= 1.0:
-        return overlap
-    hottest = sum(item.cost for item in hot)
-    scale = min(rate / hottest, 1.0) if hottest else 0.0
-    named = sum(item.cost for item in inside) * scale
-    return (named + (rate - hottest * scale) * overlap) / rate
-
-
 def _name_owner(slice_map: slices.SliceMap, index: int) -> str | None:
     owner = slice_map.owners[index]
     return None if owner == slices.NO_OWNER else slice_map.servers[owner]
