--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,9 +8,9 @@
 import time
 
 # Seeded and in simulated time, or by processor time; then by wall clock.
-NAMES = ('ownership', 'balance', 'liveness', 'admission', 'retries',
-         'quarantine', 'claims', 'spread', 'membership', 'connections',
-         'instruments', 'peers', 'slopes', 'speed')
+NAMES = ('ownership', 'balance', 'liveness', 'successors', 'admission',
+         'retries', 'quarantine', 'claims', 'spread', 'membership',
+         'connections', 'instruments', 'peers', 'slopes', 'speed')
 
 
 def main(arguments: list[str]) -> int:
--- a/lentilmoor/adminhooks.py
+++ b/lentilmoor/adminhooks.py
@@ -48,6 +48,8 @@
 
 def _has_routes(entry: entries.Entry) -> bool:
     """Returns whether this entry can carry requests for every shard."""
+    if not entry.dispatcher.informed:
+        return False
     snapshot = entry.dispatcher.snapshot
     now = entry.base.clock.now()
     return all(route.expires_at > now or route.delegates
--- a/lentilmoor/controltables.py
+++ b/lentilmoor/controltables.py
@@ -67,6 +67,8 @@
       store_seen_at: When the store last answered the watcher, ms.
       store_answers: Whether its last call was answered.
       leaving: Whether this entry is leaving.
+      informed: Whether all settings of the start are here, from a peer or
+        from the store.
       listed_at: When the list was last read for a takeover, ms.
       unlisted_since: Since when delegates of a shard that is being taken are
         missing from the list, ms.
@@ -98,6 +100,7 @@
     store_seen_at: float = 0.0
     store_answers: bool = False
     leaving: bool = False
+    informed: bool = False
     probes_due: bool = False
     pauses_seen: int = 0
     listed_at: float = 0.0
--- a/lentilmoor/dispatchers.py
+++ b/lentilmoor/dispatchers.py
@@ -89,6 +89,8 @@
       clock: Time.
       meters: Metrics of the request path.
       generator: Seeded source of random numbers.
+      informed: Whether the settings in force are known; before that, an
+        unknown service may just not be known yet.
       snapshot: The routing snapshot in force; swapped by reference.
       changed: Notified after each swap.
       waiting: Threads that may wait for a slot, shared by all gates.
@@ -108,6 +110,7 @@
         self.clock = clock
         self.meters = meters
         self.generator = generator
+        self.informed = False
         self.snapshot = routes.EMPTY
         self.changed = threading.Condition()
         self.waiting = admission.Pool(most_waiting)
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -6,7 +6,6 @@
 from concurrent import futures
 import dataclasses
 import functools
-import logging
 import os
 import pathlib
 import random
@@ -18,47 +17,37 @@
 from cheroot import wsgi
 import pykka
 
-from lentilmoor import adapters
 from lentilmoor import admin
 from lentilmoor import adminhooks
 from lentilmoor import cancellations
-from lentilmoor import claiming
 from lentilmoor import clocks
-from lentilmoor import connections
 from lentilmoor import control
 from lentilmoor import controltables
 from lentilmoor import dispatch
 from lentilmoor import dispatchers
-from lentilmoor import evidence
 from lentilmoor import fleetwork
 from lentilmoor import gateways
 from lentilmoor import gauges
-from lentilmoor import gossip
 from lentilmoor import inbox
 from lentilmoor import logs
 from lentilmoor import members
 from lentilmoor import metrics
 from lentilmoor import models
-from lentilmoor import outcomes
 from lentilmoor import peers
 from lentilmoor import roles
 from lentilmoor import runners
-from lentilmoor import runs
 from lentilmoor import servers
-from lentilmoor import shardclaims
 from lentilmoor import shardstates
 from lentilmoor import shutdowns
 from lentilmoor import stores
 from lentilmoor import tables
 from lentilmoor import traces
 from lentilmoor import watchers
+from lentilmoor import wirings
 
 TICK_MS = 50.0
 ADMIN_THREADS = 4
-SETTLE_THREADS = 4
 SERVER_TIMEOUT_MS = 300.0
-# Another entry takes new connections as fast as they come.
-RELAY_OPENS = {'opens_per_s': 200.0, 'burst': 64.0}
 # Of the request threads, those that may wait for a slice to move.
 HOLDING_SHARE = 0.5
 HANDOVER_MS = 3_000.0
@@ -168,7 +157,7 @@
     entry.runner = runners.Runner(
         runners.Outside(base.id, store, control_of_servers, entry.peers,
                         _make_finder(dispatcher), entry.tell))
-    owned = _make_tables(entry)
+    owned = wirings.make_tables(entry)
     gauges.register(base.registry, gauges.Parts(dispatcher, owned, store))
     entry.actor = control.Control.start(owned, base.failed)
     _start_threads(entry, store, control_of_servers)
@@ -247,8 +236,8 @@
     del control_of_servers
     base, settings = entry.base, entry.base.settings
     carry = functools.partial(dispatch.dispatch_call, entry.dispatcher,
-                              _make_wiring(entry))
-    log_error = _make_error_log(base)
+                              wirings.make_wiring(entry))
+    log_error = wirings.make_error_log(base)
     callers = gateways.make_server(
         settings.callers,
         gateways.make_gateway(entry.dispatcher, carry, base.tracer, base.count),
@@ -268,7 +257,7 @@
         listener.prepare()
     entry.peers = peers.start_peers(
         peers.PeerSettings(settings.peers, base.secret.encode()),
-        _make_handlers(entry), base.clock)
+        wirings.make_handlers(entry), base.clock)
     entry.callers_address = _read_address(callers)
     entry.admin_address = _read_address(administration)
     entry.own = tables.Instance(base.id, entry.peers.address,
@@ -276,86 +265,11 @@
                                 settings.failure_domain)
 
 
-def _make_error_log(base: Base) -> gateways.LogError:
-    errors = base.registry.counter('lentilmoor_request_errors',
-                                   'Requests that ended in a fault').at()
-
-    def log_error(message: str = '',
-                  level: int = logging.INFO,
-                  traceback: bool = False) -> None:
-        if level < logging.ERROR:
-            return
-        errors.add()
-        base.logger.error('request_error', error=message, exc_info=traceback)
-
-    return log_error
-
-
 def _read_address(listener: cheroot_server.HTTPServer) -> str:
     host, port = listener.bind_addr[:2]
     return f'{host}:{port}'
 
 
-def _make_wiring(entry: Entry) -> runs.Wiring:
-    base = entry.base
-    pools = adapters.Pools(connections.Rules(), base.clock)
-    relays = adapters.Pools(
-        connections.Rules(most=base.settings.relay_threads, **RELAY_OPENS),
-        base.clock)
-    settling = futures.ThreadPoolExecutor(SETTLE_THREADS, 'settling')
-    lines = claiming.Lines(tell=entry.tell,
-                           peers=lambda: entry.peers,
-                           later=settling.submit)
-    return runs.Wiring(
-        send=adapters.make_send(pools, base.clock),
-        relay=adapters.make_hand(relays, base.clock, base.secret),
-        claim=claiming.make_claim(entry.dispatcher, lines),
-        spread_crash=lambda item: entry.tell(inbox.CrashSeen(item)))
-
-
-def _make_handlers(entry: Entry) -> peers.Handlers:
-
-    def make(kind: Callable[[object, futures.Future], object]):
-
-        def handle(message: object) -> futures.Future | outcomes.Failed:
-            if entry.actor is None:
-                return outcomes.Failed(outcomes.Reason.PEER_UNAVAILABLE,
-                                       'starting')
-            reply: futures.Future = futures.Future()
-            entry.tell(kind(message, reply))
-            return reply
-
-        return handle
-
-    return peers.Handlers(exchange=make(inbox.ExchangeAsked),
-                          fetch=make(inbox.FetchAsked),
-                          lease=make(inbox.LeaseAsked),
-                          claim=make(inbox.ClaimAsked),
-                          settle=make(inbox.SettleAsked))
-
-
-def _make_tables(entry: Entry) -> controltables.ControlTables:
-    base = entry.base
-    now = base.clock.now()
-    incarnation = int(base.clock.wall() / clocks.MS_PER_S)
-    runner = entry.runner
-    calls = controltables.Calls(run=runner.run,
-                                send_gossip=runner.send_gossip,
-                                send_evidence=runner.send_evidence,
-                                probe=runner.probe,
-                                read_list=runner.read_list,
-                                note_change=logs.make_notes(base.logger))
-    return controltables.ControlTables(
-        own=entry.own,
-        settings=base.settings,
-        clock=base.clock,
-        calls=calls,
-        dispatcher=entry.dispatcher,
-        gossip=gossip.make_gossip(entry.own, incarnation, now, base.generator),
-        liveness=evidence.LivenessTable(base.id, base.settings.failure_domain),
-        claims=shardclaims.ShardClaims(base.clock, runner.run_claim))
-
-
 def _start_threads(entry: Entry, store: stores.Store,
                    control_of_servers: servers.Servers) -> None:
     base = entry.base
--- a/lentilmoor/gateways.py
+++ b/lentilmoor/gateways.py
@@ -29,6 +29,8 @@
 
 _Reason = outcomes.Reason
 _EMPTY = b''
+_STARTING = outcomes.NotRun(_Reason.STARTING,
+                            'this entry does not know all services yet', 500)
 _BAD_LENGTH = outcomes.NotRun(
     _Reason.BAD_REQUEST, 'Content-Length: expected one length of at least 0')
 
@@ -112,6 +114,8 @@
         return
     call = calls.read_call(raw, dispatcher.snapshot.find_settings, began)
     if isinstance(call, outcomes.NotRun):
+        if call.reason is _Reason.UNKNOWN_SERVICE and not dispatcher.informed:
+            call = _STARTING
         _refuse(request, dispatcher, call)
         return
     start = tracer.join if relay_secret else tracer.begin
--- a/lentilmoor/outcomes.py
+++ b/lentilmoor/outcomes.py
@@ -18,6 +18,7 @@
     BODY_TOO_LARGE = 'body-too-large'
     DEADLINE_PASSED = 'deadline-passed'
     NOT_AUTHORIZED = 'not-authorized'
+    STARTING = 'starting'
     # Routing and ownership.
     NO_OWNER = 'no-owner'
     NO_LEASE = 'no-lease'
--- a/lentilmoor/settingswork.py
+++ b/lentilmoor/settingswork.py
@@ -17,6 +17,8 @@
 
 def step(tables: _Tables, now: float) -> None:
     """Puts in force what has spread to this entry."""
+    if tables.gossip.joined:
+        tables.informed = True
     changed = [
         _adopt(tables, item)
         for item in gossip.collect_settings(tables.gossip)
@@ -24,6 +26,7 @@
     ]
     if any(changed):
         _put_in_force(tables, now)
+    tables.dispatcher.informed = tables.informed
 
 
 def take_found(tables: _Tables, message: inbox.BranchesFound,
@@ -43,6 +46,7 @@
     tables.store_answers = message.answered
     if message.answered:
         tables.store_seen_at = now
+        tables.informed = True
     state = 'answers' if message.answered else 'silent'
     tables.calls.note_change('store', 'watch', state)
 
--- a/lentilmoor/watchers.py
+++ b/lentilmoor/watchers.py
@@ -76,14 +76,14 @@
             _pause(wiring, IDLE_MS)
             continue
         changes = wiring.store.watch(branches.PREFIX, revision, WATCH_MS)
-        answered = isinstance(changes, stores.Changes)
-        wiring.tell(inbox.StoreSeen(answered))
-        if not answered:
+        if not isinstance(changes, stores.Changes):
+            wiring.tell(inbox.StoreSeen(False))
             _pause(wiring, RETRY_MS)
             continue
         if changes.records:
             wiring.tell(inbox.BranchesFound(changes.records))
-        elif changes.revision == revision:
+        wiring.tell(inbox.StoreSeen(True))
+        if not changes.records and changes.revision == revision:
             # A watch that ends with nothing, at once, must not spin.
             _pause(wiring, IDLE_MS)
         revision = changes.revision
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -116,6 +116,7 @@
         ['entry', '--settings', str(path)])
     started = _await_line(log, 'entry_started', process)
     entry = EntryProcess(name, process, started['callers'], started['admin'])
+    _await_ready(entry)
     fleet.entries[name] = entry
     fleet.started += 1
     return entry
@@ -242,6 +243,15 @@
         time.sleep(_LOOK_EVERY_S)
 
 
+def _await_ready(entry: EntryProcess) -> None:
+    """Waits, as the platform's balancer does, until it wants requests."""
+    until = time.monotonic() + START_S
+    while not _is_answered(entry.admin, '/readyz', {}):
+        if entry.process.poll() is not None or time.monotonic() > until:
+            raise FleetError(f'{entry.name} does not get ready')
+        time.sleep(_LOOK_EVERY_S)
+
+
 def _is_answered(address: str, path: str, headers: dict[str, str]) -> bool:
     try:
         answer = urllib3.request('GET',
--- a/tests/pathhelp.py
+++ b/tests/pathhelp.py
@@ -113,6 +113,7 @@
     made = dispatchers.Dispatcher(ME, clock, dispatchers.make_meters(registry),
                                   random.Random(1), most_holding)
     made.swap(snapshot)
+    made.informed = True
     return made
 
 
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -43,6 +43,7 @@
         dispatcher = pathhelp.make_dispatcher(
             pathhelp.make_snapshot(_SETTINGS, pathhelp.make_route()),
             clocks.Clock())
+        self.dispatcher = dispatcher
         gateway = gateways.make_gateway(dispatcher, self._dispatch, _NO_TRACES,
                                         self.count, self.secret)
         server = gateways.make_server('127.0.0.1:0', gateway, 4, self._note)
@@ -111,6 +112,13 @@
             self.assertEqual(response.headers['Retry-After'],
                              '2' if kind == 'not-run' else None)
 
+    def test_an_entry_that_knows_no_settings_yet_does_not_call_it_unknown(self):
+        self.dispatcher.informed = False
+        response, _ = self._ask(path='/shop/none/x')
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.headers['Lentilmoor-Reason'], 'starting')
+        self.assertTrue(response.headers['Retry-After'])
+
     def test_what_cannot_be_routed_is_refused_before_dispatch(self):
         for path, headers, reason in (('/shop/none/x', {}, 'unknown-service'),
                                       (_PATH, {
