Survive replies that nobody waits for, and lose many servers faster

A grantor's longest step after a third of its servers was lost grew faster than their number. Shards of a service with several cut the whole hash space, so most slices had no key. Change: replies that nobody waits for are dropped; owned ranges are worked out once for each map and subtracted in one pass; a shard cuts its own points; planning takes its limits from the service; libraries' lines stay out of the log. Conclusion: many servers at once are to be measured again end to end.

--- a/lentilmoor/catalogs.py
+++ b/lentilmoor/catalogs.py
@@ -13,12 +13,14 @@
 
     Attributes:
       id: 'team/service/number'.
+      number: Number of the shard within its service.
       settings: Of its service.
       weights: Of its team.
       servers: Its servers by id.
     """
 
     id: str
+    number: int
     settings: models.ServiceSettings
     weights: models.Weights
     servers: dict[str, models.ServerSettings]
@@ -70,7 +72,7 @@
 def _split_service(team: models.TeamSettings, name: str,
                    service: models.ServiceSettings) -> list[Shard]:
     rows = [
-        Shard(f'{team.team}/{name}/{number}', service, team.weights, {})
+        Shard(f'{team.team}/{name}/{number}', number, service, team.weights, {})
         for number in range(service.shards)
     ]
     for server in service.servers:
--- a/lentilmoor/commits.py
+++ b/lentilmoor/commits.py
@@ -79,7 +79,8 @@
         return None
     servers = tuple(sorted(row.servers))
     if row.keyed:
-        first = slices.make_map(servers, row.slices_per_server)
+        first = slices.make_map(servers, row.slices_per_server, row.number,
+                                row.shards)
     else:
         first = slices.SliceMap(0, 0, servers, array('Q', [0]),
                                 array('H', [slices.NO_OWNER]))
--- a/lentilmoor/control.py
+++ b/lentilmoor/control.py
@@ -14,6 +14,7 @@
 from lentilmoor import evidencework
 from lentilmoor import fleetwork
 from lentilmoor import inbox
+from lentilmoor import replies
 from lentilmoor import settingswork
 from lentilmoor import shardclaims
 from lentilmoor import shardwork
@@ -51,7 +52,7 @@
 
 
 def _ask(tables: _Tables, message: inbox.Ask, now: float) -> None:
-    message.reply.set_result(message.work(tables, now))
+    replies.give(message.reply, message.work(tables, now))
 
 
 def _take_claim(tables: _Tables, message: inbox.ClaimAsked, now: float) -> None:
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -55,6 +55,7 @@
 EXIT_FAILED = 70
 
 _LOOK_EVERY_MS = 20.0
+_FAILED_LOOK_MS = 200.0
 _ASK_TIMEOUT_MS = 2_000.0
 _STOP_GRACE_MS = 500.0
 
@@ -179,12 +180,13 @@
 
 def run(settings: models.ProcessSettings) -> int:
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
+    logs.quiet_libraries()
     entry = start_entry(settings)
     asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.set())
     while not asked.is_set() and not entry.base.failed.is_set():
-        asked.wait(_LOOK_EVERY_MS / clocks.MS_PER_S)
+        asked.wait(_FAILED_LOOK_MS / clocks.MS_PER_S)
     if entry.base.failed.is_set():
         entry.base.logger.error('invariant_broken')
         # Nothing of this process is to be trusted, its own clean-up included.
--- a/lentilmoor/fleetwork.py
+++ b/lentilmoor/fleetwork.py
@@ -10,6 +10,7 @@
 from lentilmoor import members
 from lentilmoor import outcomes
 from lentilmoor import quarantine
+from lentilmoor import replies
 from lentilmoor import reports
 from lentilmoor import shardclaims
 from lentilmoor import shardstates
@@ -96,15 +97,15 @@
     evidencework.take_peer_evidence(tables, asked, now)
     reply.grantors.extend(
         shardwork.answer_about_grantors(tables, asked.asked_shards, now))
-    message.reply.set_result(reply)
+    replies.give(message.reply, reply)
     _follow_members(tables, now)
 
 
 def take_fetch(tables: _Tables, message: inbox.FetchAsked, now: float) -> None:
     """Answers a peer's fetch."""
     del now
-    message.reply.set_result(gossip.answer_fetch(tables.gossip,
-                                                 message.message))
+    replies.give(message.reply,
+                 gossip.answer_fetch(tables.gossip, message.message))
 
 
 def take_reply(tables: _Tables, message: inbox.GossipReplied,
--- a/lentilmoor/grantors.py
+++ b/lentilmoor/grantors.py
@@ -28,7 +28,9 @@
              renew_ms: float,
              order_delay_ms: float,
              slices_per_server: int = 32,
-             keyed: bool = True) -> grants.GrantorRow:
+             keyed: bool = True,
+             number: int = 0,
+             shards: int = 1) -> grants.GrantorRow:
     """Returns the row of a shard that this entry may become grantor of.
 
     Args:
@@ -39,9 +41,11 @@
       order_delay_ms: Longest way of a request to a server.
       slices_per_server: For the first assignment.
       keyed: Whether the shard has grants and slices at all.
+      number: Number of the shard within its service.
+      shards: How many shards the service has.
     """
     return grants.GrantorRow(shard, me, lifetime_ms, renew_ms, order_delay_ms,
-                             slices_per_server, keyed)
+                             slices_per_server, keyed, number, shards)
 
 
 def is_authoritative(row: grants.GrantorRow, now: float) -> bool:
--- a/lentilmoor/grants.py
+++ b/lentilmoor/grants.py
@@ -489,6 +489,8 @@
       renew_ms: How often they are renewed.
       order_delay_ms: Longest way of a request to a server.
       slices_per_server: For the first assignment.
+      number: Number of the shard within its service.
+      shards: How many shards the service has.
       keyed: Whether the shard has grants and slices at all.
       stage: How far this entry is.
       epoch: This entry's epoch; 0 before it has one.
@@ -518,6 +520,7 @@
       homes: Home entry by server.
       contended: Contended servers.
       held: Ranges not routed in `sequence`.
+      collected: Ranges of each server, and the map they were worked out for.
       grants_key: What `owned` of the servers was worked out from.
       lease_key: What was published in `sequence`.
       due_at: Until when a step finds nothing to do, unless an event comes.
@@ -530,6 +533,8 @@
     order_delay_ms: float = 1_000.0
     slices_per_server: int = 32
     keyed: bool = True
+    number: int = 0
+    shards: int = 1
     stage: Stage = Stage.IDLE
     epoch: int = 0
     sequence: int = 0
@@ -559,6 +564,8 @@
     homes: dict[str, str] = dataclasses.field(default_factory=dict)
     contended: frozenset[str] = frozenset()
     held: tuple[ranges.Range, ...] = ()
+    collected: tuple[slices.SliceMap, dict[str,
+                                           list[ranges.Range]]] | None = None
     grants_key: object = None
     lease_key: object = None
     due_at: float = NEVER
--- a/lentilmoor/logs.py
+++ b/lentilmoor/logs.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import logging
 import sys
 import threading
 from typing import Any
@@ -14,6 +15,7 @@
 import structlog
 
 _MAX_SUBJECTS = 10_000
+_LIBRARIES = ('asyncio', 'grpclib', 'urllib3', 'cheroot')
 
 Logger = Any  # structlog's bound loggers are made at run time.
 
@@ -38,6 +40,15 @@
                                  instance=instance)
 
 
+def quiet_libraries() -> None:
+    """Keeps the libraries' own lines out of the log.
+
+    Broken connections are everyday here; they are counted, not written.
+    """
+    for name in _LIBRARIES:
+        logging.getLogger(name).setLevel(logging.CRITICAL)
+
+
 @dataclasses.dataclass(slots=True)
 class StateLog:
     """Writes a line when the state of a subject differs from the last one.
--- a/lentilmoor/moves.py
+++ b/lentilmoor/moves.py
@@ -84,7 +84,7 @@
     held = [(move.first, move.last) for move in row.moves.values()]
     lost = [item for item in row.committed.servers if is_lost(row, item)]
     if lost:
-        owned = ranges.collect_owned(row.committed)
+        owned = _collect_owned(row)
         for server in lost:
             held.extend(owned.get(server, ()))
     return ranges.join(held)
@@ -97,7 +97,7 @@
                for move in row.moves.values()
                if move.stage in (_Stage.REVOKING, _Stage.READY, _Stage.PROPOSED)
               ]
-    owned = ranges.collect_owned(row.committed)
+    owned = _collect_owned(row)
     return {
         server.id: () if server.lost else ranges.subtract(
             owned.get(server.id,
@@ -105,6 +105,13 @@
     }
 
 
+def _collect_owned(row: grants.GrantorRow) -> dict[str, list[ranges.Range]]:
+    """Returns the ranges of each server, worked out once for each map."""
+    if row.collected is None or row.collected[0] is not row.committed:
+        row.collected = (row.committed, ranges.collect_owned(row.committed))
+    return row.collected[1]
+
+
 def mark_published(row: grants.GrantorRow) -> None:
     """Notes, in a new sequence, which leases may still route what is held."""
     for move in row.moves.values():
--- a/lentilmoor/ranges.py
+++ b/lentilmoor/ranges.py
@@ -24,23 +24,23 @@
 def subtract(ranges: Iterable[Range],
              taken: Iterable[Range]) -> tuple[Range, ...]:
     """Returns the points of `ranges` that are not in `taken`, joined."""
-    rest = list(join(ranges))
-    for first, last in join(taken):
-        rest = [piece for item in rest for piece in _cut(item, first, last)]
+    rest: list[Range] = []
+    holes = join(taken)
+    start = 0
+    for first, last in join(ranges):
+        while start < len(holes) and holes[start][1] < first:
+            start += 1
+        index = start
+        while index < len(holes) and holes[index][0] <= last:
+            if first < holes[index][0]:
+                rest.append((first, holes[index][0] - 1))
+            first = holes[index][1] + 1
+            index += 1
+        if first <= last:
+            rest.append((first, last))
     return tuple(rest)
 
 
-def _cut(item: Range, first: int, last: int) -> list[Range]:
-    if last < item[0] or item[1] < first:
-        return [item]
-    pieces = []
-    if item[0] < first:
-        pieces.append((item[0], first - 1))
-    if last < item[1]:
-        pieces.append((last + 1, item[1]))
-    return pieces
-
-
 def covers(ranges: Iterable[Range], point: int) -> bool:
     """Returns whether a point is in one of the ranges."""
     return any(first <= point <= last for first, last in ranges)
--- a/lentilmoor/shardclaims.py
+++ b/lentilmoor/shardclaims.py
@@ -16,6 +16,7 @@
 from lentilmoor import claims
 from lentilmoor import claimtables
 from lentilmoor import clocks
+from lentilmoor import replies
 from lentilmoor.protocol import peer_pb2
 
 StoreCall = claimtables.ReadSegments | claimtables.SwapSegment
@@ -94,7 +95,7 @@
         reply: futures.Future, now: float) -> None:
     """Takes in a dispatcher's question."""
     if message.shard not in state.tables:
-        reply.set_result(refuse())
+        replies.give(reply, refuse())
         return
     token = next(state.tokens)
     state.waiting[token] = reply
@@ -111,7 +112,7 @@
            reply: futures.Future, now: float) -> None:
     """Takes in what became of a claimed request."""
     if message.shard not in state.tables:
-        reply.set_result(peer_pb2.SettleReply(accepted=False))
+        replies.give(reply, peer_pb2.SettleReply(accepted=False))
         return
     token = next(state.tokens)
     state.waiting[token] = reply
@@ -182,8 +183,8 @@
 
 def _finish(state: ShardClaims, token: int, message: object) -> None:
     reply = state.waiting.pop(token, None)
-    if reply is not None and not reply.done():
-        reply.set_result(message)
+    if reply is not None:
+        replies.give(reply, message)
 
 
 def _write(action: claimtables.Reply) -> peer_pb2.ClaimReply:
--- a/lentilmoor/shardstates.py
+++ b/lentilmoor/shardstates.py
@@ -116,7 +116,9 @@
                             renew_ms=float(timing.renew_ms),
                             order_delay_ms=float(timing.order_delay_ms),
                             slices_per_server=shard.settings.slices_per_server,
-                            keyed=shard.settings.keyed)
+                            keyed=shard.settings.keyed,
+                            number=shard.number,
+                            shards=shard.settings.shards)
     state = ShardState(shard, row, delegates.make_row(shard.id, me, now),
                        successors.GrantorWatch(UNKNOWN, row.renew_ms, now))
     take_settings(state, shard, now)
@@ -346,7 +348,7 @@
         return
     state.planned_at = now
     state.plan_now = False
-    limits = plans.Limits(warm_up_ms=state.shard.settings.warm_up_ms)
+    limits = plans.make_limits(state.shard.settings)
     plan = balance.plan(row.committed, means.read(state.load_table, now),
                         state.servers, state.shard.weights, limits, now)
     if plan.moves or plan.splits or plan.merges:
--- a/lentilmoor/shardwork.py
+++ b/lentilmoor/shardwork.py
@@ -12,6 +12,7 @@
 from lentilmoor import grants
 from lentilmoor import inbox
 from lentilmoor import leasework
+from lentilmoor import replies
 from lentilmoor import roles
 from lentilmoor import routes
 from lentilmoor import shardclaims
@@ -51,14 +52,14 @@
     """Applies a grantor's order and replies."""
     state = tables.shards.get(message.message.shard)
     if state is None:
-        message.reply.set_result(leasework.REFUSED)
+        replies.give(message.reply, leasework.REFUSED)
         return
     reply = leasework.take_order(state, message.message, now)
     leasework.follow_map(state)
     refresh_route(tables, state)
     answer = leasework.write_reply(state, tables.dispatcher, reply)
     leasework.add_report(answer, state, now)
-    message.reply.set_result(answer)
+    replies.give(message.reply, answer)
 
 
 def take_lease_reply(tables: _Tables, message: inbox.LeaseReplied,
--- a/lentilmoor/slices.py
+++ b/lentilmoor/slices.py
@@ -73,17 +73,29 @@
         return HASH_SPAN - 1
 
 
-def make_map(servers: tuple[str, ...], slices_per_server: int) -> SliceMap:
+def make_map(servers: tuple[str, ...],
+             slices_per_server: int,
+             shard: int = 0,
+             shards: int = 1) -> SliceMap:
     """Returns a first map: equal slices dealt to the servers in turn.
 
     Args:
       servers: Server ids; at least one.
       slices_per_server: Slices for each server.
+      shard: Number of the shard; its points only are cut into slices.
+      shards: How many there are.
 
     Returns:
-      A map of epoch 0 and sequence 0.
+      A map of epoch 0 and sequence 0. Its first slice begins at 0, so that it
+      covers all points.
     """
     count = len(servers) * slices_per_server
-    bounds = array('Q', (index * HASH_SPAN // count for index in range(count)))
+    # The first point that `pick_shard` gives to this shard, and to the next.
+    start = -(-(shard << HASH_BITS) // shards)
+    stop = -(-((shard + 1) << HASH_BITS) // shards)
+    bounds = array(
+        'Q',
+        (start + index * (stop - start) // count for index in range(count)))
+    bounds[0] = 0
     owners = array('H', (index % len(servers) for index in range(count)))
     return SliceMap(0, 0, servers, bounds, owners)
