--- a/benchmarks/slopes_systems.py
+++ b/benchmarks/slopes_systems.py
@@ -207,7 +207,7 @@
         for index in range(servers)
     }
     settings = models.ServiceSettings(servers=list(rows.values()))
-    return catalogs.Shard(SHARD, settings, models.Weights(), rows)
+    return catalogs.Shard(SHARD, 0, settings, models.Weights(), rows)
 
 
 def _step_idle(count: int) -> Callable[[], object]:
