--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -155,7 +155,6 @@
         '--server', fleet.addresses['s0'], '--port_file',
         str(path), '--threads', '32'
     ])
-    fleet.others.append(process)
     return '127.0.0.1:' + fleets.await_file(path, process)
 
 
--- a/lentilmoor/slices.py
+++ b/lentilmoor/slices.py
@@ -96,6 +96,7 @@
     bounds = array(
         'Q',
         (start + index * (stop - start) // count for index in range(count)))
-    bounds[0] = 0
+    if count:
+        bounds[0] = 0
     owners = array('H', (index % len(servers) for index in range(count)))
     return SliceMap(0, 0, servers, bounds, owners)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -53,7 +53,7 @@
       entries: Entries by name.
       servers: Processes of backend servers by id.
       addresses: host:port of backend servers by id.
-      others: Other processes.
+      others: All processes that were started, whatever became of them.
       started: How many entries were started, for names of replacements.
     """
 
@@ -81,7 +81,6 @@
     process = start_module(
         fleet, 'standins.store', 'store',
         ['--port_file', str(fleet.folder / 'store.port')])
-    fleet.others.append(process)
     fleet.store = await_file(fleet.folder / 'store.port', process)
 
 
@@ -202,13 +201,11 @@
 
 def stop_all(fleet: Fleet) -> None:
     """Ends every process that was started and still runs."""
-    processes = [entry.process for entry in fleet.entries.values()]
-    processes += [*fleet.servers.values(), *fleet.others]
-    for process in processes:
+    for process in fleet.others:
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
             process.kill()
-    for process in processes:
+    for process in fleet.others:
         process.wait()
 
 
@@ -216,9 +213,12 @@
                  options: list[str]) -> subprocess.Popen:
     """Starts a module as a process that logs to a file of its own."""
     with open(fleet.folder / f'{name}.log', 'ab') as log:
-        return subprocess.Popen([sys.executable, '-m', module, *options],
-                                stdout=log,
-                                stderr=log)
+        # pylint: disable-next=consider-using-with
+        process = subprocess.Popen([sys.executable, '-m', module, *options],
+                                   stdout=log,
+                                   stderr=log)
+    fleet.others.append(process)
+    return process
 
 
 def await_file(path: pathlib.Path, process: subprocess.Popen) -> str:
