Test admission beyond capacity with real processes

Cause: what callers are told beyond capacity was checked in the model and in single systems, not through real processes. Change: 36 orders of 800 ms with a deadline of 2 s go through three entries to two servers of two slots; what was told is held against the journals. No mutation was tried against this test. Conclusion: refusals beyond capacity are true in this case; goodput and fairness there are still figures of the model only.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -18,6 +18,10 @@
 
 _DOCUMENT_BYTES = 100_000_000
 _MEMORY_BOUND_KB = 48 * 1024
+# Two servers of two slots start at most twelve of these in time.
+_FLOOD_ORDERS = 36
+_FLOOD_RUN_MS = 800
+_FLOOD_DEADLINE_MS = 2_000
 _KEYS = [f'lot-{number}' for number in range(40)]
 
 
@@ -51,6 +55,41 @@
                              ('answered', first.body))
         self.assertEqual(self.count_runs('resend'), 1)
 
+    def test_orders_beyond_capacity_are_told_truly(self):
+        told = {}
+
+        def send(number):
+            name = f'flood-{number}'
+            told[name] = processhelp.call(
+                self.fleet.callers[number % 3],
+                'POST',
+                f'{processhelp.CONFIRM}?ms={_FLOOD_RUN_MS}',
+                b'2 drums',
+                Idempotency_Key=name,
+                Lentilmoor_Caller=f'shop-{number % 4}',
+                Lentilmoor_Deadline_Ms=str(_FLOOD_DEADLINE_MS))
+
+        threads = [
+            threading.Thread(target=send, args=(number,))
+            for number in range(_FLOOD_ORDERS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.await_order('after-the-flood')
+        runs = {name: self.count_runs(name) for name in told}
+        outcomes = {item.outcome for item in told.values()}
+        self.assertIn('not-run', outcomes)
+        self.assertLessEqual(outcomes, {'answered', 'not-run', 'unknown'})
+        for name, item in told.items():
+            with self.subTest(order=name, told=item):
+                self.assertLessEqual(runs[name], 1)
+                if item.outcome == 'answered':
+                    self.assertEqual(runs[name], 1)
+                if item.outcome == 'not-run':
+                    self.assertEqual(runs[name], 0)
+
     def test_a_document_passes_in_flat_memory(self):
         entry = self.entry()
         self.await_lot('document')
