--- a/lentilmoor/clocks.py
+++ b/lentilmoor/clocks.py
@@ -16,6 +16,10 @@
     return time.monotonic_ns() / _NS_PER_MS
 
 
+def _read_boottime() -> float:
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / _NS_PER_MS
+
+
 def _read_wall() -> float:
     return time.time_ns() / _NS_PER_MS
 
@@ -33,6 +37,14 @@
     wall: Callable[[], float] = _read_wall
 
 
+def make_suspend_clock() -> Clock:
+    """Returns a clock that goes on while the instance is suspended.
+
+    Leases and holds run on elsewhere meanwhile.
+    """
+    return Clock(now=_read_boottime)
+
+
 @dataclasses.dataclass(slots=True)
 class ManualTime:
     """Hand-moved time for tests and benchmarks, in milliseconds."""
--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -19,6 +19,10 @@
 from lentilmoor import clocks
 from lentilmoor import outcomes
 
+# A connection is left unused this long before its server would close it: a
+# request must not meet the close on its way.
+KEPT_MARGIN_MS = 500.0
+
 _NEVER = float('-inf')
 # Part of a server's connections that entries leave for probes and operators.
 _RESERVED_SHARE = 0.1
@@ -38,6 +42,7 @@
       connect_ms: How long opening may take.
       opens_per_s: Connections opened a second, after a first burst.
       burst: Size of that burst.
+      socket_options: Set on each connection; the library's own if empty.
     """
 
     most: int = 8
@@ -47,6 +52,7 @@
     connect_ms: float = 250.0
     opens_per_s: float = 20.0
     burst: float = 8.0
+    socket_options: tuple = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +96,7 @@
       answered_at: When its last whole answer was read.
       taken_at: When it was last taken for a request.
       uses: Requests it has carried.
+      kept_ms: How long the server keeps it without a request.
     """
 
     http: http_connection.HTTPConnection
@@ -97,6 +104,7 @@
     answered_at: float = _NEVER
     taken_at: float = _NEVER
     uses: int = 0
+    kept_ms: float = float('inf')
 
     @property
     def reused(self) -> bool:
@@ -121,6 +129,8 @@
     if connection.answered_at <= row.doubted_before:
         return False
     idle_ms = now - connection.answered_at
+    if idle_ms > connection.kept_ms - KEPT_MARGIN_MS:
+        return False
     return idle_ms <= (rules.idle_ms if repeatable else rules.proven_ms)
 
 
@@ -314,10 +324,12 @@
 
     def _open(self, until: float) -> Connection | outcomes.Failed:
         patience_ms = min(self.rules.connect_ms, until - self._clock.now())
-        http = http_connection.HTTPConnection(self._host,
-                                              self._port,
-                                              timeout=max(patience_ms, 1.0) /
-                                              clocks.MS_PER_S)
+        options = self.rules.socket_options
+        http = http_connection.HTTPConnection(
+            self._host,
+            self._port,
+            timeout=max(patience_ms, 1.0) / clocks.MS_PER_S,
+            **({'socket_options': options} if options else {}))
         try:
             http.connect()
         except (http_exceptions.HTTPError, OSError) as error:
--- /dev/null
+++ b/lentilmoor/edge/control.py
@@ -0,0 +1,560 @@
+"""The control actor: owns what an entry believes, and coordinates keys.
+
+It takes in what the store tells, publishes snapshots for request threads,
+stands for coordinator of keyed services that have none, and carries out the
+coordinator's decisions. Calls that wait are made by its threads; what came of
+them returns as a message.
+"""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+import threading
+
+import pykka
+
+from lentilmoor import clocks
+from lentilmoor import outcomes
+from lentilmoor.edge import coordination
+from lentilmoor.edge import forwarding
+from lentilmoor.edge import loads
+from lentilmoor.edge import matching
+from lentilmoor.edge import ports
+from lentilmoor.edge import tables
+
+# The coordinator's lease. Its successor takes over after the lease has run
+# out, which must leave time to renew grants before they run out in turn.
+LEASE_MS = 1_500.0
+KEEP_MS = 450.0
+# An entry's own lease, by which the others count it.
+ENTRY_LEASE_MS = 9_000.0
+ENTRY_KEEP_MS = 3_000.0
+TICK_MS = 100.0
+# Longest pause before an entry stands for coordinator: the first to do so
+# spares the others the call.
+STAND_MS = 250.0
+STAND_AGAIN_MS = 500.0
+# A service gets its first assignment after its servers had this time to
+# register, unless none came.
+SETTLE_MS = 1_500.0
+CALL_THREADS = 12
+
+_Reason = outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSeen:
+    """What the store holds now."""
+
+    everything: ports.Everything
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLost:
+    """The store can't be reached."""
+
+    reason: outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returned:
+    """A call has ended; `take` takes in its result.
+
+    Attributes:
+      take: Run by the actor.
+    """
+
+    take: Callable[[], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reported:
+    """Another entry reports requests for keys."""
+
+    report: loads.Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """This entry is about to end."""
+
+    done: threading.Event
+
+
+@dataclasses.dataclass(slots=True)
+class Role:
+    """This entry's part in coordinating one service.
+
+    Attributes:
+      stand_at: When to stand for coordinator; 0: not wanted now.
+      busy: Whether a call for it is under way.
+      state: The coordinator's state; None while it is not one.
+      measured: Loads that entries reported.
+    """
+
+    stand_at: float = 0.0
+    busy: bool = False
+    state: coordination.Coordination | None = None
+    measured: loads.LoadTable = dataclasses.field(
+        default_factory=loads.LoadTable)
+
+
+@dataclasses.dataclass(slots=True)
+class Tables:
+    """All that the actor owns.
+
+    Attributes:
+      instance: This process's id.
+      everything: What the store held when it was last seen.
+      seen_at: When that was, ms.
+      lost_at: Since when the store can't be reached; 0 if it can.
+      back_at: When it was last back, ms.
+      servers: By id; those that left while the store was away are kept.
+      missing: Servers that left the list, and when they count as gone.
+      left: Servers that left, with their last entry.
+      ended: Servers whose process has surely ended.
+      roles: By keyed service.
+      lease: The coordinator's lease.
+      lease_sent_at: When it was last kept, as of sending, ms.
+      keep_at: When to keep it again, ms.
+      entry_lease: The entry's own lease.
+      entry_keep_at: When to keep it again, ms.
+      opening: Whether a lease is being opened.
+      leaving: Whether the entry is about to end.
+    """
+
+    instance: str
+    everything: ports.Everything | None = None
+    seen_at: float = 0.0
+    lost_at: float = 0.0
+    back_at: float = float('-inf')
+    servers: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
+    missing: dict[str, float] = dataclasses.field(default_factory=dict)
+    left: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
+    ended: set[str] = dataclasses.field(default_factory=set)
+    roles: dict[str, Role] = dataclasses.field(default_factory=dict)
+    lease: ports.Lease | None = None
+    lease_sent_at: float = 0.0
+    keep_at: float = 0.0
+    entry_lease: ports.Lease | None = None
+    entry_keep_at: float = 0.0
+    opening: bool = False
+    leaving: bool = False
+
+
+class Control(pykka.ThreadingActor):
+    """Takes messages in turn; all state is in its tables."""
+
+    use_daemon_thread = True
+
+    def __init__(self, owned: Tables, forwarder: forwarding.Forwarder,
+                 platform: ports.Platform, logger):
+        super().__init__()
+        self._owned = owned
+        self._forwarder = forwarder
+        self._platform = platform
+        self._logger = logger
+        self._clock = forwarder.clock
+        self._calls = futures.ThreadPoolExecutor(CALL_THREADS, 'control')
+
+    def on_receive(self, message) -> None:
+        """Takes one message."""
+        if isinstance(message, Returned):
+            message.take()
+        elif isinstance(message, StoreSeen):
+            self._take_store(message.everything)
+        elif isinstance(message, StoreLost):
+            self._take_loss(message.reason)
+        elif isinstance(message, Reported):
+            self._take_report(message.report)
+        elif isinstance(message, Leave):
+            self._leave(message.done)
+        self._work()
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        """Logs a broken invariant; the process ends by itself."""
+        self._logger.error('control_failed',
+                           exc_info=(exception_type, exception_value,
+                                     traceback))
+
+    def _work(self) -> None:
+        now = self._clock.now()
+        if self._owned.everything is None:
+            return
+        self._expire_servers(now)
+        self._keep_leases(now)
+        for name, role in self._owned.roles.items():
+            self._stand(name, role, now)
+            self._coordinate(name, role, now)
+
+    def _call(self, work: Callable[[], object],
+              take: Callable[[object, float], None]) -> None:
+        """Has a thread make a call; its result returns as a message."""
+        actor = self.actor_ref
+
+        def run() -> None:
+            sent_at = self._clock.now()
+            result = work()
+            if actor.is_alive():
+                actor.tell(Returned(lambda: take(result, sent_at)))
+
+        self._calls.submit(run)
+
+    def _take_store(self, everything: ports.Everything) -> None:
+        owned, now = self._owned, self._clock.now()
+        if owned.lost_at:
+            self._logger.info('store_regained',
+                              away_ms=round(now - owned.lost_at),
+                              revision=everything.revision)
+            owned.lost_at, owned.back_at = 0.0, now
+        before = owned.everything
+        owned.everything, owned.seen_at = everything, now
+        self._take_servers(before, everything, now)
+        configuration = everything.configuration
+        if configuration is not None and (before is None or
+                                          before.configuration
+                                          is not configuration):
+            self._logger.info('configuration_applied',
+                              version=configuration.version,
+                              revision=everything.revision)
+            self._forwarder.index = matching.make_index(configuration.routes)
+            for service in configuration.services.values():
+                if service.keyed:
+                    owned.roles.setdefault(service.name, Role())
+        self._follow_rivals()
+        self._publish()
+
+    def _take_servers(self, before: ports.Everything | None,
+                      everything: ports.Everything, now: float) -> None:
+        owned = self._owned
+        known = before.servers if before else {}
+        for name, server in everything.servers.items():
+            if known.get(name) is not server or name not in owned.servers:
+                self._logger.info('server_seen',
+                                  server=name,
+                                  service=server.service,
+                                  address=server.address,
+                                  draining=server.draining,
+                                  revision=everything.revision)
+            if name not in owned.servers:
+                self._end_predecessors(server)
+            owned.servers[name] = server
+            owned.missing.pop(name, None)
+        for name in owned.servers:
+            if name not in everything.servers and name not in owned.missing:
+                grace = owned.back_at + coordination.RETURN_MS
+                owned.missing[name] = max(now, grace)
+
+    def _end_predecessors(self, server: tables.Server) -> None:
+        """A new lifetime at an address proves the end of the one before."""
+        owned = self._owned
+        for other in [*owned.servers.values(), *owned.left.values()]:
+            if other.address == server.address and other.id != server.id:
+                owned.ended.add(other.id)
+
+    def _expire_servers(self, now: float) -> None:
+        owned = self._owned
+        gone = [name for name, at in owned.missing.items() if at <= now]
+        if not gone or owned.lost_at:
+            return
+        for name in gone:
+            del owned.missing[name]
+            owned.left[name] = owned.servers.pop(name)
+            self._logger.info('server_gone', server=name)
+        self._publish()
+
+    def _take_loss(self, reason: outcomes.Reason) -> None:
+        owned = self._owned
+        if not owned.lost_at:
+            owned.lost_at = self._clock.now()
+            self._logger.warning('store_lost', reason=reason.value)
+
+    def _publish(self) -> None:
+        owned = self._owned
+        everything = owned.everything
+        servers: dict[str, dict[str, tables.Server]] = {}
+        for server in owned.servers.values():
+            if server.id not in owned.ended:
+                servers.setdefault(server.service, {})[server.id] = server
+        assignments = {
+            name: saved.assignment
+            for name, saved in everything.assignments.items()
+        }
+        for name, role in owned.roles.items():
+            if role.state is not None:
+                assignments[name] = role.state.assignment
+        forwarder = self._forwarder
+        with forwarder.changed:
+            forwarder.snapshot = tables.Snapshot(
+                everything.configuration, servers, assignments,
+                dict(everything.coordinators),
+                max(1, len(everything.entries)))
+            forwarder.changed.notify_all()
+
+    def _keep_leases(self, now: float) -> None:
+        owned = self._owned
+        if owned.entry_lease is None:
+            self._open_entry_lease(now)
+        elif owned.entry_keep_at <= now:
+            owned.entry_keep_at = now + ENTRY_KEEP_MS
+            lease = owned.entry_lease
+            self._call(lambda: self._platform.store.keep_lease(lease),
+                       lambda result, sent: self._entry_kept(result))
+        if owned.lease is not None and owned.keep_at <= now:
+            owned.keep_at = now + KEEP_MS
+            lease = owned.lease
+            self._call(lambda: self._platform.store.keep_lease(lease),
+                       self._kept)
+
+    def _open_entry_lease(self, now: float) -> None:
+        owned = self._owned
+        if owned.entry_keep_at > now or owned.leaving:
+            return
+        owned.entry_keep_at = now + ENTRY_KEEP_MS
+        store = self._platform.store
+
+        def register() -> ports.Lease | outcomes.Failed:
+            lease = store.open_lease(ENTRY_LEASE_MS)
+            if isinstance(lease, outcomes.Failed):
+                return lease
+            return store.register(owned.instance, lease) or lease
+
+        def take(result, unused_sent_at) -> None:
+            if isinstance(result, ports.Lease):
+                owned.entry_lease = result
+
+        self._call(register, take)
+
+    def _entry_kept(self, result) -> None:
+        if _is_ended(result):
+            self._owned.entry_lease = None
+
+    def _kept(self, result, sent_at: float) -> None:
+        owned = self._owned
+        if result is None:
+            owned.lease_sent_at = max(owned.lease_sent_at, sent_at)
+        elif _is_ended(result):
+            self._logger.warning('coordinator_lease_lapsed')
+            owned.lease = None
+
+    def _follow_rivals(self) -> None:
+        """Gives up roles that another entry has taken."""
+        for name, role in self._owned.roles.items():
+            coordinator = self._owned.everything.coordinators.get(name)
+            mine = (coordinator is not None and
+                    coordinator.instance == self._owned.instance)
+            if role.state is None:
+                continue
+            saved = self._owned.everything.assignments.get(name)
+            if coordinator is not None and not mine:
+                self._resign(name, role, 'another entry coordinates')
+            elif saved and saved.assignment.term > role.state.assignment.term:
+                self._resign(name, role, 'another entry has coordinated')
+
+    def _resign(self, name: str, role: Role, reason: str) -> None:
+        self._logger.info('coordination_ended', service=name, reason=reason)
+        role.state = None
+
+    def _stand(self, name: str, role: Role, now: float) -> None:
+        """Stands for coordinator if there is none."""
+        owned = self._owned
+        coordinator = owned.everything.coordinators.get(name)
+        if owned.leaving or role.busy or owned.lost_at:
+            return
+        if coordinator is not None and coordinator.instance != owned.instance:
+            role.stand_at = 0.0
+            return
+        if coordinator is not None and role.state is not None:
+            return
+        if not role.stand_at:
+            pause_ms = STAND_MS * self._forwarder.generator.random()
+            role.stand_at = now + (0.0 if role.state else pause_ms)
+        if now < role.stand_at or not self._may_begin(name, now):
+            return
+        role.stand_at = now + STAND_AGAIN_MS
+        role.busy = True
+        self._call(lambda: self._take_role(name),
+                   lambda result, sent: self._role_taken(name, role, result))
+
+    def _may_begin(self, name: str, now: float) -> bool:
+        servers = [
+            item for item in self._owned.servers.values()
+            if item.service == name and not item.draining
+        ]
+        if name in self._owned.everything.assignments:
+            return True
+        return bool(servers) and (now - min(item.seen_at for item in servers)
+                                  >= SETTLE_MS)
+
+    def _take_role(self, name: str) -> object:
+        """Takes the role in the store; run by a thread."""
+        owned, store = self._owned, self._platform.store
+        lease = owned.lease
+        sent_at = self._clock.now()
+        if lease is None:
+            lease = store.open_lease(LEASE_MS)
+            if isinstance(lease, outcomes.Failed):
+                return lease
+        settings = self._platform.settings
+        taken = store.take_role(
+            name, ports.Coordinator(owned.instance, settings.control), lease)
+        if isinstance(taken, outcomes.Failed):
+            return taken
+        return lease, sent_at
+
+    def _role_taken(self, name: str, role: Role, result) -> None:
+        owned = self._owned
+        if isinstance(result, outcomes.Failed):
+            role.busy = False
+            if _is_ended(result):
+                owned.lease = None
+            return
+        lease, sent_at = result
+        if owned.lease is None or owned.lease.id != lease.id:
+            owned.lease, owned.lease_sent_at = lease, sent_at
+            owned.keep_at = self._clock.now() + KEEP_MS
+        if role.state is not None and not role.state.lost:
+            role.busy = False
+            return
+        self._begin(name, role)
+
+    def _begin(self, name: str, role: Role) -> None:
+        """Saves the assignment that this coordinator begins with."""
+        saved = self._owned.everything.assignments.get(name)
+        if saved is None:
+            servers = {
+                item.id: item
+                for item in self._owned.servers.values()
+                if item.service == name
+            }
+            assignment, revision = coordination.make_first(name, servers), 0
+        else:
+            assignment = coordination.make_next(saved.assignment)
+            revision = saved.revision
+        fresh = saved is None
+
+        def take(result, unused_sent_at) -> None:
+            role.busy = False
+            if isinstance(result, outcomes.Failed):
+                self._logger.info('coordination_not_begun',
+                                  service=name,
+                                  reason=result.reason.value)
+                return
+            self._logger.info('coordination_begun',
+                              service=name,
+                              term=assignment.term,
+                              revision=result,
+                              ranges=len(assignment.ranges))
+            role.state = coordination.begin(assignment, result,
+                                            self._clock.now(), fresh)
+            self._publish()
+
+        self._call(lambda: self._platform.store.save(assignment, revision),
+                   take)
+
+    def _coordinate(self, name: str, role: Role, now: float) -> None:
+        state, owned = role.state, self._owned
+        if state is None:
+            return
+        if state.lost:
+            self._resign(name, role, 'a server has seen a higher fence')
+            return
+        if now - owned.lease_sent_at > coordination.TENURE_MS:
+            self._resign(name, role, 'the lease was not renewed for too long')
+            return
+        servers = {
+            item.id: item
+            for item in owned.servers.values()
+            if item.service == name and item.id not in owned.ended
+        }
+        view = coordination.View(
+            servers, frozenset(owned.ended), owned.left,
+            role.measured.key_loads(now),
+            role.measured.capacities(servers.values(), now))
+        for action in coordination.plan(state, view, now):
+            self._carry_out(role, state, action)
+
+    def _carry_out(self, role: Role, state: coordination.Coordination,
+                   action: coordination.Action) -> None:
+        if isinstance(action, coordination.Grant):
+            self._call(
+                lambda: self._send_grant(action), lambda result, sent:
+                coordination.note_granted(state, action, result, sent,
+                                          self._clock.now()))
+        elif isinstance(action, coordination.Release):
+            self._log_move('keys_released', action.server.id, action.item)
+            self._call(
+                lambda: self._platform.servers.release(action),
+                lambda result, sent: coordination.note_released(
+                    state, action, *result))
+        else:
+            self._call(
+                lambda: self._platform.store.save(action.assignment, action.
+                                                  revision),
+                lambda result, sent: self._saved(role, state, action, result))
+
+    def _send_grant(self, grant: coordination.Grant) -> coordination.Answer:
+        """Sends a grant unless the role has surely ended; run by a thread."""
+        tenure_ms = self._clock.now() - self._owned.lease_sent_at
+        if tenure_ms > coordination.TENURE_MS:
+            return coordination.Answer.NOT_SENT
+        return self._platform.servers.grant(grant)
+
+    def _saved(self, role: Role, state: coordination.Coordination,
+               save: coordination.Save, result) -> None:
+        now = self._clock.now()
+        if not isinstance(result, outcomes.Failed):
+            coordination.note_saved(state, save, result, now)
+            self._logger.info('assignment_saved',
+                              service=save.service,
+                              revision=result,
+                              ranges=len(save.assignment.ranges))
+            self._publish()
+            return
+        if result.reason is _Reason.CONFLICT:
+            state.lost = True
+        coordination.note_saved(state, save, None, now)
+        self._logger.warning('assignment_not_saved',
+                             service=save.service,
+                             reason=result.reason.value)
+        del role
+
+    def _take_report(self, report: loads.Report) -> None:
+        for service, rows in report.rows.items():
+            role = self._owned.roles.get(service)
+            if role is not None:
+                role.measured.add(rows, self._clock.now())
+
+    def _leave(self, done: threading.Event) -> None:
+        owned = self._owned
+        owned.leaving = True
+        for name, role in owned.roles.items():
+            if role.state is not None:
+                self._resign(name, role, 'this entry is about to end')
+        leases = [
+            lease for lease in (owned.lease, owned.entry_lease) if lease
+        ]
+        owned.lease = owned.entry_lease = None
+
+        def end() -> None:
+            for lease in leases:
+                self._platform.store.end_lease(lease)
+
+        self._call(end, lambda result, sent: done.set())
+
+    def _log_move(self, event: str, server: str, item) -> None:
+        self._logger.info(event,
+                          server=server,
+                          first=item.first,
+                          last=item.last,
+                          fence=item.fence)
+
+
+def _is_ended(result) -> bool:
+    return (isinstance(result, outcomes.Failed) and
+            result.reason is _Reason.NOT_FOUND)
--- /dev/null
+++ b/lentilmoor/edge/coordination.py
@@ -0,0 +1,507 @@
+"""The coordinator's decisions: who is granted which keys, and when.
+
+One entry coordinates a keyed service at a time. It renews what servers hold,
+moves keys off servers that leave or fail, and evens out load. It decides
+without doing I/O: `plan` returns what to call, the `note_` functions take in
+what came of it.
+
+No two servers hold a key at once. A key goes to another server only after the
+one that held it answered a release, after its hold has surely run out, or
+after its process has surely ended. A new coordinator grants everything once
+more under a fence above all earlier ones: a server that answers this refuses
+whatever an earlier coordinator may still send. For servers that don't answer,
+it waits until an earlier coordinator can't have renewed their keys any more.
+"""
+
+import collections
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+from lentilmoor.edge import holds
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import rebalancing
+from lentilmoor.edge import tables
+
+# How long a server holds keys without a renewal. Keys of a server that went
+# silent stay unserved for so long; a coordinator that is lost must be
+# replaced within what a renewal leaves of it.
+HOLD_MS = 4_000.0
+# A hold is renewed this long after it was last granted.
+RENEW_MS = 1_000.0
+# A grant without an answer is sent again after this.
+AGAIN_MS = 300.0
+# A coordinator that can't reach the store goes on renewing for so long, so
+# that keys stay served through the store's outages, the longest of which took
+# 9 s. A successor counts with it for servers that it can't reach.
+TENURE_MS = 12_000.0
+# Pause between two plans that even out load.
+BALANCE_MS = 600.0
+# A server that leaves the list while the store was away may come back for so
+# long after its return.
+RETURN_MS = 2_500.0
+
+
+class Phase(enum.Enum):
+    """How far a move of keys has come."""
+
+    RELEASE = 'release'
+    RELEASING = 'releasing'
+    WAIT = 'wait'
+    SAVING = 'saving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Grant keys to a server, or renew them."""
+
+    service: str
+    server: tables.Server
+    item: keyranges.KeyRange
+    hold_ms: float
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Take keys back from a server."""
+
+    service: str
+    server: tables.Server
+    item: keyranges.KeyRange
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Save:
+    """Write an assignment over the revision that it follows."""
+
+    service: str
+    assignment: keyranges.Assignment
+    revision: int
+
+
+Action = Grant | Release | Save
+
+
+class Answer(enum.Enum):
+    """What came of a grant or a release."""
+
+    DONE = 'done'
+    REFUSED = 'refused'
+    NOT_SENT = 'not-sent'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(slots=True)
+class Move:
+    """Keys on their way from one server to another.
+
+    Attributes:
+      transfer: Which keys, from whom, to whom.
+      phase: How far it has come.
+      token: What the source handed over; empty if nothing.
+      began_at: When it was planned, ms.
+    """
+
+    transfer: rebalancing.Transfer
+    phase: Phase
+    began_at: float
+    token: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Renewal:
+    """When a range was granted.
+
+    Attributes:
+      due_at: When to grant it again, ms.
+      pending: Whether a grant is under way.
+      answered: Whether its owner has answered its fence.
+      answered_at: When the last answered grant was sent, ms.
+    """
+
+    due_at: float = 0.0
+    pending: bool = False
+    answered: bool = False
+    answered_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Coordination:
+    """State of the coordinator of one keyed service.
+
+    Attributes:
+      assignment: Who owns what, as saved.
+      revision: The store's revision of it.
+      since: When this entry became coordinator, ms.
+      held: What servers may hold.
+      renewals: By range.
+      tokens: Hand-over tokens of ranges that were not granted yet.
+      moves: Keys on their way.
+      saving: Whether a save is under way.
+      balanced_at: When load was last evened out, ms.
+      sent: Grants under way, by server.
+      lost: Whether another coordinator was seen.
+    """
+
+    assignment: keyranges.Assignment
+    revision: int
+    since: float
+    held: list[holds.Hold] = dataclasses.field(default_factory=list)
+    renewals: dict[keyranges.KeyRange, Renewal] = dataclasses.field(
+        default_factory=dict)
+    tokens: dict[keyranges.KeyRange, str] = dataclasses.field(
+        default_factory=dict)
+    moves: list[Move] = dataclasses.field(default_factory=list)
+    saving: bool = False
+    balanced_at: float = 0.0
+    sent: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter)
+    lost: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What the coordinator sees of the servers of its service.
+
+    Attributes:
+      servers: By id; those that left are missing.
+      ended: Ids whose process has surely ended.
+      left: Addresses that servers were last known at, by id.
+      loads: Load by key.
+      capacities: Relative speed by server id; 1 if unknown.
+    """
+
+    servers: Mapping[str, tables.Server]
+    ended: frozenset[str]
+    left: Mapping[str, tables.Server]
+    loads: rebalancing.KeyLoads
+    capacities: Mapping[str, float]
+
+
+def make_first(service: str,
+               servers: Mapping[str, tables.Server]) -> keyranges.Assignment:
+    """Returns the assignment of a service that never had one."""
+    ready = [item.id for item in servers.values() if not item.draining]
+    return keyranges.Assignment(service, 1, 2,
+                                keyranges.divide_evenly(ready, {}, 1))
+
+
+def make_next(before: keyranges.Assignment) -> keyranges.Assignment:
+    """Returns the assignment that a new coordinator begins with."""
+    fence = before.next_fence
+    return keyranges.Assignment(
+        before.service, before.term + 1, fence + 1,
+        keyranges.merge(
+            dataclasses.replace(item, fence=fence) for item in before.ranges))
+
+
+def begin(assignment: keyranges.Assignment, revision: int, now: float,
+          fresh: bool) -> Coordination:
+    """Returns the state of a coordinator whose assignment was saved.
+
+    Args:
+      assignment: What was saved.
+      revision: The store's revision of it.
+      now: ms.
+      fresh: Whether the service never had an assignment before.
+    """
+    state = Coordination(assignment, revision, now)
+    if not fresh:
+        until = holds.find_end(now + TENURE_MS, HOLD_MS)
+        state.held = [
+            holds.Hold(item.first, item.last, item.server, until, False)
+            for item in assignment.ranges
+        ]
+    return state
+
+
+def plan(state: Coordination, view: View, now: float) -> list[Action]:
+    """Returns what is to be done now."""
+    state.held = holds.expire(state.held, now)
+    for server in view.ended:
+        state.held = holds.forget(state.held, server)
+    _plan_moves(state, view, now)
+    actions: list[Action] = []
+    actions += _plan_releases(state, view, now)
+    actions += _plan_save(state, view, now)
+    actions += _plan_grants(state, view, now)
+    return actions
+
+
+def note_granted(state: Coordination, grant: Grant, answer: Answer,
+                 sent_at: float, now: float) -> None:
+    """Takes in what came of a grant.
+
+    Args:
+      state: The coordinator.
+      grant: What was sent.
+      answer: What came of it.
+      sent_at: When it was sent, ms.
+      now: ms.
+    """
+    item = grant.item
+    state.sent[item.server] -= 1
+    renewal = state.renewals.get(item)
+    if answer is Answer.REFUSED:
+        state.lost = True
+        return
+    if answer is not Answer.NOT_SENT:
+        done = answer is Answer.DONE
+        first = done and renewal is not None and not renewal.answered
+        until = holds.find_end(sent_at, grant.hold_ms)
+        state.held = holds.add(
+            state.held,
+            holds.Hold(item.first, item.last, item.server, until, done), first)
+    if renewal is None:
+        return
+    renewal.pending = False
+    if answer is Answer.DONE:
+        renewal.answered = True
+        renewal.answered_at = sent_at
+        renewal.due_at = sent_at + RENEW_MS
+        state.tokens.pop(item, None)
+    else:
+        renewal.due_at = now + AGAIN_MS
+
+
+def note_released(state: Coordination, release: Release, answer: Answer,
+                  token: str) -> None:
+    """Takes in what came of a release."""
+    for move in state.moves:
+        transfer = move.transfer
+        if (move.phase is not Phase.RELEASING or
+                transfer.source != release.item.server or
+                transfer.first != release.item.first or
+                transfer.last != release.item.last):
+            continue
+        move.phase = Phase.WAIT
+        if answer is Answer.DONE:
+            move.token = token
+            state.held = holds.release(state.held, transfer.source,
+                                       transfer.first, transfer.last)
+
+
+def note_saved(state: Coordination, save: Save, revision: int | None,
+               now: float) -> None:
+    """Takes in what came of a save; without a revision it was not done."""
+    state.saving = False
+    if revision is None:
+        for move in state.moves:
+            if move.phase is Phase.SAVING:
+                move.phase = Phase.WAIT
+        return
+    before = set(state.assignment.ranges)
+    state.assignment, state.revision = save.assignment, revision
+    saved = [move for move in state.moves if move.phase is Phase.SAVING]
+    state.moves = [
+        move for move in state.moves if move.phase is not Phase.SAVING
+    ]
+    for item in save.assignment.ranges:
+        if item in before:
+            continue
+        state.renewals[item] = _inherit(state, item, before, now)
+        for move in saved:
+            if move.token and (move.transfer.first, move.transfer.last) == (
+                    item.first, item.last):
+                state.tokens[item] = move.token
+    known = set(save.assignment.ranges)
+    for item in list(state.renewals):
+        if item not in known:
+            del state.renewals[item]
+
+
+def _inherit(state: Coordination, item: keyranges.KeyRange,
+             before: set[keyranges.KeyRange], now: float) -> Renewal:
+    """A piece that stayed with its owner keeps its renewal times."""
+    for old in before:
+        if (old.server == item.server and old.fence == item.fence and
+                old.first <= item.first and old.last >= item.last):
+            renewal = state.renewals.get(old, Renewal())
+            return dataclasses.replace(renewal, pending=False)
+    return Renewal(answered_at=now)
+
+
+def _plan_moves(state: Coordination, view: View, now: float) -> None:
+    if state.saving:
+        return
+    capacities = {
+        name: view.capacities.get(name, 1.0)
+        for name, server in view.servers.items()
+        if not server.draining and not _is_failing(state, name, now)
+    }
+    if not capacities:
+        return
+    moving = {(move.transfer.source, move.transfer.first)
+              for move in state.moves}
+    owned = _list_unmoved(state)
+    for item in owned:
+        if item.server in capacities or (item.server, item.first) in moving:
+            continue
+        if not _must_move(state, view, item, now):
+            continue
+        release = item.server not in view.ended and not _is_failing(
+            state, item.server, now)
+        for transfer in rebalancing.plan_leave(item, owned, view.loads,
+                                               capacities):
+            state.moves.append(
+                Move(transfer, Phase.RELEASE if release else Phase.WAIT, now))
+    if state.moves or now - state.balanced_at < BALANCE_MS:
+        return
+    state.balanced_at = now
+    for transfer in rebalancing.plan_transfers(state.assignment.ranges,
+                                               view.loads, capacities):
+        if not _is_loose(state, transfer):
+            state.moves.append(Move(transfer, Phase.RELEASE, now))
+
+
+def _is_loose(state: Coordination, transfer: rebalancing.Transfer) -> bool:
+    """Returns whether a grant without an answer would outlast a release."""
+    return any(item.server == transfer.source and not item.certain and
+               item.first <= transfer.last and item.last >= transfer.first
+               for item in state.held)
+
+
+def _list_unmoved(state: Coordination) -> list[keyranges.KeyRange]:
+    """Returns the assignment less what is on its way already."""
+    marks = [
+        keyranges.KeyRange(move.transfer.first, move.transfer.last, '', -1)
+        for move in state.moves
+    ]
+    laid = keyranges.reassign(state.assignment.ranges, marks)
+    return [item for item in laid if item.server]
+
+
+def _must_move(state: Coordination, view: View, item: keyranges.KeyRange,
+               now: float) -> bool:
+    server = view.servers.get(item.server)
+    if server is None or server.draining or item.server in view.ended:
+        return True
+    if not _is_failing(state, item.server, now):
+        return False
+    return holds.find_until(state.held, item.server, item.first,
+                            item.last) <= now
+
+
+def _is_failing(state: Coordination, name: str, now: float) -> bool:
+    """Returns whether a server answered none of its grants for a hold."""
+    mine = [
+        renewal for item, renewal in state.renewals.items()
+        if item.server == name
+    ]
+    if not mine:
+        return False
+    newest = max(renewal.answered_at for renewal in mine)
+    return now - max(newest, state.since) > HOLD_MS
+
+
+def _plan_releases(state: Coordination, view: View,
+                   now: float) -> list[Action]:
+    actions: list[Action] = []
+    for move in state.moves:
+        if move.phase is not Phase.RELEASE:
+            continue
+        transfer = move.transfer
+        server = view.servers.get(transfer.source) or view.left.get(
+            transfer.source)
+        pieces = keyranges.intersect(state.assignment.ranges, transfer.first,
+                                     transfer.last)
+        if state.sent[transfer.source] > 0:
+            continue  # A grant that arrives after the release would undo it.
+        if server is None or len(pieces) != 1:
+            move.phase = Phase.WAIT
+            continue
+        if not holds.find_until(state.held, transfer.source, transfer.first,
+                                transfer.last) > now:
+            move.phase = Phase.WAIT
+            continue
+        move.phase = Phase.RELEASING
+        actions.append(Release(state.assignment.service, server, pieces[0]))
+    return actions
+
+
+def _plan_save(state: Coordination, view: View, now: float) -> list[Action]:
+    if state.saving:
+        return []
+    ready = []
+    for move in state.moves:
+        transfer = move.transfer
+        until = holds.find_until(state.held, transfer.source, transfer.first,
+                                 transfer.last)
+        if move.phase is Phase.WAIT and until <= now:
+            ready.append(move)
+    _redirect(state, view, ready)
+    if not ready:
+        return []
+    assignment = state.assignment
+    changed = []
+    for number, move in enumerate(ready):
+        move.phase = Phase.SAVING
+        changed.append(
+            keyranges.KeyRange(move.transfer.first, move.transfer.last,
+                               move.transfer.target,
+                               assignment.next_fence + number))
+    state.saving = True
+    following = dataclasses.replace(
+        assignment,
+        next_fence=assignment.next_fence + len(changed),
+        ranges=keyranges.reassign(assignment.ranges, changed))
+    return [Save(assignment.service, following, state.revision)]
+
+
+def _redirect(state: Coordination, view: View, ready: list[Move]) -> None:
+    """Gives keys another target if theirs has left meanwhile."""
+    staying = [
+        name for name, server in view.servers.items() if not server.draining
+    ]
+    for move in ready:
+        transfer = move.transfer
+        if transfer.target not in staying and staying:
+            counts = dict.fromkeys(staying, 0)
+            for item in state.assignment.ranges:
+                if item.server in counts:
+                    counts[item.server] += item.last - item.first + 1
+            target = min(counts, key=counts.__getitem__)
+            move.transfer = dataclasses.replace(transfer, target=target)
+
+
+def _plan_grants(state: Coordination, view: View, now: float) -> list[Action]:
+    actions: list[Action] = []
+    for item in state.assignment.ranges:
+        server = view.servers.get(item.server)
+        if server is None or item.server in view.ended:
+            continue
+        renewal = state.renewals.setdefault(item, Renewal(answered_at=now))
+        if renewal.pending or renewal.due_at > now:
+            continue
+        pieces = _list_kept(item, state.moves)
+        if pieces != [item]:
+            # A part is on its way out: renewing it would undo the release.
+            renewal.due_at = now + AGAIN_MS
+            if renewal.answered:
+                state.sent[item.server] += len(pieces)
+                actions += [
+                    Grant(state.assignment.service, server, piece, HOLD_MS, '')
+                    for piece in pieces
+                ]
+                renewal.due_at = now + RENEW_MS
+            continue
+        renewal.pending = True
+        state.sent[item.server] += 1
+        actions.append(
+            Grant(state.assignment.service, server, item, HOLD_MS,
+                  state.tokens.get(item, '')))
+    return actions
+
+
+def _list_kept(item: keyranges.KeyRange,
+               moves: list[Move]) -> list[keyranges.KeyRange]:
+    marks = [
+        keyranges.KeyRange(move.transfer.first, move.transfer.last, '', -1)
+        for move in moves
+        if move.transfer.source == item.server
+    ]
+    if not marks:
+        return [item]
+    laid = keyranges.reassign([item], marks)
+    return [piece for piece in laid if piece.server]
--- /dev/null
+++ b/lentilmoor/edge/entry.py
@@ -0,0 +1,263 @@
+"""The composition root of an entry on a platform that enforces grants."""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import os
+import signal
+import threading
+
+from cheroot import server as cheroot_server
+import pykka
+
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import httpcalls
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor import shutdowns
+from lentilmoor import tries
+from lentilmoor.edge import control
+from lentilmoor.edge import exchange
+from lentilmoor.edge import forwarding
+from lentilmoor.edge import listening
+from lentilmoor.edge import loads
+from lentilmoor.edge import ports
+
+# Requests answered at once; each waits for one server.
+CALLER_THREADS = 64
+PAGE_THREADS = 2
+# Requests for keys are reported this often.
+REPORT_MS = 500.0
+REPORT_TIMEOUT_MS = 300.0
+# Pause before a store that can't be reached is tried again.
+STORE_AGAIN_MS = 300.0
+# Changes that come in quick succession are taken in together: each watch is a
+# call, and nothing that the store tells is due sooner.
+WATCH_PAUSE_MS = 100.0
+# After SIGTERM: the balancer asks once a second and needs two misses, so new
+# connections may come for so long.
+NOTICE_MS = 3_100.0
+# What is left of the time until SIGKILL when this process ends by itself.
+LAST_MS = 400.0
+REPORT_PATH = '/report'
+READY_PATH = '/-/readyz'
+_LOOK_MS = 50.0
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A running entry.
+
+    Attributes:
+      platform: The adapter.
+      clock: Time.
+      logger: Takes lines.
+      forwarder: What request threads share.
+      count: Requests that are being answered.
+      actor: The control actor.
+      listeners: HTTP servers.
+      leaving: Set when the process is to end.
+    """
+
+    platform: ports.Platform
+    clock: clocks.Clock
+    logger: logs.Logger
+    forwarder: forwarding.Forwarder
+    count: shutdowns.RequestCount
+    actor: pykka.ActorRef | None = None
+    listeners: list[cheroot_server.HTTPServer] = dataclasses.field(
+        default_factory=list)
+    leaving: threading.Event = dataclasses.field(
+        default_factory=threading.Event)
+
+
+def run(platform: ports.Platform, instance: str, clock: clocks.Clock,
+        logger: logs.Logger, socket_options: tuple) -> int:
+    """Runs an entry until SIGTERM; returns the exit code.
+
+    Args:
+      platform: The adapter.
+      instance: This process's id, new with each start.
+      clock: Time.
+      logger: Takes lines.
+      socket_options: Set on connections to servers and entries.
+    """
+    logs.quiet_libraries()
+    entry = _make_entry(platform, instance, clock, logger, socket_options)
+    signal.signal(signal.SIGTERM, lambda *_: entry.leaving.set())
+    signal.signal(signal.SIGHUP, lambda *_: logger.info('reload_asked'))
+    for listener in entry.listeners:
+        listener.prepare()
+        _start(listener.serve)
+    _start(functools.partial(_watch, entry))
+    _start(functools.partial(_tick, entry))
+    _start(functools.partial(_report, entry, instance, socket_options))
+    logger.info('entry_started', callers=platform.settings.callers)
+    while not entry.leaving.wait(1.0):
+        pass
+    _finish(entry)
+    logger.info('entry_stopped')
+    # Threads that wait for outside calls must not hold the process.
+    os._exit(0)  # pylint: disable=protected-access
+
+
+def _start(work: Callable[[], object]) -> None:
+    threading.Thread(target=work, daemon=True).start()
+
+
+def _make_entry(platform: ports.Platform, instance: str, clock: clocks.Clock,
+                logger: logs.Logger, socket_options: tuple) -> Entry:
+    rules = connections.Rules(most=12,
+                              idle_ms=8_000.0,
+                              proven_ms=8_000.0,
+                              connect_ms=250.0,
+                              opens_per_s=40.0,
+                              burst=12.0,
+                              socket_options=socket_options)
+    forwarder = forwarding.Forwarder(clock, platform, logger, rules)
+    entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount())
+    entry.actor = control.Control.start(control.Tables(instance), forwarder,
+                                        platform, logger)
+    log_error = listening.make_error_log(logger)
+    callers = listening.make_listener(
+        platform.settings.callers,
+        listening.make_caller_gateway(
+            platform.dialect,
+            functools.partial(forwarding.forward, forwarder),
+            functools.partial(_note, entry), entry.count,
+            lambda: _limits(entry).body_bytes, clock), CALLER_THREADS,
+        log_error)
+    ready = listening.make_listener(
+        platform.settings.ready,
+        listening.make_page_gateway({
+            READY_PATH: functools.partial(_show_ready, entry)
+        }), PAGE_THREADS, log_error)
+    peers = listening.make_listener(
+        platform.settings.control,
+        listening.make_page_gateway({
+            REPORT_PATH: functools.partial(_take_report, entry)
+        }), PAGE_THREADS, log_error)
+    entry.listeners = [callers, ready, peers]
+    return entry
+
+
+def _limits(entry: Entry):
+    configuration = entry.forwarder.snapshot.configuration
+    return configuration.limits
+
+
+def _note(entry: Entry, request: forwarding.Request,
+          outcome: forwarding.Outcome) -> None:
+    """Writes a line for a request that no server answered."""
+    if isinstance(outcome, tries.Answer | exchange.Gone):
+        return
+    entry.logger.info('request_refused' if isinstance(
+        outcome, outcomes.NotRun) else 'request_failed',
+                      request=request.fields.request_id,
+                      reason=outcome.reason.value,
+                      detail=outcome.detail,
+                      path=request.path,
+                      age_ms=round(entry.clock.now() - request.arrived_at))
+
+
+def _show_ready(entry: Entry, unused_body: bytes) -> tuple[int, bytes, str]:
+    snapshot = entry.forwarder.snapshot
+    ready = (snapshot.configuration is not None and
+             not entry.leaving.is_set() and all(
+                 name in snapshot.assignments
+                 for name, service in snapshot.configuration.services.items()
+                 if service.keyed))
+    return (200 if ready else 503), b'', 'text/plain'
+
+
+def _take_report(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
+    report = loads.decode_report(body)
+    if report is None:
+        return 400, b'', 'text/plain'
+    entry.actor.tell(control.Reported(report))
+    return 200, b'', 'text/plain'
+
+
+def _watch(entry: Entry) -> None:
+    """Follows the store for as long as the process lives."""
+    store = entry.platform.store
+    seen: ports.Everything | None = None
+    while True:
+        found = store.load() if seen is None else store.watch(seen)
+        if isinstance(found, outcomes.Failed):
+            if found.reason is outcomes.Reason.NOT_FOUND:
+                seen = None
+                continue
+            entry.actor.tell(control.StoreLost(found.reason))
+            _wait(STORE_AGAIN_MS)
+            continue
+        seen = found
+        entry.actor.tell(control.StoreSeen(found))
+        if found.configuration is not None:
+            limits = found.configuration.limits
+            callers = entry.listeners[0]
+            callers.timeout = (limits.idle_ms / clocks.MS_PER_S +
+                               listening.IDLE_SLACK_S)
+            callers.max_request_header_size = limits.header_bytes
+        _wait(WATCH_PAUSE_MS)
+
+
+def _tick(entry: Entry) -> None:
+    while True:
+        _wait(control.TICK_MS)
+        entry.actor.tell(control.Tick())
+
+
+def _report(entry: Entry, instance: str, socket_options: tuple) -> None:
+    """Reports requests for keys to the coordinators."""
+    caller = httpcalls.Caller(entry.clock, 1, socket_options)
+    forwarder = entry.forwarder
+    while True:
+        _wait(REPORT_MS)
+        samples, forwarder.samples = forwarder.samples, []
+        rows: dict[str, list[loads.Row]] = {}
+        for item in samples:
+            rows.setdefault(item.service, []).append(
+                (item.key, item.server, round(item.work_ms, 1)))
+        for service, found in rows.items():
+            report = loads.Report({service: found})
+            coordinator = forwarder.snapshot.coordinators.get(service)
+            if coordinator is None:
+                continue
+            if coordinator.instance == instance:
+                entry.actor.tell(control.Reported(report))
+                continue
+            caller.call(
+                coordinator.address,
+                httpcalls.Request('POST', REPORT_PATH,
+                                  loads.encode_report(report)),
+                REPORT_TIMEOUT_MS)
+
+
+def _wait(ms: float) -> None:
+    threading.Event().wait(ms / clocks.MS_PER_S)
+
+
+def _finish(entry: Entry) -> None:
+    """Ends without interrupting a request."""
+    began = entry.clock.now()
+    grace_ms = entry.platform.settings.bounds.grace_ms - LAST_MS
+    entry.logger.info('entry_leaving', inside=entry.count.inside)
+    resigned = threading.Event()
+    entry.actor.tell(control.Leave(resigned))
+    entry.count.closing = True
+    callers = entry.listeners[0]
+    while entry.clock.now() - began < NOTICE_MS:
+        _wait(_LOOK_MS)
+    # The library closes connections that were idle for so long.
+    callers.timeout = 0.2
+    quiet_since = entry.clock.now()
+    while entry.clock.now() - began < grace_ms:
+        if entry.count.inside:
+            quiet_since = entry.clock.now()
+        elif entry.clock.now() - quiet_since > shutdowns.QUIET_MS:
+            break
+        _wait(_LOOK_MS)
+
+
--- /dev/null
+++ b/lentilmoor/edge/holds.py
@@ -0,0 +1,105 @@
+"""How long a backend server may still hold keys, as far as we can tell.
+
+A grant runs from its arrival at the server, whose clock may be slow. One that
+was answered ends at a known time at the latest. One that was not answered may
+be applied later, yet its time runs from its arrival too; so it bounds the
+hold just as well, but a release in between doesn't end it.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+# Clocks of servers that count grants down may be 2% slow: 1 / 0.98.
+CLOCK_FACTOR = 1.0205
+# Delivery of a grant and rounding of clocks, ms; the longest one-way delay
+# between failure domains of one region is a few ms.
+MARGIN_MS = 150.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Keys that a server may hold until a time.
+
+    Attributes:
+      first: First key.
+      last: Last key, included.
+      server: The server's id.
+      until: Time after which it surely holds them no more, ms.
+      certain: Whether the grant was answered.
+    """
+
+    first: int
+    last: int
+    server: str
+    until: float
+    certain: bool
+
+
+def find_end(sent_at: float, hold_ms: float) -> float:
+    """Returns when a grant that was sent at a time has surely ended, ms."""
+    return sent_at + hold_ms * CLOCK_FACTOR + MARGIN_MS
+
+
+def find_until(holds: Iterable[Hold], server: str, first: int,
+               last: int) -> float:
+    """Returns until when a server may hold any of the keys; 0 if it can't."""
+    return max((item.until
+                for item in holds
+                if item.server == server and _meets(item, first, last)),
+               default=0.0)
+
+
+def add(holds: Iterable[Hold], new: Hold, supersedes: bool) -> list[Hold]:
+    """Adds a hold.
+
+    Args:
+      holds: The others.
+      new: The one to add.
+      supersedes: Whether the server has answered a fence that no earlier
+        grant of these keys had, so that earlier ones can't be applied any
+        more.
+    """
+    kept = []
+    for item in holds:
+        same = item.server == new.server and _meets(item, new.first, new.last)
+        if same and (supersedes or (item.certain and new.certain)):
+            kept.extend(_outside(item, new.first, new.last))
+        else:
+            kept.append(item)
+    return [*kept, new]
+
+
+def release(holds: Iterable[Hold], server: str, first: int,
+            last: int) -> list[Hold]:
+    """Ends what an answered release ends: holds that were answered."""
+    kept = []
+    for item in holds:
+        if (item.server == server and item.certain and
+                _meets(item, first, last)):
+            kept.extend(_outside(item, first, last))
+        else:
+            kept.append(item)
+    return kept
+
+
+def forget(holds: Iterable[Hold], server: str) -> list[Hold]:
+    """Ends all holds of a server whose process has surely ended."""
+    return [item for item in holds if item.server != server]
+
+
+def expire(holds: Iterable[Hold], now: float) -> list[Hold]:
+    """Leaves out what has ended."""
+    return [item for item in holds if item.until > now]
+
+
+def _meets(item: Hold, first: int, last: int) -> bool:
+    return item.first <= last and item.last >= first
+
+
+def _outside(item: Hold, first: int, last: int) -> list[Hold]:
+    pieces = []
+    if item.first < first:
+        pieces.append(dataclasses.replace(item, last=first - 1))
+    if item.last > last:
+        pieces.append(dataclasses.replace(item, first=last + 1))
+    return pieces
--- /dev/null
+++ b/lentilmoor/edge/listening.py
@@ -0,0 +1,218 @@
+"""HTTP towards callers, the balancer and the other entries, by cheroot."""
+
+from collections.abc import Callable
+import logging
+
+from cheroot import server as cheroot_server
+
+from lentilmoor import chunks
+from lentilmoor import clocks
+from lentilmoor import outcomes
+from lentilmoor import problems
+from lentilmoor import responses
+from lentilmoor import shutdowns
+from lentilmoor import tries
+from lentilmoor.edge import exchange
+from lentilmoor.edge import forwarding
+from lentilmoor.edge import ports
+
+# Requests that wait for the listening socket.
+BACKLOG = 512
+# Kept on top of the time that callers may reuse an idle connection: the
+# library measures idle time by the time of day, which may jump by seconds.
+IDLE_SLACK_S = 5.0
+
+_Reason = outcomes.Reason
+_CHUNK_BYTES = 64 * 1024
+
+Forward = Callable[[forwarding.Request], forwarding.Outcome]
+Note = Callable[[forwarding.Request, forwarding.Outcome], None]
+Page = Callable[[bytes], tuple[int, bytes, str]]
+"""(body) -> status, body and content type of a page."""
+
+
+def make_listener(address: str, gateway: type[cheroot_server.Gateway],
+                  threads: int,
+                  log_error: Callable[..., None]) -> cheroot_server.HTTPServer:
+    """Returns a server that hands each request to a gateway.
+
+    Args:
+      address: host:port.
+      gateway: Answers requests.
+      threads: Requests answered at once.
+      log_error: Takes the library's errors.
+    """
+    host, _, port = address.rpartition(':')
+    server = cheroot_server.HTTPServer((host, int(port)),
+                                       gateway,
+                                       minthreads=threads,
+                                       maxthreads=threads,
+                                       server_name='lentilmoor')
+    server.request_queue_size = BACKLOG
+    server.keep_alive_conn_limit = None
+    server.error_log = log_error
+    return server
+
+
+def make_error_log(logger) -> Callable[..., None]:
+    """Returns what takes the library's errors."""
+
+    def log_error(message: str = '',
+                  level: int = logging.INFO,
+                  traceback: bool = False) -> None:
+        if level >= logging.ERROR:
+            logger.error('request_error', error=message, exc_info=traceback)
+
+    return log_error
+
+
+def make_caller_gateway(dialect: ports.Dialect, forward: Forward, note: Note,
+                        count: shutdowns.RequestCount, limit: Callable[[], int],
+                        clock: clocks.Clock) -> type[cheroot_server.Gateway]:
+    """Returns the gateway class for callers.
+
+    Args:
+      dialect: Reads callers' headers.
+      forward: Carries a request to its outcome.
+      note: Told of each outcome.
+      count: Counts requests; tells whether connections are to be closed.
+      limit: Returns how long a body may be.
+      clock: Time.
+    """
+
+    class CallerGateway(cheroot_server.Gateway):
+        """Answers one request of a caller."""
+
+        def respond(self) -> None:
+            """Reads the request, carries it and writes its outcome."""
+            count.enter()
+            try:
+                request = _read_request(self.req, dialect, limit(), clock)
+                if isinstance(request, outcomes.NotRun):
+                    self.req.close_connection = True
+                    _refuse(self.req, request)
+                    return
+                outcome = forward(request)
+                note(request, outcome)
+                # Set last: a shutdown may have begun meanwhile.
+                self.req.close_connection |= count.closing
+                _write(self.req, request, outcome)
+            finally:
+                count.leave()
+
+    return CallerGateway
+
+
+def make_page_gateway(
+        pages: dict[str, Page]) -> type[cheroot_server.Gateway]:
+    """Returns a gateway class for small pages by path."""
+
+    class PageGateway(cheroot_server.Gateway):
+        """Answers one request for a page."""
+
+        def respond(self) -> None:
+            """Writes the page."""
+            page = pages.get(self.req.path.decode('latin-1'))
+            status, body, kind = 404, b'', 'text/plain'
+            if page is not None:
+                length = int(self.req.inheaders.get(b'Content-Length', 0))
+                status, body, kind = page(
+                    self.req.rfile.read(length) if length else b'')
+            responses.write_problem(
+                self.req,
+                problems.Problem(status,
+                                 (('Content-Type', kind),
+                                  ('Content-Length', str(len(body)))), body))
+
+    return PageGateway
+
+
+def _read_request(request: cheroot_server.HTTPRequest, dialect: ports.Dialect,
+                  limit: int,
+                  clock: clocks.Clock) -> forwarding.Request | outcomes.NotRun:
+    arrived_at = clock.now()
+    body = _read_body(request, limit)
+    if isinstance(body, outcomes.NotRun):
+        return body
+    path, _, _ = request.uri.partition(b'?')
+    return forwarding.Request(fields=dialect.read_caller(request.inheaders),
+                              method=request.method.decode('latin-1'),
+                              host=request.inheaders.get(
+                                  b'Host', b'').decode('latin-1'),
+                              path=path.decode('latin-1'),
+                              target=request.uri.decode('latin-1'),
+                              headers=_copy_headers(request, dialect, body),
+                              body=body,
+                              watch=exchange.CallerWatch(request.conn.socket),
+                              arrived_at=arrived_at)
+
+
+def _read_body(request: cheroot_server.HTTPRequest,
+               limit: int) -> bytes | outcomes.NotRun:
+    if request.chunked_read:
+        if b'Content-Length' in request.inheaders:
+            return outcomes.NotRun(_Reason.BAD_REQUEST,
+                                   'a length beside a chunked body')
+        request.rfile = chunks.ChunkedBody(request.conn.rfile)
+        length = None
+    else:
+        length = int(request.inheaders.get(b'Content-Length', 0))
+        if length < 0:
+            return outcomes.NotRun(_Reason.BAD_REQUEST, 'a length below 0')
+        if length == 0:
+            return b''
+    parts, size = [], 0
+    try:
+        while part := request.rfile.read(_CHUNK_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                return outcomes.NotRun(_Reason.BODY_TOO_LARGE,
+                                       f'expected at most {limit} bytes')
+    except (OSError, ValueError) as error:
+        return outcomes.NotRun(_Reason.BAD_REQUEST, str(error))
+    if length is not None and size != length:
+        return outcomes.NotRun(_Reason.BAD_REQUEST, 'the body ended early')
+    return b''.join(parts)
+
+
+def _copy_headers(request: cheroot_server.HTTPRequest, dialect: ports.Dialect,
+                  body: bytes) -> dict[str, str]:
+    dropped = dialect.dropped
+    listed = request.inheaders.get(b'Connection')
+    if listed:
+        dropped = dropped | frozenset(
+            name.strip().lower()
+            for name in listed.decode('latin-1').split(','))
+    headers = {}
+    for name, value in request.inheaders.items():
+        text = name.decode('latin-1')
+        if text.lower() not in dropped:
+            headers[text] = value.decode('latin-1')
+    if body or request.chunked_read or b'Content-Length' in request.inheaders:
+        headers['Content-Length'] = str(len(body))
+    for name in ('User-Agent', 'Accept-Encoding'):
+        # The library would add its own, which would speak for the caller.
+        headers.setdefault(name, _SKIPPED)
+    return headers
+
+
+_SKIPPED = '@@@SKIP_HEADER@@@'  # urllib3.util.SKIP_HEADER
+
+
+def _write(request: cheroot_server.HTTPRequest, call: forwarding.Request,
+           outcome: forwarding.Outcome) -> None:
+    if isinstance(outcome, exchange.Gone):
+        request.close_connection = True
+        request.sent_headers = True  # Nobody reads an answer.
+    elif isinstance(outcome, tries.Answer):
+        responses.write_answer(request, call.fields.request_id, outcome)
+    else:
+        _refuse(request, outcome)
+
+
+def _refuse(request: cheroot_server.HTTPRequest,
+            outcome: outcomes.NotRun | outcomes.Unknown) -> None:
+    responses.write_problem(request, problems.make(outcome, exact=True))
+
+
--- /dev/null
+++ b/lentilmoor/edge/loads.py
@@ -0,0 +1,139 @@
+"""What entries report of requests for keys, and what follows from it.
+
+Each entry tells the coordinator every half second which keys it served and how
+long the servers worked. The coordinator lets counts fade, so that keys that
+were hot some seconds ago don't hold their place.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+
+from lentilmoor.edge import rebalancing
+from lentilmoor.edge import tables
+
+# A request counts for half after this time: hot keys move within seconds, and
+# the counts of a service's usual load still add up to some hundreds.
+HALF_MS = 2_500.0
+# Weight of the newest answer in a server's mean time of work.
+NEWEST = 0.04
+# Answers after which the mean of a server is trusted.
+TRUSTED = 12
+SLOWEST, FASTEST = 0.25, 3.0
+# A cold server takes twice as long.
+COLD_CAPACITY = 0.6
+_REFRESH_MS = 500.0
+_FORGOTTEN = 0.05
+
+Row = tuple[int, str, float]
+"""Key, server id, time of work in ms."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Requests for keys, by service."""
+
+    rows: dict[str, list[Row]]
+
+
+def encode_report(report: Report) -> bytes:
+    """Returns a report as it travels between entries."""
+    return json.dumps(report.rows, separators=(',', ':')).encode()
+
+
+def decode_report(data: bytes) -> Report | None:
+    """Returns a report, or None if it doesn't parse."""
+    try:
+        return Report({
+            str(service): [(int(key), str(server), float(work_ms))
+                           for key, server, work_ms in rows]
+            for service, rows in json.loads(data).items()
+        })
+    except (ValueError, AttributeError, TypeError):
+        return None
+
+
+@dataclasses.dataclass(slots=True)
+class WorkMean:
+    """Mean time of work of a server.
+
+    Attributes:
+      ms: The mean.
+      count: Answers seen.
+    """
+
+    ms: float = 0.0
+    count: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class LoadTable:
+    """Requests by key and times of work by server, of one service.
+
+    Attributes:
+      counts: By key, faded up to `faded_at`.
+      faded_at: ms.
+      works: By server id.
+      cached: Loads as last handed out.
+      cached_at: When that was, ms.
+    """
+
+    counts: dict[int, float] = dataclasses.field(default_factory=dict)
+    faded_at: float = 0.0
+    works: dict[str, WorkMean] = dataclasses.field(default_factory=dict)
+    cached: rebalancing.KeyLoads = dataclasses.field(
+        default_factory=lambda: rebalancing.KeyLoads({}))
+    cached_at: float = float('-inf')
+
+    def add(self, rows: Iterable[Row], now: float) -> None:
+        """Takes in reported requests."""
+        self._fade(now)
+        for key, server, work_ms in rows:
+            self.counts[key] = self.counts.get(key, 0.0) + 1.0
+            mean = self.works.setdefault(server, WorkMean())
+            mean.count += 1
+            step = max(NEWEST, 1.0 / mean.count)
+            mean.ms += step * (work_ms - mean.ms)
+
+    def key_loads(self, now: float) -> rebalancing.KeyLoads:
+        """Returns the load by key."""
+        if now - self.cached_at >= _REFRESH_MS:
+            self._fade(now)
+            self.cached = rebalancing.KeyLoads(self.counts)
+            self.cached_at = now
+        return self.cached
+
+    def capacities(self, servers: Iterable[tables.Server],
+                   now: float) -> dict[str, float]:
+        """Returns the relative speed of servers, by id."""
+        servers = list(servers)
+        known = [
+            self.works[server.id].ms
+            for server in servers
+            if self._is_trusted(server.id)
+        ]
+        usual = sum(known) / len(known) if known else 1.0
+        capacities = {}
+        for server in servers:
+            capacity = 1.0
+            if self._is_trusted(server.id):
+                capacity = usual / max(0.1, self.works[server.id].ms)
+            if server.warm_at > now:
+                capacity = min(capacity, COLD_CAPACITY)
+            capacities[server.id] = min(FASTEST, max(SLOWEST, capacity))
+        return capacities
+
+    def _is_trusted(self, name: str) -> bool:
+        mean = self.works.get(name)
+        return mean is not None and mean.count >= TRUSTED
+
+    def _fade(self, now: float) -> None:
+        factor = 0.5**((now - self.faded_at) / HALF_MS)
+        if factor > 0.98:
+            return
+        self.faded_at = now
+        self.counts = {
+            key: count * factor
+            for key, count in self.counts.items()
+            if count * factor > _FORGOTTEN
+        }
--- /dev/null
+++ b/lentilmoor/edge/placement.py
@@ -0,0 +1,224 @@
+"""Which server of a service runs a request that any of them may run.
+
+Entries choose without asking each other. Each knows its own requests under
+way, and what servers told with their last answers, which is soon stale. The
+choice is the least expected time to an answer; what was told fades, so that
+entries don't all run to the server that looked free a while ago.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from lentilmoor.edge import ports
+from lentilmoor.edge import tables
+
+# What a server told of its load counts for half after this time.
+TOLD_HALF_MS = 250.0
+# Weight of the newest answer in the mean time of work.
+NEWEST = 0.1
+# Mean time of work of a server that has not answered yet, unless others of
+# its service have, ms.
+FIRST_WORK_MS = 100.0
+# A server that could not be connected to is left alone for this long at
+# first, twice as long each time after.
+AVOID_MS = 250.0
+LONGEST_AVOID_MS = 2_000.0
+# Requests that servers take beyond their slots: a few; some reset the
+# connection beyond that, and what may be run only once is lost then.
+QUEUE = 5
+# A cold server takes this many times as long.
+COLD_FACTOR = 2.0
+# Spread of the choice, so that entries with the same view differ.
+JITTER = 0.2
+# What the way to another failure domain counts for, ms; more for large
+# answers, whose bytes between failure domains are paid for.
+AWAY_MS = 3.0
+AWAY_LARGE_MS = 25.0
+# Part of a failure that is forgotten with each good answer.
+_HEAL = 0.8
+
+
+@dataclasses.dataclass(slots=True)
+class ServerState:
+    """What an entry has seen of a server.
+
+    Attributes:
+      inflight: Own requests under way there.
+      work_ms: Mean time of work; 0 if unknown.
+      others: Requests of other entries there, when it last told.
+      told_at: When that was, ms.
+      avoid_until: Not to be used before, ms.
+      refusals: Connections in a row that failed.
+      failing: Part of the last requests that failed, 0 to 1.
+    """
+
+    inflight: int = 0
+    work_ms: float = 0.0
+    others: float = 0.0
+    told_at: float = 0.0
+    avoid_until: float = 0.0
+    refusals: int = 0
+    failing: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A server and when it is expected to answer.
+
+    Attributes:
+      server: The server.
+      expected_ms: Time until its answer.
+      full: Whether it would probably turn the request away.
+    """
+
+    server: tables.Server
+    expected_ms: float
+    full: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request asks of a choice.
+
+    Attributes:
+      domain: The entry's failure domain.
+      large: Whether a large answer is expected.
+      work_ms: Mean time of work of the service.
+    """
+
+    domain: str
+    large: bool
+    work_ms: float
+
+
+def choose(servers: Iterable[tables.Server], states: dict[str, ServerState],
+           wish: Wish, now: float, random) -> Choice | None:
+    """Returns the server with the least expected time, or None if none is up.
+
+    Args:
+      servers: Those that may run the request.
+      states: What was seen of them, by id.
+      wish: What the request asks for.
+      now: ms.
+      random: Returns a number from 0 to 1.
+    """
+    best: Choice | None = None
+    best_score = math.inf
+    for server in servers:
+        state = states.get(server.id) or _UNSEEN
+        if state.avoid_until > now:
+            continue
+        expected, full = expect(server, state, wish.work_ms, now)
+        score = expected / (1.0 - 0.9 * state.failing)
+        if server.domain != wish.domain:
+            score += AWAY_LARGE_MS if wish.large else AWAY_MS
+        score *= 1.0 + JITTER * random()
+        if full:
+            score += 10_000.0
+        if score < best_score:
+            best, best_score = Choice(server, expected, full), score
+    return best
+
+
+def expect(server: tables.Server, state: ServerState, work_ms: float,
+           now: float) -> tuple[float, bool]:
+    """Returns the expected time to an answer, ms, and whether it is full.
+
+    Args:
+      server: The server.
+      state: What was seen of it.
+      work_ms: Mean time of work of its service.
+      now: ms.
+    """
+    mean = state.work_ms or work_ms or FIRST_WORK_MS
+    if server.warm_at > now:
+        mean = max(mean, work_ms * COLD_FACTOR)
+    fade = 0.5**((now - state.told_at) / TOLD_HALF_MS)
+    ahead = state.inflight + state.others * fade
+    waits = max(0.0, ahead + 1.0 - server.slots) / server.slots
+    return mean * (1.0 + waits), ahead >= server.slots + QUEUE
+
+
+def note_sent(state: ServerState) -> None:
+    """Counts a request in."""
+    state.inflight += 1
+
+
+def note_answer(state: ServerState, took_ms: float,
+                load: ports.ServerLoad | None, now: float) -> None:
+    """Takes in an answer; the request is counted out.
+
+    Args:
+      state: The server's.
+      took_ms: From sending to the whole answer.
+      load: What the server told, if it did.
+      now: ms.
+    """
+    state.inflight -= 1
+    state.refusals = 0
+    state.avoid_until = 0.0
+    state.failing *= _HEAL
+    work_ms = find_work(took_ms, load)
+    if load is not None:
+        state.others = max(0.0, load.running + load.waiting - state.inflight)
+        state.told_at = now
+    if state.work_ms:
+        state.work_ms += NEWEST * (work_ms - state.work_ms)
+    else:
+        state.work_ms = work_ms
+
+
+def find_work(took_ms: float, load: ports.ServerLoad | None) -> float:
+    """Returns about how long a server worked on a request, ms.
+
+    As many requests as wait now waited before this one, on the mean.
+
+    Args:
+      took_ms: From sending to the whole answer.
+      load: What the server told with the answer, if it did.
+    """
+    if load is None:
+        return took_ms
+    return took_ms / (1.0 + load.waiting / load.slots)
+
+
+def note_failure(state: ServerState, now: float, full: bool) -> None:
+    """Takes in a request that was turned away or lost.
+
+    Args:
+      state: The server's.
+      now: ms.
+      full: Whether the server said it had no room.
+    """
+    state.inflight -= 1
+    state.failing = 1.0 - (1.0 - state.failing) * _HEAL
+    if full:
+        state.others = max(state.others, 6.0 - state.inflight)
+        state.told_at = now
+
+
+def note_unreached(state: ServerState, now: float) -> None:
+    """Takes in that no connection could be made."""
+    state.inflight -= 1
+    state.refusals += 1
+    pause_ms = min(LONGEST_AVOID_MS, AVOID_MS * 2.0**(state.refusals - 1))
+    state.avoid_until = now + pause_ms
+
+
+def note_left(state: ServerState) -> None:
+    """Counts out a request that was given up, which tells nothing."""
+    state.inflight -= 1
+
+
+def mean_work(servers: Iterable[tables.Server],
+              states: dict[str, ServerState]) -> float:
+    """Returns the mean time of work of servers, ms; 0 if none is known."""
+    known = [
+        states[server.id].work_ms for server in servers
+        if server.id in states and states[server.id].work_ms
+    ]
+    return sum(known) / len(known) if known else 0.0
+
+
+_UNSEEN = ServerState()
--- /dev/null
+++ b/lentilmoor/edge/ports.py
@@ -0,0 +1,234 @@
+"""What an entry needs of the platform; an adapter implements it.
+
+Nothing here knows a wire name. Calls block until they are answered or their
+time is over, and report failures as values.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+
+from lentilmoor import outcomes
+from lentilmoor.edge import coordination
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the operator promises and expects; times in ms.
+
+    Attributes:
+      drain_ms: A draining server takes no request later than this.
+      grace_ms: From SIGTERM to SIGKILL.
+      retry_ratio: Repeats to a service per request for it.
+      retry_slack: Repeats beyond that, by all entries together.
+      retry_window_ms: Span over which repeats are counted.
+      hold_max_ms: Longest grant.
+    """
+
+    drain_ms: float
+    grace_ms: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_ms: float
+    hold_max_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """An entry's own settings.
+
+    Attributes:
+      instance: Its instance id.
+      domain: Its failure domain.
+      callers: host:port for callers.
+      ready: host:port of the balancer's readiness check.
+      control: host:port for the other entries.
+      memory_mb: Memory it may use.
+      descriptors: File descriptors it may use.
+      bounds: What the operator promises and expects.
+    """
+
+    instance: str
+    domain: str
+    callers: str
+    ready: str
+    control: str
+    memory_mb: int
+    descriptors: int
+    bounds: Bounds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Coordinator:
+    """Who coordinates a keyed service.
+
+    Attributes:
+      instance: Its id, new with each start of its process.
+      address: host:port for the other entries.
+    """
+
+    instance: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SavedAssignment:
+    """An assignment and the store's revision of it."""
+
+    assignment: keyranges.Assignment
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Everything:
+    """All that the store holds for an entry.
+
+    Attributes:
+      configuration: None before the first, or if it doesn't parse.
+      servers: By id.
+      coordinators: By service.
+      assignments: By service.
+      entries: Instance ids of entries that registered.
+      revision: Where to go on watching.
+    """
+
+    configuration: tables.Configuration | None
+    servers: Mapping[str, tables.Server]
+    coordinators: Mapping[str, Coordinator]
+    assignments: Mapping[str, SavedAssignment]
+    entries: frozenset[str]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease of the store.
+
+    Attributes:
+      id: Its number.
+      ttl_ms: How long it runs from a renewal's arrival.
+    """
+
+    id: int
+    ttl_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Store:
+    """The platform's store.
+
+    Attributes:
+      load: Reads everything.
+      watch: (everything) -> a newer everything; blocks until there is a
+        change. NOT_FOUND: the history is gone, load again.
+      open_lease: (ttl_ms) -> a lease.
+      keep_lease: (lease) -> None, or NOT_FOUND if it has ended.
+      end_lease: Ends a lease.
+      take_role: (service, coordinator, lease) -> None, or CONFLICT.
+      register: (instance, lease) -> None: makes an entry known.
+      save: (assignment, revision or 0 if there is none, service) -> revision,
+        CONFLICT, or another failure after which it may be done.
+    """
+
+    load: Callable[[], Everything | outcomes.Failed]
+    watch: Callable[[Everything], Everything | outcomes.Failed]
+    open_lease: Callable[[float], Lease | outcomes.Failed]
+    keep_lease: Callable[[Lease], None | outcomes.Failed]
+    end_lease: Callable[[Lease], None | outcomes.Failed]
+    take_role: Callable[[str, Coordinator, Lease], None | outcomes.Failed]
+    register: Callable[[str, Lease], None | outcomes.Failed]
+    save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Servers:
+    """Control calls to backend servers.
+
+    Attributes:
+      grant: (grant) -> what came of it.
+      release: (release) -> what came of it, and a hand-over token or ''.
+    """
+
+    grant: Callable[[coordination.Grant], coordination.Answer]
+    release: Callable[[coordination.Release], tuple[coordination.Answer, str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerFields:
+    """What a caller's headers say.
+
+    Attributes:
+      request_id: Names this request; '' if the caller named none.
+      patience_ms: How long the caller waits; None if it doesn't say.
+      key: The request's key; None if there is none.
+    """
+
+    request_id: str
+    patience_ms: float | None
+    key: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What a server says of its load.
+
+    Attributes:
+      running: Requests that it runs.
+      waiting: Requests that wait in its queue.
+      slots: Requests that it can run at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFields:
+    """What the headers of a server's answer say.
+
+    Attributes:
+      request_id: The request that it answers; '' if it doesn't say.
+      not_run: Whether the server says that it did not run the request.
+      proven: Whether the answer carries the server's proof.
+      load: The server's load, if it tells.
+      kept_ms: How long the server keeps the idle connection; None: unknown.
+      closes: Whether the server closes the connection.
+    """
+
+    request_id: str
+    not_run: bool
+    proven: bool
+    load: ServerLoad | None
+    kept_ms: float | None
+    closes: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """Names and forms of what callers and servers send.
+
+    Attributes:
+      read_caller: Headers of a caller's request -> what they say.
+      mark: (headers, server id, time left in ms) -> adds what a server is
+        to be told.
+      read_answer: (status, headers) -> what a server's answer says.
+      dropped: Names, in lower case, that are not passed on to servers.
+    """
+
+    read_caller: Callable[[Mapping[bytes, bytes]], CallerFields]
+    mark: Callable[[dict[str, str], str, float], None]
+    read_answer: Callable[[int, Mapping[str, str]], AnswerFields]
+    dropped: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The whole adapter."""
+
+    settings: Settings
+    store: Store
+    servers: Servers
+    dialect: Dialect
--- /dev/null
+++ b/lentilmoor/edge/tables.py
@@ -0,0 +1,151 @@
+"""What an entry knows of routes, services and backend servers."""
+
+import dataclasses
+import enum
+
+KEYS = 65_536
+"""Keys of a keyed service are numbers from 0 to KEYS - 1."""
+
+
+class Repeat(enum.Enum):
+    """What may be done with a request whose outcome is unknown."""
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A service's part in a route.
+
+    Attributes:
+      service: Name of the service.
+      weight: Its share, relative to the other parts' weights.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of a host and a path prefix go.
+
+    Attributes:
+      name: Its name.
+      host: Host, in lower case, without a port.
+      prefix: Begins and ends with a slash.
+      repeat: Whether requests may be run more than once.
+      large: Whether answers are large files.
+      parts: The services that share the route.
+      attempts: Servers that one request may be sent to, at most.
+      timeout_ms: Longest time that a request may be kept waiting.
+      goal_ms: Time within which an answer is worth its full value.
+      rank: 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    large: bool
+    parts: tuple[Part, ...]
+    attempts: int
+    timeout_ms: float
+    goal_ms: float
+    rank: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service.
+
+    Attributes:
+      name: Its name.
+      keyed: Whether servers run a request only while they hold its key.
+      connections: Connections that a server accepts from all entries.
+      warm_ms: How long keys that come without a hand-over token are slow.
+    """
+
+    name: str
+    keyed: bool
+    connections: int
+    warm_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers send.
+
+    Attributes:
+      header_bytes: Request line and headers.
+      body_bytes: Body.
+      header_ms: Time to send the headers.
+      idle_ms: A connection without a request for so long may be closed.
+    """
+
+    header_bytes: int = 64 * 1024
+    body_bytes: int = 64 * 1024 * 1024
+    header_ms: float = 10_000.0
+    idle_ms: float = 30_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """The operator's configuration.
+
+    Attributes:
+      version: Grows with each change.
+      routes: By name.
+      services: By name.
+      limits: Bounds on what callers send.
+    """
+
+    version: int
+    routes: dict[str, Route]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Server:
+    """One lifetime of a backend server.
+
+    Attributes:
+      id: Its id; a restart has another one.
+      service: Name of its service.
+      address: host:port.
+      domain: Its failure domain.
+      slots: Requests that it runs at once.
+      draining: Whether it is about to leave.
+      warm_at: Until when it is slow after its start, ms.
+      seen_at: When this entry first knew it, ms.
+    """
+
+    id: str
+    service: str
+    address: str
+    domain: str
+    slots: int
+    draining: bool
+    warm_at: float
+    seen_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What request threads read; replaced as a whole, never changed.
+
+    Attributes:
+      configuration: The configuration in force; None before the first.
+      servers: By service, then by id.
+      assignments: Owners of keys, by service (see `keyranges`).
+      coordinators: Who coordinates a service (see `ports`), by service.
+      entries: Entries that share the work, this one included.
+    """
+
+    configuration: Configuration | None
+    servers: dict[str, dict[str, Server]]
+    assignments: dict
+    coordinators: dict
+    entries: int = 1
--- a/lentilmoor/httpcalls.py
+++ b/lentilmoor/httpcalls.py
@@ -52,15 +52,21 @@
     CONNECTION_LOST (it may have been sent and carried out).
     """
 
-    def __init__(self, clock: clocks.Clock, idle_connections: int):
+    def __init__(self,
+                 clock: clocks.Clock,
+                 idle_connections: int,
+                 socket_options: tuple = ()):
         """Makes a caller without connections.
 
         Args:
           clock: This process's time.
           idle_connections: Connections kept open to each address.
+          socket_options: Set on each connection; the library's own if empty.
         """
         self._clock = clock
         self._idle_connections = idle_connections
+        self._options = (
+            {'socket_options': socket_options} if socket_options else {})
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
         self._lock = threading.Lock()
 
@@ -118,7 +124,10 @@
             if pool is None:
                 host, _, port = address.rpartition(':')
                 pool = urllib3.HTTPConnectionPool(
-                    host.strip('[]'), int(port), maxsize=self._idle_connections)
+                    host.strip('[]'),
+                    int(port),
+                    maxsize=self._idle_connections,
+                    **self._options)
                 self._pools[address] = pool
             return pool
 
--- /dev/null
+++ b/lentilmoor/platform/dialect.py
@@ -0,0 +1,72 @@
+"""Headers that callers and backend servers exchange with an entry."""
+
+from collections.abc import Mapping
+import re
+
+from lentilmoor import headers as header_names
+from lentilmoor.edge import ports
+
+_REQUEST_ID = 'Lentilmoor-Attempt-Id'
+_PATIENCE_MS = 'Lentilmoor-Deadline-Ms'  # A span, not a moment.
+_KEY = 'Lentilmoor-Shard-Key'
+_EXPECTED_SERVER = 'Lentilmoor-Expect-Instance'
+_NOT_RUN = 'Lentilmoor-Not-Executed'
+_PROOF = 'Lentilmoor-Upstream-Seal'
+_LOAD = 'Lentilmoor-Upstream-Load'
+
+_MISDIRECTED = 421
+_KEPT = re.compile(r'timeout=(\d+)')
+_MS_PER_S = 1000.0
+
+_DROPPED = header_names.HOP_BY_HOP | frozenset(
+    name.lower() for name in ('Content-Length', 'Expect', _EXPECTED_SERVER,
+                              _PATIENCE_MS))
+
+
+def make_dialect() -> ports.Dialect:
+    """Returns the platform's names and forms."""
+    return ports.Dialect(_read_caller, _mark, _read_answer, _DROPPED)
+
+
+def _read_caller(headers: Mapping[bytes, bytes]) -> ports.CallerFields:
+    request_id = headers.get(_REQUEST_ID.title().encode(), b'')
+    key = _read_number(headers.get(_KEY.title().encode()))
+    return ports.CallerFields(
+        request_id.decode('latin-1'),
+        _read_number(headers.get(_PATIENCE_MS.title().encode())),
+        None if key is None else int(key))
+
+
+def _mark(headers: dict[str, str], server: str, left_ms: float) -> None:
+    headers[_EXPECTED_SERVER] = server
+    headers[_PATIENCE_MS] = str(max(1, int(left_ms)))
+
+
+def _read_answer(status: int, headers: Mapping[str,
+                                               str]) -> ports.AnswerFields:
+    kept = _KEPT.search(headers.get('Keep-Alive', ''))
+    return ports.AnswerFields(
+        request_id=headers.get(_REQUEST_ID, ''),
+        not_run=_NOT_RUN in headers or status == _MISDIRECTED,
+        proven=_PROOF in headers,
+        load=_read_load(headers.get(_LOAD, '')),
+        kept_ms=int(kept[1]) * _MS_PER_S if kept else None,
+        closes='close' in headers.get('Connection', '').lower())
+
+
+def _read_load(text: str) -> ports.ServerLoad | None:
+    values = text.split(',')
+    try:
+        running, waiting, slots = (int(value) for value in values)
+    except ValueError:
+        return None
+    return ports.ServerLoad(running, waiting, max(1, slots))
+
+
+def _read_number(value: bytes | None) -> float | None:
+    if not value:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return None
--- /dev/null
+++ b/lentilmoor/platform/servers.py
@@ -0,0 +1,75 @@
+"""Control calls to backend servers: granting keys and taking them back."""
+
+import json
+
+from lentilmoor import clocks
+from lentilmoor import httpcalls
+from lentilmoor import outcomes
+from lentilmoor.edge import coordination
+from lentilmoor.edge import ports
+from lentilmoor.platform import store
+
+_GRANT = '/-/grant'
+_RELEASE = '/-/release'
+_TOKEN = 'Lentilmoor-Handover'
+# A grant is answered at once by a server that is up; the longest delay between
+# failure domains is a few ms.
+GRANT_MS = 400.0
+# A release is answered when the work that runs on its keys has ended.
+RELEASE_MS = 2_500.0
+
+_Answer = coordination.Answer
+
+
+def connect_servers(clock: clocks.Clock) -> ports.Servers:
+    """Returns the control calls.
+
+    Args:
+      clock: This process's time.
+    """
+    caller = httpcalls.Caller(clock, 4, store.KEEPALIVE)
+
+    def call(address: str, target: str, fields: dict,
+             timeout_ms: float) -> httpcalls.Reply | outcomes.Failed:
+        request = httpcalls.Request('POST', target,
+                                    json.dumps(fields).encode(),
+                                    {'Content-Type': 'application/json'})
+        return caller.call(address, request, timeout_ms)
+
+    def grant(action: coordination.Grant) -> coordination.Answer:
+        item = action.item
+        fields = {
+            'From': item.first,
+            'To': item.last,
+            'fence': item.fence,
+            'HoldMs': int(action.hold_ms),
+        }
+        if action.token:
+            fields['Handover'] = action.token
+        reply = call(action.server.address, _GRANT, fields, GRANT_MS)
+        return _judge(reply)
+
+    def release(
+            action: coordination.Release) -> tuple[coordination.Answer, str]:
+        item = action.item
+        fields = {'From': item.first, 'To': item.last, 'fence': item.fence}
+        reply = call(action.server.address, _RELEASE, fields, RELEASE_MS)
+        token = ''
+        if isinstance(reply, httpcalls.Reply):
+            token = reply.headers.get(_TOKEN, '')
+        return _judge(reply), token
+
+    return ports.Servers(grant, release)
+
+
+def _judge(reply: httpcalls.Reply | outcomes.Failed) -> coordination.Answer:
+    if isinstance(reply, outcomes.Failed):
+        if reply.reason is outcomes.Reason.CONNECT_FAILED:
+            return _Answer.NOT_SENT
+        return _Answer.UNKNOWN
+    if reply.status == 200:
+        return _Answer.DONE
+    if reply.status == 409:
+        return _Answer.REFUSED
+    # Another process at this address answers, or the server rejects the call.
+    return _Answer.NOT_SENT
--- /dev/null
+++ b/lentilmoor/platform/settings.py
@@ -0,0 +1,77 @@
+"""Reads the settings file that the platform writes for each process.
+
+Lines of the form a.b=value; lists are joined by commas. Fields that aren't
+known are ignored, since new ones may come.
+"""
+
+from lentilmoor import exceptions
+from lentilmoor.edge import ports
+
+BOOT_VARIABLE = 'LENTILMOOR_BOOT'
+_MS_PER_S = 1000.0
+
+
+def parse_settings(text: str) -> tuple[ports.Settings, str]:
+    """Parses a settings file.
+
+    Args:
+      text: The file's content.
+
+    Returns:
+      The settings, and the store's host:port.
+
+    Raises:
+      SettingsError: A field is missing or not as expected; names the field.
+    """
+    fields = dict(
+        line.split('=', 1) for line in text.splitlines() if '=' in line)
+    bounds = _read_bounds(_take(fields, 'Bounds'))
+    settings = ports.Settings(
+        instance=_take(fields, 'Node'),
+        domain=_take(fields, 'Zone'),
+        callers=_take_address(fields, 'Listen.Front'),
+        ready=_take_address(fields, 'Listen.Ready'),
+        control=_take_address(fields, 'Listen.Control'),
+        memory_mb=int(_take_number(fields, 'Limits.MemoryMb')),
+        descriptors=int(_take_number(fields, 'Limits.MaxFds')),
+        bounds=bounds)
+    return settings, _take_address(fields, 'Platform.Addr')
+
+
+def _read_bounds(text: str) -> ports.Bounds:
+    values = dict(
+        item.split('=', 1) for item in text.split(',') if '=' in item)
+
+    def take(name: str) -> float:
+        return _take_number(values, name, f'Bounds: {name}')
+
+    return ports.Bounds(drain_ms=take('DrainMs'),
+                        grace_ms=take('GraceS') * _MS_PER_S,
+                        retry_ratio=take('RetryRatio'),
+                        retry_slack=take('RetrySlack'),
+                        retry_window_ms=take('RetryWindowS') * _MS_PER_S,
+                        hold_max_ms=take('HoldMaxMs'))
+
+
+def _take(fields: dict[str, str], name: str) -> str:
+    value = fields.get(name, '').strip()
+    if not value:
+        raise exceptions.SettingsError([f'{name}: missing'])
+    return value
+
+
+def _take_address(fields: dict[str, str], name: str) -> str:
+    value = _take(fields, name)
+    host, _, port = value.rpartition(':')
+    if not host or not port.isdigit():
+        raise exceptions.SettingsError([f'{name}: expected host:port'])
+    return value
+
+
+def _take_number(fields: dict[str, str], name: str, shown: str = '') -> float:
+    value = fields.get(name, '').strip()
+    try:
+        return float(value)
+    except ValueError:
+        raise exceptions.SettingsError(
+            [f'{shown or name}: expected a number, got {value!r}']) from None
--- a/lentilmoor/problems.py
+++ b/lentilmoor/problems.py
@@ -9,6 +9,7 @@
 import enum
 import http
 import json
+import math
 
 from lentilmoor import clocks
 from lentilmoor import outcomes
@@ -89,12 +90,14 @@
 
 
 def make(outcome: outcomes.NotRun | outcomes.Unknown,
-         instance: str = '') -> Problem:
+         instance: str = '',
+         exact: bool = False) -> Problem:
     """Returns the response that tells a caller of an outcome.
 
     Args:
       outcome: What became of the request.
       instance: The entry that gave the outcome, if it is to be shown.
+      exact: Whether callers understand fractions of a second to wait.
     """
     status = pick_status(outcome)
     kind = _kind_of(outcome)
@@ -114,8 +117,9 @@
     headers = [(OUTCOME_HEADER, kind.value),
                (REASON_HEADER, outcome.reason.value)]
     if retry_after_ms:
-        seconds = -(-retry_after_ms // int(clocks.MS_PER_S))
-        headers.append((RETRY_HEADER, str(int(seconds))))
+        seconds = retry_after_ms / clocks.MS_PER_S
+        shown = f'{seconds:.3f}' if exact else str(math.ceil(seconds))
+        headers.append((RETRY_HEADER, shown))
     return make_document(status, members, headers)
 
 
