--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -423,6 +423,7 @@
 def _plan_save(state: Coordination, view: View, now: float) -> list[Action]:
     if state.saving:
         return []
+    state.moves = [move for move in state.moves if _is_sound(state, move)]
     ready = []
     for move in state.moves:
         transfer = move.transfer
@@ -449,6 +450,14 @@
     return [Save(assignment.service, following, state.revision)]
 
 
+def _is_sound(state: Coordination, move: Move) -> bool:
+    """Returns whether all keys of a move are still its source's."""
+    transfer = move.transfer
+    pieces = keyranges.intersect(state.assignment.ranges, transfer.first,
+                                 transfer.last)
+    return all(piece.server == transfer.source for piece in pieces)
+
+
 def _redirect(state: Coordination, view: View, ready: list[Move]) -> None:
     """Gives keys another target if theirs has left meanwhile."""
     staying = [
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -250,14 +250,12 @@
     callers = entry.listeners[0]
     while entry.clock.now() - began < NOTICE_MS:
         _wait(_LOOK_MS)
-    # The library closes connections that were idle for so long.
-    callers.timeout = 0.2
-    quiet_since = entry.clock.now()
-    while entry.clock.now() - began < grace_ms:
-        if entry.count.inside:
-            quiet_since = entry.clock.now()
-        elif entry.clock.now() - quiet_since > shutdowns.QUIET_MS:
-            break
-        _wait(_LOOK_MS)
+    left_ms = grace_ms - (entry.clock.now() - began)
+    callers.shutdown_timeout = left_ms / clocks.MS_PER_S
+    # Takes no new connections, closes idle ones and waits for the others.
+    stopping = threading.Thread(target=callers.stop, daemon=True)
+    stopping.start()
+    stopping.join(left_ms / clocks.MS_PER_S)
+    entry.logger.info('entry_finished', inside=entry.count.inside)
 
 
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -125,13 +125,19 @@
     transfers: list[Transfer] = []
     while len(transfers) < MOST_MOVES:
         transfer = _plan_one(owned, held, loads, capacities)
-        if transfer is None:
+        if transfer is None or _meets_any(transfer, transfers):
             break
         transfers.append(transfer)
         _apply(owned, held, loads, transfer)
     return transfers
 
 
+def _meets_any(transfer: Transfer, others: Iterable[Transfer]) -> bool:
+    """Returns whether keys would move on before they have arrived."""
+    return any(item.first <= transfer.last and item.last >= transfer.first
+               for item in others)
+
+
 def plan_leave(item: keyranges.KeyRange,
                ranges: Iterable[keyranges.KeyRange], loads: KeyLoads,
                capacities: Mapping[str, float]) -> list[Transfer]:
