Share requests under way and new owners between entries through a hub

Change: entries report to a hub; the hub answers with others' requests under way, newer owners and requests that crash servers. The longest hold while the store is away, and no resignation then. Keys move for a surplus beyond chance; neighbours of one owner are joined.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -13,13 +13,14 @@
 
 import pykka
 
-from lentilmoor import clocks
 from lentilmoor import outcomes
 from lentilmoor.edge import coordination
 from lentilmoor.edge import forwarding
+from lentilmoor.edge import keyranges
 from lentilmoor.edge import loads
 from lentilmoor.edge import matching
 from lentilmoor.edge import ports
+from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 
 # The coordinator's lease. Its successor takes over after the lease has run
@@ -29,6 +30,8 @@
 # An entry's own lease, by which the others count it.
 ENTRY_LEASE_MS = 9_000.0
 ENTRY_KEEP_MS = 3_000.0
+# A lease that could not be kept for so long: the store may be away.
+STORE_DOUBT_MS = 1_300.0
 TICK_MS = 100.0
 # Longest pause before an entry stands for coordinator: the first to do so
 # spares the others the call.
@@ -74,9 +77,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reported:
-    """Another entry reports requests for keys."""
+    """Requests for keys that an entry reports, by service."""
 
-    report: loads.Report
+    rows: dict[str, list[reports.Row]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AssignmentHeard:
+    """Another entry told of an assignment."""
+
+    assignment: keyranges.Assignment
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +128,7 @@
       missing: Servers that left the list, and when they count as gone.
       left: Servers that left, with their last entry.
       ended: Servers whose process has surely ended.
+      heard: Assignments that other entries told of, by service.
       roles: By keyed service.
       lease: The coordinator's lease.
       lease_sent_at: When it was last kept, as of sending, ms.
@@ -137,6 +148,8 @@
     missing: dict[str, float] = dataclasses.field(default_factory=dict)
     left: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
+    heard: dict[str, keyranges.Assignment] = dataclasses.field(
+        default_factory=dict)
     roles: dict[str, Role] = dataclasses.field(default_factory=dict)
     lease: ports.Lease | None = None
     lease_sent_at: float = 0.0
@@ -171,7 +184,10 @@
         elif isinstance(message, StoreLost):
             self._take_loss(message.reason)
         elif isinstance(message, Reported):
-            self._take_report(message.report)
+            self._take_rows(message.rows)
+        elif isinstance(message, AssignmentHeard):
+            self._owned.heard[message.assignment.service] = message.assignment
+            self._publish()
         elif isinstance(message, Leave):
             self._leave(message.done)
         self._work()
@@ -285,6 +301,10 @@
             name: saved.assignment
             for name, saved in everything.assignments.items()
         }
+        for name, heard in owned.heard.items():
+            known = assignments.get(name)
+            if known is None or keyranges.is_newer(heard, known):
+                assignments[name] = heard
         for name, role in owned.roles.items():
             if role.state is not None:
                 assignments[name] = role.state.assignment
@@ -293,7 +313,7 @@
             forwarder.snapshot = tables.Snapshot(
                 everything.configuration, servers, assignments,
                 dict(everything.coordinators),
-                max(1, len(everything.entries)))
+                dict(everything.entries))
             forwarder.changed.notify_all()
 
     def _keep_leases(self, now: float) -> None:
@@ -322,7 +342,8 @@
             lease = store.open_lease(ENTRY_LEASE_MS)
             if isinstance(lease, outcomes.Failed):
                 return lease
-            return store.register(owned.instance, lease) or lease
+            peer = ports.Peer(owned.instance, self._platform.settings.control)
+            return store.register(peer, lease) or lease
 
         def take(result, unused_sent_at) -> None:
             if isinstance(result, ports.Lease):
@@ -402,7 +423,7 @@
                 return lease
         settings = self._platform.settings
         taken = store.take_role(
-            name, ports.Coordinator(owned.instance, settings.control), lease)
+            name, ports.Peer(owned.instance, settings.control), lease)
         if isinstance(taken, outcomes.Failed):
             return taken
         return lease, sent_at
@@ -475,10 +496,17 @@
         view = coordination.View(
             servers, frozenset(owned.ended), owned.left,
             role.measured.key_loads(now),
-            role.measured.capacities(servers.values(), now))
+            role.measured.capacities(servers.values(), now),
+            self._find_hold(now))
         for action in coordination.plan(state, view, now):
             self._carry_out(role, state, action)
 
+    def _find_hold(self, now: float) -> float:
+        longest = self._platform.settings.bounds.hold_max_ms
+        if now - self._owned.lease_sent_at > STORE_DOUBT_MS:
+            return min(coordination.AWAY_HOLD_MS, longest)
+        return min(coordination.HOLD_MS, longest)
+
     def _carry_out(self, role: Role, state: coordination.Coordination,
                    action: coordination.Action) -> None:
         if isinstance(action, coordination.Grant):
@@ -524,8 +552,8 @@
                              reason=result.reason.value)
         del role
 
-    def _take_report(self, report: loads.Report) -> None:
-        for service, rows in report.rows.items():
+    def _take_rows(self, found: dict[str, list[reports.Row]]) -> None:
+        for service, rows in found.items():
             role = self._owned.roles.get(service)
             if role is not None:
                 role.measured.add(rows, self._clock.now())
@@ -533,6 +561,10 @@
     def _leave(self, done: threading.Event) -> None:
         owned = self._owned
         owned.leaving = True
+        if self._clock.now() - owned.lease_sent_at > STORE_DOUBT_MS:
+            # Nobody can follow now; go on until the process ends.
+            done.set()
+            return
         for name, role in owned.roles.items():
             if role.state is not None:
                 self._resign(name, role, 'this entry is about to end')
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -27,6 +27,9 @@
 # silent stay unserved for so long; a coordinator that is lost must be
 # replaced within what a renewal leaves of it.
 HOLD_MS = 4_000.0
+# While the store is away nobody can replace a coordinator that is lost, so
+# servers get the longest hold that they accept.
+AWAY_HOLD_MS = 10_000.0
 # A hold is renewed this long after it was last granted.
 RENEW_MS = 1_000.0
 # A grant without an answer is sent again after this.
@@ -36,7 +39,7 @@
 # 9 s. A successor counts with it for servers that it can't reach.
 TENURE_MS = 12_000.0
 # Pause between two plans that even out load.
-BALANCE_MS = 600.0
+BALANCE_MS = 500.0
 # A server that leaves the list while the store was away may come back for so
 # long after its return.
 RETURN_MS = 2_500.0
@@ -170,6 +173,7 @@
       left: Addresses that servers were last known at, by id.
       loads: Load by key.
       capacities: Relative speed by server id; 1 if unknown.
+      hold_ms: How long servers are to hold what they are granted.
     """
 
     servers: Mapping[str, tables.Server]
@@ -177,6 +181,7 @@
     left: Mapping[str, tables.Server]
     loads: rebalancing.KeyLoads
     capacities: Mapping[str, float]
+    hold_ms: float = HOLD_MS
 
 
 def make_first(service: str,
@@ -208,7 +213,7 @@
     """
     state = Coordination(assignment, revision, now)
     if not fresh:
-        until = holds.find_end(now + TENURE_MS, HOLD_MS)
+        until = holds.find_end(now + TENURE_MS, AWAY_HOLD_MS)
         state.held = [
             holds.Hold(item.first, item.last, item.server, until, False)
             for item in assignment.ranges
@@ -244,7 +249,10 @@
     state.sent[item.server] -= 1
     renewal = state.renewals.get(item)
     if answer is Answer.REFUSED:
-        state.lost = True
+        # What was merged or moved since has a higher fence of our own.
+        state.lost |= item in state.assignment.ranges
+        if renewal is not None:
+            renewal.pending = False
         return
     if answer is not Answer.NOT_SENT:
         done = answer is Answer.DONE
@@ -443,10 +451,13 @@
                                move.transfer.target,
                                assignment.next_fence + number))
     state.saving = True
-    following = dataclasses.replace(
-        assignment,
-        next_fence=assignment.next_fence + len(changed),
-        ranges=keyranges.reassign(assignment.ranges, changed))
+    ranges = keyranges.reassign(assignment.ranges, changed)
+    ranges, next_fence = keyranges.join_neighbours(
+        ranges, assignment.next_fence + len(changed),
+        [(item.first, item.last) for item in changed])
+    following = dataclasses.replace(assignment,
+                                    next_fence=next_fence,
+                                    ranges=ranges)
     return [Save(assignment.service, following, state.revision)]
 
 
@@ -490,7 +501,8 @@
             if renewal.answered:
                 state.sent[item.server] += len(pieces)
                 actions += [
-                    Grant(state.assignment.service, server, piece, HOLD_MS, '')
+                    Grant(state.assignment.service, server, piece, view.hold_ms,
+                          '')
                     for piece in pieces
                 ]
                 renewal.due_at = now + RENEW_MS
@@ -498,7 +510,7 @@
         renewal.pending = True
         state.sent[item.server] += 1
         actions.append(
-            Grant(state.assignment.service, server, item, HOLD_MS,
+            Grant(state.assignment.service, server, item, view.hold_ms,
                   state.tokens.get(item, '')))
     return actions
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -21,26 +21,24 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import forwarding
 from lentilmoor.edge import listening
-from lentilmoor.edge import loads
 from lentilmoor.edge import ports
+from lentilmoor.edge import reporting
+from lentilmoor.edge import reports
+from lentilmoor.edge import tables
 
 # Requests answered at once; each waits for one server.
 CALLER_THREADS = 64
 PAGE_THREADS = 2
-# Requests for keys are reported this often.
-REPORT_MS = 500.0
-REPORT_TIMEOUT_MS = 300.0
 # Pause before a store that can't be reached is tried again.
 STORE_AGAIN_MS = 300.0
 # Changes that come in quick succession are taken in together: each watch is a
 # call, and nothing that the store tells is due sooner.
-WATCH_PAUSE_MS = 100.0
+WATCH_PAUSE_MS = 350.0
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
 # What is left of the time until SIGKILL when this process ends by itself.
 LAST_MS = 400.0
-REPORT_PATH = '/report'
 READY_PATH = '/-/readyz'
 _LOOK_MS = 50.0
 
@@ -56,6 +54,7 @@
       forwarder: What request threads share.
       count: Requests that are being answered.
       actor: The control actor.
+      reporter: Exchanges reports with the other entries.
       listeners: HTTP servers.
       leaving: Set when the process is to end.
     """
@@ -66,6 +65,7 @@
     forwarder: forwarding.Forwarder
     count: shutdowns.RequestCount
     actor: pykka.ActorRef | None = None
+    reporter: reporting.Reporter | None = None
     listeners: list[cheroot_server.HTTPServer] = dataclasses.field(
         default_factory=list)
     leaving: threading.Event = dataclasses.field(
@@ -92,7 +92,7 @@
         _start(listener.serve)
     _start(functools.partial(_watch, entry))
     _start(functools.partial(_tick, entry))
-    _start(functools.partial(_report, entry, instance, socket_options))
+    _start(functools.partial(reporting.report, entry.reporter))
     logger.info('entry_started', callers=platform.settings.callers)
     while not entry.leaving.wait(1.0):
         pass
@@ -119,6 +119,9 @@
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount())
     entry.actor = control.Control.start(control.Tables(instance), forwarder,
                                         platform, logger)
+    entry.reporter = reporting.Reporter(
+        instance, forwarder, httpcalls.Caller(clock, 1, socket_options),
+        entry.actor.tell)
     log_error = listening.make_error_log(logger)
     callers = listening.make_listener(
         platform.settings.callers,
@@ -126,7 +129,7 @@
             platform.dialect,
             functools.partial(forwarding.forward, forwarder),
             functools.partial(_note, entry), entry.count,
-            lambda: _limits(entry).body_bytes, clock), CALLER_THREADS,
+            lambda: _find_limits(entry).body_bytes, clock), CALLER_THREADS,
         log_error)
     ready = listening.make_listener(
         platform.settings.ready,
@@ -136,14 +139,16 @@
     peers = listening.make_listener(
         platform.settings.control,
         listening.make_page_gateway({
-            REPORT_PATH: functools.partial(_take_report, entry)
+            reporting.PATH: functools.partial(_take_report, entry)
         }), PAGE_THREADS, log_error)
     entry.listeners = [callers, ready, peers]
     return entry
 
 
-def _limits(entry: Entry):
+def _find_limits(entry: Entry) -> tables.CallerLimits:
     configuration = entry.forwarder.snapshot.configuration
+    if configuration is None:
+        return tables.CallerLimits()
     return configuration.limits
 
 
@@ -172,11 +177,11 @@
 
 
 def _take_report(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
-    report = loads.decode_report(body)
+    report = reports.decode_report(body)
     if report is None:
         return 400, b'', 'text/plain'
-    entry.actor.tell(control.Reported(report))
-    return 200, b'', 'text/plain'
+    reply = reporting.answer(entry.reporter, report)
+    return 200, reports.encode_reply(reply), 'application/json'
 
 
 def _watch(entry: Entry) -> None:
@@ -209,32 +214,6 @@
         entry.actor.tell(control.Tick())
 
 
-def _report(entry: Entry, instance: str, socket_options: tuple) -> None:
-    """Reports requests for keys to the coordinators."""
-    caller = httpcalls.Caller(entry.clock, 1, socket_options)
-    forwarder = entry.forwarder
-    while True:
-        _wait(REPORT_MS)
-        samples, forwarder.samples = forwarder.samples, []
-        rows: dict[str, list[loads.Row]] = {}
-        for item in samples:
-            rows.setdefault(item.service, []).append(
-                (item.key, item.server, round(item.work_ms, 1)))
-        for service, found in rows.items():
-            report = loads.Report({service: found})
-            coordinator = forwarder.snapshot.coordinators.get(service)
-            if coordinator is None:
-                continue
-            if coordinator.instance == instance:
-                entry.actor.tell(control.Reported(report))
-                continue
-            caller.call(
-                coordinator.address,
-                httpcalls.Request('POST', REPORT_PATH,
-                                  loads.encode_report(report)),
-                REPORT_TIMEOUT_MS)
-
-
 def _wait(ms: float) -> None:
     threading.Event().wait(ms / clocks.MS_PER_S)
 
@@ -257,5 +236,3 @@
     stopping.start()
     stopping.join(left_ms / clocks.MS_PER_S)
     entry.logger.info('entry_finished', inside=entry.count.inside)
-
-
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+import hashlib
 import random
 import threading
 
@@ -41,6 +42,7 @@
 FULL_RETRY_MS = 120
 OWNER_RETRY_MS = 200
 START_RETRY_MS = 300
+BLOCKED_RETRY_MS = 30_000
 _SERVER_FAULT = 500
 _SUCCESS = range(200, 300)
 
@@ -99,6 +101,11 @@
       pools: Connections, by server id.
       repeats: Repeats, by service.
       samples: Requests for keys that are still to be reported.
+      hurry: Set when a report should not wait: a key has moved.
+      watched: Fingerprints of requests that are suspected to crash servers.
+      blocked: Fingerprints of requests that do.
+      crashed: Of those suspected since the last report.
+      cleared: Of those answered since the last report.
       lock: Guards states, pools and repeats.
     """
 
@@ -109,7 +116,7 @@
     index: matching.RouteIndex = dataclasses.field(
         default_factory=lambda: matching.make_index({}))
     snapshot: tables.Snapshot = dataclasses.field(
-        default_factory=lambda: tables.Snapshot(None, {}, {}, {}))
+        default_factory=lambda: tables.Snapshot(None, {}, {}, {}, {}))
     changed: threading.Condition = dataclasses.field(
         default_factory=threading.Condition)
     states: dict[str, placement.ServerState] = dataclasses.field(
@@ -118,6 +125,11 @@
         default_factory=dict)
     repeats: dict[str, budgets.Budget] = dataclasses.field(default_factory=dict)
     samples: list[Sample] = dataclasses.field(default_factory=list)
+    hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
+    watched: frozenset[str] = frozenset()
+    blocked: frozenset[str] = frozenset()
+    crashed: list[str] = dataclasses.field(default_factory=list)
+    cleared: list[str] = dataclasses.field(default_factory=list)
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
     generator: random.Random = dataclasses.field(default_factory=random.Random)
 
@@ -164,6 +176,10 @@
     route = matching.find_route(forwarder.index, request.host, request.path)
     if route is None:
         return outcomes.NotRun(_Reason.UNKNOWN_SERVICE, 'no such route')
+    if forwarder.blocked and _fingerprint(request) in forwarder.blocked:
+        return outcomes.NotRun(_Reason.QUARANTINED,
+                               'this request crashes its servers',
+                               BLOCKED_RETRY_MS)
     name = matching.pick_part(route, forwarder.generator.random())
     service = snapshot.configuration.services.get(name)
     if service is None:
@@ -208,7 +224,7 @@
     with forwarder.lock:
         return budgets.take_repeat(_budget_of(forwarder, run.service.name),
                                    forwarder.platform.settings.bounds,
-                                   forwarder.snapshot.entries,
+                                   max(1, len(forwarder.snapshot.entries)),
                                    forwarder.clock.now())
 
 
@@ -316,6 +332,7 @@
     if isinstance(result, exchange.NotSent):
         with forwarder.lock:
             placement.note_unreached(state, now)
+            forwarder.crashed += placement.take_crashed(state, now)
         run.avoid.add(server.id)
         return None
     run.sent += 1
@@ -330,6 +347,8 @@
     now = forwarder.clock.now()
     with forwarder.lock:
         placement.note_failure(state, now, False)
+        if lost.reason is _Reason.CONNECTION_LOST:
+            state.broken.append((_fingerprint(run.request), now))
     run.avoid.add(server.id)
     run.may_have_run = True
     forwarder.logger.info('try_lost',
@@ -352,7 +371,11 @@
         with forwarder.lock:
             placement.note_failure(state, now, status == 503)
         run.avoid.add(server.id)
+        if run.service.keyed:
+            forwarder.hurry.set()
         return None
+    if forwarder.watched:
+        _clear(forwarder, run.request)
     good = status < _SERVER_FAULT
     if status in _SUCCESS and not fields.proven:
         good = False
@@ -382,6 +405,22 @@
     return reply.answer
 
 
+def _clear(forwarder: Forwarder, request: Request) -> None:
+    fingerprint = _fingerprint(request)
+    if fingerprint in forwarder.watched:
+        forwarder.cleared.append(fingerprint)
+
+
+def _fingerprint(request: Request) -> str:
+    """Returns what tells a request from others, whoever sends it again."""
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (request.method, request.host, request.target,
+                 str(request.fields.key)):
+        digest.update(part.encode('latin-1', 'replace') + b'\0')
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
 def _conclude(run: _Run, refusal: outcomes.NotRun) -> Outcome:
     if refusal.reason is _Reason.CANCELLED:
         return exchange.Gone()
--- /dev/null
+++ b/lentilmoor/edge/hub.py
@@ -0,0 +1,95 @@
+"""What one entry knows from the reports of all.
+
+Requests under way add up over entries, which tells a server's backlog far
+better than what the server told one of them a while ago. Requests that crash
+their servers are found here too, as each attempt may come through another
+entry.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import threading
+
+# A report counts for so long; entries report several times as often.
+FRESH_MS = 1_200.0
+# A request whose servers broke off so often, with no answer in between, is
+# blocked: two in a row happen to sound requests when servers are lost.
+MOST_CRASHES = 3
+# It is forgotten after this time.
+BLOCKED_MS = 30_000.0
+_MOST_FINGERPRINTS = 4_096
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """A request whose servers broke off.
+
+    Attributes:
+      crashes: How often.
+      seen_at: When it was last seen, ms.
+    """
+
+    crashes: int
+    seen_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class HubTable:
+    """Reports by entry, and suspects by fingerprint; for many threads."""
+
+    inflight: dict[str, tuple[float, dict[str, int]]] = dataclasses.field(
+        default_factory=dict)
+    suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+
+def note_inflight(table: HubTable, entry: str, inflight: dict[str, int],
+                  now: float) -> None:
+    """Takes in an entry's requests under way."""
+    with table.lock:
+        table.inflight[entry] = (now, inflight)
+
+
+def count_others(table: HubTable, entry: str, now: float) -> dict[str, int]:
+    """Returns requests under way at servers, less those of one entry."""
+    totals: dict[str, int] = {}
+    with table.lock:
+        for name, (at, counts) in list(table.inflight.items()):
+            if now - at > FRESH_MS:
+                del table.inflight[name]
+            elif name != entry:
+                for server, count in counts.items():
+                    totals[server] = totals.get(server, 0) + count
+    return totals
+
+
+def note_crashes(table: HubTable, crashed: Iterable[str],
+                 cleared: Iterable[str], now: float) -> None:
+    """Takes in requests whose servers broke off, and those answered since."""
+    with table.lock:
+        for fingerprint in cleared:
+            table.suspects.pop(fingerprint, None)
+        for fingerprint in crashed:
+            suspect = table.suspects.setdefault(fingerprint, Suspect(0, now))
+            suspect.crashes += 1
+            suspect.seen_at = now
+        if len(table.suspects) > _MOST_FINGERPRINTS:
+            table.suspects.pop(next(iter(table.suspects)))
+
+
+def list_blocked(table: HubTable, now: float) -> list[str]:
+    """Returns fingerprints of requests that crash their servers."""
+    with table.lock:
+        for name, item in list(table.suspects.items()):
+            if now - item.seen_at > BLOCKED_MS:
+                del table.suspects[name]
+        return [
+            name for name, item in table.suspects.items()
+            if item.crashes >= MOST_CRASHES
+        ]
+
+
+def list_suspects(table: HubTable) -> list[str]:
+    """Returns fingerprints whose next answer is to be reported."""
+    with table.lock:
+        return list(table.suspects)
--- a/lentilmoor/edge/keyranges.py
+++ b/lentilmoor/edge/keyranges.py
@@ -57,6 +57,11 @@
     return found if key <= found.last else None
 
 
+def is_newer(one: Assignment, other: Assignment) -> bool:
+    """Returns whether an assignment follows another of the same service."""
+    return (one.term, one.next_fence) > (other.term, other.next_fence)
+
+
 def divide_evenly(servers: Iterable[str], weights: dict[str, float],
                   fence: int) -> tuple[KeyRange, ...]:
     """Divides all keys into one range for each server, by weight."""
@@ -96,6 +101,42 @@
     return tuple(merged)
 
 
+def join_neighbours(
+        ranges: Iterable[KeyRange], fence: int,
+        kept: Iterable[tuple[int, int]]) -> tuple[tuple[KeyRange, ...], int]:
+    """Joins neighbours with the same owner under new fences.
+
+    Each range is renewed by a call of its own; hot keys that moved would leave
+    ever more of them.
+
+    Args:
+      ranges: Sorted by key.
+      fence: Above every fence used so far.
+      kept: First and last keys of ranges that are to stay as they are.
+
+    Returns:
+      The ranges, and the next fence.
+    """
+    fixed = set(kept)
+    joined: list[KeyRange] = []
+    fresh = False
+    for item in ranges:
+        before = joined[-1] if joined else None
+        if (before and before.last + 1 == item.first and
+                before.server == item.server and
+                (item.first, item.last) not in fixed and
+                (before.first, before.last) not in fixed):
+            fence += not fresh
+            joined[-1] = dataclasses.replace(before,
+                                             last=item.last,
+                                             fence=fence - 1)
+            fresh = True
+        else:
+            joined.append(item)
+            fresh = False
+    return tuple(joined), fence
+
+
 def intersect(ranges: Iterable[KeyRange], first: int,
               last: int) -> list[KeyRange]:
     """Returns what ranges hold of the keys from first to last."""
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -213,6 +213,5 @@
 
 def _refuse(request: cheroot_server.HTTPRequest,
             outcome: outcomes.NotRun | outcomes.Unknown) -> None:
-    responses.write_problem(request, problems.make(outcome, exact=True))
-
-
+    responses.write_problem(
+        request, problems.make(outcome, exact=True, retryable=True))
--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -7,52 +7,25 @@
 
 from collections.abc import Iterable
 import dataclasses
-import json
 
 from lentilmoor.edge import rebalancing
+from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 
 # A request counts for half after this time: hot keys move within seconds, and
 # the counts of a service's usual load still add up to some hundreds.
-HALF_MS = 2_500.0
+HALF_MS = 4_000.0
 # Weight of the newest answer in a server's mean time of work.
 NEWEST = 0.04
-# Answers after which the mean of a server is trusted.
-TRUSTED = 12
+# Answers of the service's mean that a server without any is taken to have
+# given: times of work vary as much as their mean.
+PRIOR = 4
 SLOWEST, FASTEST = 0.25, 3.0
 # A cold server takes twice as long.
 COLD_CAPACITY = 0.6
 _REFRESH_MS = 500.0
 _FORGOTTEN = 0.05
 
-Row = tuple[int, str, float]
-"""Key, server id, time of work in ms."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
-    """Requests for keys, by service."""
-
-    rows: dict[str, list[Row]]
-
-
-def encode_report(report: Report) -> bytes:
-    """Returns a report as it travels between entries."""
-    return json.dumps(report.rows, separators=(',', ':')).encode()
-
-
-def decode_report(data: bytes) -> Report | None:
-    """Returns a report, or None if it doesn't parse."""
-    try:
-        return Report({
-            str(service): [(int(key), str(server), float(work_ms))
-                           for key, server, work_ms in rows]
-            for service, rows in json.loads(data).items()
-        })
-    except (ValueError, AttributeError, TypeError):
-        return None
-
-
 @dataclasses.dataclass(slots=True)
 class WorkMean:
     """Mean time of work of a server.
@@ -85,7 +58,7 @@
         default_factory=lambda: rebalancing.KeyLoads({}))
     cached_at: float = float('-inf')
 
-    def add(self, rows: Iterable[Row], now: float) -> None:
+    def add(self, rows: Iterable[reports.Row], now: float) -> None:
         """Takes in reported requests."""
         self._fade(now)
         for key, server, work_ms in rows:
@@ -107,26 +80,22 @@
                    now: float) -> dict[str, float]:
         """Returns the relative speed of servers, by id."""
         servers = list(servers)
-        known = [
-            self.works[server.id].ms
-            for server in servers
-            if self._is_trusted(server.id)
-        ]
-        usual = sum(known) / len(known) if known else 1.0
+        known = [self.works[item.id] for item in servers
+                 if item.id in self.works]
+        usual = _mean(known)
         capacities = {}
         for server in servers:
+            mean = self.works.get(server.id)
             capacity = 1.0
-            if self._is_trusted(server.id):
-                capacity = usual / max(0.1, self.works[server.id].ms)
+            if mean is not None and usual > 0:
+                weight = min(mean.count, 1 / NEWEST)
+                work_ms = (weight * mean.ms + PRIOR * usual) / (weight + PRIOR)
+                capacity = usual / max(0.1, work_ms)
             if server.warm_at > now:
                 capacity = min(capacity, COLD_CAPACITY)
             capacities[server.id] = min(FASTEST, max(SLOWEST, capacity))
         return capacities
 
-    def _is_trusted(self, name: str) -> bool:
-        mean = self.works.get(name)
-        return mean is not None and mean.count >= TRUSTED
-
     def _fade(self, now: float) -> None:
         factor = 0.5**((now - self.faded_at) / HALF_MS)
         if factor > 0.98:
@@ -137,3 +106,9 @@
             for key, count in self.counts.items()
             if count * factor > _FORGOTTEN
         }
+
+
+def _mean(known: list[WorkMean]) -> float:
+    """Returns the mean over servers, by number of answers."""
+    count = sum(item.count for item in known)
+    return sum(item.ms * item.count for item in known) / count if count else 0.0
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -13,8 +13,10 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import tables
 
-# What a server told of its load counts for half after this time.
-TOLD_HALF_MS = 250.0
+# The load that others put on a server is told several times a second; what is
+# older than this fades, to half in so much time.
+TOLD_FRESH_MS = 600.0
+TOLD_HALF_MS = 500.0
 # Weight of the newest answer in the mean time of work.
 NEWEST = 0.1
 # Mean time of work of a server that has not answered yet, unless others of
@@ -35,6 +37,8 @@
 # answers, whose bytes between failure domains are paid for.
 AWAY_MS = 3.0
 AWAY_LARGE_MS = 25.0
+# A server that can't be reached so soon after it broke requests off crashed.
+CRASH_MS = 1_500.0
 # Part of a failure that is forgotten with each good answer.
 _HEAL = 0.8
 
@@ -46,11 +50,12 @@
     Attributes:
       inflight: Own requests under way there.
       work_ms: Mean time of work; 0 if unknown.
-      others: Requests of other entries there, when it last told.
+      others: Requests of other entries there, when last told.
       told_at: When that was, ms.
       avoid_until: Not to be used before, ms.
       refusals: Connections in a row that failed.
       failing: Part of the last requests that failed, 0 to 1.
+      broken: Fingerprints of requests that it broke off, and when, ms.
     """
 
     inflight: int = 0
@@ -60,6 +65,7 @@
     avoid_until: float = 0.0
     refusals: int = 0
     failing: float = 0.0
+    broken: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,7 +140,8 @@
     mean = state.work_ms or work_ms or FIRST_WORK_MS
     if server.warm_at > now:
         mean = max(mean, work_ms * COLD_FACTOR)
-    fade = 0.5**((now - state.told_at) / TOLD_HALF_MS)
+    stale_ms = max(0.0, now - state.told_at - TOLD_FRESH_MS)
+    fade = 0.5**(stale_ms / TOLD_HALF_MS)
     ahead = state.inflight + state.others * fade
     waits = max(0.0, ahead + 1.0 - server.slots) / server.slots
     return mean * (1.0 + waits), ahead >= server.slots + QUEUE
@@ -206,6 +213,24 @@
     state.avoid_until = now + pause_ms
 
 
+def take_crashed(state: ServerState, now: float) -> list[str]:
+    """Returns what a server broke off just before it could not be reached.
+
+    A connection may break for many reasons. That its server is down right
+    after tells that it crashed with the request.
+
+    Args:
+      state: The server's.
+      now: ms.
+    """
+    crashed = [
+        fingerprint for fingerprint, at in state.broken
+        if now - at <= CRASH_MS
+    ]
+    state.broken.clear()
+    return crashed
+
+
 def note_left(state: ServerState) -> None:
     """Counts out a request that was given up, which tells nothing."""
     state.inflight -= 1
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -61,8 +61,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Coordinator:
-    """Who coordinates a keyed service.
+class Peer:
+    """Another entry, or this one as the others know it.
 
     Attributes:
       instance: Its id, new with each start of its process.
@@ -90,15 +90,15 @@
       servers: By id.
       coordinators: By service.
       assignments: By service.
-      entries: Instance ids of entries that registered.
+      entries: Entries that registered, by instance id.
       revision: Where to go on watching.
     """
 
     configuration: tables.Configuration | None
     servers: Mapping[str, tables.Server]
-    coordinators: Mapping[str, Coordinator]
+    coordinators: Mapping[str, Peer]
     assignments: Mapping[str, SavedAssignment]
-    entries: frozenset[str]
+    entries: Mapping[str, Peer]
     revision: int
 
 
@@ -126,8 +126,8 @@
       open_lease: (ttl_ms) -> a lease.
       keep_lease: (lease) -> None, or NOT_FOUND if it has ended.
       end_lease: Ends a lease.
-      take_role: (service, coordinator, lease) -> None, or CONFLICT.
-      register: (instance, lease) -> None: makes an entry known.
+      take_role: (service, peer, lease) -> None, or CONFLICT.
+      register: (peer, lease) -> None: makes an entry known.
       save: (assignment, revision or 0 if there is none, service) -> revision,
         CONFLICT, or another failure after which it may be done.
     """
@@ -137,8 +137,8 @@
     open_lease: Callable[[float], Lease | outcomes.Failed]
     keep_lease: Callable[[Lease], None | outcomes.Failed]
     end_lease: Callable[[Lease], None | outcomes.Failed]
-    take_role: Callable[[str, Coordinator, Lease], None | outcomes.Failed]
-    register: Callable[[str, Lease], None | outcomes.Failed]
+    take_role: Callable[[str, Peer, Lease], None | outcomes.Failed]
+    register: Callable[[Peer, Lease], None | outcomes.Failed]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
 
 
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -15,8 +15,9 @@
 
 # A server gives keys away if it has this much more than its share.
 SURPLUS_FACTOR = 1.25
-# It goes on to give until it is this close to its share.
-SETTLED_FACTOR = 1.08
+# And if its surplus is this many times what chance alone makes of it: a count
+# varies by its square root.
+SURPLUS_DEVIATIONS = 2.0
 # A server without keys takes this part of its share at once.
 JOIN_PART = 0.7
 # Moves planned at once: each costs a release and a grant.
@@ -83,7 +84,7 @@
           amount: Load wanted.
         """
         keys = self.list_keys(first, last)
-        best: tuple[int, int] | None = None
+        runs = []
         start, load = 0, 0.0
         for end, (key, added) in enumerate(keys):
             load += added
@@ -91,10 +92,8 @@
                 load -= keys[start][1]
                 start += 1
             if load >= amount:
-                run = (keys[start][0], key)
-                if best is None or run[1] - run[0] < best[1] - best[0]:
-                    best = run
-        return best
+                runs.append((keys[start][0], key))
+        return min(runs, key=_find_width, default=None)
 
     def cut(self, first: int, last: int,
             pieces: int) -> list[tuple[int, int]]:
@@ -193,6 +192,8 @@
         if ratios[source] < least:
             return None
         surplus = held[source] - capacities[source] * total / capacity
+        if not joins and surplus < SURPLUS_DEVIATIONS * held[source]**0.5:
+            continue
         if joins:
             surplus = max(surplus, room / 2)
         transfer = _pick_keys(owned, loads, source, target, min(surplus, room))
@@ -204,13 +205,12 @@
 def _pick_keys(owned: list[keyranges.KeyRange], loads: KeyLoads, source: str,
                target: str, amount: float) -> Transfer | None:
     """Picks the narrowest run of the source's keys that carries a load."""
-    best: tuple[int, int] | None = None
-    for item in owned:
-        if item.server != source:
-            continue
-        run = loads.find_run(item.first, item.last, amount * 0.9)
-        if run and (best is None or run[1] - run[0] < best[1] - best[0]):
-            best = run
+    runs = [
+        loads.find_run(item.first, item.last, amount * 0.9)
+        for item in owned
+        if item.server == source
+    ]
+    best = min(filter(None, runs), key=_find_width, default=None)
     if best is None:
         return _pick_widest(owned, loads, source, target, amount)
     if loads.measure(*best) > amount * 1.6:
@@ -248,3 +248,7 @@
     width = last - first + 1
     ends = [first + width * part // pieces for part in range(pieces + 1)]
     return [(ends[part], ends[part + 1] - 1) for part in range(pieces)]
+
+
+def _find_width(run: tuple[int, int]) -> int:
+    return run[1] - run[0]
--- /dev/null
+++ b/lentilmoor/edge/reporting.py
@@ -0,0 +1,162 @@
+"""Exchanges reports with the hub, several times a second.
+
+The hub is the coordinator of a keyed service. Without one it is the entry
+with the lowest id, on which all agree without asking.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from lentilmoor import clocks
+from lentilmoor import httpcalls
+from lentilmoor import outcomes
+from lentilmoor.edge import control
+from lentilmoor.edge import forwarding
+from lentilmoor.edge import hub
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import ports
+from lentilmoor.edge import reports
+
+PATH = '/report'
+# Pause between two reports: a few times as long as a request takes. With many
+# entries it grows, so that the hub answers 125 reports a second at most, about
+# an eighth of a core.
+REPORT_MS = 250.0
+REPORT_PER_ENTRY_MS = 8.0
+# Reports that a moved key asks for come no closer than this.
+HURRY_MS = 25.0
+TIMEOUT_MS = 300.0
+
+
+@dataclasses.dataclass(slots=True)
+class Reporter:
+    """What the exchange needs.
+
+    Attributes:
+      instance: This process's id.
+      forwarder: What request threads share.
+      caller: Makes calls to other entries.
+      tell: Sends the control actor a message.
+      table: What was reported to this entry.
+    """
+
+    instance: str
+    forwarder: forwarding.Forwarder
+    caller: httpcalls.Caller
+    tell: Callable[[object], None]
+    table: hub.HubTable = dataclasses.field(default_factory=hub.HubTable)
+
+
+def report(reporter: Reporter) -> None:
+    """Reports for as long as the process lives."""
+    forwarder = reporter.forwarder
+    while True:
+        entries = len(forwarder.snapshot.entries)
+        pause_ms = max(REPORT_MS, REPORT_PER_ENTRY_MS * entries)
+        forwarder.hurry.wait(pause_ms / clocks.MS_PER_S)
+        forwarder.hurry.clear()
+        _exchange(reporter)
+        if forwarder.hurry.wait(HURRY_MS / clocks.MS_PER_S):
+            forwarder.hurry.clear()
+            _exchange(reporter)
+
+
+def answer(reporter: Reporter, found: reports.Report) -> reports.Reply:
+    """Takes in an entry's report and returns what follows from all."""
+    now = reporter.forwarder.clock.now()
+    table = reporter.table
+    hub.note_inflight(table, found.entry, found.inflight, now)
+    hub.note_crashes(table, found.crashed, found.cleared, now)
+    if found.rows:
+        reporter.tell(control.Reported(found.rows))
+    assignments = {
+        name: item
+        for name, item in reporter.forwarder.snapshot.assignments.items()
+        if item.next_fence > found.known.get(name, 0)
+    }
+    return reports.Reply(hub.count_others(table, found.entry, now),
+                         assignments, hub.list_suspects(table),
+                         hub.list_blocked(table, now))
+
+
+def _exchange(reporter: Reporter) -> None:
+    peers = _find_hubs(reporter)
+    rows = _take_rows(reporter.forwarder)
+    crashed, cleared = _take_crashes(reporter.forwarder)
+    for peer, services in peers.items():
+        found = reports.Report(
+            reporter.instance,
+            {name: rows[name] for name in services if name in rows},
+            _count_inflight(reporter.forwarder), {
+                name: item.next_fence for name, item in
+                reporter.forwarder.snapshot.assignments.items()
+            }, crashed, cleared)
+        reply = _send(reporter, peer, found)
+        if reply is not None:
+            _apply(reporter, reply)
+
+
+def _find_hubs(reporter: Reporter) -> dict[ports.Peer, set[str]]:
+    """Returns whom to report to, and which services' keys to tell them."""
+    snapshot = reporter.forwarder.snapshot
+    peers: dict[ports.Peer, set[str]] = {}
+    for service, peer in sorted(snapshot.coordinators.items()):
+        peers.setdefault(peer, set()).add(service)
+    if not peers and snapshot.entries:
+        first = min(snapshot.entries)
+        peers[snapshot.entries[first]] = set()
+    return peers
+
+
+def _send(reporter: Reporter, peer: ports.Peer,
+          found: reports.Report) -> reports.Reply | None:
+    if peer.instance == reporter.instance:
+        return answer(reporter, found)
+    result = reporter.caller.call(
+        peer.address,
+        httpcalls.Request('POST', PATH, reports.encode_report(found)),
+        TIMEOUT_MS)
+    if isinstance(result, outcomes.Failed) or result.status != 200:
+        return None
+    return reports.decode_reply(result.body)
+
+
+def _apply(reporter: Reporter, reply: reports.Reply) -> None:
+    forwarder = reporter.forwarder
+    now = forwarder.clock.now()
+    with forwarder.lock:
+        for name, state in forwarder.states.items():
+            state.others = float(reply.others.get(name, 0))
+            state.told_at = now
+    forwarder.watched = frozenset(reply.watched)
+    forwarder.blocked = frozenset(reply.blocked)
+    for name, item in reply.assignments.items():
+        known = forwarder.snapshot.assignments.get(name)
+        if known is None or keyranges.is_newer(item, known):
+            reporter.tell(control.AssignmentHeard(item))
+
+
+def _take_rows(
+        forwarder: forwarding.Forwarder) -> dict[str, list[reports.Row]]:
+    samples, forwarder.samples = forwarder.samples, []
+    rows: dict[str, list[reports.Row]] = {}
+    for item in samples:
+        rows.setdefault(item.service, []).append(
+            (item.key, item.server, round(item.work_ms, 1)))
+    return rows
+
+
+def _take_crashes(
+        forwarder: forwarding.Forwarder) -> tuple[list[str], list[str]]:
+    crashed, forwarder.crashed = forwarder.crashed, []
+    cleared, forwarder.cleared = forwarder.cleared, []
+    return crashed, cleared
+
+
+def _count_inflight(forwarder: forwarding.Forwarder) -> dict[str, int]:
+    with forwarder.lock:
+        return {
+            name: state.inflight
+            for name, state in forwarder.states.items()
+            if state.inflight > 0
+        }
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -141,11 +141,11 @@
       servers: By service, then by id.
       assignments: Owners of keys, by service (see `keyranges`).
       coordinators: Who coordinates a service (see `ports`), by service.
-      entries: Entries that share the work, this one included.
+      entries: Entries that registered (see `ports`), by instance id.
     """
 
     configuration: Configuration | None
     servers: dict[str, dict[str, Server]]
     assignments: dict
     coordinators: dict
-    entries: int = 1
+    entries: dict
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -10,6 +10,7 @@
 
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
+from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 
 # `download` is a large answer to a request that may be repeated.
@@ -127,32 +128,21 @@
       assignment: The assignment.
       author: What no other write has, to tell it from a rival's.
     """
-    rows = [[item.first, item.last, item.server, item.fence]
-            for item in assignment.ranges]
-    return json.dumps(
-        {
-            'service': assignment.service,
-            'term': assignment.term,
-            'next_fence': assignment.next_fence,
-            'author': author,
-            'ranges': rows,
-        },
-        separators=(',', ':')).encode()
+    fields = reports.write_assignment(assignment)
+    return json.dumps(fields | {'author': author},
+                      separators=(',', ':')).encode()
 
 
 def read_assignment(data: bytes) -> keyranges.Assignment:
     """Reads what `write_assignment` wrote."""
-    fields = json.loads(data)
-    return keyranges.Assignment(
-        fields['service'], fields['term'], fields['next_fence'],
-        tuple(keyranges.KeyRange(*row) for row in fields['ranges']))
+    return reports.read_assignment(json.loads(data))
 
 
-def write_coordinator(coordinator: ports.Coordinator) -> bytes:
-    """Returns the form in which a coordinator is kept."""
-    return json.dumps([coordinator.instance, coordinator.address]).encode()
+def write_peer(peer: ports.Peer) -> bytes:
+    """Returns the form in which an entry is kept."""
+    return json.dumps([peer.instance, peer.address]).encode()
 
 
-def read_coordinator(data: bytes) -> ports.Coordinator:
-    """Reads what `write_coordinator` wrote."""
-    return ports.Coordinator(*json.loads(data))
+def read_peer(data: bytes) -> ports.Peer:
+    """Reads what `write_peer` wrote."""
+    return ports.Peer(*json.loads(data))
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -216,15 +216,17 @@
         fields = client.call('DELETE', f'/-/kv-lease-end/{lease.id}')
         return fields if isinstance(fields, outcomes.Failed) else None
 
-    def take_role(service: str, coordinator: ports.Coordinator,
+    def take_role(service: str, coordinator: ports.Peer,
                   lease: ports.Lease) -> outcomes.Failed | None:
         done = client.swap(COORDINATORS + service,
-                           documents.write_coordinator(coordinator), 0,
+                           documents.write_peer(coordinator), 0,
                            lease.id)
         return done if isinstance(done, outcomes.Failed) else None
 
-    def register(instance: str, lease: ports.Lease) -> outcomes.Failed | None:
-        done = client.swap(ENTRIES + instance, b'', 0, lease.id)
+    def register(peer: ports.Peer,
+                 lease: ports.Lease) -> outcomes.Failed | None:
+        done = client.swap(ENTRIES + peer.instance, documents.write_peer(peer),
+                           0, lease.id)
         return done if isinstance(done, outcomes.Failed) else None
 
     def save(assignment: keyranges.Assignment,
@@ -236,7 +238,7 @@
                        take_role, register, save)
 
 
-_EMPTY = ports.Everything(None, {}, {}, {}, frozenset(), 0)
+_EMPTY = ports.Everything(None, {}, {}, {}, {}, 0)
 
 
 class _Folder:
@@ -266,7 +268,7 @@
         servers = dict(before.servers)
         coordinators = dict(before.coordinators)
         assignments = dict(before.assignments)
-        entries = set(before.entries)
+        entries = dict(before.entries)
         for item in items:
             if item.key == CONFIGURATION:
                 configuration = self._read_configuration(item, configuration)
@@ -274,14 +276,13 @@
                 self._put_server(servers, item)
             elif item.key.startswith(COORDINATORS):
                 _put(coordinators, item, COORDINATORS,
-                     documents.read_coordinator)
+                     documents.read_peer)
             elif item.key.startswith(ASSIGNMENTS):
                 _put(assignments, item, ASSIGNMENTS, _make_reader(item))
             elif item.key.startswith(ENTRIES):
-                name = item.key.removeprefix(ENTRIES)
-                (entries.discard if item.value is None else entries.add)(name)
+                _put(entries, item, ENTRIES, documents.read_peer)
         return ports.Everything(configuration, servers, coordinators,
-                                assignments, frozenset(entries), revision)
+                                assignments, entries, revision)
 
     def _read_configuration(
             self, item: _Item,
--- a/lentilmoor/problems.py
+++ b/lentilmoor/problems.py
@@ -71,6 +71,10 @@
     _Reason.NOT_FOUND: http.HTTPStatus.NOT_FOUND,
     _Reason.INVALID: http.HTTPStatus.UNPROCESSABLE_ENTITY,
 }
+# Sending such a request again will not help.
+_FAULTY_REQUESTS = frozenset(
+    (_Reason.BAD_REQUEST, _Reason.UNKNOWN_SERVICE, _Reason.MISSING_KEY,
+     _Reason.BODY_TOO_LARGE, _Reason.NOT_AUTHORIZED))
 
 
 def pick_status(outcome: outcomes.NotRun | outcomes.Unknown) -> int:
@@ -91,15 +95,21 @@
 
 def make(outcome: outcomes.NotRun | outcomes.Unknown,
          instance: str = '',
-         exact: bool = False) -> Problem:
+         exact: bool = False,
+         retryable: bool = False) -> Problem:
     """Returns the response that tells a caller of an outcome.
 
     Args:
       outcome: What became of the request.
       instance: The entry that gave the outcome, if it is to be shown.
       exact: Whether callers understand fractions of a second to wait.
+      retryable: Whether callers may send again whatever was not run, unless
+        the request itself is at fault.
     """
     status = pick_status(outcome)
+    if (retryable and isinstance(outcome, outcomes.NotRun) and
+            outcome.reason not in _FAULTY_REQUESTS):
+        status = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
     kind = _kind_of(outcome)
     retry_after_ms = getattr(outcome, 'retry_after_ms', 0)
     members = {
