Never wait for the caller when asking whether it has left

Change: poll first. A length beside a chunked body is answered 400, not 500. Tests: entries as processes against stand-ins of the store and the servers.

--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -124,7 +124,12 @@
 
     def is_gone(self) -> bool:
         """Returns whether the caller has closed its connection."""
+        poll = select.poll()
         try:
+            poll.register(self._connection, select.POLLIN)
+            # A socket with a timeout waits in `recv`, whatever its flags say.
+            if not poll.poll(0):
+                return False
             data = self._connection.recv(1,
                                          socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -150,10 +150,10 @@
 def _read_body(request: cheroot_server.HTTPRequest,
                limit: int) -> bytes | outcomes.NotRun:
     if request.chunked_read:
+        request.rfile = chunks.ChunkedBody(request.conn.rfile)
         if b'Content-Length' in request.inheaders:
             return outcomes.NotRun(_Reason.BAD_REQUEST,
                                    'a length beside a chunked body')
-        request.rfile = chunks.ChunkedBody(request.conn.rfile)
         length = None
     else:
         length = int(request.inheaders.get(b'Content-Length', 0))
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,277 @@
+"""Stand-in of the users' backend servers, over HTTP.
+
+Registers in the store, enforces grants of keys, runs a few requests at a time
+and can misbehave: lose, cut, double and spoil its answers, crash, apply grants
+late. It keeps a journal of what it ran.
+"""
+
+import contextlib
+import dataclasses
+import http.server
+import json
+import socket
+import threading
+import time
+import uuid
+
+_MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A request that was run."""
+
+    request_id: str
+    key: int | None
+    method: str
+    path: str
+    body: bytes
+    began: float
+    ended: float
+
+
+@dataclasses.dataclass
+class Faults:
+    """How the server misbehaves.
+
+    Attributes:
+      answer: What becomes of the next answers: 'lost', 'cut', 'double',
+        'spoiled', 'unframed' or 'failed'; '' is whole.
+      count: How many answers it befalls.
+      late_grant_s: Grants are applied so much later, and not answered.
+    """
+
+    answer: str = ''
+    count: int = 0
+    late_grant_s: float = 0.0
+
+
+class PlatformServer:
+    """A server; `address` is where it listens."""
+
+    def __init__(self, store, service: str, keyed: bool = False, port: int = 0):
+        self.id = 'i-' + uuid.uuid4().hex[:10]
+        self.service, self.keyed, self.store = service, keyed, store
+        self.work_s = 0.005
+        self.journal: list[Run] = []
+        self.arrivals = 0
+        self.cancelled = 0
+        self.grants: list[dict] = []
+        self.held: list[tuple[int, int, int, float]] = []
+        self.seen: list[tuple[int, int, int]] = []
+        self.open: set[socket.socket] = set()
+        self.faults = Faults()
+        self.lock = threading.Lock()
+        self.slots = threading.Semaphore(2)
+        self._server = http.server.ThreadingHTTPServer(('127.0.0.1', port),
+                                                       _make_handler(self))
+        self._server.daemon_threads = True
+        host, port = self._server.server_address
+        self.port, self.address = port, f'{host}:{port}'
+        threading.Thread(target=self._server.serve_forever,
+                         daemon=True).start()
+        self.register()
+
+    def register(self, state: str = 'ready') -> None:
+        """Writes its entry."""
+        self.store.put(
+            f'servers/{self.id}', {
+                'Service': self.service,
+                'Addr': self.address,
+                'Zone': 'zone-a',
+                'Version': 'v1',
+                'Slots': 2,
+                'State': state,
+                'WarmupLeftMs': 0,
+                'Seq': 1
+            })
+
+    def close(self) -> None:
+        """Ends as a crash does; its entry stays until it is deleted."""
+        self._server.shutdown()
+        self._server.server_close()
+        with self.lock:
+            self.held.clear()
+            for connection in self.open:
+                with contextlib.suppress(OSError):
+                    connection.shutdown(socket.SHUT_RDWR)
+
+    def leave(self) -> None:
+        """Deletes its entry and ends."""
+        self.store.delete(f'servers/{self.id}')
+        self.close()
+
+    def holds(self, key: int) -> bool:
+        """Returns whether it holds a key now."""
+        now = time.monotonic()
+        with self.lock:
+            return any(
+                first <= key <= last and until > now
+                for first, last, _, until in self.held)
+
+    def grant(self, fields: dict, arrived: float) -> int:
+        """Applies a grant and returns the status of its answer.
+
+        Args:
+          fields: Its body.
+          arrived: When it arrived, from which its time counts.
+        """
+        first, last = fields['From'], fields['To']
+        with self.lock:
+            self.grants.append(fields)
+            if any(f <= last and t >= first and fence > fields['fence']
+                   for f, t, fence in self.seen):
+                return 409
+            self.seen.append((first, last, fields['fence']))
+            self._cut(first, last)
+            until = arrived + fields['HoldMs'] / _MS_PER_S
+            self.held.append((first, last, fields['fence'], until))
+            return 200
+
+    def release(self, fields: dict) -> None:
+        """Takes keys back."""
+        with self.lock:
+            self._cut(fields['From'], fields['To'])
+
+    def _cut(self, first: int, last: int) -> None:
+        kept = []
+        for f, t, fence, until in self.held:
+            if t < first or f > last:
+                kept.append((f, t, fence, until))
+                continue
+            if f < first:
+                kept.append((f, first - 1, fence, until))
+            if t > last:
+                kept.append((last + 1, t, fence, until))
+        self.held = kept
+
+
+def _make_handler(server: PlatformServer):
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        """Answers requests and control calls."""
+
+        protocol_version = 'HTTP/1.1'
+
+        def setup(self) -> None:
+            """Remembers the connection."""
+            super().setup()
+            with server.lock:
+                server.open.add(self.connection)
+
+        def finish(self) -> None:
+            """Forgets the connection; the caller may be gone."""
+            with server.lock:
+                server.open.discard(self.connection)
+            with contextlib.suppress(OSError):
+                super().finish()
+
+        def log_message(self, *unused_args) -> None:
+            """Writes nothing."""
+
+        def _handle(self) -> None:
+            length = int(self.headers.get('Content-Length') or 0)
+            body = self.rfile.read(length)
+            if self.path == '/-/grant':
+                self._grant(json.loads(body))
+            elif self.path == '/-/release':
+                server.release(json.loads(body))
+                self._send(200, b'', {'Lentilmoor-Handover': 'token'})
+            else:
+                self._serve(body)
+
+        do_GET = do_POST = do_PUT = _handle  # pylint: disable=invalid-name
+
+        def _grant(self, fields: dict) -> None:
+            if server.faults.late_grant_s:
+                threading.Timer(server.faults.late_grant_s, server.grant,
+                                (fields, time.monotonic())).start()
+                time.sleep(1.0)
+                self.close_connection = True
+                return
+            self._send(server.grant(fields, time.monotonic()), b'')
+
+        def _serve(self, body: bytes) -> None:
+            server.arrivals += 1
+            expected = self.headers.get('Lentilmoor-Expect-Instance')
+            text = self.headers.get('Lentilmoor-Shard-Key')
+            key = int(text) if text else None
+            if expected != server.id or (server.keyed and
+                                         not server.holds(key)):
+                self._send(421, b'', {'Lentilmoor-Not-Executed': '1'})
+                return
+            with server.slots:
+                began = time.monotonic()
+                if not self._work():
+                    server.cancelled += 1
+                    self.close_connection = True
+                    return
+                request_id = self.headers.get('Lentilmoor-Attempt-Id', '')
+                server.journal.append(
+                    Run(request_id, key, self.command, self.path, body, began,
+                        time.monotonic()))
+            self._reply(request_id)
+
+        def _work(self) -> bool:
+            """Works; returns whether the caller stayed."""
+            until = time.monotonic() + server.work_s
+            while (left := until - time.monotonic()) > 0:
+                time.sleep(min(left, 0.02))
+                self.connection.settimeout(0.0)
+                try:
+                    if not self.connection.recv(1, socket.MSG_PEEK):
+                        return False
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    return False
+                finally:
+                    with contextlib.suppress(OSError):
+                        self.connection.settimeout(None)
+            return True
+
+        def _reply(self, request_id: str) -> None:
+            faults, fault = server.faults, ''
+            if faults.count > 0:
+                faults.count -= 1
+                fault = faults.answer
+            body = f'{server.id} {self.path}'.encode()
+            headers = {
+                'Lentilmoor-Attempt-Id': request_id,
+                'Lentilmoor-Upstream-Seal': 'seal.' + request_id,
+                'Lentilmoor-Upstream-Load': '1,0,2'
+            }
+            if fault == 'lost':
+                self.close_connection = True
+            elif fault == 'spoiled':
+                self.wfile.write(b'\x00garbage\r\n\r\n')
+                self.close_connection = True
+            elif fault == 'cut':
+                self._send(200, body[:3], headers, len(body))
+                self.close_connection = True
+            elif fault == 'failed':
+                self._send(500, b'failed', headers)
+            elif fault == 'unframed':
+                self._send(200, body, headers | {'Connection': 'close'}, -1)
+                self.close_connection = True
+            else:
+                self._send(200, body, headers)
+                if fault == 'double':
+                    self._send(200, body, headers)
+
+        def _send(self,
+                  status: int,
+                  body: bytes,
+                  headers: dict | None = None,
+                  length: int | None = None) -> None:
+            self.send_response(status)
+            for name, value in (headers or {}).items():
+                self.send_header(name, value)
+            if length != -1:
+                length = len(body) if length is None else length
+                self.send_header('Content-Length', str(length))
+            with contextlib.suppress(OSError):  # The caller may be gone.
+                self.end_headers()
+                self.wfile.write(body)
+
+    return Handler
--- /dev/null
+++ b/tests/platformhelp.py
@@ -0,0 +1,213 @@
+"""Runs entries as processes against the stand-ins of the users' platform."""
+
+import http.client
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import uuid
+
+from standins import platform_server
+from standins import platform_store
+
+HOST = 'shop.example'
+_BOUNDS = ('DrainMs=2000,GraceS=6,RetryRatio=0.2,RetrySlack=64,'
+           'RetryWindowS=10,HoldMaxMs=10000')
+
+
+def pick_port() -> int:
+    """Returns a port of loopback that is free now."""
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+        return listening.getsockname()[1]
+
+
+def make_configuration(version: int = 1, **changes) -> dict:
+    """Returns an operator's document with three routes.
+
+    Args:
+      version: Its version.
+      **changes: Routes that replace or join the usual ones, by name.
+    """
+    routes = {
+        'stock': {
+            'Host': HOST,
+            'Prefix': '/stock/',
+            'Type': 'idempotent',
+            'TimeoutMs': 2000,
+            'LatencyTargetMs': 200,
+            'Priority': 2,
+            'Attempts': 2,
+            'Service': 'catalog'
+        },
+        'order': {
+            'Host': HOST,
+            'Prefix': '/order/',
+            'Type': 'non_idempotent',
+            'TimeoutMs': 1000,
+            'LatencyTargetMs': 250,
+            'Priority': 1,
+            'Attempts': 2,
+            'Service': 'orders'
+        },
+        'report': {
+            'Host': HOST,
+            'Prefix': '/report/',
+            'Type': 'download',
+            'TimeoutMs': 1000,
+            'LatencyTargetMs': 250,
+            'Priority': 2,
+            'Attempts': 2,
+            'Service': 'orders'
+        }
+    }
+    service = {'HealthPath': '/healthz', 'MaxConns': 100}
+    return {
+        'Version': version,
+        'Routes': routes | changes,
+        'Services': {
+            'catalog': service | {
+                'Sharded': True,
+                'WarmS': 1.0
+            },
+            'orders': service
+        },
+        'Limits': {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 1048576,
+            'HeaderTimeoutMs': 3000,
+            'IdleTimeoutMs': 15000
+        },
+        'NotKnownYet': 1
+    }
+
+
+class Entry:
+    """An entry's process."""
+
+    def __init__(self, store, number: int = 1, seeds: str = ''):
+        self.ports = [pick_port() for _ in range(3)]
+        self.folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self.folder.name) / 'node.conf'
+        lines = [
+            f'Node=edge-{number}', 'Zone=zone-a', 'Listen.Front=' +
+            self._at(0), 'Listen.Ready=' + self._at(1), 'Listen.Control=' +
+            self._at(2), 'Limits.MemoryMb=300', 'Limits.MaxFds=4100',
+            f'Seeds={seeds}', f'Bounds={_BOUNDS}',
+            f'Platform.Addr={store.address}'
+        ]
+        path.write_text('\n'.join(lines), encoding='utf-8')
+        self.log = pathlib.Path(self.folder.name) / 'log'
+        with self.log.open('wb') as log:
+            # Ended by `close`, by its id.
+            self.process = subprocess.Popen(  # pylint: disable=consider-using-with
+                [sys.executable, '-m', 'lentilmoor.platform'],
+                env=os.environ | {'LENTILMOOR_BOOT': str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT)
+
+    def _at(self, index: int) -> str:
+        return f'127.0.0.1:{self.ports[index]}'
+
+    @property
+    def control(self) -> str:
+        """host:port for other entries."""
+        return self._at(2)
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer would send callers."""
+        try:
+            return ask(self.ports[1], '/-/readyz')[0] == 200
+        except OSError:
+            return False
+
+    def await_ready(self, seconds: float = 15.0) -> None:
+        """Waits until it is ready."""
+        wait_until(self.is_ready, seconds, self.read_log)
+
+    def read_log(self) -> str:
+        """Returns what it wrote."""
+        return self.log.read_text(encoding='utf-8')
+
+    def call(self, path: str, key: int | None = None, **options):
+        """Sends it a request; returns status, headers and body."""
+        return ask(self.ports[0], path, key, **options)
+
+    def stop(self) -> None:
+        """Sends SIGTERM."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def close(self) -> None:
+        """Ends the process."""
+        self.process.kill()
+        self.process.wait()
+        self.folder.cleanup()
+
+
+def ask(port: int,
+        path: str,
+        key: int | None = None,
+        method: str = 'GET',
+        body: bytes | None = None,
+        patience_ms: int = 2000,
+        request_id: str = '',
+        connection: http.client.HTTPConnection | None = None):
+    """Sends a request; returns status, headers and body."""
+    headers = {
+        'Host': HOST,
+        'Lentilmoor-Attempt-Id': request_id or uuid.uuid4().hex[:16],
+        'Lentilmoor-Deadline-Ms': str(patience_ms)
+    }
+    if key is not None:
+        headers['Lentilmoor-Shard-Key'] = str(key)
+    used = connection or http.client.HTTPConnection('127.0.0.1', port, 10)
+    try:
+        used.request(method, path, body, headers)
+        response = used.getresponse()
+        return response.status, response.headers, response.read()
+    finally:
+        if connection is None:
+            used.close()
+
+
+def wait_until(check, seconds: float, explain=lambda: '') -> None:
+    """Waits until a check holds."""
+    until = time.monotonic() + seconds
+    while not check():
+        if time.monotonic() > until:
+            raise AssertionError(f'not within {seconds} s\n{explain()[-3000:]}')
+        time.sleep(0.02)
+
+
+class Deployment:
+    """A store, servers and entries."""
+
+    def __init__(self, catalogs: int = 2, orders: int = 2, entries: int = 1):
+        self.store = platform_store.PlatformStore()
+        self.store.put('op/config', make_configuration())
+        self.catalogs = [
+            platform_server.PlatformServer(self.store, 'catalog', True)
+            for _ in range(catalogs)
+        ]
+        self.orders = [
+            platform_server.PlatformServer(self.store, 'orders')
+            for _ in range(orders)
+        ]
+        self.entries = [Entry(self.store, n + 1) for n in range(entries)]
+        for entry in self.entries:
+            entry.await_ready()
+        wait_until(
+            lambda: all(
+                any(server.holds(key) for server in self.catalogs)
+                for key in (0, 20_000, 40_000, 65_535)), 10)
+
+    def close(self) -> None:
+        """Ends everything that was started."""
+        for entry in self.entries:
+            entry.close()
+        for server in [*self.catalogs, *self.orders]:
+            server.close()
+        self.store.close()
--- /dev/null
+++ b/tests/test_platform_entry.py
@@ -0,0 +1,308 @@
+"""Tests of entries as processes, against stand-ins of the users' platform."""
+
+import http.client
+import json
+import socket
+import threading
+import time
+import unittest
+
+from standins import platform_server
+from tests import platformhelp
+
+
+class CalmTest(unittest.TestCase):
+
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = platformhelp.Deployment()
+        cls.entry = cls.deployment.entries[0]
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.deployment.close()
+
+    def setUp(self):
+        for server in [*self.deployment.catalogs, *self.deployment.orders]:
+            server.faults = platform_server.Faults()
+            server.work_s = 0.005
+
+    def _fault_all(self, answer: str, count: int = 1) -> None:
+        for server in self.deployment.orders:
+            server.faults = platform_server.Faults(answer, count)
+
+    def _runs_of(self, request_id: str) -> list[platform_server.Run]:
+        return [
+            run for server in self.deployment.orders for run in server.journal
+            if run.request_id == request_id
+        ]
+
+    def test_an_answer_comes_back_whole_with_its_proof(self):
+        status, headers, body = self.entry.call('/order/a%20b?x=1&y=%2F',
+                                                method='POST',
+                                                body=b'two drums',
+                                                request_id='r1')
+        self.assertEqual(status, 200)
+        self.assertEqual(headers['Lentilmoor-Upstream-Seal'], 'seal.r1')
+        self.assertTrue(body.endswith(b' /order/a%20b?x=1&y=%2F'))
+        run, = self._runs_of('r1')
+        self.assertEqual((run.method, run.body), ('POST', b'two drums'))
+
+    def test_each_key_reaches_the_server_that_holds_it(self):
+        for key in range(0, 65_536, 4_099):
+            status, _, _ = self.entry.call('/stock/lot', key)
+            self.assertEqual(status, 200)
+
+    def test_a_path_without_route_is_not_found(self):
+        self.assertEqual(self.entry.call('/nothing/here')[0], 404)
+        self.assertEqual(self.entry.call('/stock')[0], 404)
+
+    def test_a_read_whose_answer_is_lost_is_tried_elsewhere(self):
+        for fault in ('lost', 'cut', 'spoiled', 'failed'):
+            with self.subTest(fault=fault):
+                self.setUp()
+                self.deployment.orders[0].faults = platform_server.Faults(
+                    fault, 1)
+                self.deployment.orders[1].faults = platform_server.Faults()
+                status, headers, _ = self.entry.call('/report/x')
+                self.assertEqual(status, 200)
+                self.assertIn('Lentilmoor-Upstream-Seal', headers)
+
+    def test_an_order_whose_answer_is_lost_is_never_run_again(self):
+        for fault in ('lost', 'cut', 'spoiled'):
+            with self.subTest(fault=fault):
+                self._fault_all(fault)
+                status, headers, _ = self.entry.call('/order/x',
+                                                     method='POST',
+                                                     body=b'1',
+                                                     request_id='o-' + fault)
+                self.assertIn(status, (502, 504))
+                self.assertNotIn('Retry-After', headers)
+                self.assertNotIn('Lentilmoor-Upstream-Seal', headers)
+                self.assertEqual(len(self._runs_of('o-' + fault)), 1)
+
+    def test_a_second_answer_is_never_taken_for_the_next_one(self):
+        for number in range(12):
+            self._fault_all('double')
+            status, headers, _ = self.entry.call('/report/x',
+                                                 request_id=f'd{number}')
+            self.assertEqual(status, 200)
+            self.assertEqual(headers['Lentilmoor-Attempt-Id'], f'd{number}')
+
+    def test_an_answer_without_length_is_passed_on_whole(self):
+        self._fault_all('unframed')
+        status, headers, body = self.entry.call('/report/without-length')
+        self.assertEqual(status, 200)
+        self.assertEqual(int(headers['Content-Length']), len(body))
+        self.assertTrue(body.endswith(b'/report/without-length'))
+
+    def test_a_servers_own_failure_of_an_order_is_passed_on(self):
+        self._fault_all('failed')
+        status, headers, _ = self.entry.call('/order/x', method='POST')
+        self.assertEqual(status, 500)
+        self.assertIn('Lentilmoor-Upstream-Seal', headers)
+
+    def test_a_caller_that_leaves_ends_the_work(self):
+        for server in self.deployment.orders:
+            server.work_s = 1.0
+        before = sum(server.cancelled for server in self.deployment.orders)
+        with socket.create_connection(
+            ('127.0.0.1', self.entry.ports[0])) as caller:
+            caller.sendall(b'GET /report/slow HTTP/1.1\r\nHost: ' +
+                           platformhelp.HOST.encode() +
+                           b'\r\nLentilmoor-Attempt-Id: g1\r\n\r\n')
+            time.sleep(0.3)
+        platformhelp.wait_until(
+            lambda: sum(server.cancelled for server in self.deployment.orders
+                       ) > before, 0.5, self.entry.read_log)
+        platformhelp.wait_until(lambda: 'caller_left' in self.entry.read_log(),
+                                1.0)
+
+    def test_what_is_given_up_is_answered_at_the_routes_timeout(self):
+        for server in self.deployment.orders:
+            server.work_s = 3.0
+        began = time.monotonic()
+        status, _, _ = self.entry.call('/report/slow', patience_ms=5_000)
+        self.assertEqual(status, 504)
+        self.assertLess(time.monotonic() - began, 1.25)
+
+    def test_bad_input_is_refused_and_smuggles_nothing(self):
+        arrivals = sum(server.arrivals for server in self.deployment.orders)
+        for text in (
+                b'Content-Length: -1\r\n\r\n',
+                b'Content-Length: x\r\n\r\n',
+                b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'0\r\n\r\nGET /order/smuggled HTTP/1.1\r\n\r\n',
+                b'Transfer-Encoding: chunked\r\n\r\nzz\r\n'):
+            with socket.create_connection(
+                ('127.0.0.1', self.entry.ports[0])) as caller:
+                caller.sendall(b'POST /order/x HTTP/1.1\r\nHost: ' +
+                               platformhelp.HOST.encode() + b'\r\n' + text)
+                caller.settimeout(5)
+                self.assertIn(b'HTTP/1.1 400', caller.recv(100), text)
+        self.assertEqual(
+            sum(server.arrivals for server in self.deployment.orders), arrivals)
+
+
+class ChangeTest(unittest.TestCase):
+
+    def setUp(self):
+        self.deployment = platformhelp.Deployment()
+        self.addCleanup(self.deployment.close)
+        self.entry = self.deployment.entries[0]
+        self.store = self.deployment.store
+
+    def test_a_configuration_is_in_force_within_two_seconds(self):
+        new = platformhelp.make_configuration()['Routes']['report']
+        self.store.put(
+            'op/config',
+            platformhelp.make_configuration(2, new=new | {'Prefix': '/new/'}))
+        platformhelp.wait_until(lambda: self.entry.call('/new/x')[0] == 200,
+                                2.0)
+        # What doesn't parse, or is older, leaves the last one in force.
+        self.store.put('op/config', b'{"Version": 3, "Routes": 7}')
+        self.store.put('op/config', platformhelp.make_configuration(1))
+        time.sleep(1.0)
+        self.assertEqual(self.entry.call('/new/x')[0], 200)
+        self.assertIn('configuration_refused', self.entry.read_log())
+        self.assertIn('configuration_older', self.entry.read_log())
+
+    def test_a_history_that_is_gone_loses_no_change(self):
+        self.store.put('op/config', platformhelp.make_configuration(2))
+        self.store.forget()
+        new = platformhelp.make_configuration()['Routes']['report']
+        self.store.put(
+            'op/config',
+            platformhelp.make_configuration(3, new=new | {'Prefix': '/new/'}))
+        platformhelp.wait_until(lambda: self.entry.call('/new/x')[0] == 200,
+                                2.0)
+
+    def test_a_watch_begins_again_after_the_store_was_silent(self):
+        # A watch under way when the store went silent was never answered.
+        self.store.faults.away = 'silent'
+        time.sleep(2.5)
+        self.store.faults.away = ''
+        new = platformhelp.make_configuration()['Routes']['report']
+        self.store.put(
+            'op/config',
+            platformhelp.make_configuration(2, new=new | {'Prefix': '/new/'}))
+        platformhelp.wait_until(lambda: self.entry.call('/new/x')[0] == 200,
+                                4.0, self.entry.read_log)
+
+    def test_keys_stay_served_while_the_store_is_away(self):
+        self.store.faults.away = 'busy'
+        until = time.monotonic() + 6.0
+        while time.monotonic() < until:
+            self.assertEqual(self.entry.call('/stock/lot', 30_000)[0], 200)
+            time.sleep(0.1)
+
+    def test_a_draining_server_hands_over_and_gets_nothing_more(self):
+        leaving = self.deployment.catalogs[0]
+        leaving.register('draining')
+        platformhelp.wait_until(lambda: not leaving.held, 2.0)
+        runs = len(leaving.journal)
+        for key in range(0, 65_536, 5_003):
+            self.assertEqual(self.entry.call('/stock/lot', key)[0], 200)
+        self.assertEqual(len(leaving.journal), runs)
+        self.assertTrue(
+            any('Handover' in fields
+                for fields in self.deployment.catalogs[1].grants))
+
+    def test_keys_of_a_lost_server_are_served_after_its_hold(self):
+        lost = self.deployment.catalogs[0]
+        lost.close()
+        began = time.monotonic()
+        platformhelp.wait_until(
+            lambda: all(
+                self.entry.call('/stock/lot', key)[0] == 200
+                for key in range(0, 65_536, 6_007)), 8.0, self.entry.read_log)
+        self.assertLess(time.monotonic() - began, 7.0)
+
+    def test_a_late_grant_never_makes_two_owners(self):
+        for server in self.deployment.catalogs:
+            server.faults.late_grant_s = 2.0
+        time.sleep(1.5)
+        for server in self.deployment.catalogs:
+            server.faults.late_grant_s = 0.0
+        self.deployment.catalogs[0].register('draining')
+        until = time.monotonic() + 8.0
+        while time.monotonic() < until:
+            for key in (0, 20_000, 40_000, 65_535):
+                owners = [s for s in self.deployment.catalogs if s.holds(key)]
+                self.assertLessEqual(len(owners), 1)
+            time.sleep(0.02)
+
+    def test_sigterm_interrupts_no_request(self):
+        for server in self.deployment.orders:
+            server.work_s = 0.8
+        results = []
+        connection = http.client.HTTPConnection('127.0.0.1',
+                                                self.entry.ports[0], 10)
+        self.entry.call('/report/x', connection=connection)
+
+        def call():
+            results.append(
+                self.entry.call('/report/x', connection=connection)[:2])
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        time.sleep(0.2)
+        self.entry.stop()
+        thread.join()
+        self.assertEqual(results[0][0], 200)
+        self.assertEqual(results[0][1]['Connection'], 'close')
+        self.assertFalse(self.entry.is_ready())
+        self.assertEqual(self.entry.call('/report/x')[0], 200)
+        self.assertEqual(self.entry.process.wait(7.0), 0)
+        self.assertIn('entry_stopped', self.entry.read_log())
+
+
+class PeersTest(unittest.TestCase):
+
+    def test_a_coordinator_that_is_killed_is_replaced_without_a_gap(self):
+        deployment = platformhelp.Deployment(entries=2)
+        self.addCleanup(deployment.close)
+        instance, _ = json.loads(
+            deployment.store.read('lentilmoor/coordinator/catalog'))
+        index = 0 if instance.startswith('edge-1.') else 1
+        deployment.entries[index].process.kill()
+        other = deployment.entries[1 - index]
+        until = time.monotonic() + 6.0
+        while time.monotonic() < until:
+            for key in (0, 20_000, 40_000, 65_535):
+                self.assertEqual(
+                    other.call('/stock/lot', key)[0], 200, other.read_log())
+            time.sleep(0.05)
+        self.assertIn('coordination_begun', other.read_log())
+
+    def test_an_entry_that_the_store_refuses_learns_from_a_peer(self):
+        deployment = platformhelp.Deployment()
+        self.addCleanup(deployment.close)
+        deployment.store.faults.away = 'busy'
+        entry = platformhelp.Entry(deployment.store, 2,
+                                   deployment.entries[0].control)
+        deployment.entries.append(entry)
+        entry.await_ready(8.0)
+        self.assertEqual(entry.call('/stock/lot', 30_000)[0], 200)
+        self.assertIn('store_heard_from_peer', entry.read_log())
+
+
+class SettingsTest(unittest.TestCase):
+
+    def test_a_missing_field_ends_with_a_message_that_names_it(self):
+        store = platformhelp.platform_store.PlatformStore()
+        self.addCleanup(store.close)
+        entry = platformhelp.Entry(store)
+        self.addCleanup(entry.close)
+        path = entry.log.with_name('node.conf')
+        entry.process.kill()
+        text = path.read_text(encoding='utf-8').replace('Zone=', 'Zonk=')
+        self.assertNotEqual(text, '')
+        from lentilmoor import exceptions  # pylint: disable=import-outside-toplevel
+        from lentilmoor.platform import settings  # pylint: disable=import-outside-toplevel
+        with self.assertRaisesRegex(exceptions.SettingsError, 'Zone: missing'):
+            settings.parse_settings(text)
+
+
+if __name__ == '__main__':
+    unittest.main()
