Follow the store after a start in its outage

Change: a failed registration counts as doubt too; one renewal at a time. Test: test_an_entry_started_while_the_store_is_silent_follows_it_after, which failed first.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -145,6 +145,7 @@
       keep_at: When to keep it again, ms.
       entry_lease: The entry's own lease.
       entry_keep_at: When to keep it again, ms.
+      entry_keeping: Whether a call for it is under way.
       doubted: Whether the store didn't answer the last renewal.
       leaving: Whether the entry is about to end.
     """
@@ -166,6 +167,7 @@
     keep_at: float = 0.0
     entry_lease: ports.Lease | None = None
     entry_keep_at: float = 0.0
+    entry_keeping: bool = False
     doubted: bool = False
     leaving: bool = False
 
@@ -342,8 +344,9 @@
         owned = self._owned
         if owned.entry_lease is None:
             self._open_entry_lease(now)
-        elif owned.entry_keep_at <= now:
+        elif owned.entry_keep_at <= now and not owned.entry_keeping:
             owned.entry_keep_at = now + ENTRY_KEEP_MS
+            owned.entry_keeping = True
             lease = owned.entry_lease
             self._call(lambda: self._platform.store.keep_lease(lease),
                        lambda result, sent: self._entry_kept(result))
@@ -355,9 +358,10 @@
 
     def _open_entry_lease(self, now: float) -> None:
         owned = self._owned
-        if owned.entry_keep_at > now or owned.leaving:
+        if owned.entry_keep_at > now or owned.entry_keeping or owned.leaving:
             return
         owned.entry_keep_at = now + ENTRY_KEEP_MS
+        owned.entry_keeping = True
         store = self._platform.store
 
         def register() -> ports.Lease | outcomes.Failed:
@@ -368,8 +372,10 @@
             return store.register(peer, lease) or lease
 
         def take(result, unused_sent_at) -> None:
+            owned.entry_keeping = False
             if isinstance(result, ports.Lease):
                 owned.entry_lease = result
+            self._note_store(isinstance(result, ports.Lease))
 
         self._call(register, take)
 
@@ -379,12 +385,16 @@
         A watch that waited meanwhile may never be answered.
         """
         owned = self._owned
+        owned.entry_keeping = False
         if _is_ended(result):
             owned.entry_lease = None
-        elif result is not None:
+        self._note_store(result is None or _is_ended(result))
+
+    def _note_store(self, answers: bool) -> None:
+        owned = self._owned
+        if not answers:
             owned.doubted = True
-            return
-        if owned.doubted:
+        elif owned.doubted:
             owned.doubted = False
             self._logger.info('store_answers_again')
             self._watch_again()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -207,7 +207,7 @@
             query = dict(urllib.parse.parse_qsl(text))
             faults = store.faults
             if faults.away == 'silent':
-                time.sleep(2.0)
+                time.sleep(30.0)  # Nor are these calls answered later.
                 self.close_connection = True
                 return
             if faults.away or self.client_address[0] in faults.refused:
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -286,6 +286,24 @@
         self.assertEqual(entry.call('/stock/lot', 30_000)[0], 200)
         self.assertIn('store_heard_from_peer', entry.read_log())
 
+    def test_an_entry_started_while_the_store_is_silent_follows_it_after(self):
+        # It watched from what a peer told, and that watch was never answered.
+        deployment = platformhelp.Deployment()
+        self.addCleanup(deployment.close)
+        deployment.store.faults.away = 'silent'
+        entry = platformhelp.Entry(deployment.store, 2,
+                                   deployment.entries[0].control)
+        deployment.entries.append(entry)
+        entry.await_ready(12.0)
+        time.sleep(2.0)
+        deployment.store.faults.away = ''
+        new = platformhelp.make_configuration()['Routes']['report']
+        deployment.store.put(
+            'op/config',
+            platformhelp.make_configuration(2, new=new | {'Prefix': '/new/'}))
+        platformhelp.wait_until(lambda: entry.call('/new/x')[0] == 200, 4.0,
+                                entry.read_log)
+
 
 class SettingsTest(unittest.TestCase):
 
