--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -210,6 +210,7 @@
                                       choice.full)
         back = self._judge(job, expected, full)
         if back is not None:
+            self.rows[job.entry].append((job.key, server.id, 0.0))
             self._refuse(job, back)
             return
         job.server, job.sent = self.index[server.id], self.now
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -79,7 +79,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
-    """What was seen of a request for a key; reported to the coordinator."""
+    """What was seen of a request for a key; reported to the coordinator.
+
+    Requests that were refused count too: what a server could not serve is
+    what tells that its keys are to move.
+    """
 
     service: str
     key: int
@@ -301,7 +305,11 @@
                                    OWNER_RETRY_MS)
         expected_ms, full = placement.expect(server, state, state.work_ms,
                                              now, True)
-    return _check_time(run, placement.Choice(server, expected_ms, full), now)
+    checked = _check_time(run, placement.Choice(server, expected_ms, full),
+                          now)
+    if isinstance(checked, outcomes.NotRun):
+        forwarder.samples.append(Sample(run.service.name, key, server.id, 0.0))
+    return checked
 
 
 def _is_unserved(forwarder: Forwarder, service: str, key: int) -> bool:
--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -68,7 +68,8 @@
         self._fade(now)
         for key, server, work_ms in rows:
             self.counts[key] = self.counts.get(key, 0.0) + 1.0
-            _add(self.works.setdefault(server, WorkMean()), work_ms)
+            if work_ms > 0:
+                _add(self.works.setdefault(server, WorkMean()), work_ms)
 
     def seed_works(self, works: Mapping[str, float]) -> None:
         """Takes over what an earlier coordinator learned of servers."""
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -11,7 +11,7 @@
 from lentilmoor.edge import keyranges
 
 Row = tuple[int, str, float]
-"""Key, server id, time of work in ms."""
+"""Key, server id, time of work in ms; 0 if the server did not run it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
