--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -188,8 +188,7 @@
         work = shape.work_ms * self.random.lognormvariate(-0.32, 0.8)
         work = min(work, shape.work_ms * 7.5)
         job = Job(self.now, self._pick_key(),
-                  self.random.randrange(shape.entries), work,
-                  shape.patience_ms)
+                  self.random.randrange(shape.entries), work, shape.patience_ms)
         self._at(WAY_MS, self._take, job)
 
     def _take(self, job: Job) -> None:
@@ -224,8 +223,8 @@
         server = servers[0]
         state = states[server.id]
         return placement.Choice(
-            server, *placement.expect(server, state, state.work_ms, self.now,
-                                      True))
+            server,
+            *placement.expect(server, state, state.work_ms, self.now, True))
 
     def _judge(self, job: Job, expected: float, full: bool) -> float | None:
         if self.policy.refuse == 'never':
@@ -292,8 +291,10 @@
         if not whole or age > self.shape.patience_ms:
             self._end(job, 0.0)
         else:
-            self._end(job, 1.0 if age <= self.shape.goal_ms else
-                      self.shape.late_worth, served=True)
+            self._end(
+                job,
+                1.0 if age <= self.shape.goal_ms else self.shape.late_worth,
+                served=True)
 
     def _end(self, job: Job, worth: float, served=False, refused=False):
         self.done.setdefault(int(job.born / WINDOW_MS), []).append(worth)
@@ -343,8 +344,9 @@
 
 def average(results: list[Result]) -> Result:
     """Returns the mean of results."""
-    return Result(*(math.fsum(getattr(item, field.name) for item in results) /
-                    len(results) for field in dataclasses.fields(Result)))
+    return Result(*(math.fsum(getattr(item, field.name)
+                              for item in results) / len(results)
+                    for field in dataclasses.fields(Result)))
 
 
 _CATALOG = (0.7, 0.7, 1.6) * 5
@@ -353,18 +355,66 @@
 
 SHAPES = (
     Shape('stock, steady', 353, 60, 200, 500, 0.1, _CATALOG, True, 12),
-    Shape('stock, hot 60', 353, 60, 200, 500, 0.1, _CATALOG, True, 12,
+    Shape('stock, hot 60',
+          353,
+          60,
+          200,
+          500,
+          0.1,
+          _CATALOG,
+          True,
+          12,
           hot=((8, 13, 0.4, 200), (16, 20, 0.4, 60))),
-    Shape('stock, burst', 300, 60, 200, 500, 0.1, _CATALOG, True, 12,
+    Shape('stock, burst',
+          300,
+          60,
+          200,
+          500,
+          0.1,
+          _CATALOG,
+          True,
+          12,
           burst=(10, 14, 1.7)),
-    Shape('stock, shed', 300, 60, 200, 500, 0.1, _CATALOG, True, 12,
+    Shape('stock, shed',
+          300,
+          60,
+          200,
+          500,
+          0.1,
+          _CATALOG,
+          True,
+          12,
           shed=(10, 16, 0.5)),
     Shape('shifts, steady', 79, 220, 600, 1_500, 0.3, _SHIFTS, True, 10),
-    Shape('shifts, hot 60', 79, 220, 600, 1_500, 0.3, _SHIFTS, True, 10,
+    Shape('shifts, hot 60',
+          79,
+          220,
+          600,
+          1_500,
+          0.3,
+          _SHIFTS,
+          True,
+          10,
           hot=((8, 13, 0.4, 200), (16, 20, 0.4, 60))),
-    Shape('shifts, burst', 65, 220, 600, 1_500, 0.3, _SHIFTS, True, 10,
+    Shape('shifts, burst',
+          65,
+          220,
+          600,
+          1_500,
+          0.3,
+          _SHIFTS,
+          True,
+          10,
           burst=(10, 14, 1.7)),
     Shape('orders, steady', 146, 78, 250, 600, 0.1, _ORDERS, False, 12),
-    Shape('orders, burst', 120, 78, 250, 600, 0.1, _ORDERS, False, 12,
+    Shape('orders, burst',
+          120,
+          78,
+          250,
+          600,
+          0.1,
+          _ORDERS,
+          False,
+          12,
           burst=(10, 14, 1.7)),
 )
--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -325,11 +325,13 @@
     def _open(self, until: float) -> Connection | outcomes.Failed:
         patience_ms = min(self.rules.connect_ms, until - self._clock.now())
         options = self.rules.socket_options
-        http = http_connection.HTTPConnection(
-            self._host,
-            self._port,
-            timeout=max(patience_ms, 1.0) / clocks.MS_PER_S,
-            **({'socket_options': options} if options else {}))
+        http = http_connection.HTTPConnection(self._host,
+                                              self._port,
+                                              timeout=max(patience_ms, 1.0) /
+                                              clocks.MS_PER_S,
+                                              **({
+                                                  'socket_options': options
+                                              } if options else {}))
         try:
             http.connect()
         except (http_exceptions.HTTPError, OSError) as error:
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -159,8 +159,8 @@
     missing: dict[str, float] = dataclasses.field(default_factory=dict)
     left: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
-    heard: dict[str, keyranges.Assignment] = dataclasses.field(
-        default_factory=dict)
+    heard: dict[str,
+                keyranges.Assignment] = dataclasses.field(default_factory=dict)
     roles: dict[str, Role] = dataclasses.field(default_factory=dict)
     lease: ports.Lease | None = None
     lease_sent_at: float = 0.0
@@ -178,8 +178,8 @@
     use_daemon_thread = True
 
     def __init__(self, owned: Tables, forwarder: forwarding.Forwarder,
-                 platform: ports.Platform, logger,
-                 watch_again: Callable[[], None]):
+                 platform: ports.Platform, logger, watch_again: Callable[[],
+                                                                         None]):
         super().__init__()
         self._owned = owned
         self._forwarder = forwarder
@@ -190,8 +190,8 @@
         self._clock = forwarder.clock
         # Servers that don't answer must not keep leases from being kept.
         self._store_calls = futures.ThreadPoolExecutor(STORE_THREADS, 'store')
-        self._server_calls = futures.ThreadPoolExecutor(
-            SERVER_THREADS, 'servers')
+        self._server_calls = futures.ThreadPoolExecutor(SERVER_THREADS,
+                                                        'servers')
         self._release_calls = futures.ThreadPoolExecutor(
             RELEASE_THREADS, 'releases')
 
@@ -256,8 +256,7 @@
         owned.everything, owned.seen_at = everything, now
         self._take_servers(before, everything, now)
         configuration = everything.configuration
-        if configuration is not None and (before is None or
-                                          before.configuration
+        if configuration is not None and (before is None or before.configuration
                                           is not configuration):
             self._logger.info('configuration_applied',
                               version=configuration.version,
@@ -334,10 +333,10 @@
                 assignments[name] = role.state.assignment
         forwarder = self._forwarder
         with forwarder.changed:
-            forwarder.snapshot = tables.Snapshot(
-                everything.configuration, servers, assignments,
-                dict(everything.coordinators),
-                dict(everything.entries))
+            forwarder.snapshot = tables.Snapshot(everything.configuration,
+                                                 servers, assignments,
+                                                 dict(everything.coordinators),
+                                                 dict(everything.entries))
             forwarder.changed.notify_all()
 
     def _keep_leases(self, now: float) -> None:
@@ -467,8 +466,9 @@
             if isinstance(lease, outcomes.Failed):
                 return lease
         settings = self._platform.settings
-        taken = store.take_role(
-            name, ports.Peer(owned.instance, settings.control), lease)
+        taken = store.take_role(name,
+                                ports.Peer(owned.instance, settings.control),
+                                lease)
         if isinstance(taken, outcomes.Failed):
             return taken
         return lease, sent_at
@@ -644,9 +644,7 @@
         for name, role in owned.roles.items():
             if role.state is not None:
                 self._resign(name, role, 'this entry is about to end')
-        leases = [
-            lease for lease in (owned.lease, owned.entry_lease) if lease
-        ]
+        leases = [lease for lease in (owned.lease, owned.entry_lease) if lease]
         owned.lease = owned.entry_lease = None
 
         def end() -> None:
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -169,10 +169,10 @@
     revision: int
     since: float
     held: list[holds.Hold] = dataclasses.field(default_factory=list)
-    renewals: dict[keyranges.KeyRange, Renewal] = dataclasses.field(
-        default_factory=dict)
-    tokens: dict[keyranges.KeyRange, str] = dataclasses.field(
-        default_factory=dict)
+    renewals: dict[keyranges.KeyRange,
+                   Renewal] = dataclasses.field(default_factory=dict)
+    tokens: dict[keyranges.KeyRange,
+                 str] = dataclasses.field(default_factory=dict)
     moves: list[Move] = dataclasses.field(default_factory=list)
     saving: bool = False
     save_at: float = 0.0
@@ -250,8 +250,7 @@
         state.held = [
             # Under the fences of earlier coordinators, which are lower.
             holds.Hold(item.first, item.last, item.server, item.fence - 1,
-                       until, False)
-            for item in assignment.ranges
+                       until, False) for item in assignment.ranges
         ]
     return state
 
@@ -374,8 +373,8 @@
             continue
         state.renewals[item] = _inherit(state, item, before)
         for move in saved:
-            if move.token and (move.transfer.first, move.transfer.last) == (
-                    item.first, item.last):
+            if move.token and (move.transfer.first,
+                               move.transfer.last) == (item.first, item.last):
                 state.tokens[item] = move.token
     known = set(save.assignment.ranges)
     for item in list(state.renewals):
@@ -405,9 +404,8 @@
     if not capacities:
         return
     state.moves = [
-        move for move in state.moves
-        if move.phase is not Phase.WAIT or move.token or
-        not _is_back(state, view, move, now)
+        move for move in state.moves if move.phase is not Phase.WAIT or
+        move.token or not _is_back(state, view, move, now)
     ]
     owned = _list_unmoved(state)
     for item in owned:
@@ -439,8 +437,7 @@
     source = move.transfer.source
     server = view.servers.get(source)
     return (server is not None and not server.draining and
-            source not in view.ended and
-            not _is_failing(state, source, now) and
+            source not in view.ended and not _is_failing(state, source, now) and
             state.answered[source] > move.began_at)
 
 
@@ -494,8 +491,7 @@
     ]
 
 
-def _plan_releases(state: Coordination, view: View,
-                   now: float) -> list[Action]:
+def _plan_releases(state: Coordination, view: View, now: float) -> list[Action]:
     actions: list[Action] = []
     failed = state.unreleased
     calling = {
@@ -587,9 +583,8 @@
     return [Save(assignment.service, following, state.revision)]
 
 
-def _list_addresses(
-        state: Coordination, view: View,
-        ranges: tuple[keyranges.KeyRange, ...]) -> dict[str, str]:
+def _list_addresses(state: Coordination, view: View,
+                    ranges: tuple[keyranges.KeyRange, ...]) -> dict[str, str]:
     addresses = {}
     for item in ranges:
         server = _find_server(state, view, item.server)
@@ -606,8 +601,7 @@
     return all(piece.server == transfer.source for piece in pieces)
 
 
-def _is_under_way(state: Coordination,
-                  transfer: rebalancing.Transfer) -> bool:
+def _is_under_way(state: Coordination, transfer: rebalancing.Transfer) -> bool:
     """Returns whether a grant of keys that are to move may still arrive."""
     return any(item.server == transfer.source and
                item.first <= transfer.last and item.last >= transfer.first
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import functools
-import os
 import signal
 import threading
 
@@ -21,6 +20,7 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import forwarding
 from lentilmoor.edge import listening
+from lentilmoor.edge import measures
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -32,14 +32,17 @@
 # Pause before a store that can't be reached is tried again.
 STORE_AGAIN_MS = 300.0
 # Changes that come in quick succession are taken in together: each watch is a
-# call, and nothing that the store tells is due sooner.
-WATCH_PAUSE_MS = 350.0
+# call. What the store tells is due within 2 s; the coordinator, which has to
+# act on it first, looks sooner.
+WATCH_PAUSE_MS = 850.0
+COORDINATOR_PAUSE_MS = 250.0
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
 # What is left of the time until SIGKILL when this process ends by itself.
 LAST_MS = 400.0
 READY_PATH = '/-/readyz'
+METRICS_PATH = '/metrics'
 _LOOK_MS = 50.0
 
 
@@ -54,6 +57,7 @@
       forwarder: What request threads share.
       count: Requests that are being answered.
       actor: The control actor.
+      measures: Counts and times of requests.
       reporter: Exchanges reports with the other entries.
       listeners: HTTP servers.
       watches: Watches of the store begun so far; the last one counts.
@@ -65,6 +69,7 @@
     logger: logs.Logger
     forwarder: forwarding.Forwarder
     count: shutdowns.RequestCount
+    measures: measures.Measures
     actor: pykka.ActorRef | None = None
     reporter: reporting.Reporter | None = None
     listeners: list[cheroot_server.HTTPServer] = dataclasses.field(
@@ -75,8 +80,8 @@
 
 
 def run(platform: ports.Platform, instance: str, clock: clocks.Clock,
-        logger: logs.Logger, socket_options: tuple) -> int:
-    """Runs an entry until SIGTERM; returns the exit code.
+        logger: logs.Logger, socket_options: tuple) -> None:
+    """Runs an entry until SIGTERM.
 
     Args:
       platform: The adapter.
@@ -92,6 +97,7 @@
     for listener in entry.listeners:
         listener.prepare()
         _start(listener.serve)
+    _serve_metrics(entry)
     _watch_again(entry)
     _start(functools.partial(_tick, entry))
     _start(functools.partial(reporting.report, entry.reporter))
@@ -100,8 +106,6 @@
         pass
     _finish(entry)
     logger.info('entry_stopped')
-    # Threads that wait for outside calls must not hold the process.
-    os._exit(0)  # pylint: disable=protected-access
 
 
 def _start(work: Callable[[], object]) -> None:
@@ -118,7 +122,8 @@
                               burst=12.0,
                               socket_options=socket_options)
     forwarder = forwarding.Forwarder(clock, platform, logger, rules)
-    entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount())
+    entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
+                  measures.Measures(clock))
     entry.actor = control.Control.start(control.Tables(instance), forwarder,
                                         platform, logger,
                                         functools.partial(_watch_again, entry))
@@ -129,29 +134,66 @@
     callers = listening.make_listener(
         platform.settings.callers,
         listening.make_caller_gateway(
-            platform.dialect,
-            functools.partial(forwarding.forward, forwarder),
+            platform.dialect, functools.partial(forwarding.forward, forwarder),
             functools.partial(_note, entry), entry.count,
             lambda: _find_limits(entry).body_bytes, clock), CALLER_THREADS,
         log_error)
     ready = listening.make_listener(
         platform.settings.ready,
-        listening.make_page_gateway({
-            READY_PATH: functools.partial(_show_ready, entry)
-        }), PAGE_THREADS, log_error)
+        listening.make_page_gateway(
+            {READY_PATH: functools.partial(_show_ready, entry)}), PAGE_THREADS,
+        log_error)
     peers = listening.make_listener(
         platform.settings.control,
         listening.make_page_gateway({
             reporting.PATH:
                 functools.partial(_take_report, entry),
             reporting.STATE_PATH:
-                lambda unused_body: (200, platform.store.dump(),
-                                     'application/json'),
+                lambda unused_body:
+                (200, platform.store.dump(), 'application/json'),
         }), PAGE_THREADS, log_error)
     entry.listeners = [callers, ready, peers]
     return entry
 
 
+def _serve_metrics(entry: Entry) -> None:
+    """Serves metrics; an entry works without them if their port is taken."""
+    address = entry.platform.settings.metrics
+    listener = listening.make_listener(
+        address,
+        listening.make_page_gateway(
+            {METRICS_PATH: functools.partial(_show_metrics, entry)}), 1,
+        listening.make_error_log(entry.logger))
+    try:
+        listener.prepare()
+    except OSError as error:
+        entry.logger.warning('metrics_not_served',
+                             address=address,
+                             reason=str(error))
+        return
+    _start(listener.serve)
+
+
+def _show_metrics(entry: Entry, unused_body: bytes) -> tuple[int, bytes, str]:
+    snapshot = entry.forwarder.snapshot
+    gauges = {
+        'inside':
+            float(entry.count.inside),
+        'servers':
+            float(sum(len(rows) for rows in snapshot.servers.values())),
+        'entries':
+            float(len(snapshot.entries)),
+        'configuration_version':
+            float(snapshot.configuration.version if snapshot.
+                  configuration else 0),
+        'unserved_ranges':
+            float(sum(len(rows) for rows in entry.forwarder.unserved.values())),
+        'store_watches':
+            float(entry.watches),
+    }
+    return 200, entry.measures.show(gauges), 'text/plain; version=0.0.4'
+
+
 def _find_limits(entry: Entry) -> tables.CallerLimits:
     configuration = entry.forwarder.snapshot.configuration
     if configuration is None:
@@ -164,16 +206,20 @@
     """Writes a line for a request that no server answered."""
     age_ms = round(entry.clock.now() - request.arrived_at)
     if isinstance(outcome, tries.Answer):
+        entry.measures.note('answered', str(outcome.status), age_ms)
         return
     if isinstance(outcome, exchange.Gone):
+        entry.measures.note('left', 'caller-left', age_ms)
         entry.logger.info('caller_left',
                           request=request.fields.request_id,
                           server=outcome.server,
                           waited_ms=round(outcome.waited_ms),
                           age_ms=age_ms)
         return
-    entry.logger.info('request_refused' if isinstance(
-        outcome, outcomes.NotRun) else 'request_failed',
+    refused = isinstance(outcome, outcomes.NotRun)
+    entry.measures.note('not-run' if refused else 'unknown',
+                        outcome.reason.value, age_ms)
+    entry.logger.info('request_refused' if refused else 'request_failed',
                       request=request.fields.request_id,
                       reason=outcome.reason.value,
                       detail=outcome.detail,
@@ -184,8 +230,8 @@
 def _show_ready(entry: Entry, unused_body: bytes) -> tuple[int, bytes, str]:
     snapshot = entry.forwarder.snapshot
     ready = (snapshot.configuration is not None and
-             not entry.leaving.is_set() and all(
-                 name in snapshot.assignments
+             not entry.leaving.is_set() and
+             all(name in snapshot.assignments
                  for name, service in snapshot.configuration.services.items()
                  if service.keyed))
     return (200 if ready else 503), b'', 'text/plain'
@@ -219,7 +265,16 @@
         seen = found
         entry.actor.tell(control.StoreSeen(found))
         _apply_limits(entry, found)
-        _wait(WATCH_PAUSE_MS)
+        _wait(_find_pause(entry))
+
+
+def _find_pause(entry: Entry) -> float:
+    snapshot = entry.forwarder.snapshot
+    coordinates = any(peer.instance == entry.reporter.instance
+                      for peer in snapshot.coordinators.values())
+    settled = snapshot.configuration is not None and snapshot.coordinators
+    return (COORDINATOR_PAUSE_MS
+            if coordinates or not settled else WATCH_PAUSE_MS)
 
 
 def _follow_loss(entry: Entry, failed: outcomes.Failed,
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -264,8 +264,7 @@
     raw = taken.http.response_class(taken.http.sock, method=method)
     raw.begin()
     return urllib3.HTTPResponse(body=raw,
-                                headers=urllib3.HTTPHeaderDict(
-                                    raw.msg.items()),
+                                headers=urllib3.HTTPHeaderDict(raw.msg.items()),
                                 status=raw.status,
                                 preload_content=False,
                                 decode_content=False,
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -127,13 +127,13 @@
         default_factory=threading.Condition)
     states: dict[str, placement.ServerState] = dataclasses.field(
         default_factory=dict)
-    pools: dict[str, connections.Pool] = dataclasses.field(
-        default_factory=dict)
+    pools: dict[str, connections.Pool] = dataclasses.field(default_factory=dict)
     repeats: dict[str, budgets.Budget] = dataclasses.field(default_factory=dict)
     samples: list[Sample] = dataclasses.field(default_factory=list)
     hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
-    unserved: dict[str, list[tuple[int, int]]] = dataclasses.field(
-        default_factory=dict)
+    unserved: dict[str,
+                   list[tuple[int,
+                              int]]] = dataclasses.field(default_factory=dict)
     watched: frozenset[str] = frozenset()
     blocked: frozenset[str] = frozenset()
     crashed: list[str] = dataclasses.field(default_factory=list)
@@ -303,10 +303,9 @@
             return outcomes.NotRun(_Reason.NO_SERVER,
                                    'the owner of the key is down',
                                    OWNER_RETRY_MS)
-        expected_ms, full = placement.expect(server, state, state.work_ms,
-                                             now, True)
-    checked = _check_time(run, placement.Choice(server, expected_ms, full),
-                          now)
+        expected_ms, full = placement.expect(server, state, state.work_ms, now,
+                                             True)
+    checked = _check_time(run, placement.Choice(server, expected_ms, full), now)
     if isinstance(checked, outcomes.NotRun):
         forwarder.samples.append(Sample(run.service.name, key, server.id, 0.0))
     return checked
@@ -459,7 +458,7 @@
 
 
 def _enter(
-    forwarder: Forwarder, server: tables.Server
+        forwarder: Forwarder, server: tables.Server
 ) -> tuple[placement.ServerState, connections.Pool]:
     with forwarder.lock:
         state = forwarder.states.setdefault(server.id, placement.ServerState())
--- a/lentilmoor/edge/hub.py
+++ b/lentilmoor/edge/hub.py
@@ -37,8 +37,10 @@
 class HubTable:
     """Reports by entry, and suspects by fingerprint; for many threads."""
 
-    inflight: dict[str, tuple[float, dict[str, int]]] = dataclasses.field(
-        default_factory=dict)
+    inflight: dict[str,
+                   tuple[float,
+                         dict[str,
+                              int]]] = dataclasses.field(default_factory=dict)
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
--- a/lentilmoor/edge/keyranges.py
+++ b/lentilmoor/edge/keyranges.py
@@ -59,9 +59,8 @@
 
 def find_owner(assignment: Assignment, key: int) -> KeyRange | None:
     """Returns the range that holds a key, or None if it has no owner."""
-    index = bisect.bisect_right(assignment.ranges,
-                                key,
-                                key=lambda item: item.first) - 1
+    index = bisect.bisect_right(
+        assignment.ranges, key, key=lambda item: item.first) - 1
     if index < 0:
         return None
     found = assignment.ranges[index]
@@ -135,8 +134,8 @@
         before = joined[-1] if joined else None
         if (before and before.last + 1 == item.first and
                 before.server == item.server and
-                (item.first, item.last) not in fixed and
-                (before.first, before.last) not in fixed):
+            (item.first, item.last) not in fixed and
+            (before.first, before.last) not in fixed):
             fence += not fresh
             joined[-1] = dataclasses.replace(before,
                                              last=item.last,
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -103,8 +103,7 @@
     return CallerGateway
 
 
-def make_page_gateway(
-        pages: dict[str, Page]) -> type[cheroot_server.Gateway]:
+def make_page_gateway(pages: dict[str, Page]) -> type[cheroot_server.Gateway]:
     """Returns a gateway class for small pages by path."""
 
     class PageGateway(cheroot_server.Gateway):
@@ -120,9 +119,9 @@
                     self.req.rfile.read(length) if length else b'')
             responses.write_problem(
                 self.req,
-                problems.Problem(status,
-                                 (('Content-Type', kind),
-                                  ('Content-Length', str(len(body)))), body))
+                problems.Problem(status, (('Content-Type', kind),
+                                          ('Content-Length', str(len(body)))),
+                                 body))
 
     return PageGateway
 
@@ -137,8 +136,8 @@
     path, _, _ = request.uri.partition(b'?')
     return forwarding.Request(fields=dialect.read_caller(request.inheaders),
                               method=request.method.decode('latin-1'),
-                              host=request.inheaders.get(
-                                  b'Host', b'').decode('latin-1'),
+                              host=request.inheaders.get(b'Host',
+                                                         b'').decode('latin-1'),
                               path=path.decode('latin-1'),
                               target=request.uri.decode('latin-1'),
                               headers=_copy_headers(request, dialect, body),
@@ -149,18 +148,11 @@
 
 def _read_body(request: cheroot_server.HTTPRequest,
                limit: int) -> bytes | outcomes.NotRun:
-    if request.chunked_read:
-        request.rfile = chunks.ChunkedBody(request.conn.rfile)
-        if b'Content-Length' in request.inheaders:
-            return outcomes.NotRun(_Reason.BAD_REQUEST,
-                                   'a length beside a chunked body')
-        length = None
-    else:
-        length = int(request.inheaders.get(b'Content-Length', 0))
-        if length < 0:
-            return outcomes.NotRun(_Reason.BAD_REQUEST, 'a length below 0')
-        if length == 0:
-            return b''
+    length = _find_length(request)
+    if isinstance(length, outcomes.NotRun):
+        return length
+    if length == 0:
+        return b''
     parts, size = [], 0
     try:
         while part := request.rfile.read(_CHUNK_BYTES):
@@ -176,6 +168,21 @@
     return b''.join(parts)
 
 
+def _find_length(
+        request: cheroot_server.HTTPRequest) -> int | None | outcomes.NotRun:
+    """Returns the declared length of a body; None if it comes in chunks."""
+    if not request.chunked_read:
+        length = int(request.inheaders.get(b'Content-Length', 0))
+        if length < 0:
+            return outcomes.NotRun(_Reason.BAD_REQUEST, 'a length below 0')
+        return length
+    request.rfile = chunks.ChunkedBody(request.conn.rfile)
+    if b'Content-Length' in request.inheaders:
+        return outcomes.NotRun(_Reason.BAD_REQUEST,
+                               'a length beside a chunked body')
+    return None
+
+
 def _copy_headers(request: cheroot_server.HTTPRequest, dialect: ports.Dialect,
                   body: bytes) -> dict[str, str]:
     dropped = dialect.dropped
@@ -213,5 +220,5 @@
 
 def _refuse(request: cheroot_server.HTTPRequest,
             outcome: outcomes.NotRun | outcomes.Unknown) -> None:
-    responses.write_problem(
-        request, problems.make(outcome, exact=True, retryable=True))
+    responses.write_problem(request,
+                            problems.make(outcome, exact=True, retryable=True))
--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -31,6 +31,7 @@
 _REFRESH_MS = 500.0
 _FORGOTTEN = 0.05
 
+
 @dataclasses.dataclass(slots=True)
 class WorkMean:
     """Mean time of work of a server.
@@ -76,8 +77,7 @@
         for name, work_ms in works.items():
             self.works.setdefault(name, WorkMean(work_ms, SEED_COUNT))
 
-    def list_works(self,
-                   servers: Iterable[tables.Server]) -> dict[str, float]:
+    def list_works(self, servers: Iterable[tables.Server]) -> dict[str, float]:
         """Returns the mean time of work of servers that are known, ms."""
         return {
             server.id: round(self.works[server.id].ms, 1)
@@ -105,7 +105,8 @@
         """Returns the relative speed of servers, by id."""
         servers = list(servers)
         known = [
-            self.works[server.id] for server in servers
+            self.works[server.id]
+            for server in servers
             if server.id in self.works
         ]
         usual = _mean(known)
--- a/lentilmoor/edge/matching.py
+++ b/lentilmoor/edge/matching.py
@@ -20,8 +20,9 @@
 
 def make_index(routes: Mapping[str, tables.Route]) -> RouteIndex:
     """Returns an index of routes."""
-    return RouteIndex(
-        {(route.host, route.prefix): route for route in routes.values()})
+    return RouteIndex({
+        (route.host, route.prefix): route for route in routes.values()
+    })
 
 
 def find_route(index: RouteIndex, host: str, path: str) -> tables.Route | None:
--- /dev/null
+++ b/lentilmoor/edge/measures.py
@@ -0,0 +1,70 @@
+"""Counters and times of requests, cheap on the request path.
+
+They are kept as plain numbers; the library that shows them is loaded when the
+metrics are first asked for, as it would take a tenth of the start.
+"""
+
+import collections
+import threading
+
+from lentilmoor import clocks
+
+_MOST_TIMES = 20_000
+
+
+class Measures:
+    """Counts by outcome and reason, and times by outcome."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._counts: collections.Counter = collections.Counter()
+        self._times: collections.deque = collections.deque(maxlen=_MOST_TIMES)
+        self._lock = threading.Lock()
+        self._registry = None
+        self._requests = None
+        self._request_ms = None
+        self._gauges: dict = {}
+
+    def note(self, outcome: str, reason: str, ms: float) -> None:
+        """Counts a request.
+
+        Args:
+          outcome: 'answered', 'not-run', 'unknown' or 'left'.
+          reason: Why it was not answered; the status if it was.
+          ms: From its arrival to its outcome.
+        """
+        with self._lock:
+            self._counts[outcome, reason] += 1
+            self._times.append((outcome, ms))
+
+    def show(self, gauges: dict[str, float]) -> bytes:
+        """Returns the metrics in the Prometheus text form.
+
+        Args:
+          gauges: Numbers that hold now, by name.
+        """
+        # Loaded on first use; see above.
+        # pylint: disable-next=import-outside-toplevel
+        from lentilmoor import metrics
+        if self._registry is None:
+            self._registry = metrics.Registry(self._clock)
+            self._requests = self._registry.counter('lentilmoor_requests',
+                                                    'Requests by outcome.',
+                                                    'outcome', 'reason')
+            self._request_ms = self._registry.times(
+                'lentilmoor_request_ms', 'Time from arrival to outcome.',
+                'outcome')
+        with self._lock:
+            counts, self._counts = self._counts, collections.Counter()
+            times = list(self._times)
+            self._times.clear()
+        for (outcome, reason), count in counts.items():
+            self._requests.at(outcome, reason).add(count)
+        for outcome, ms in times:
+            self._request_ms.at(outcome).record(ms)
+        for name, value in gauges.items():
+            if name not in self._gauges:
+                self._gauges[name] = self._registry.gauge(
+                    'lentilmoor_' + name, name.replace('_', ' ')).at()
+            self._gauges[name].set(value)
+        return self._registry.show()
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -249,8 +249,7 @@
       now: ms.
     """
     crashed = [
-        fingerprint for fingerprint, at in state.broken
-        if now - at <= CRASH_MS
+        fingerprint for fingerprint, at in state.broken if now - at <= CRASH_MS
     ]
     state.broken.clear()
     return crashed
@@ -265,7 +264,8 @@
               states: dict[str, ServerState]) -> float:
     """Returns the mean time of work of servers, ms; 0 if none is known."""
     known = [
-        states[server.id].work_ms for server in servers
+        states[server.id].work_ms
+        for server in servers
         if server.id in states and states[server.id].work_ms
     ]
     return sum(known) / len(known) if known else 0.0
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -45,6 +45,7 @@
       callers: host:port for callers.
       ready: host:port of the balancer's readiness check.
       control: host:port for the other entries.
+      metrics: host:port where metrics are shown.
       seeds: host:port of some other entries; they may be down.
       memory_mb: Memory it may use.
       descriptors: File descriptors it may use.
@@ -56,6 +57,7 @@
     callers: str
     ready: str
     control: str
+    metrics: str
     seeds: tuple[str, ...]
     memory_mb: int
     descriptors: int
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -108,8 +108,7 @@
                 runs.append((keys[start][0], key))
         return min(runs, key=_find_width, default=None)
 
-    def cut(self, first: int, last: int,
-            pieces: int) -> list[tuple[int, int]]:
+    def cut(self, first: int, last: int, pieces: int) -> list[tuple[int, int]]:
         """Cuts keys from first to last into pieces of about equal load."""
         goal = self.measure(first, last) / pieces
         cuts, begin, load = [], first, 0.0
@@ -172,14 +171,14 @@
     transfers: list[Transfer] = []
     for before, item in zip(owned, owned[1:], strict=False):
         scrap, target = item, before.server
-        if loads.measure(before.first, before.last) < loads.measure(
-                item.first, item.last):
+        if loads.measure(before.first,
+                         before.last) < loads.measure(item.first, item.last):
             scrap, target = before, item.server
         transfer = Transfer(scrap.first, scrap.last, scrap.server, target)
-        if (target in capacities and scrap.server in capacities and
-                target != scrap.server and
-                before.last + 1 == item.first and
-                loads.measure(scrap.first, scrap.last) < least and
+        known = {target, scrap.server} <= capacities.keys()
+        together = before.last + 1 == item.first and target != scrap.server
+        small = loads.measure(scrap.first, scrap.last) < least
+        if (known and together and small and
                 not _meets_any(transfer, transfers)):
             transfers.append(transfer)
         if len(transfers) >= MOST_JOINS:
@@ -187,9 +186,9 @@
     return transfers
 
 
-def plan_leave(item: keyranges.KeyRange,
-               ranges: Iterable[keyranges.KeyRange], loads: KeyLoads,
-               capacities: Mapping[str, float]) -> list[Transfer]:
+def plan_leave(item: keyranges.KeyRange, ranges: Iterable[keyranges.KeyRange],
+               loads: KeyLoads, capacities: Mapping[str,
+                                                    float]) -> list[Transfer]:
     """Plans where the keys of a server that leaves go.
 
     Args:
@@ -201,8 +200,8 @@
     held = _measure_servers(ranges, loads, capacities)
     share = loads.total / len(capacities)
     pieces = round(loads.measure(item.first, item.last) / share * PIECES)
-    pieces = max(1, min(pieces, item.last - item.first + 1,
-                        PIECES * len(capacities)))
+    pieces = max(
+        1, min(pieces, item.last - item.first + 1, PIECES * len(capacities)))
     transfers = []
     for first, last in loads.cut(item.first, item.last, pieces):
         target = min(held, key=lambda name: held[name] / capacities[name])
@@ -221,17 +220,15 @@
 
 
 def _plan_one(owned: list[keyranges.KeyRange], held: dict[str, float],
-              loads: KeyLoads,
-              capacities: Mapping[str, float]) -> Transfer | None:
+              loads: KeyLoads, capacities: Mapping[str,
+                                                   float]) -> Transfer | None:
     if len(held) < 2:
         return None
     total, capacity = sum(held.values()), sum(capacities.values())
     if total <= 0:
         return None  # All keys are on their way.
-    ratios = {
-        name: held[name] * capacity / (total * capacities[name])
-        for name in held
-    }
+    share = total / capacity
+    ratios = {name: held[name] / (share * capacities[name]) for name in held}
     target = min(ratios, key=ratios.__getitem__)
     joins = not any(item.server == target for item in owned)
     room = (1.0 - ratios[target]) * capacities[target] * total / capacity
@@ -291,9 +288,9 @@
     load = loads.measure(transfer.first, transfer.last)
     held[transfer.source] -= load
     held[transfer.target] += load
-    owned[:] = keyranges.reassign(owned, [
-        keyranges.KeyRange(transfer.first, transfer.last, transfer.target, 0)
-    ])
+    owned[:] = keyranges.reassign(
+        owned,
+        [keyranges.KeyRange(transfer.first, transfer.last, transfer.target, 0)])
 
 
 def _cut_evenly(first: int, last: int, pieces: int) -> list[tuple[int, int]]:
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -75,9 +75,8 @@
         for name, item in reporter.forwarder.snapshot.assignments.items()
         if item.next_fence > found.known.get(name, 0)
     }
-    return reports.Reply(hub.count_others(table, found.entry, now),
-                         assignments, reporter.forwarder.unserved,
-                         hub.list_suspects(table),
+    return reports.Reply(hub.count_others(table, found.entry, now), assignments,
+                         reporter.forwarder.unserved, hub.list_suspects(table),
                          hub.list_blocked(table, now))
 
 
@@ -92,16 +91,13 @@
     """
     forwarder = reporter.forwarder
     settings = forwarder.platform.settings
-    known = {
-        peer.address
-        for peer in forwarder.snapshot.entries.values()
-    } | set(settings.seeds)
+    known = {peer.address for peer in forwarder.snapshot.entries.values()
+            } | set(settings.seeds)
     known.discard(settings.control)
     if not known:
         return None
     address = forwarder.generator.choice(sorted(known))
-    result = reporter.caller.call(address,
-                                  httpcalls.Request('GET', STATE_PATH),
+    result = reporter.caller.call(address, httpcalls.Request('GET', STATE_PATH),
                                   TIMEOUT_MS)
     if isinstance(result, outcomes.Failed) or result.status != 200:
         return None
@@ -113,13 +109,12 @@
     rows = _take_rows(reporter.forwarder)
     crashed, cleared = _take_crashes(reporter.forwarder)
     for peer, services in peers.items():
-        found = reports.Report(
-            reporter.instance,
-            {name: rows[name] for name in services if name in rows},
-            _count_inflight(reporter.forwarder), {
-                name: item.next_fence for name, item in
-                reporter.forwarder.snapshot.assignments.items()
-            }, crashed, cleared)
+        found = reports.Report(reporter.instance, {
+            name: rows[name] for name in services if name in rows
+        }, _count_inflight(reporter.forwarder), {
+            name: item.next_fence
+            for name, item in reporter.forwarder.snapshot.assignments.items()
+        }, crashed, cleared)
         reply = _send(reporter, peer, found)
         if reply is not None:
             _apply(reporter, reply)
@@ -166,8 +161,7 @@
             reporter.tell(control.AssignmentHeard(item))
 
 
-def _take_rows(
-        forwarder: forwarding.Forwarder) -> dict[str, list[reports.Row]]:
+def _take_rows(forwarder: forwarding.Forwarder) -> dict[str, list[reports.Row]]:
     samples, forwarder.samples = forwarder.samples, []
     rows: dict[str, list[reports.Row]] = {}
     for item in samples:
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -72,11 +72,11 @@
         fields = json.loads(data)
         rows = {
             str(service): [(int(key), str(server), float(work_ms))
-                           for key, server, work_ms in items]
-            for service, items in fields['rows'].items()
+                           for key, server, work_ms in items
+                          ] for service, items in fields['rows'].items()
         }
-        return Report(str(fields['entry']), rows, _read_counts(fields,
-                                                               'inflight'),
+        return Report(str(fields['entry']), rows,
+                      _read_counts(fields, 'inflight'),
                       _read_counts(fields, 'known'),
                       [str(item) for item in fields['crashed']],
                       [str(item) for item in fields['cleared']])
--- a/lentilmoor/httpcalls.py
+++ b/lentilmoor/httpcalls.py
@@ -65,8 +65,9 @@
         """
         self._clock = clock
         self._idle_connections = idle_connections
-        self._options = (
-            {'socket_options': socket_options} if socket_options else {})
+        self._options = ({
+            'socket_options': socket_options
+        } if socket_options else {})
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
         self._lock = threading.Lock()
 
--- a/lentilmoor/platform/dialect.py
+++ b/lentilmoor/platform/dialect.py
@@ -19,8 +19,8 @@
 _MS_PER_S = 1000.0
 
 _DROPPED = header_names.HOP_BY_HOP | frozenset(
-    name.lower() for name in ('Content-Length', 'Expect', _EXPECTED_SERVER,
-                              _PATIENCE_MS))
+    name.lower()
+    for name in ('Content-Length', 'Expect', _EXPECTED_SERVER, _PATIENCE_MS))
 
 
 def make_dialect() -> ports.Dialect:
@@ -42,8 +42,7 @@
     headers[_PATIENCE_MS] = str(max(1, int(left_ms)))
 
 
-def _read_answer(status: int, headers: Mapping[str,
-                                               str]) -> ports.AnswerFields:
+def _read_answer(status: int, headers: Mapping[str, str]) -> ports.AnswerFields:
     kept = _KEPT.search(headers.get('Keep-Alive', ''))
     return ports.AnswerFields(
         request_id=headers.get(_REQUEST_ID, ''),
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -75,19 +75,18 @@
     except pydantic.ValidationError as error:
         return str(error.errors(include_url=False, include_input=False)[:3])
     services = {
-        name: tables.Service(name, item.Sharded, item.MaxConns,
-                             item.WarmS * 1000.0)
+        name:
+            tables.Service(name, item.Sharded, item.MaxConns,
+                           item.WarmS * 1000.0)
         for name, item in model.Services.items()
     }
     limits = tables.CallerLimits(model.Limits.MaxHeaderBytes,
                                  model.Limits.MaxBodyBytes,
                                  model.Limits.HeaderTimeoutMs,
                                  model.Limits.IdleTimeoutMs)
-    return tables.Configuration(
-        model.Version, {
-            name: _convert_route(name, item)
-            for name, item in model.Routes.items()
-        }, services, limits)
+    return tables.Configuration(model.Version, {
+        name: _convert_route(name, item) for name, item in model.Routes.items()
+    }, services, limits)
 
 
 def _convert_route(name: str, item: _Route) -> tables.Route:
@@ -129,8 +128,7 @@
       mark: What no other write has, to tell it from a rival's.
     """
     fields = reports.write_assignment(assignment)
-    return json.dumps(fields | {'mark': mark},
-                      separators=(',', ':')).encode()
+    return json.dumps(fields | {'mark': mark}, separators=(',', ':')).encode()
 
 
 def read_assignment(data: bytes) -> keyranges.Assignment:
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -7,6 +7,7 @@
 
 from lentilmoor import clocks
 from lentilmoor import exceptions
+from lentilmoor import linequeue
 from lentilmoor import logs
 from lentilmoor.edge import entry
 from lentilmoor.edge import ports
@@ -19,7 +20,11 @@
 
 
 def run() -> int:
-    """Runs an entry with the settings that the platform wrote."""
+    """Runs an entry with the settings that the platform wrote.
+
+    Returns:
+      An exit code, if it could not start.
+    """
     path = os.environ.get(settings_module.BOOT_VARIABLE, '')
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
@@ -30,9 +35,13 @@
         return _EXIT_REFUSED
     clock = clocks.make_suspend_clock()
     instance = f'{settings.instance}.{secrets.token_hex(4)}'
-    logger = logs.make_logger(instance, sys.stdout)
+    lines = linequeue.LineQueue(sys.stdout, clock)
+    logger = logs.make_logger(instance, lines)
     platform = ports.Platform(settings,
                               store.connect_store(address, clock, logger),
                               servers.connect_servers(clock),
                               dialect.make_dialect())
-    return entry.run(platform, instance, clock, logger, store.KEEPALIVE)
+    entry.run(platform, instance, clock, logger, store.KEEPALIVE)
+    lines.close()
+    # Threads that wait for outside calls must not hold the process.
+    os._exit(0)  # pylint: disable=protected-access
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -8,6 +8,8 @@
 from lentilmoor.edge import ports
 
 BOOT_VARIABLE = 'LENTILMOOR_BOOT'
+# Where the deploy file says that metrics are.
+METRICS_PORT = 9464
 _MS_PER_S = 1000.0
 
 
@@ -32,6 +34,7 @@
         callers=_take_address(fields, 'Listen.Front'),
         ready=_take_address(fields, 'Listen.Ready'),
         control=_take_address(fields, 'Listen.Control'),
+        metrics=f'{_find_host(fields)}:{METRICS_PORT}',
         seeds=tuple(
             item for item in fields.get('Seeds', '').split(',') if item),
         memory_mb=int(_take_number(fields, 'Limits.MemoryMb')),
@@ -40,9 +43,12 @@
     return settings, _take_address(fields, 'Platform.Addr')
 
 
+def _find_host(fields: dict[str, str]) -> str:
+    return _take_address(fields, 'Listen.Control').rpartition(':')[0]
+
+
 def _read_bounds(text: str) -> ports.Bounds:
-    values = dict(
-        item.split('=', 1) for item in text.split(',') if '=' in item)
+    values = dict(item.split('=', 1) for item in text.split(',') if '=' in item)
 
     def take(name: str) -> float:
         return _take_number(values, name, f'Bounds: {name}')
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -86,8 +86,7 @@
         reply = caller.call(
             self._address,
             httpcalls.Request(method, target, data,
-                              {'Content-Type': 'application/json'}),
-            timeout_ms)
+                              {'Content-Type': 'application/json'}), timeout_ms)
         if isinstance(reply, outcomes.Failed):
             return reply
         if reply.status == 200:
@@ -98,7 +97,8 @@
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
         return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
 
-    def read_all(self, prefix: str) -> tuple[list[_Item], int] | outcomes.Failed:
+    def read_all(self,
+                 prefix: str) -> tuple[list[_Item], int] | outcomes.Failed:
         """Reads all items of a prefix, and the revision before the first."""
         items: list[_Item] = []
         revision, after = None, ''
@@ -219,8 +219,7 @@
     def take_role(service: str, coordinator: ports.Peer,
                   lease: ports.Lease) -> outcomes.Failed | None:
         done = client.swap(COORDINATORS + service,
-                           documents.write_peer(coordinator), 0,
-                           lease.id)
+                           documents.write_peer(coordinator), 0, lease.id)
         return done if isinstance(done, outcomes.Failed) else None
 
     def register(peer: ports.Peer,
@@ -305,8 +304,7 @@
             elif item.key.startswith(SERVERS):
                 self._put_server(servers, item)
             elif item.key.startswith(COORDINATORS):
-                _put(coordinators, item, COORDINATORS,
-                     documents.read_peer)
+                _put(coordinators, item, COORDINATORS, documents.read_peer)
             elif item.key.startswith(ASSIGNMENTS):
                 _put(assignments, item, ASSIGNMENTS, _make_reader(item))
             elif item.key.startswith(ENTRIES):
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -68,8 +68,7 @@
         self._server.daemon_threads = True
         host, port = self._server.server_address
         self.port, self.address = port, f'{host}:{port}'
-        threading.Thread(target=self._server.serve_forever,
-                         daemon=True).start()
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
         self.register()
 
     def register(self, state: str = 'ready') -> None:
@@ -105,9 +104,8 @@
         """Returns whether it holds a key now."""
         now = time.monotonic()
         with self.lock:
-            return any(
-                first <= key <= last and until > now
-                for first, last, _, until in self.held)
+            return any(first <= key <= last and until > now
+                       for first, last, _, until in self.held)
 
     def grant(self, fields: dict, arrived: float) -> int:
         """Applies a grant and returns the status of its answer.
@@ -147,6 +145,7 @@
 
 
 def _make_handler(server: PlatformServer):
+    # pylint: disable=too-many-statements
 
     class Handler(http.server.BaseHTTPRequestHandler):
         """Answers requests and control calls."""
@@ -169,7 +168,8 @@
         def log_message(self, *unused_args) -> None:
             """Writes nothing."""
 
-        def _handle(self) -> None:
+        def handle_call(self) -> None:
+            """Answers one call."""
             length = int(self.headers.get('Content-Length') or 0)
             body = self.rfile.read(length)
             if self.path == '/-/grant':
@@ -180,8 +180,6 @@
             else:
                 self._serve(body)
 
-        do_GET = do_POST = do_PUT = _handle  # pylint: disable=invalid-name
-
         def _grant(self, fields: dict) -> None:
             if server.faults.late_grant_s:
                 threading.Timer(server.faults.late_grant_s, server.grant,
@@ -274,4 +272,6 @@
                 self.end_headers()
                 self.wfile.write(body)
 
+    for method in ('GET', 'POST', 'PUT'):
+        setattr(Handler, f'do_{method}', Handler.handle_call)
     return Handler
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -51,8 +51,7 @@
         self._server.daemon_threads = True
         host, port = self._server.server_address
         self.address = f'{host}:{port}'
-        threading.Thread(target=self._server.serve_forever,
-                         daemon=True).start()
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def close(self) -> None:
         """Stops listening."""
@@ -61,8 +60,7 @@
 
     def put(self, key: str, value: dict | bytes, lease: int = 0) -> int:
         """Writes an item, as the operator and backend servers do."""
-        data = value if isinstance(value, bytes) else json.dumps(
-            value).encode()
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self.changed:
             return self._write(key, base64.b64encode(data).decode(), lease)
 
@@ -97,20 +95,25 @@
             if path == '/-/kv-txn':
                 return self._swap(body)
             if path == '/-/kv-lease':
-                number = self.revision * 1_000 + len(self.leases) + 1
-                ttl_s = body['TtlMs'] / _MS_PER_S
-                self.leases[number] = (time.monotonic() + ttl_s, ttl_s)
-                return 200, {'Lease': number, 'TtlMs': body['TtlMs']}
-            number = int(path.rpartition('/')[2])
-            if number not in self.leases:
-                return 404, {}
-            if method == 'DELETE':
-                self.leases[number] = (0.0, 0.0)
-                self._expire()
-                return 200, {}
-            _, ttl_s = self.leases[number]
-            self.leases[number] = (time.monotonic() + ttl_s, ttl_s)
-            return 200, {'TtlMs': ttl_s * _MS_PER_S}
+                return self._open_lease(body)
+            return self._touch_lease(method, int(path.rpartition('/')[2]))
+
+    def _open_lease(self, body: dict) -> tuple[int, dict]:
+        number = self.revision * 1_000 + len(self.leases) + 1
+        ttl_s = body['TtlMs'] / _MS_PER_S
+        self.leases[number] = (time.monotonic() + ttl_s, ttl_s)
+        return 200, {'Lease': number, 'TtlMs': body['TtlMs']}
+
+    def _touch_lease(self, method: str, number: int) -> tuple[int, dict]:
+        if number not in self.leases:
+            return 404, {}
+        if method == 'DELETE':
+            self.leases[number] = (0.0, 0.0)
+            self._expire()
+            return 200, {}
+        _, ttl_s = self.leases[number]
+        self.leases[number] = (time.monotonic() + ttl_s, ttl_s)
+        return 200, {'TtlMs': ttl_s * _MS_PER_S}
 
     def _range(self, query: dict) -> tuple[int, dict]:
         prefix, after = query.get('Prefix', ''), query.get('after', '')
@@ -200,7 +203,8 @@
         def log_message(self, *unused_args) -> None:
             """Writes nothing."""
 
-        def _handle(self) -> None:
+        def handle_call(self) -> None:
+            """Answers one call."""
             length = int(self.headers.get('Content-Length') or 0)
             body = json.loads(self.rfile.read(length) or b'{}')
             path, _, text = self.path.partition('?')
@@ -226,8 +230,6 @@
                 return
             self._send(status, fields)
 
-        do_GET = do_POST = do_DELETE = _handle  # pylint: disable=invalid-name
-
         def _send(self, status: int, fields: dict) -> None:
             data = json.dumps(fields).encode()
             self.send_response(status)
@@ -237,4 +239,6 @@
                 self.end_headers()
                 self.wfile.write(data)
 
+    for method in ('GET', 'POST', 'DELETE'):
+        setattr(Handler, f'do_{method}', Handler.handle_call)
     return Handler
--- a/tests/edgeworlds.py
+++ b/tests/edgeworlds.py
@@ -44,8 +44,8 @@
 
     def grant(self, first, last, fence, hold_ms, arrived, now):
         """Applies a grant; its time runs from its arrival."""
-        if any(f <= last and l >= first and seen > fence
-               for f, l, seen in self.seen):
+        if any(begin <= last and end >= first and seen > fence
+               for begin, end, seen in self.seen):
             return coordination.Answer.REFUSED
         self.seen.append((first, last, fence))
         until = arrived + hold_ms * self.pace
@@ -69,8 +69,9 @@
 
     def holds(self, key, now):
         """Returns whether it holds a key."""
-        return self.up and any(item.first <= key <= item.last and
-                               item.until > now for item in self.held)
+        return self.up and any(
+            item.first <= key <= item.last and item.until > now
+            for item in self.held)
 
 
 @dataclasses.dataclass
@@ -168,11 +169,10 @@
             for name, server in self.servers.items()
             if not server.listed
         }
-        ended = frozenset(
-            name for name, server in self.servers.items()
-            if any(other.entry.address == server.entry.address and
-                   other.entry.seen_at > server.entry.seen_at
-                   for other in self.servers.values()))
+        ended = frozenset(name for name, server in self.servers.items()
+                          if any(other.entry.address == server.entry.address and
+                                 other.entry.seen_at > server.entry.seen_at
+                                 for other in self.servers.values()))
         return coordination.View(
             {
                 name: entry
@@ -237,8 +237,7 @@
                               action.item)
 
         def note(answer, token):
-            coordination.note_released(state, action, answer, token,
-                                       self.now)
+            coordination.note_released(state, action, answer, token, self.now)
 
         if not model.up or not model.reachable:
             self._after(100, lambda: note(coordination.Answer.NOT_SENT, ''))
@@ -266,10 +265,8 @@
 
     def _check(self) -> None:
         marks = [(item.first, item.last, name)
-                 for name, server in self.servers.items()
-                 if server.up
-                 for item in server.held
-                 if item.until > self.now]
+                 for name, server in self.servers.items() if server.up
+                 for item in server.held if item.until > self.now]
         marks.sort()
         for one, two in zip(marks, marks[1:], strict=False):
             if two[0] <= one[1] and one[2] != two[2]:
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -90,14 +90,15 @@
 
     def __init__(self, store, number: int = 1, seeds: str = ''):
         self.ports = [pick_port() for _ in range(3)]
+        # Cleaned up by `close`.
+        # pylint: disable-next=consider-using-with
         self.folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self.folder.name) / 'node.conf'
         lines = [
-            f'Node=edge-{number}', 'Zone=zone-a', 'Listen.Front=' +
-            self._at(0), 'Listen.Ready=' + self._at(1), 'Listen.Control=' +
-            self._at(2), 'Limits.MemoryMb=300', 'Limits.MaxFds=4100',
-            f'Seeds={seeds}', f'Bounds={_BOUNDS}',
-            f'Platform.Addr={store.address}'
+            f'Node=edge-{number}', 'Zone=zone-a', 'Listen.Front=' + self._at(0),
+            'Listen.Ready=' + self._at(1), 'Listen.Control=' + self._at(2),
+            'Limits.MemoryMb=300', 'Limits.MaxFds=4100', f'Seeds={seeds}',
+            f'Bounds={_BOUNDS}', f'Platform.Addr={store.address}'
         ]
         path.write_text('\n'.join(lines), encoding='utf-8')
         self.log = pathlib.Path(self.folder.name) / 'log'
@@ -201,7 +202,8 @@
             entry.await_ready()
         wait_until(
             lambda: all(
-                any(server.holds(key) for server in self.catalogs)
+                any(server.holds(key)
+                    for server in self.catalogs)
                 for key in (0, 20_000, 40_000, 65_535)), 10)
 
     def close(self) -> None:
--- a/tests/test_edge_coordination.py
+++ b/tests/test_edge_coordination.py
@@ -55,8 +55,8 @@
         world.loads |= dict.fromkeys(range(30_000, 30_060), 4.0)
         world.run(4_000)
         owners = {
-            name for name, model in world.servers.items() for key in range(
-                30_000, 30_060) if model.holds(key, world.now)
+            name for name, model in world.servers.items()
+            for key in range(30_000, 30_060) if model.holds(key, world.now)
         }
         self.assertGreaterEqual(len(owners), 3)
         self.assertEqual(world.breaches, [])
@@ -188,8 +188,8 @@
         coordination.note_granted(state, grant, coordination.Answer.REFUSED,
                                   0.0, 1.0)
         self.assertFalse(state.lost)
-        grant = coordination.Grant('stock', server, assignment.ranges[0],
-                                   4_000, '')
+        grant = coordination.Grant('stock', server, assignment.ranges[0], 4_000,
+                                   '')
         state.sent.append(grant.item)
         coordination.note_granted(state, grant, coordination.Answer.REFUSED,
                                   0.0, 1.0)
@@ -210,8 +210,8 @@
             with self.subTest(seed=seed):
                 world = _play(seed)
                 world.late_share = world.lost_share = world.queue_ms = 0.0
-                world.run(coordination.TENURE_MS +
-                          coordination.HOLD_MS * 1.03 + 3_000)
+                world.run(coordination.TENURE_MS + coordination.HOLD_MS * 1.03 +
+                          3_000)
                 self.assertTrue(_covered(world))
 
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -113,8 +113,9 @@
                            b'\r\nLentilmoor-Attempt-Id: g1\r\n\r\n')
             time.sleep(0.3)
         platformhelp.wait_until(
-            lambda: sum(server.cancelled for server in self.deployment.orders
-                       ) > before, 0.5, self.entry.read_log)
+            lambda: sum(server.cancelled
+                        for server in self.deployment.orders) > before, 0.5,
+            self.entry.read_log)
         platformhelp.wait_until(lambda: 'caller_left' in self.entry.read_log(),
                                 1.0)
 
@@ -128,12 +129,11 @@
 
     def test_bad_input_is_refused_and_smuggles_nothing(self):
         arrivals = sum(server.arrivals for server in self.deployment.orders)
-        for text in (
-                b'Content-Length: -1\r\n\r\n',
-                b'Content-Length: x\r\n\r\n',
-                b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
-                b'0\r\n\r\nGET /order/smuggled HTTP/1.1\r\n\r\n',
-                b'Transfer-Encoding: chunked\r\n\r\nzz\r\n'):
+        for text in (b'Content-Length: -1\r\n\r\n',
+                     b'Content-Length: x\r\n\r\n',
+                     b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
+                     b'0\r\n\r\nGET /order/smuggled HTTP/1.1\r\n\r\n',
+                     b'Transfer-Encoding: chunked\r\n\r\nzz\r\n'):
             with socket.create_connection(
                 ('127.0.0.1', self.entry.ports[0])) as caller:
                 caller.sendall(b'POST /order/x HTTP/1.1\r\nHost: ' +
