--- /dev/null
+++ b/tests/test_edge_reports.py
@@ -0,0 +1,200 @@
+"""Tests of key ranges, loads, reports between entries, logs and metrics."""
+
+import io
+import threading
+import time
+import unittest
+
+from lentilmoor import clocks
+from lentilmoor import linequeue
+from lentilmoor.edge import hub
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import loads
+from lentilmoor.edge import measures
+from lentilmoor.edge import rebalancing
+from lentilmoor.edge import reports
+from lentilmoor.edge import tables
+from tests import edgeworlds
+
+_range = edgeworlds.make_range
+
+
+class KeyRangesTest(unittest.TestCase):
+
+    def test_every_key_has_one_owner_however_ranges_are_cut(self):
+        ranges = keyranges.divide_evenly('abc', {'b': 2.0}, 1)
+        self.assertEqual(edgeworlds.count_keys(ranges), tables.KEYS)
+        laid = keyranges.reassign(
+            ranges, [_range(100, 200, 'b', 2),
+                     _range(60_000, 65_535, 'a', 3)])
+        self.assertEqual(edgeworlds.count_keys(laid), tables.KEYS)
+        for one, two in zip(laid, laid[1:], strict=False):
+            self.assertEqual(one.last + 1, two.first)
+        assignment = keyranges.Assignment('x', 1, 4, laid)
+        self.assertEqual(keyranges.find_owner(assignment, 150).server, 'b')
+        self.assertEqual(keyranges.find_owner(assignment, 65_535).server, 'a')
+
+    def test_neighbours_are_joined_under_a_fence_of_their_own(self):
+        ranges = [
+            _range(0, 9, 'a', 1),
+            _range(10, 19, 'a', 2),
+            _range(20, 29, 'a', 3),
+            _range(30, 39, 'b', 4),
+            _range(40, 49, 'b', 7)
+        ]
+        joined, fence = keyranges.join_neighbours(ranges, 8, [(40, 49)])
+        self.assertEqual(joined, (_range(0, 29, 'a', 8), _range(
+            30, 39, 'b', 4), _range(40, 49, 'b', 7)))
+        self.assertEqual(fence, 9)
+
+    def test_a_report_and_its_reply_survive_the_way(self):
+        report = reports.Report('e1', {'x': [(7, 's1', 12.5)]}, {'s1': 2},
+                                {'x': 9}, ['f'], [])
+        self.assertEqual(reports.decode_report(reports.encode_report(report)),
+                         report)
+        assignment = keyranges.Assignment('x', 2, 9, (_range(0, 9, 'a'),),
+                                          {'a': 3.0}, {'a': 'a:1'}, 'e1')
+        reply = reports.Reply({'s1': 3}, {'x': assignment}, {'x': [(1, 2)]},
+                              ['f'], [])
+        found = reports.decode_reply(reports.encode_reply(reply))
+        self.assertEqual(found, reply)
+        self.assertEqual(found.assignments['x'].addresses, {'a': 'a:1'})
+
+    def test_what_is_no_report_is_refused(self):
+        for data in (b'', b'[]', b'{"entry": 1}', b'\xff'):
+            self.assertIsNone(reports.decode_report(data))
+            self.assertIsNone(reports.decode_reply(data))
+
+
+class LoadsTest(unittest.TestCase):
+
+    def test_refused_requests_move_keys_of_a_server_at_its_limit(self):
+        # A full server answers at its limit: what it served alone looked like
+        # its share, and its hot keys stayed.
+        table = loads.LoadTable()
+        servers = [
+            tables.Server(name, 'x', '', '', 2, False, 0.0, 0.0)
+            for name in 'abcd'
+        ]
+        ranges = keyranges.divide_evenly('abcd', {}, 1)
+        rows = [(key,
+                 keyranges.find_owner(keyranges.Assignment('x', 1, 1, ranges),
+                                      key).server, 60.0)
+                for key in range(0, tables.KEYS, 700)]
+        table.add(rows, 0.0)
+        self.assertEqual(table.plan_transfers(ranges, servers, 0.0), [])
+        refused = [(key, 'a', 0.0) for key in range(20, 60)] * 3
+        table.add(refused, 600.0)
+        moved = table.plan_transfers(ranges, servers, 1_200.0)
+        self.assertTrue(moved)
+        self.assertEqual({item.source for item in moved}, {'a'})
+        self.assertEqual(table.works['a'].ms, 60.0)
+
+    def test_a_successor_begins_with_what_was_learned(self):
+        table = loads.LoadTable()
+        table.seed_works({'a': 50.0, 'b': 100.0})
+        servers = [
+            tables.Server(name, 'x', '', '', 2, False, 0.0, 0.0)
+            for name in 'abc'
+        ]
+        found = table.capacities(servers, 0.0)
+        self.assertGreater(found['a'], 1.3)
+        self.assertLess(found['b'], 0.8)
+        self.assertEqual(found['c'], 1.0)
+
+    def test_scraps_are_joined_when_there_are_many(self):
+        ranges = []
+        for number in range(40):
+            ranges.append(
+                _range(number * 1_000, number * 1_000 + 989, 'ab'[number % 2],
+                       1))
+            ranges.append(
+                _range(number * 1_000 + 990, number * 1_000 + 999,
+                       'ba'[number % 2], 2))
+        load = rebalancing.KeyLoads({})
+        joins = rebalancing.plan_joins(ranges, load, {'a': 1.0, 'b': 1.0})
+        self.assertEqual(len(joins), rebalancing.MOST_JOINS)
+        for item in joins:
+            self.assertEqual(item.last - item.first, 9)
+
+
+class HubTest(unittest.TestCase):
+
+    def test_requests_under_way_add_up_over_entries(self):
+        table = hub.HubTable()
+        hub.note_inflight(table, 'e1', {'a': 2}, 0.0)
+        hub.note_inflight(table, 'e2', {'a': 3, 'b': 1}, 0.0)
+        self.assertEqual(hub.count_others(table, 'e1', 10.0), {'a': 3, 'b': 1})
+        self.assertEqual(hub.count_others(table, 'e1', hub.FRESH_MS + 1.0), {})
+
+    def test_only_what_crashes_without_an_answer_in_between_is_blocked(self):
+        table = hub.HubTable()
+        for now in (0.0, 1.0):
+            hub.note_crashes(table, ['bad', 'unlucky'], [], now)
+        hub.note_crashes(table, [], ['unlucky'], 2.0)
+        self.assertEqual(hub.list_blocked(table, 2.0), [])
+        hub.note_crashes(table, ['bad', 'unlucky'], [], 3.0)
+        self.assertEqual(hub.list_blocked(table, 3.0), ['bad'])
+        self.assertIn('unlucky', hub.list_suspects(table))
+        self.assertEqual(hub.list_blocked(table, 4.0 + hub.BLOCKED_MS), [])
+
+
+class _StuckStream(io.StringIO):
+    """A stream that nobody reads."""
+
+    def __init__(self):
+        super().__init__()
+        self.go = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.go.wait()
+        return super().write(text)
+
+
+class LineQueueTest(unittest.TestCase):
+
+    def test_a_reader_that_is_stuck_costs_lines_and_no_time(self):
+        stream = _StuckStream()
+        time_ = clocks.ManualTime()
+        lines = linequeue.LineQueue(stream, time_.clock())
+        began = time.monotonic()
+        for number in range(20_000):
+            lines.write(f'{number}\n')
+            time_.advance(5.0)
+        self.assertLess(time.monotonic() - began, 2.0)
+        stream.go.set()
+        lines.write('last\n')
+        lines.close()
+        self.assertIn('lines_left_out', stream.getvalue())
+
+    def test_a_flood_is_cut_and_counted(self):
+        stream = io.StringIO()
+        time_ = clocks.ManualTime()
+        lines = linequeue.LineQueue(stream, time_.clock())
+        for _ in range(1_000):
+            lines.write('x\n')
+        time_.advance(1_000.0)
+        lines.write('next\n')
+        lines.close()
+        text = stream.getvalue()
+        self.assertEqual(text.count('x\n'), linequeue.LINES_PER_S)
+        self.assertIn('"count": 700', text)
+
+
+class MeasuresTest(unittest.TestCase):
+
+    def test_counts_and_times_are_shown(self):
+        found = measures.Measures(clocks.Clock())
+        found.note('answered', '200', 12.0)
+        found.note('not-run', 'overloaded', 0.0)
+        text = found.show({'entries': 3.0}).decode()
+        self.assertIn(
+            'lentilmoor_requests_total{outcome="answered",reason="200"} 1.0',
+            text)
+        self.assertIn('lentilmoor_entries 3.0', text)
+        self.assertIn('lentilmoor_request_ms_count{outcome="answered"} 1.0',
+                      text)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,162 @@
+"""Tests of what the adapter reads: settings, documents, headers, the store."""
+
+import json
+import unittest
+
+from lentilmoor import clocks
+from lentilmoor import exceptions
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import ports
+from lentilmoor.edge import tables
+from lentilmoor.platform import dialect
+from lentilmoor.platform import documents
+from lentilmoor.platform import settings
+from lentilmoor.platform import store
+from standins import platform_store
+from tests import platformhelp
+
+_SETTINGS = '''Node=edge-1
+Zone=a
+Listen.Front=10.0.0.1:80
+Listen.Ready=10.0.0.1:81
+Listen.Control=10.0.0.1:82
+Limits.MemoryMb=300
+Limits.MaxFds=4100
+Seeds=10.0.0.1:82,10.0.0.2:82
+Bounds=DrainMs=2000,GraceS=6,RetryRatio=0.2,RetrySlack=64,RetryWindowS=10,HoldMaxMs=9000,New=1
+Platform.Addr=10.9.9.9:84
+Something.New=x
+'''
+
+
+class SettingsTest(unittest.TestCase):
+
+    def test_fields_are_read_and_unknown_ones_ignored(self):
+        found, address = settings.parse_settings(_SETTINGS)
+        self.assertEqual(address, '10.9.9.9:84')
+        self.assertEqual(found.callers, '10.0.0.1:80')
+        self.assertEqual(found.bounds.grace_ms, 6_000.0)
+        self.assertEqual(found.seeds, ('10.0.0.1:82', '10.0.0.2:82'))
+
+    def test_a_message_names_the_field_that_is_wrong(self):
+        for before, after, named in (
+            ('Zone=a', '', 'Zone: missing'),
+            ('10.0.0.1:81', 'here', 'Listen.Ready: expected host:port'),
+            ('GraceS=6', 'GraceS=soon', 'Bounds: GraceS: expected a number'),
+            ('MemoryMb=300', 'MemoryMb=', 'Limits.MemoryMb: expected'),
+        ):
+            with self.assertRaisesRegex(exceptions.SettingsError, named):
+                settings.parse_settings(_SETTINGS.replace(before, after))
+
+
+class DocumentsTest(unittest.TestCase):
+
+    def test_the_operators_document_becomes_the_products_own_types(self):
+        data = json.dumps(platformhelp.make_configuration(7)).encode()
+        found = documents.parse_configuration(data)
+        self.assertEqual(found.version, 7)
+        self.assertTrue(found.services['catalog'].keyed)
+        self.assertEqual(found.routes['order'].repeat, tables.Repeat.ONCE)
+        self.assertEqual(found.routes['report'].repeat,
+                         tables.Repeat.IDEMPOTENT)
+        self.assertTrue(found.routes['report'].large)
+        self.assertEqual(found.limits.idle_ms, 15_000.0)
+
+    def test_what_is_no_document_is_told_and_not_raised(self):
+        for data in (b'', b'{}', b'{"Version": 1, "Routes": 7}'):
+            self.assertIsInstance(documents.parse_configuration(data), str)
+            self.assertIsInstance(documents.parse_server('s', data, 0.0), str)
+
+
+class DialectTest(unittest.TestCase):
+
+    def setUp(self):
+        self.dialect = dialect.make_dialect()
+
+    def test_callers_headers_that_make_no_sense_are_taken_as_absent(self):
+        fields = self.dialect.read_caller({
+            b'Lentilmoor-Deadline-Ms': b'soon',
+            b'Lentilmoor-Shard-Key': b'12'
+        })
+        self.assertEqual(fields, ports.CallerFields('', None, 12))
+
+    def test_what_a_server_says_of_its_answer(self):
+        fields = self.dialect.read_answer(
+            200, {
+                'Lentilmoor-Upstream-Load': '2,3,2',
+                'Keep-Alive': 'timeout=10',
+                'Connection': 'Close',
+                'Lentilmoor-Upstream-Seal': 'x'
+            })
+        self.assertEqual(fields.load, ports.ServerLoad(2, 3, 2))
+        self.assertEqual(fields.kept_ms, 10_000.0)
+        self.assertTrue(fields.closes and fields.proven)
+        self.assertFalse(fields.not_run)
+
+    def test_only_421_and_the_servers_own_word_mean_not_run(self):
+        read = self.dialect.read_answer
+        self.assertTrue(read(421, {}).not_run)
+        self.assertTrue(read(503, {'Lentilmoor-Not-Executed': '1'}).not_run)
+        self.assertFalse(read(503, {}).not_run)
+        self.assertFalse(read(429, {}).not_run)
+
+
+class StoreTest(unittest.TestCase):
+
+    def setUp(self):
+        self.standin = platform_store.PlatformStore()
+        self.addCleanup(self.standin.close)
+        self.store = store.connect_store(self.standin.address,
+                                         clocks.make_suspend_clock(),
+                                         logs.make_logger('test'))
+        self.assignment = keyranges.Assignment(
+            'x', 1, 2, (keyranges.KeyRange(0, 9, 'a', 1),))
+
+    def test_many_items_come_in_pages(self):
+        for number in range(120):
+            self.standin.put(f'servers/i-{number:03}', {
+                'Service': 'x',
+                'Addr': '1.2.3.4:5'
+            })
+        self.assertEqual(len(self.store.load().servers), 120)
+
+    def test_a_write_whose_answer_is_lost_is_told_from_a_rivals(self):
+        self.standin.faults.lose_answers = 1
+        revision = self.store.save(self.assignment, 0)
+        self.assertIsInstance(revision, int)
+        self.assertEqual(revision, self.standin.revision)
+        rival = self.store.save(self.assignment, 0)
+        self.assertEqual(rival.reason, outcomes.Reason.CONFLICT)
+
+    def test_a_write_that_is_carried_out_late_is_done_once(self):
+        self.standin.faults.late_s = 0.2
+        found = self.store.save(self.assignment, 0)
+        self.standin.faults.late_s = 0.0
+        if isinstance(found, outcomes.Failed):
+            found = self.store.save(self.assignment, 0)
+        platformhelp.wait_until(
+            lambda: 'lentilmoor/assignment/x' in self.standin.items, 3.0)
+        self.assertEqual(len(self.standin.events), 1)
+
+    def test_a_lost_lease_is_told(self):
+        lease = self.store.open_lease(1_000.0)
+        self.assertIsNone(self.store.keep_lease(lease))
+        self.assertIsNone(self.store.end_lease(lease))
+        found = self.store.keep_lease(lease)
+        self.assertEqual(found.reason, outcomes.Reason.NOT_FOUND)
+
+    def test_what_one_entry_knows_another_can_take_over(self):
+        self.standin.put('op/config', platformhelp.make_configuration(3))
+        self.store.load()
+        other = store.connect_store('127.0.0.1:1', clocks.make_suspend_clock(),
+                                    logs.make_logger('test'))
+        found = other.restore(self.store.dump())
+        self.assertEqual(found.configuration.version, 3)
+        self.assertIsNone(other.restore(self.store.dump()))
+        self.assertIsNone(other.restore(b'nothing'))
+
+
+if __name__ == '__main__':
+    unittest.main()
