--- a/lentilmoor/edge/waiting.py
+++ b/lentilmoor/edge/waiting.py
@@ -14,6 +14,7 @@
 # been worked off, within these limits: sooner it would meet the same queue,
 # later it may have no time left.
 SOONEST_MS = 60.0
+RETURN_PART = 0.0
 LATEST_MS = 1_000.0
 
 
@@ -43,7 +44,9 @@
     """
     if not prospect.full and prospect.expected_ms <= prospect.left_ms:
         return None
-    return find_return(prospect.expected_ms - prospect.left_ms)
+    return find_return(
+        max(prospect.expected_ms - prospect.left_ms,
+            prospect.left_ms * RETURN_PART))
 
 
 def find_return(surplus_ms: float) -> float:
