--- a/tests/test_edge_routing.py
+++ b/tests/test_edge_routing.py
@@ -134,7 +134,9 @@
     def test_what_cannot_is_told_when_to_come_back(self):
         back = waiting.judge(waiting.Prospect(900.0, False, 450.0))
         self.assertEqual(back, 450.0)
-        self.assertEqual(waiting.judge(waiting.Prospect(100.0, True, 450.0)),
+        self.assertEqual(waiting.judge(waiting.Prospect(100.0, True, 1_000.0)),
+                         1_000.0 * waiting.RETURN_PART)
+        self.assertEqual(waiting.judge(waiting.Prospect(20.0, True, 25.0)),
                          waiting.SOONEST_MS)
         self.assertEqual(waiting.judge(waiting.Prospect(1e6, False, 450.0)),
                          waiting.LATEST_MS)
