--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -212,7 +212,7 @@
         entry.measures.note('left', 'caller-left', age_ms)
         entry.logger.info('caller_left',
                           request=request.fields.request_id,
-                          server=outcome.server,
+                          where=outcome.where,
                           waited_ms=round(outcome.waited_ms),
                           age_ms=age_ms)
         return
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
+import enum
 import http.client
 import select
 import socket
@@ -74,11 +75,11 @@
     """The caller left; nobody waits for an answer.
 
     Attributes:
-      server: Where the request was; empty if at none.
-      waited_ms: How long it waited there, or for an owner of its key.
+      where: Where the request was: a server's id, or what it waited for.
+      waited_ms: How long it waited at the server.
     """
 
-    server: str = ''
+    where: str = ''
     waited_ms: float = 0.0
 
 
@@ -94,6 +95,15 @@
 ReadAnswer = Callable[[int, Mapping[str, str]], ports.AnswerFields]
 
 
+class Event(enum.Enum):
+    """What came first while a server worked."""
+
+    ANSWER = 'answer'
+    GONE = 'gone'
+    TIMEOUT = 'timeout'
+    TALKS = 'talks'
+
+
 class CallerWatch:
     """Tells whether a caller has closed its connection."""
 
@@ -101,7 +111,7 @@
         self._connection = connection
         self._talks = False
 
-    def await_either(self, other: socket.socket, timeout_ms: float) -> str:
+    def await_either(self, other: socket.socket, timeout_ms: float) -> Event:
         """Waits until a server's connection can be read or the caller left.
 
         Args:
@@ -109,7 +119,8 @@
           timeout_ms: How long to wait.
 
         Returns:
-          'answer', 'gone' or 'timeout'.
+          What came first; `TALKS` if the caller sent something instead, as the
+          next request may come before this one's answer.
         """
         poll = select.poll()
         poll.register(other, select.POLLIN)
@@ -117,10 +128,10 @@
             poll.register(self._connection, select.POLLIN)
         ready = dict(poll.poll(max(0.0, timeout_ms)))
         if other.fileno() in ready:
-            return 'answer'
+            return Event.ANSWER
         if not ready:
-            return 'timeout'
-        return 'gone' if self.is_gone() else 'again'
+            return Event.TIMEOUT
+        return Event.GONE if self.is_gone() else Event.TALKS
 
     def is_gone(self) -> bool:
         """Returns whether the caller has closed its connection."""
@@ -226,13 +237,13 @@
                        headers=order.headers,
                        preload_content=False,
                        decode_content=False)
-    event = 'again'
-    while event == 'again':
+    event = Event.TALKS
+    while event is Event.TALKS:
         event = watch.await_either(taken.http.sock, order.until - clock.now())
-    if event == 'gone':
+    if event is Event.GONE:
         pool.drop(taken)
         return Gone()
-    if event == 'timeout':
+    if event is Event.TIMEOUT:
         pool.drop(taken, silent=taken.reused)
         return outcomes.Unknown(_Reason.TIMED_OUT, 'no answer in time')
     _set_timeout(taken, order, clock)
