Share the overlap of key ranges, and drop what nothing uses

Read over the change: whether two ranges of keys meet stood in five places (holds, rebalancing, coordination twice, keyranges) and is keyranges.overlaps now; leaving keys on their way out of ranges stood twice. Gone: a parameter that was deleted unused, a time that nothing read, two unused fields of the store's client, a copy of urllib3's own constant. No behaviour changes.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -131,7 +131,6 @@
     Attributes:
       instance: This process's id.
       everything: What the store held when it was last seen.
-      seen_at: When that was, ms.
       lost_at: Since when the store can't be reached; 0 if it can.
       back_at: When it was last back, ms.
       servers: By id; those that left while the store was away are kept.
@@ -152,7 +151,6 @@
 
     instance: str
     everything: ports.Everything | None = None
-    seen_at: float = 0.0
     lost_at: float = 0.0
     back_at: float = float('-inf')
     servers: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
@@ -253,7 +251,7 @@
                               revision=everything.revision)
             owned.lost_at, owned.back_at = 0.0, now
         before = owned.everything
-        owned.everything, owned.seen_at = everything, now
+        owned.everything = everything
         self._take_servers(before, everything, now)
         configuration = everything.configuration
         if configuration is not None and (before is None or before.configuration
@@ -549,7 +547,7 @@
             role.measured.capacities(servers.values(), now),
             role.measured.list_works(servers.values()))
         for action in coordination.plan(state, view, now):
-            self._carry_out(role, state, action)
+            self._carry_out(state, action)
         self._forwarder.unserved[name] = coordination.list_unserved(state)
 
     def _is_replaced(self, instance: str) -> bool:
@@ -559,7 +557,7 @@
             other.rpartition('.')[0] == place and other != instance
             for other in self._owned.everything.entries)
 
-    def _carry_out(self, role: Role, state: coordination.Coordination,
+    def _carry_out(self, state: coordination.Coordination,
                    action: coordination.Action) -> None:
         if isinstance(action, coordination.Grant):
             self._call(
@@ -575,7 +573,7 @@
             self._call(
                 lambda: self._platform.store.save(action.assignment, action.
                                                   revision),
-                lambda result, sent: self._saved(role, state, action, result))
+                lambda result, sent: self._saved(state, action, result))
 
     def _granted(self, state: coordination.Coordination,
                  grant: coordination.Grant, answer: coordination.Answer,
@@ -610,8 +608,8 @@
             return coordination.Answer.NOT_SENT
         return self._platform.servers.grant(grant)
 
-    def _saved(self, role: Role, state: coordination.Coordination,
-               save: coordination.Save, result) -> None:
+    def _saved(self, state: coordination.Coordination, save: coordination.Save,
+               result) -> None:
         if not isinstance(result, outcomes.Failed):
             coordination.note_saved(state, save, result, self._clock.now())
             self._logger.info('assignment_saved',
@@ -626,7 +624,6 @@
         self._logger.warning('assignment_not_saved',
                              service=save.service,
                              reason=result.reason.value)
-        del role
 
     def _take_rows(self, found: dict[str, list[reports.Row]]) -> None:
         for service, rows in found.items():
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -13,6 +13,7 @@
 it waits until an earlier coordinator can't have renewed their keys any more.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import enum
@@ -444,17 +445,23 @@
 def _is_loose(state: Coordination, transfer: rebalancing.Transfer) -> bool:
     """Returns whether a grant without an answer would outlast a release."""
     return any(item.server == transfer.source and not item.certain and
-               item.first <= transfer.last and item.last >= transfer.first
+               keyranges.overlaps(item, transfer.first, transfer.last)
                for item in state.held)
 
 
 def _list_unmoved(state: Coordination) -> list[keyranges.KeyRange]:
     """Returns the assignment less what is on its way already."""
+    return _leave_out(state.assignment.ranges, state.moves)
+
+
+def _leave_out(ranges: Iterable[keyranges.KeyRange],
+               moves: Iterable[Move]) -> list[keyranges.KeyRange]:
+    """Returns ranges less the keys of moves."""
     marks = [
         keyranges.KeyRange(move.transfer.first, move.transfer.last, '', -1)
-        for move in state.moves
+        for move in moves
     ]
-    laid = keyranges.reassign(state.assignment.ranges, marks)
+    laid = keyranges.reassign(ranges, marks)
     return [item for item in laid if item.server]
 
 
@@ -493,7 +500,6 @@
 
 def _plan_releases(state: Coordination, view: View, now: float) -> list[Action]:
     actions: list[Action] = []
-    failed = state.unreleased
     calling = {
         move.transfer.source
         for move in state.moves
@@ -509,7 +515,7 @@
                                      transfer.last)
         if _is_under_way(state, transfer):
             continue  # A grant that arrives after the release would undo it.
-        if transfer.source in failed:
+        if transfer.source in state.unreleased:
             move.phase = Phase.WAIT
             continue
         if transfer.source in calling:
@@ -604,7 +610,7 @@
 def _is_under_way(state: Coordination, transfer: rebalancing.Transfer) -> bool:
     """Returns whether a grant of keys that are to move may still arrive."""
     return any(item.server == transfer.source and
-               item.first <= transfer.last and item.last >= transfer.first
+               keyranges.overlaps(item, transfer.first, transfer.last)
                for item in state.sent)
 
 
@@ -662,12 +668,5 @@
 
 def _list_kept(item: keyranges.KeyRange,
                moves: list[Move]) -> list[keyranges.KeyRange]:
-    marks = [
-        keyranges.KeyRange(move.transfer.first, move.transfer.last, '', -1)
-        for move in moves
-        if move.transfer.source == item.server
-    ]
-    if not marks:
-        return [item]
-    laid = keyranges.reassign([item], marks)
-    return [piece for piece in laid if piece.server]
+    leaving = [move for move in moves if move.transfer.source == item.server]
+    return _leave_out([item], leaving) if leaving else [item]
--- a/lentilmoor/edge/holds.py
+++ b/lentilmoor/edge/holds.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+from lentilmoor.edge import keyranges
+
 # Clocks of servers that count grants down may be 2% slow: 1 / 0.98.
 CLOCK_FACTOR = 1.0205
 # Delivery of a grant and rounding of clocks, ms; the longest one-way delay
@@ -45,10 +47,11 @@
 def find_until(holds: Iterable[Hold], server: str, first: int,
                last: int) -> float:
     """Returns until when a server may hold any of the keys; 0 if it can't."""
-    return max((item.until
-                for item in holds
-                if item.server == server and _meets(item, first, last)),
-               default=0.0)
+    return max(
+        (item.until
+         for item in holds
+         if item.server == server and keyranges.overlaps(item, first, last)),
+        default=0.0)
 
 
 def add(holds: Iterable[Hold], new: Hold) -> list[Hold]:
@@ -63,7 +66,8 @@
     """
     kept = []
     for item in holds:
-        same = item.server == new.server and _meets(item, new.first, new.last)
+        same = item.server == new.server and keyranges.overlaps(
+            item, new.first, new.last)
         if same and new.certain and (item.certain or item.fence < new.fence):
             kept.extend(_outside(item, new.first, new.last))
         else:
@@ -77,7 +81,7 @@
     kept = []
     for item in holds:
         if (item.server == server and item.certain and
-                _meets(item, first, last)):
+                keyranges.overlaps(item, first, last)):
             kept.extend(_outside(item, first, last))
         else:
             kept.append(item)
@@ -94,10 +98,6 @@
     return [item for item in holds if item.until > now]
 
 
-def _meets(item: Hold, first: int, last: int) -> bool:
-    return item.first <= last and item.last >= first
-
-
 def _outside(item: Hold, first: int, last: int) -> list[Hold]:
     pieces = []
     if item.first < first:
--- a/lentilmoor/edge/keyranges.py
+++ b/lentilmoor/edge/keyranges.py
@@ -147,6 +147,11 @@
     return tuple(joined), fence
 
 
+def overlaps(item, first: int, last: int) -> bool:
+    """Returns whether what has a first and a last key meets other keys."""
+    return item.first <= last and item.last >= first
+
+
 def intersect(ranges: Iterable[KeyRange], first: int,
               last: int) -> list[KeyRange]:
     """Returns what ranges hold of the keys from first to last."""
@@ -155,7 +160,7 @@
                             first=max(item.first, first),
                             last=min(item.last, last))
         for item in ranges
-        if item.first <= last and item.last >= first
+        if overlaps(item, first, last)
     ]
 
 
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -4,6 +4,7 @@
 import logging
 
 from cheroot import server as cheroot_server
+from urllib3 import util
 
 from lentilmoor import chunks
 from lentilmoor import clocks
@@ -200,13 +201,10 @@
         headers['Content-Length'] = str(len(body))
     for name in ('User-Agent', 'Accept-Encoding'):
         # The library would add its own, which would speak for the caller.
-        headers.setdefault(name, _SKIPPED)
+        headers.setdefault(name, util.SKIP_HEADER)
     return headers
 
 
-_SKIPPED = '@@@SKIP_HEADER@@@'  # urllib3.util.SKIP_HEADER
-
-
 def _write(request: cheroot_server.HTTPRequest, call: forwarding.Request,
            outcome: forwarding.Outcome) -> None:
     if isinstance(outcome, exchange.Gone):
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -148,8 +148,9 @@
 
 def _meets_any(transfer: Transfer, others: Iterable[Transfer]) -> bool:
     """Returns whether keys would move on before they have arrived."""
-    return any(item.first <= transfer.last and item.last >= transfer.first
-               for item in others)
+    return any(
+        keyranges.overlaps(item, transfer.first, transfer.last)
+        for item in others)
 
 
 def plan_joins(ranges: Iterable[keyranges.KeyRange], loads: KeyLoads,
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -64,10 +64,8 @@
 class _Client:
     """Calls to one store."""
 
-    def __init__(self, address: str, clock: clocks.Clock, logger: logs.Logger):
+    def __init__(self, address: str, clock: clocks.Clock):
         self._address = address
-        self._clock = clock
-        self._logger = logger
         # A waiting watch must not keep other calls from their connection.
         self._caller = httpcalls.Caller(clock, 4, KEEPALIVE)
         self._watcher = httpcalls.Caller(clock, 1, KEEPALIVE)
@@ -178,7 +176,7 @@
       clock: This process's time.
       logger: Takes lines on entries that don't parse.
     """
-    client = _Client(address, clock, logger)
+    client = _Client(address, clock)
     fold = _Folder(clock, logger)
 
     def load() -> ports.Everything | outcomes.Failed:
