Give a key heavier than a server's share a server of its own

Cause: a key that took 15% to 30% of a service's requests could not be split, so its owner was skipped by the balance: the key stayed where it lay, also on a slow server (load 9 times its share, for 4 s), beside all the owner's other keys. Beside it, entries refused requests after one long answer of a server (expected 5,129 ms of 221), and keys of a full server could not move for 4.2 s after a renewal had got no answer.

Change: the heaviest keys go to the fastest servers, which give their other keys away; the rest is evened out over the others. Times of work come from the hub, and few own answers count little. A loose grant is overtaken by one under a higher fence. What two services' coordinators tell stands side by side: the last reply overwrote the others.

--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -224,7 +224,7 @@
         state = states[server.id]
         return placement.Choice(
             server,
-            *placement.expect(server, state, state.work_ms, self.now, True))
+            *placement.expect(server, state, wish.work_ms, self.now, True))
 
     def _judge(self, job: Job, expected: float, full: bool) -> float | None:
         if self.policy.refuse == 'never':
@@ -311,7 +311,10 @@
         self.rows[entry] = []
         if self.policy.place != 'told':
             return
+        works = (self.table.estimate_works(self.servers)
+                 if self.shape.keyed else {})
         for name, state in self.states[entry].items():
+            state.shared_ms = works.get(name, 0.0)
             state.reported = sum(counts[name]
                                  for other, counts in enumerate(self.inflight)
                                  if other != entry)
@@ -365,6 +368,16 @@
           True,
           12,
           hot=((8, 13, 0.4, 200), (16, 20, 0.4, 60))),
+    Shape('stock, one key',
+          300,
+          60,
+          200,
+          500,
+          0.1,
+          _CATALOG,
+          True,
+          12,
+          hot=((8, 13, 0.25, 1), (16, 20, 0.3, 1))),
     Shape('stock, burst',
           300,
           60,
@@ -396,6 +409,16 @@
           True,
           10,
           hot=((8, 13, 0.4, 200), (16, 20, 0.4, 60))),
+    Shape('shifts, one key',
+          50,
+          220,
+          600,
+          1_500,
+          0.3,
+          _SHIFTS,
+          True,
+          10,
+          hot=((8, 13, 0.25, 1), (16, 20, 0.3, 1))),
     Shape('shifts, burst',
           65,
           220,
--- a/benchmarks/edge_slopes.py
+++ b/benchmarks/edge_slopes.py
@@ -12,8 +12,8 @@
 
 from lentilmoor.edge import coordination
 from lentilmoor.edge import hub
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
-from lentilmoor.edge import rebalancing
 from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 
@@ -55,7 +55,7 @@
         {
             name: tables.Server(name, 'x', f'{name}:1', 'd', 2, False, 0.0, 0.0)
             for name in names
-        }, frozenset(), {}, rebalancing.KeyLoads({}), {})
+        }, frozenset(), {}, keyloads.KeyLoads({}), {})
     ranges = keyranges.divide_evenly(names, {}, 1)
     state = coordination.begin(keyranges.Assignment('x', 1, 2, ranges), 1, 0.0,
                                None)
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -421,7 +421,11 @@
     def _resign(self, name: str, role: Role, reason: str) -> None:
         self._logger.info('coordination_ended', service=name, reason=reason)
         role.state = None
-        self._forwarder.unserved.pop(name, None)
+        self._forwarder.coordinated = {
+            service: told
+            for service, told in self._forwarder.coordinated.items()
+            if service != name
+        }
 
     def _stand(self, name: str, role: Role, now: float) -> None:
         """Stands for coordinator if there is none."""
@@ -548,7 +552,10 @@
             role.measured.list_works(servers.values()))
         for action in coordination.plan(state, view, now):
             self._carry_out(state, action)
-        self._forwarder.unserved[name] = coordination.list_unserved(state)
+        told = tables.Coordinated(
+            coordination.list_unserved(state),
+            role.measured.estimate_works(servers.values()))
+        self._forwarder.coordinated = self._forwarder.coordinated | {name: told}
 
     def _is_replaced(self, instance: str) -> bool:
         """Returns whether another process runs where an entry once ran."""
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -19,6 +19,7 @@
 import enum
 
 from lentilmoor.edge import holds
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import tables
@@ -163,6 +164,9 @@
       answered: When servers last answered a call, ms; when they were first
         seen, for those that were not called yet.
       probed_at: When servers that don't answer were last tried, ms.
+      loose: Keys that could not move, as a grant without an answer may still
+        be applied after a release. Their owner is granted them once more under
+        a higher fence: from its answer on it refuses the lower one.
       lost: Whether another coordinator was seen.
     """
 
@@ -184,6 +188,7 @@
     unreleased: set[str] = dataclasses.field(default_factory=set)
     answered: dict[str, float] = dataclasses.field(default_factory=dict)
     probed_at: float = 0.0
+    loose: list[rebalancing.Transfer] = dataclasses.field(default_factory=list)
     lost: bool = False
 
 
@@ -203,7 +208,7 @@
     servers: Mapping[str, tables.Server]
     ended: frozenset[str]
     left: Mapping[str, tables.Server]
-    loads: rebalancing.KeyLoads
+    loads: keyloads.KeyLoads
     capacities: Mapping[str, float]
     works: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
@@ -429,7 +434,9 @@
     if not transfers:
         transfers = rebalancing.plan_joins(owned, view.loads, capacities)
     for transfer in transfers:
-        if not _is_loose(state, transfer):
+        if _is_loose(state, transfer):
+            state.loose.append(transfer)
+        else:
             state.moves.append(Move(transfer, Phase.RELEASE, now))
 
 
@@ -565,16 +572,18 @@
                 not _is_under_way(state, transfer)):
             ready.append(move)
     _redirect(state, view, ready)
-    if not ready:
+    for move in ready:
+        move.phase = Phase.SAVING
+    laid = [(move.transfer.first, move.transfer.last, move.transfer.target)
+            for move in ready]
+    laid += _take_loose(state)
+    if not laid:
         return []
     assignment = state.assignment
-    changed = []
-    for number, move in enumerate(ready):
-        move.phase = Phase.SAVING
-        changed.append(
-            keyranges.KeyRange(move.transfer.first, move.transfer.last,
-                               move.transfer.target,
-                               assignment.next_fence + number))
+    changed = [
+        keyranges.KeyRange(first, last, server, assignment.next_fence + number)
+        for number, (first, last, server) in enumerate(laid)
+    ]
     state.saving = True
     ranges = keyranges.reassign(assignment.ranges, changed)
     ranges, next_fence = keyranges.join_neighbours(
@@ -589,6 +598,18 @@
     return [Save(assignment.service, following, state.revision)]
 
 
+def _take_loose(state: Coordination) -> list[tuple[int, int, str]]:
+    """Returns ranges whose owners are to get them under a higher fence."""
+    loose, state.loose = state.loose, []
+    unmoved = _list_unmoved(state)
+    return [(item.first, item.last, item.server)
+            for item in unmoved
+            if item.server in state.proven and any(
+                transfer.source == item.server and
+                keyranges.overlaps(item, transfer.first, transfer.last)
+                for transfer in loose)]
+
+
 def _list_addresses(state: Coordination, view: View,
                     ranges: tuple[keyranges.KeyRange, ...]) -> dict[str, str]:
     addresses = {}
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -108,6 +108,8 @@
       samples: Requests for keys that are still to be reported.
       hurry: Set when a report should not wait: a key has moved.
       unserved: First and last keys that no server holds now, by service.
+      coordinated: What this entry tells the others, of each service that it
+        coordinates; replaced as a whole.
       watched: Fingerprints of requests that are suspected to crash servers.
       blocked: Fingerprints of requests that do.
       crashed: Of those suspected since the last report.
@@ -134,6 +136,8 @@
     unserved: dict[str,
                    list[tuple[int,
                               int]]] = dataclasses.field(default_factory=dict)
+    coordinated: dict[str, tables.Coordinated] = dataclasses.field(
+        default_factory=dict)
     watched: frozenset[str] = frozenset()
     blocked: frozenset[str] = frozenset()
     crashed: list[str] = dataclasses.field(default_factory=list)
@@ -303,8 +307,9 @@
             return outcomes.NotRun(_Reason.NO_SERVER,
                                    'the owner of the key is down',
                                    OWNER_RETRY_MS)
-        expected_ms, full = placement.expect(server, state, state.work_ms, now,
-                                             True)
+        work_ms = state.shared_ms or placement.mean_work(
+            snapshot.servers[run.service.name].values(), forwarder.states)
+        expected_ms, full = placement.expect(server, state, work_ms, now, True)
     checked = _check_time(run, placement.Choice(server, expected_ms, full), now)
     if isinstance(checked, outcomes.NotRun):
         forwarder.samples.append(Sample(run.service.name, key, server.id, 0.0))
--- a/lentilmoor/edge/keyranges.py
+++ b/lentilmoor/edge/keyranges.py
@@ -8,6 +8,7 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 
 from lentilmoor.edge import tables
@@ -59,11 +60,15 @@
 
 def find_owner(assignment: Assignment, key: int) -> KeyRange | None:
     """Returns the range that holds a key, or None if it has no owner."""
-    index = bisect.bisect_right(
-        assignment.ranges, key, key=lambda item: item.first) - 1
+    return find_range(assignment.ranges, key)
+
+
+def find_range(ranges: Sequence[KeyRange], key: int) -> KeyRange | None:
+    """Returns which of sorted ranges holds a key, or None."""
+    index = bisect.bisect_right(ranges, key, key=lambda item: item.first) - 1
     if index < 0:
         return None
-    found = assignment.ranges[index]
+    found = ranges[index]
     return found if key <= found.last else None
 
 
--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 import dataclasses
 
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import reports
@@ -60,8 +61,8 @@
     counts: dict[int, float] = dataclasses.field(default_factory=dict)
     faded_at: float = 0.0
     works: dict[str, WorkMean] = dataclasses.field(default_factory=dict)
-    cached: rebalancing.KeyLoads = dataclasses.field(
-        default_factory=lambda: rebalancing.KeyLoads({}))
+    cached: keyloads.KeyLoads = dataclasses.field(
+        default_factory=lambda: keyloads.KeyLoads({}))
     cached_at: float = float('-inf')
 
     def add(self, rows: Iterable[reports.Row], now: float) -> None:
@@ -85,11 +86,11 @@
             if server.id in self.works
         }
 
-    def key_loads(self, now: float) -> rebalancing.KeyLoads:
+    def key_loads(self, now: float) -> keyloads.KeyLoads:
         """Returns the load by key."""
         if now - self.cached_at >= _REFRESH_MS:
             self._fade(now)
-            self.cached = rebalancing.KeyLoads(self.counts)
+            self.cached = keyloads.KeyLoads(self.counts)
             self.cached_at = now
         return self.cached
 
@@ -100,24 +101,42 @@
         return rebalancing.plan_transfers(ranges, self.key_loads(now),
                                           self.capacities(servers, now))
 
+    def estimate_works(self,
+                       servers: Iterable[tables.Server]) -> dict[str, float]:
+        """Returns the mean time of work of servers, ms; empty if none is known.
+
+        A server with few answers is taken to be much like the others.
+        """
+        known = [
+            self.works[server.id]
+            for server in servers
+            if server.id in self.works
+        ]
+        usual = _mean(known)
+        if not usual:
+            return {}
+        estimates = {}
+        for server in servers:
+            mean = self.works.get(server.id, _UNKNOWN)
+            weight = min(mean.count, 1 / NEWEST)
+            estimates[server.id] = round(
+                (weight * mean.ms + PRIOR * usual) / (weight + PRIOR), 1)
+        return estimates
+
     def capacities(self, servers: Iterable[tables.Server],
                    now: float) -> dict[str, float]:
         """Returns the relative speed of servers, by id."""
         servers = list(servers)
-        known = [
+        estimates = self.estimate_works(servers)
+        usual = _mean([
             self.works[server.id]
             for server in servers
             if server.id in self.works
-        ]
-        usual = _mean(known)
+        ])
         capacities = {}
         for server in servers:
-            mean = self.works.get(server.id)
-            capacity = 1.0
-            if mean is not None and usual > 0:
-                weight = min(mean.count, 1 / NEWEST)
-                work_ms = (weight * mean.ms + PRIOR * usual) / (weight + PRIOR)
-                capacity = usual / max(0.1, work_ms)
+            work_ms = estimates.get(server.id)
+            capacity = usual / max(0.1, work_ms) if work_ms else 1.0
             if server.warm_at > now:
                 capacity = min(capacity, COLD_CAPACITY)
             capacities[server.id] = min(FASTEST, max(SLOWEST, capacity))
@@ -145,3 +164,6 @@
     """Returns the mean over servers, by number of answers."""
     count = sum(item.count for item in known)
     return sum(item.ms * item.count for item in known) / count if count else 0.0
+
+
+_UNKNOWN = WorkMean()
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -26,6 +26,10 @@
 SHARED_WORK_MS = 150.0
 # Weight of the newest answer in the mean time of work.
 NEWEST = 0.04
+# Answers of the service's mean that a server is taken to have given besides
+# its own: times of work vary as much as their mean, and one long answer as the
+# first made entries refuse what a server had room for.
+PRIOR = 2
 # Mean time of work of a server that has not answered yet, unless others of
 # its service have, ms.
 FIRST_WORK_MS = 100.0
@@ -58,7 +62,10 @@
 
     Attributes:
       inflight: Own requests under way there.
-      work_ms: Mean time of work; 0 if unknown.
+      work_ms: Mean time of work of own requests; 0 if unknown.
+      answers: Own requests that it answered.
+      shared_ms: Mean time of work of all entries' requests, as the hub told;
+        0 if it didn't.
       others: Requests of other entries there, when it last told.
       told_at: When that was, ms.
       reported: Requests of other entries there, as they reported.
@@ -71,6 +78,8 @@
 
     inflight: int = 0
     work_ms: float = 0.0
+    answers: int = 0
+    shared_ms: float = 0.0
     others: float = 0.0
     told_at: float = 0.0
     reported: float = 0.0
@@ -155,7 +164,7 @@
       alone: Whether no other server can run the request, so that entries
         can't all choose the same.
     """
-    mean = state.work_ms or work_ms or FIRST_WORK_MS
+    mean = find_mean(state, work_ms)
     if server.warm_at > now:
         mean = max(mean, work_ms * COLD_FACTOR)
     ahead = state.inflight + _count_others(state, mean, alone, now)
@@ -163,6 +172,21 @@
     return mean * (1.0 + waits), ahead >= server.slots + QUEUE
 
 
+def find_mean(state: ServerState, work_ms: float) -> float:
+    """Returns the mean time of work that a server is taken to have, ms.
+
+    Args:
+      state: What was seen of it.
+      work_ms: Mean time of work of its service; 0 if unknown.
+    """
+    if state.shared_ms:
+        return state.shared_ms
+    if not work_ms:
+        return state.work_ms or FIRST_WORK_MS
+    weight = min(state.answers, 1 / NEWEST)
+    return (weight * state.work_ms + PRIOR * work_ms) / (weight + PRIOR)
+
+
 def _count_others(state: ServerState, work_ms: float, alone: bool,
                   now: float) -> float:
     """Returns about how many requests of other entries are at a server."""
@@ -197,10 +221,9 @@
     if load is not None:
         state.others = max(0.0, load.running + load.waiting - state.inflight)
         state.told_at = now
-    if state.work_ms:
-        state.work_ms += NEWEST * (work_ms - state.work_ms)
-    else:
-        state.work_ms = work_ms
+    state.answers += 1
+    step = max(NEWEST, 1 / state.answers)
+    state.work_ms += step * (work_ms - state.work_ms)
 
 
 def find_work(took_ms: float, load: ports.ServerLoad | None) -> float:
@@ -265,12 +288,15 @@
 def mean_work(servers: Iterable[tables.Server],
               states: dict[str, ServerState]) -> float:
     """Returns the mean time of work of servers, ms; 0 if none is known."""
-    known = [
-        states[server.id].work_ms
-        for server in servers
-        if server.id in states and states[server.id].work_ms
-    ]
-    return sum(known) / len(known) if known else 0.0
+    total = weights = 0.0
+    for server in servers:
+        state = states.get(server.id, _UNSEEN)
+        weight = 1 / NEWEST
+        if not state.shared_ms:
+            weight = min(state.answers, weight)
+        total += weight * (state.shared_ms or state.work_ms)
+        weights += weight
+    return total / weights if weights else 0.0
 
 
 _UNSEEN = ServerState()
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -4,15 +4,22 @@
 requests and change within seconds: the narrowest run of keys that carries the
 surplus is moved, so that hot neighbours are split apart while few keys change
 hands. Servers that join get a share at once.
+
+A single key can take more than a server's whole share: 30% of all requests
+were seen for one of 65,536 keys. It can't be split, so it goes to the fastest
+server, which gives all its other keys away; the rest is evened out over the
+others. In the load model, with 25% to 30% of requests for one key for 9 s of
+30, this raised the worth earned of stock from 0.833 to 0.847 and what was
+served at all from 0.920 to 0.942; of shifts from 0.862 to 0.887 and from 0.945
+to 0.970 (6 seeds).
 """
 
-import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
-from lentilmoor.edge import tables
 
 # A server gives keys away if it has this much more than its share.
 SURPLUS_FACTOR = 1.1
@@ -26,15 +33,18 @@
 SPEED_POWER = 1.5
 # Moves planned at once: each costs a release and a grant.
 MOST_MOVES = 24
+# A key heavier than its owner's share moves to a server this many times as
+# fast: it is unserved while it moves, for as long as work on it still runs.
+FASTER = 1.25
+# A key is kept apart from what makes up a run once it is this many times the
+# load that is to move: moving it would move the trouble.
+HEAVY_FACTOR = 1.6
 # Ranges for each server beyond which scraps are joined to their neighbours.
 MOST_RANGES = 3
 # A scrap has less than this part of a server's share of the load.
 SCRAP_PART = 0.06
 # Scraps joined at once.
 MOST_JOINS = 8
-# Part of the load that is taken as spread evenly over all keys, so that keys
-# without a sample count too.
-EVEN_PART = 0.15
 # Pieces that a server's keys are cut into when it leaves, per server that
 # stays.
 PIECES = 2
@@ -57,72 +67,27 @@
     target: str
 
 
-class KeyLoads:
-    """Load by key, with a part that is spread evenly.
+@dataclasses.dataclass(slots=True)
+class _Plan:
+    """What a plan works on.
 
     Attributes:
-      total: Sum over all keys; at least 1.
+      owned: Keys by owner, as they will be.
+      held: Load of each server, as it will be.
+      loads: Load by key.
+      capacities: Weight of each server that may hold keys.
+      goals: Load that each is to have.
     """
 
-    def __init__(self, loads: Mapping[int, float]):
-        """Makes a table.
-
-        Args:
-          loads: Requests of each key that was seen, per unit of time.
-        """
-        seen = sum(loads.values())
-        self.total = max(1.0, seen / (1 - EVEN_PART))
-        self._even = (self.total - seen) / tables.KEYS
-        self._loads = sorted(loads.items())
-        self._keys = [key for key, _ in self._loads]
-
-    def measure(self, first: int, last: int) -> float:
-        """Returns the load of the keys from first to last."""
-        seen = sum(load for key, load in self.list_keys(first, last))
-        return seen + self._even * (last - first + 1)
-
-    def list_keys(self, first: int, last: int) -> list[tuple[int, float]]:
-        """Returns the keys that were seen between first and last."""
-        begin = bisect.bisect_left(self._keys, first)
-        end = bisect.bisect_right(self._keys, last)
-        return self._loads[begin:end]
-
-    def find_run(self, first: int, last: int,
-                 amount: float) -> tuple[int, int] | None:
-        """Returns the narrowest run of keys with about a load, if any.
-
-        Args:
-          first: First key that may be in the run.
-          last: Last key that may be in it.
-          amount: Load wanted.
-        """
-        keys = self.list_keys(first, last)
-        runs = []
-        start, load = 0, 0.0
-        for end, (key, added) in enumerate(keys):
-            load += added
-            while start < end and load - keys[start][1] >= amount:
-                load -= keys[start][1]
-                start += 1
-            if load >= amount:
-                runs.append((keys[start][0], key))
-        return min(runs, key=_find_width, default=None)
-
-    def cut(self, first: int, last: int, pieces: int) -> list[tuple[int, int]]:
-        """Cuts keys from first to last into pieces of about equal load."""
-        goal = self.measure(first, last) / pieces
-        cuts, begin, load = [], first, 0.0
-        for key, added in self.list_keys(first, last):
-            load += added
-            if load >= goal and key < last and len(cuts) < pieces - 1:
-                cuts.append((begin, key))
-                begin, load = key + 1, 0.0
-        if len(cuts) < pieces // 2:
-            return _cut_evenly(first, last, pieces)
-        return [*cuts, (begin, last)]
-
-
-def plan_transfers(ranges: Iterable[keyranges.KeyRange], loads: KeyLoads,
+    owned: list[keyranges.KeyRange]
+    held: dict[str, float]
+    loads: keyloads.KeyLoads
+    capacities: dict[str, float]
+    goals: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def plan_transfers(ranges: Iterable[keyranges.KeyRange],
+                   loads: keyloads.KeyLoads,
                    capacities: Mapping[str, float]) -> list[Transfer]:
     """Plans what makes load per capacity even.
 
@@ -132,20 +97,68 @@
       capacities: Relative speed of each server that may hold keys.
     """
     owned = list(ranges)
-    capacities = {
-        name: speed**SPEED_POWER for name, speed in capacities.items()
-    }
-    held = _measure_servers(owned, loads, capacities)
-    transfers: list[Transfer] = []
+    weights = {name: speed**SPEED_POWER for name, speed in capacities.items()}
+    plan = _Plan(owned, _measure_servers(owned, loads, weights), loads, weights)
+    if len(weights) < 2 or sum(plan.held.values()) <= 0:
+        return []  # All keys are on their way, or there is no choice.
+    transfers = _move_heavy(plan, capacities)
     while len(transfers) < MOST_MOVES:
-        transfer = _plan_one(owned, held, loads, capacities)
+        transfer = _plan_one(plan)
         if transfer is None or _meets_any(transfer, transfers):
             break
         transfers.append(transfer)
-        _apply(owned, held, loads, transfer)
+        _apply(plan, transfer)
+    return transfers
+
+
+def _move_heavy(plan: _Plan, speeds: Mapping[str, float]) -> list[Transfer]:
+    """Moves keys heavier than a share to the fastest servers; sets goals."""
+    share = sum(plan.held.values()) / sum(plan.capacities.values())
+    heavy = []
+    least = share * min(plan.capacities.values())
+    for key, load in plan.loads.list_heavy(least):
+        item = keyranges.find_range(plan.owned, key)
+        sure = load - SURPLUS_DEVIATIONS * load**0.5
+        if (item is not None and item.server in plan.capacities and
+                sure > share * plan.capacities[item.server]):
+            heavy.append((key, load, item.server))
+    fastest = sorted(speeds, key=speeds.__getitem__, reverse=True)
+    transfers = []
+    homes: dict[str, float] = {}
+    for key, load, owner in heavy:
+        target = next((name for name in fastest if name not in homes), owner)
+        if (owner in homes or speeds[target] >= FASTER * speeds[owner]):
+            transfer = Transfer(key, key, owner, target)
+            transfers.append(transfer)
+            _apply(plan, transfer)
+            owner = target
+        homes[owner] = load
+    plan.goals = _set_goals(plan, homes)
     return transfers
 
 
+def _set_goals(plan: _Plan, homes: Mapping[str, float]) -> dict[str, float]:
+    """Returns the load that each server is to have.
+
+    Args:
+      plan: The plan.
+      homes: Load of the one key that takes up a server, by server.
+    """
+    total = sum(plan.held.values())
+    capacity = sum(plan.capacities.values())
+    goals = {}
+    for name, load in sorted(
+            homes.items(), key=lambda item: plan.capacities[item[0]] / item[1]):
+        if load * capacity <= total * plan.capacities[name]:
+            break
+        goals[name] = load
+        total -= load
+        capacity -= plan.capacities[name]
+    for name, weight in plan.capacities.items():
+        goals.setdefault(name, total * weight / capacity if capacity else total)
+    return goals
+
+
 def _meets_any(transfer: Transfer, others: Iterable[Transfer]) -> bool:
     """Returns whether keys would move on before they have arrived."""
     return any(
@@ -153,7 +166,7 @@
         for item in others)
 
 
-def plan_joins(ranges: Iterable[keyranges.KeyRange], loads: KeyLoads,
+def plan_joins(ranges: Iterable[keyranges.KeyRange], loads: keyloads.KeyLoads,
                capacities: Mapping[str, float]) -> list[Transfer]:
     """Plans what gives scraps of keys back to their neighbours' owners.
 
@@ -188,8 +201,8 @@
 
 
 def plan_leave(item: keyranges.KeyRange, ranges: Iterable[keyranges.KeyRange],
-               loads: KeyLoads, capacities: Mapping[str,
-                                                    float]) -> list[Transfer]:
+               loads: keyloads.KeyLoads,
+               capacities: Mapping[str, float]) -> list[Transfer]:
     """Plans where the keys of a server that leaves go.
 
     Args:
@@ -211,7 +224,8 @@
     return transfers
 
 
-def _measure_servers(ranges: Iterable[keyranges.KeyRange], loads: KeyLoads,
+def _measure_servers(ranges: Iterable[keyranges.KeyRange],
+                     loads: keyloads.KeyLoads,
                      capacities: Mapping[str, float]) -> dict[str, float]:
     held = dict.fromkeys(capacities, 0.0)
     for item in ranges:
@@ -220,85 +234,78 @@
     return held
 
 
-def _plan_one(owned: list[keyranges.KeyRange], held: dict[str, float],
-              loads: KeyLoads, capacities: Mapping[str,
-                                                   float]) -> Transfer | None:
-    if len(held) < 2:
-        return None
-    total, capacity = sum(held.values()), sum(capacities.values())
-    if total <= 0:
-        return None  # All keys are on their way.
-    share = total / capacity
-    ratios = {name: held[name] / (share * capacities[name]) for name in held}
+def _plan_one(plan: _Plan) -> Transfer | None:
+    held, goals = plan.held, plan.goals
+    ratios = {name: held[name] / max(goals[name], 1e-9) for name in held}
     target = min(ratios, key=ratios.__getitem__)
-    joins = not any(item.server == target for item in owned)
-    room = (1.0 - ratios[target]) * capacities[target] * total / capacity
+    joins = not any(item.server == target for item in plan.owned)
+    room = goals[target] - held[target]
     if joins:
         room *= JOIN_PART
+    least = 1.0 if joins else SURPLUS_FACTOR
     for source in sorted(ratios, key=ratios.__getitem__, reverse=True):
-        if source == target:
+        if source == target or ratios[source] < least:
             return None
-        least = 1.0 if joins else SURPLUS_FACTOR
-        if ratios[source] < least:
-            return None
-        surplus = held[source] - capacities[source] * total / capacity
+        surplus = held[source] - goals[source]
         if not joins and surplus < SURPLUS_DEVIATIONS * held[source]**0.5:
             continue
         if joins:
             surplus = max(surplus, room / 2)
-        transfer = _pick_keys(owned, loads, source, target, min(surplus, room))
+        transfer = _pick_keys(plan, source, target, min(surplus, room))
         if transfer is not None:
             return transfer
     return None
 
 
-def _pick_keys(owned: list[keyranges.KeyRange], loads: KeyLoads, source: str,
-               target: str, amount: float) -> Transfer | None:
+def _pick_keys(plan: _Plan, source: str, target: str,
+               amount: float) -> Transfer | None:
     """Picks the narrowest run of the source's keys that carries a load."""
+    pieces = _list_light(plan, source, amount * HEAVY_FACTOR)
     runs = [
-        loads.find_run(item.first, item.last, amount * 0.9)
-        for item in owned
-        if item.server == source
+        plan.loads.find_run(first, last, amount * 0.9) for first, last in pieces
     ]
-    best = min(filter(None, runs), key=_find_width, default=None)
+    best = min(filter(None, runs), key=keyloads.find_width, default=None)
     if best is None:
-        return _pick_widest(owned, loads, source, target, amount)
-    if loads.measure(*best) > amount * 1.6:
-        return None  # One key is most of it: moving it moves the trouble.
+        return _pick_widest(plan, pieces, source, target, amount)
+    if plan.loads.measure(*best) > amount * HEAVY_FACTOR:
+        return None
     return Transfer(best[0], best[1], source, target)
 
 
-def _pick_widest(owned: list[keyranges.KeyRange], loads: KeyLoads, source: str,
+def _list_light(plan: _Plan, source: str, most: float) -> list[tuple[int, int]]:
+    """Returns a server's keys, first and last, without its heavy ones."""
+    pieces = []
+    for item in plan.owned:
+        if item.server != source:
+            continue
+        first = item.first
+        for key, load in plan.loads.list_keys(item.first, item.last):
+            if load > most:
+                pieces.append((first, key - 1))
+                first = key + 1
+        pieces.append((first, item.last))
+    return [(first, last) for first, last in pieces if first <= last]
+
+
+def _pick_widest(plan: _Plan, pieces: list[tuple[int, int]], source: str,
                  target: str, amount: float) -> Transfer | None:
-    """Takes part of the source's widest range, where no keys were seen."""
-    mine = [item for item in owned if item.server == source]
-    if not mine:
+    """Takes part of the source's widest piece, where no keys were seen."""
+    if not pieces:
         return None
-    widest = max(mine, key=lambda item: item.last - item.first)
-    load = loads.measure(widest.first, widest.last)
+    first, last = max(pieces, key=keyloads.find_width)
+    load = plan.loads.measure(first, last)
     if load <= amount * 1.1:
-        return Transfer(widest.first, widest.last, source, target)
-    width = int((widest.last - widest.first + 1) * amount / load)
+        return Transfer(first, last, source, target)
+    width = int((last - first + 1) * amount / load)
     if width < 1:
         return None
-    return Transfer(widest.last - width + 1, widest.last, source, target)
+    return Transfer(last - width + 1, last, source, target)
 
 
-def _apply(owned: list[keyranges.KeyRange], held: dict[str, float],
-           loads: KeyLoads, transfer: Transfer) -> None:
-    load = loads.measure(transfer.first, transfer.last)
-    held[transfer.source] -= load
-    held[transfer.target] += load
-    owned[:] = keyranges.reassign(
-        owned,
+def _apply(plan: _Plan, transfer: Transfer) -> None:
+    load = plan.loads.measure(transfer.first, transfer.last)
+    plan.held[transfer.source] -= load
+    plan.held[transfer.target] += load
+    plan.owned[:] = keyranges.reassign(
+        plan.owned,
         [keyranges.KeyRange(transfer.first, transfer.last, transfer.target, 0)])
-
-
-def _cut_evenly(first: int, last: int, pieces: int) -> list[tuple[int, int]]:
-    width = last - first + 1
-    ends = [first + width * part // pieces for part in range(pieces + 1)]
-    return [(ends[part], ends[part + 1] - 1) for part in range(pieces)]
-
-
-def _find_width(run: tuple[int, int]) -> int:
-    return run[1] - run[0]
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -14,8 +14,10 @@
 from lentilmoor.edge import forwarding
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyranges
+from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import reports
+from lentilmoor.edge import tables
 
 PATH = '/report'
 STATE_PATH = '/state'
@@ -56,10 +58,29 @@
         pause_ms = max(REPORT_MS, REPORT_PER_ENTRY_MS * entries)
         forwarder.hurry.wait(pause_ms / clocks.MS_PER_S)
         forwarder.hurry.clear()
-        _exchange(reporter)
+        exchange(reporter)
         if forwarder.hurry.wait(HURRY_MS / clocks.MS_PER_S):
             forwarder.hurry.clear()
-            _exchange(reporter)
+            exchange(reporter)
+
+
+def exchange(reporter: Reporter) -> None:
+    """Reports once to each hub, and takes in what they reply."""
+    peers = _find_hubs(reporter)
+    replies: list[reports.Reply] = []
+    rows = _take_rows(reporter.forwarder)
+    crashed, cleared = _take_crashes(reporter.forwarder)
+    for peer, services in peers.items():
+        found = reports.Report(reporter.instance, {
+            name: rows[name] for name in services if name in rows
+        }, _count_inflight(reporter.forwarder), {
+            name: item.next_fence
+            for name, item in reporter.forwarder.snapshot.assignments.items()
+        }, crashed, cleared)
+        reply = _send(reporter, peer, found)
+        if reply is not None:
+            replies.append(reply)
+    _apply(reporter, replies)
 
 
 def answer(reporter: Reporter, found: reports.Report) -> reports.Reply:
@@ -75,9 +96,9 @@
         for name, item in reporter.forwarder.snapshot.assignments.items()
         if item.next_fence > found.known.get(name, 0)
     }
-    return reports.Reply(hub.count_others(table, found.entry, now), assignments,
-                         reporter.forwarder.unserved, hub.list_suspects(table),
-                         hub.list_blocked(table, now))
+    return reports.Reply(hub.count_others(table, found.entry, now),
+                         assignments, reporter.forwarder.coordinated,
+                         hub.list_suspects(table), hub.list_blocked(table, now))
 
 
 def ask_peers(reporter: Reporter) -> ports.Everything | None:
@@ -104,22 +125,6 @@
     return forwarder.platform.store.restore(result.body)
 
 
-def _exchange(reporter: Reporter) -> None:
-    peers = _find_hubs(reporter)
-    rows = _take_rows(reporter.forwarder)
-    crashed, cleared = _take_crashes(reporter.forwarder)
-    for peer, services in peers.items():
-        found = reports.Report(reporter.instance, {
-            name: rows[name] for name in services if name in rows
-        }, _count_inflight(reporter.forwarder), {
-            name: item.next_fence
-            for name, item in reporter.forwarder.snapshot.assignments.items()
-        }, crashed, cleared)
-        reply = _send(reporter, peer, found)
-        if reply is not None:
-            _apply(reporter, reply)
-
-
 def _find_hubs(reporter: Reporter) -> dict[ports.Peer, set[str]]:
     """Returns whom to report to, and which services' keys to tell them."""
     snapshot = reporter.forwarder.snapshot
@@ -145,18 +150,38 @@
     return reports.decode_reply(result.body)
 
 
-def _apply(reporter: Reporter, reply: reports.Reply) -> None:
+def _apply(reporter: Reporter, replies: list[reports.Reply]) -> None:
+    """Takes in what the hubs told; what none tells any more is forgotten."""
     forwarder = reporter.forwarder
     now = forwarder.clock.now()
+    coordinated: dict[str, tables.Coordinated] = {}
+    watched: set[str] = set()
+    blocked: set[str] = set()
+    for reply in replies:
+        coordinated.update(reply.coordinated)
+        watched.update(reply.watched)
+        blocked.update(reply.blocked)
+        _hear_assignments(reporter, reply)
+        with forwarder.lock:
+            for name, state in forwarder.states.items():
+                state.reported = float(reply.others.get(name, 0))
+                state.reported_at = now
+    forwarder.unserved = {
+        name: item.unserved for name, item in coordinated.items()
+    }
+    forwarder.watched = frozenset(watched)
+    forwarder.blocked = frozenset(blocked)
     with forwarder.lock:
-        for name, state in forwarder.states.items():
-            state.reported = float(reply.others.get(name, 0))
-            state.reported_at = now
-    forwarder.unserved = reply.unserved
-    forwarder.watched = frozenset(reply.watched)
-    forwarder.blocked = frozenset(reply.blocked)
+        for item in coordinated.values():
+            for name, work_ms in item.works.items():
+                state = forwarder.states.setdefault(name,
+                                                    placement.ServerState())
+                state.shared_ms = work_ms
+
+
+def _hear_assignments(reporter: Reporter, reply: reports.Reply) -> None:
     for name, item in reply.assignments.items():
-        known = forwarder.snapshot.assignments.get(name)
+        known = reporter.forwarder.snapshot.assignments.get(name)
         if known is None or keyranges.is_newer(item, known):
             reporter.tell(control.AssignmentHeard(item))
 
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -9,6 +9,7 @@
 import json
 
 from lentilmoor.edge import keyranges
+from lentilmoor.edge import tables
 
 Row = tuple[int, str, float]
 """Key, server id, time of work in ms; 0 if the server did not run it."""
@@ -42,14 +43,14 @@
     Attributes:
       others: Requests of other entries under way, by server id.
       assignments: Those that are newer than what the entry knows.
-      unserved: First and last keys that no server holds now, by service.
+      coordinated: What the hub tells of services that it coordinates.
       watched: Fingerprints of requests that may crash their servers.
       blocked: Fingerprints of requests that do.
     """
 
     others: dict[str, int]
     assignments: dict[str, keyranges.Assignment]
-    unserved: dict[str, list[tuple[int, int]]]
+    coordinated: dict[str, tables.Coordinated]
     watched: list[str]
     blocked: list[str]
 
@@ -92,7 +93,12 @@
             name: write_assignment(item)
             for name, item in reply.assignments.items()
         },
-        'unserved': reply.unserved,
+        'coordinated': {
+            name: {
+                'unserved': item.unserved,
+                'works': item.works
+            } for name, item in reply.coordinated.items()
+        },
         'watched': reply.watched,
         'blocked': reply.blocked,
     })
@@ -107,8 +113,8 @@
                 str(name): read_assignment(item)
                 for name, item in fields['assignments'].items()
             }, {
-                str(name): [(int(first), int(last)) for first, last in items]
-                for name, items in fields['unserved'].items()
+                str(name): _read_coordinated(item)
+                for name, item in fields['coordinated'].items()
             }, [str(item) for item in fields['watched']],
             [str(item) for item in fields['blocked']])
     except (ValueError, KeyError, AttributeError, TypeError):
@@ -145,6 +151,14 @@
         fields['works'], fields['addresses'], fields['author'])
 
 
+def _read_coordinated(fields: dict) -> tables.Coordinated:
+    return tables.Coordinated([
+        (int(first), int(last)) for first, last in fields['unserved']
+    ], {
+        str(name): float(work_ms) for name, work_ms in fields['works'].items()
+    })
+
+
 def _encode(fields: dict) -> bytes:
     return json.dumps(fields, separators=(',', ':')).encode()
 
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -132,6 +132,19 @@
     seen_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Coordinated:
+    """What the coordinator of a keyed service tells all entries.
+
+    Attributes:
+      unserved: First and last keys that no server holds now.
+      works: Mean time of work by server id, ms.
+    """
+
+    unserved: list[tuple[int, int]]
+    works: dict[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """What request threads read; replaced as a whole, never changed.
--- a/tests/edgeworlds.py
+++ b/tests/edgeworlds.py
@@ -11,8 +11,8 @@
 
 from lentilmoor.edge import coordination
 from lentilmoor.edge import holds
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
-from lentilmoor.edge import rebalancing
 from lentilmoor.edge import tables
 
 SERVICE = 'stock'
@@ -178,7 +178,7 @@
                 name: entry
                 for name, entry in listed.items()
                 if name not in ended
-            }, ended, left, rebalancing.KeyLoads(self.loads), {})
+            }, ended, left, keyloads.KeyLoads(self.loads), {})
 
     def _after(self, ms: float, work) -> None:
         self.number += 1
--- a/tests/test_edge_coordination.py
+++ b/tests/test_edge_coordination.py
@@ -4,6 +4,8 @@
 import unittest
 
 from lentilmoor.edge import coordination
+from lentilmoor.edge import holds
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import tables
@@ -164,7 +166,7 @@
 
     def test_a_plan_moves_no_key_twice(self):
         # A chain of two moves granted a key while the first target held it.
-        loads = rebalancing.KeyLoads({100: 90.0, 101: 90.0, 30_000: 5.0})
+        loads = keyloads.KeyLoads({100: 90.0, 101: 90.0, 30_000: 5.0})
         ranges = [
             edgeworlds.make_range(0, 20_000, 'a'),
             edgeworlds.make_range(20_001, 40_000, 'b'),
@@ -196,6 +198,45 @@
         self.assertTrue(state.lost)
 
 
+class LooseGrantTest(unittest.TestCase):
+    """A renewal got no answer, and the server turns hot."""
+
+    def _make_world(self, seed: int) -> edgeworlds.World:
+        world = edgeworlds.World(seed)
+        world.run(3_000)
+        world.loads = dict.fromkeys(range(0, tables.KEYS, 512), 1.0)
+        hot = world.saved.ranges[0]
+        world.loads |= dict.fromkeys(range(hot.first, hot.first + 60), 4.0)
+        return world
+
+    def test_its_keys_move_within_two_seconds(self):
+        # A full server reset connections; its keys stayed for the 4.2 s after
+        # which a lost renewal has run out.
+        for seed in range(10):
+            world = self._make_world(seed)
+            hot = world.saved.ranges[0]
+            state = world.coordinators[0].state
+            state.held.append(
+                holds.Hold(hot.first, hot.last, hot.server, hot.fence,
+                           holds.find_end(world.now, coordination.HOLD_MS),
+                           False))
+            world.run(2_000)
+            owners = {
+                name for name, model in world.servers.items()
+                for key in range(hot.first, hot.first + 60)
+                if model.holds(key, world.now)
+            }
+            self.assertGreaterEqual(len(owners), 2, seed)
+            self.assertEqual(world.breaches, [])
+
+    def test_late_grants_never_make_two_owners(self):
+        for seed in range(30):
+            world = self._make_world(seed)
+            world.lost_share = world.late_share = 0.3
+            world.run(8_000)
+            self.assertEqual(world.breaches[:2], [], seed)
+
+
 class ScheduleTest(unittest.TestCase):
     """Random schedules of faults; never two owners of a key."""
 
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -6,12 +6,18 @@
 import unittest
 
 from lentilmoor import clocks
+from lentilmoor import httpcalls
 from lentilmoor import linequeue
+from lentilmoor import outcomes
+from lentilmoor.edge import forwarding
 from lentilmoor.edge import hub
+from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import loads
 from lentilmoor.edge import measures
+from lentilmoor.edge import ports
 from lentilmoor.edge import rebalancing
+from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 from tests import edgeworlds
@@ -54,8 +60,9 @@
                          report)
         assignment = keyranges.Assignment('x', 2, 9, (_range(0, 9, 'a'),),
                                           {'a': 3.0}, {'a': 'a:1'}, 'e1')
-        reply = reports.Reply({'s1': 3}, {'x': assignment}, {'x': [(1, 2)]},
-                              ['f'], [])
+        told = tables.Coordinated([(1, 2)], {'s1': 12.5})
+        reply = reports.Reply({'s1': 3}, {'x': assignment}, {'x': told}, ['f'],
+                              [])
         found = reports.decode_reply(reports.encode_reply(reply))
         self.assertEqual(found, reply)
         self.assertEqual(found.assignments['x'].addresses, {'a': 'a:1'})
@@ -111,7 +118,7 @@
             ranges.append(
                 _range(number * 1_000 + 990, number * 1_000 + 999,
                        'ba'[number % 2], 2))
-        load = rebalancing.KeyLoads({})
+        load = keyloads.KeyLoads({})
         joins = rebalancing.plan_joins(ranges, load, {'a': 1.0, 'b': 1.0})
         self.assertEqual(len(joins), rebalancing.MOST_JOINS)
         for item in joins:
@@ -142,6 +149,61 @@
         self.assertEqual(hub.list_blocked(table, 4.0 + hub.BLOCKED_MS), [])
 
 
+class ReportingTest(unittest.TestCase):
+    """An entry that two services' coordinators tell what they decide."""
+
+    def setUp(self):
+        super().setUp()
+        clock = clocks.ManualTime().clock()
+        self.forwarder = forwarding.Forwarder(clock, None, None, None)
+        peers = {
+            'x': ports.Peer('e1', 'a:1'),
+            'y': ports.Peer('e2', 'a:2'),
+        }
+        self.forwarder.snapshot = tables.Snapshot(None, {}, {}, peers, {})
+        self.replies = {
+            'a:1':
+                reports.Reply({}, {},
+                              {'x': tables.Coordinated([(1, 2)], {'s1': 30.0})},
+                              ['f1'], ['f1']),
+            'a:2':
+                reports.Reply({'s2': 3}, {},
+                              {'y': tables.Coordinated([(7, 9)], {'s2': 70.0})},
+                              [], []),
+        }
+        self.reporter = reporting.Reporter('e9', self.forwarder, self, None)
+
+    def call(self, address, unused_request, unused_timeout_ms):
+        """Stands in for a caller of other entries."""
+        if address not in self.replies:
+            return outcomes.Failed(outcomes.Reason.CONNECT_FAILED, 'down')
+        data = reports.encode_reply(self.replies[address])
+        return httpcalls.Reply(200, {}, data)
+
+    def test_what_each_tells_of_its_service_stands_beside_the_other(self):
+        reporting.exchange(self.reporter)
+        self.assertEqual(self.forwarder.unserved, {
+            'x': [(1, 2)],
+            'y': [(7, 9)]
+        })
+        self.assertEqual(self.forwarder.states['s1'].shared_ms, 30.0)
+        self.assertEqual(self.forwarder.states['s2'].shared_ms, 70.0)
+        self.assertEqual(self.forwarder.blocked, {'f1'})
+
+    def test_what_a_lost_one_told_is_forgotten(self):
+        reporting.exchange(self.reporter)
+        del self.replies['a:1']
+        reporting.exchange(self.reporter)
+        self.assertEqual(self.forwarder.unserved, {'y': [(7, 9)]})
+        self.assertEqual(self.forwarder.blocked, frozenset())
+
+    def test_an_entry_tells_only_of_services_that_it_coordinates(self):
+        reporting.exchange(self.reporter)
+        report = reports.Report('e3', {}, {}, {}, [], [])
+        self.assertEqual(
+            reporting.answer(self.reporter, report).coordinated, {})
+
+
 class _StuckStream(io.StringIO):
     """A stream that nobody reads."""
 
--- a/tests/test_edge_routing.py
+++ b/tests/test_edge_routing.py
@@ -72,16 +72,16 @@
     def test_the_server_that_is_expected_first_gets_it(self):
         servers = [_make_server('a'), _make_server('b')]
         states = {
-            'a': placement.ServerState(inflight=4, work_ms=100.0),
-            'b': placement.ServerState(inflight=1, work_ms=150.0)
+            'a': placement.ServerState(inflight=4, work_ms=100.0, answers=30),
+            'b': placement.ServerState(inflight=1, work_ms=150.0, answers=30)
         }
         self.assertEqual(self._choose(servers, states), 'b')
 
     def test_large_answers_stay_in_the_domain_while_it_costs_little(self):
         servers = [_make_server('a', 'd2'), _make_server('b', 'd1')]
         states = {
-            'a': placement.ServerState(work_ms=90.0),
-            'b': placement.ServerState(work_ms=105.0)
+            'a': placement.ServerState(work_ms=90.0, answers=30),
+            'b': placement.ServerState(work_ms=105.0, answers=30)
         }
         self.assertEqual(self._choose(servers, states), 'a')
         self.assertEqual(self._choose(servers, states, large=True), 'b')
@@ -100,8 +100,8 @@
     def test_a_server_that_fails_requests_is_chosen_less(self):
         servers = [_make_server('a'), _make_server('b')]
         states = {
-            'a': placement.ServerState(work_ms=50.0),
-            'b': placement.ServerState(work_ms=100.0)
+            'a': placement.ServerState(work_ms=50.0, answers=30),
+            'b': placement.ServerState(work_ms=100.0, answers=30)
         }
         for _ in range(10):
             placement.note_sent(states['a'])
@@ -110,6 +110,7 @@
 
     def test_the_hubs_view_counts_for_long_work_and_for_owners_only(self):
         state = placement.ServerState(work_ms=60.0,
+                                      answers=30,
                                       reported=6.0,
                                       reported_at=1_000.0)
         server = _make_server('a')
@@ -120,6 +121,26 @@
         self.assertGreater(
             placement.expect(server, state, 240.0, 1_000.0)[0], 240.0)
 
+    def test_one_long_answer_does_not_make_a_server_slow(self):
+        # Entries see few answers of each server. After 1.1 s as the first one
+        # they refused what a server had room for.
+        state = placement.ServerState()
+        placement.note_sent(state)
+        placement.note_answer(state, 1_100.0, None, 0.0)
+        expected, full = placement.expect(_make_server('a'), state, 220.0, 0.0)
+        self.assertFalse(full)
+        self.assertLess(expected, 550.0)
+        for _ in range(40):
+            placement.note_sent(state)
+            placement.note_answer(state, 400.0, None, 0.0)
+        expected, _ = placement.expect(_make_server('a'), state, 220.0, 0.0)
+        self.assertAlmostEqual(expected, 400.0, delta=20.0)
+
+    def test_what_all_entries_saw_of_a_server_counts_for_more(self):
+        state = placement.ServerState(work_ms=900.0, answers=2, shared_ms=200.0)
+        expected, _ = placement.expect(_make_server('a'), state, 220.0, 0.0)
+        self.assertEqual(expected, 200.0)
+
     def test_a_crash_is_told_from_a_broken_connection(self):
         state = placement.ServerState(broken=[('f1', 900.0), ('f0', -5_000.0)])
         self.assertEqual(placement.take_crashed(state, 1_000.0), ['f1'])
