Split the control actor and the path of a request

Change: control keeps the actor; beliefs, leases, elections and roles are its parts, as functions over one context. forwarding keeps the order of steps; requests, picks and weighing are its parts.

--- /dev/null
+++ b/lentilmoor/edge/beliefs.py
@@ -0,0 +1,117 @@
+"""What the control actor of an entry believes, and what it works with."""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+
+from lentilmoor import clocks
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import loads
+from lentilmoor.edge import ownership
+from lentilmoor.edge import ports
+from lentilmoor.edge import requests
+from lentilmoor.edge import tables
+
+
+@dataclasses.dataclass(slots=True)
+class Role:
+    """This entry's part in coordinating one service.
+
+    Attributes:
+      stand_at: When to stand for coordinator; 0: not wanted now.
+      busy: Whether a call for it is under way.
+      state: The coordinator's state; None while it is not one.
+      measured: Loads that entries reported.
+    """
+
+    stand_at: float = 0.0
+    busy: bool = False
+    state: ownership.Coordination | None = None
+    measured: loads.LoadTable = dataclasses.field(
+        default_factory=loads.LoadTable)
+
+
+@dataclasses.dataclass(slots=True)
+class Beliefs:
+    """All that the actor owns.
+
+    Attributes:
+      instance: This process's id.
+      everything: What the store held when it was last seen.
+      lost_at: Since when the store can't be reached; 0 if it can.
+      back_at: When it was last back, ms.
+      servers: By id; those that left while the store was away are kept.
+      missing: Servers that left the list, and when they count as gone.
+      left: Servers that left, with their last entry.
+      ended: Servers whose process has surely ended.
+      heard: Assignments that other entries told of, by service.
+      roles: By keyed service.
+      lease: The coordinator's lease.
+      lease_sent_at: When it was last kept, as of sending, ms.
+      keep_at: When to keep it again, ms.
+      entry_lease: The entry's own lease.
+      entry_keep_at: When to keep it again, ms.
+      entry_keeping: Whether a call for it is under way.
+      doubted: Whether the store didn't answer the last renewal.
+      leaving: Whether the entry is about to end.
+    """
+
+    instance: str
+    everything: ports.Everything | None = None
+    lost_at: float = 0.0
+    back_at: float = float('-inf')
+    servers: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
+    missing: dict[str, float] = dataclasses.field(default_factory=dict)
+    left: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
+    ended: set[str] = dataclasses.field(default_factory=set)
+    heard: dict[str,
+                keyranges.Assignment] = dataclasses.field(default_factory=dict)
+    roles: dict[str, Role] = dataclasses.field(default_factory=dict)
+    lease: ports.Lease | None = None
+    lease_sent_at: float = 0.0
+    keep_at: float = 0.0
+    entry_lease: ports.Lease | None = None
+    entry_keep_at: float = 0.0
+    entry_keeping: bool = False
+    doubted: bool = False
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What the parts of the control actor share.
+
+    Attributes:
+      owned: What the actor believes; only its thread changes it.
+      forwarder: What request threads share.
+      platform: The adapter.
+      logger: Takes a line for each belief that changes.
+      states: Writes a line when a server answers otherwise than before.
+      clock: This process's time.
+      call: (work, take, pool or None) has a thread make a call; its result,
+        and when it began, are taken in by the actor.
+      publish: Makes request threads see what is believed now.
+      watch_again: Starts to follow the store anew.
+      server_calls: Threads for grants.
+      release_calls: Threads for releases, which wait for work to end.
+    """
+
+    owned: Beliefs
+    forwarder: requests.Forwarder
+    platform: ports.Platform
+    logger: logs.Logger
+    states: logs.StateLog
+    clock: clocks.Clock
+    call: Callable[..., None]
+    publish: Callable[[], None]
+    watch_again: Callable[[], None]
+    server_calls: futures.Executor
+    release_calls: futures.Executor
+
+
+def is_ended(result) -> bool:
+    """Returns whether the store answered that a lease has ended."""
+    return (isinstance(result, outcomes.Failed) and
+            result.reason is outcomes.Reason.NOT_FOUND)
--- /dev/null
+++ b/lentilmoor/edge/elections.py
@@ -0,0 +1,159 @@
+"""How an entry becomes the coordinator of a keyed service, and ceases to be."""
+
+from lentilmoor import outcomes
+from lentilmoor.edge import beliefs
+from lentilmoor.edge import coordination
+from lentilmoor.edge import ports
+
+# The coordinator's lease. Its successor takes over after the lease has run
+# out, which must leave time to renew grants before they run out in turn.
+LEASE_MS = 1_500.0
+KEEP_MS = 450.0
+# Longest pause before an entry stands for coordinator: the first to do so
+# spares the others the call.
+STAND_MS = 150.0
+STAND_AGAIN_MS = 500.0
+# A service gets its first assignment after its servers had this time to
+# register, unless none came.
+SETTLE_MS = 1_500.0
+
+
+def stand(context: beliefs.Context, name: str, role: beliefs.Role,
+          now: float) -> None:
+    """Stands for coordinator if there is none."""
+    owned = context.owned
+    coordinator = owned.everything.coordinators.get(name)
+    if owned.leaving or role.busy or owned.lost_at:
+        return
+    if coordinator is not None and coordinator.instance != owned.instance:
+        role.stand_at = 0.0
+        return
+    if coordinator is not None and role.state is not None:
+        return
+    if not role.stand_at:
+        pause_ms = STAND_MS * context.forwarder.generator.random()
+        role.stand_at = now + (0.0 if role.state else pause_ms)
+    if now < role.stand_at or not _may_begin(context, name, now):
+        return
+    role.stand_at = now + STAND_AGAIN_MS
+    role.busy = True
+    context.call(lambda: _take_role(context, name),
+                 lambda result, sent: _role_taken(context, name, role, result))
+
+
+def follow_rivals(context: beliefs.Context) -> None:
+    """Gives up roles that another entry has taken."""
+    for name, role in context.owned.roles.items():
+        coordinator = context.owned.everything.coordinators.get(name)
+        mine = (coordinator is not None and
+                coordinator.instance == context.owned.instance)
+        if role.state is None:
+            continue
+        saved = context.owned.everything.assignments.get(name)
+        if coordinator is not None and not mine:
+            resign(context, name, role, 'another entry coordinates')
+        elif saved and saved.assignment.term > role.state.assignment.term:
+            resign(context, name, role, 'another entry has coordinated')
+
+
+def resign(context: beliefs.Context, name: str, role: beliefs.Role,
+           reason: str) -> None:
+    """Gives up coordinating a service.
+
+    Args:
+      context: The actor's.
+      name: The service.
+      role: This entry's part in it.
+      reason: Why, for the log.
+    """
+    context.logger.info('coordination_ended', service=name, reason=reason)
+    role.state = None
+    context.forwarder.coordinated = {
+        service: told
+        for service, told in context.forwarder.coordinated.items()
+        if service != name
+    }
+
+
+def _may_begin(context: beliefs.Context, name: str, now: float) -> bool:
+    servers = [
+        item for item in context.owned.servers.values()
+        if item.service == name and not item.draining
+    ]
+    if name in context.owned.everything.assignments:
+        return True
+    return bool(servers) and (now - min(item.seen_at for item in servers)
+                              >= SETTLE_MS)
+
+
+def _take_role(context: beliefs.Context, name: str) -> object:
+    """Takes the role in the store; run by a thread."""
+    owned, store = context.owned, context.platform.store
+    lease = owned.lease
+    sent_at = context.clock.now()
+    if lease is None:
+        lease = store.open_lease(LEASE_MS)
+        if isinstance(lease, outcomes.Failed):
+            return lease
+    settings = context.platform.settings
+    taken = store.take_role(name, ports.Peer(owned.instance, settings.control),
+                            lease)
+    if isinstance(taken, outcomes.Failed):
+        return taken
+    return lease, sent_at
+
+
+def _role_taken(context: beliefs.Context, name: str, role: beliefs.Role,
+                result) -> None:
+    owned = context.owned
+    if isinstance(result, outcomes.Failed):
+        role.busy = False
+        if beliefs.is_ended(result):
+            owned.lease = None
+        return
+    lease, sent_at = result
+    if owned.lease is None or owned.lease.id != lease.id:
+        owned.lease, owned.lease_sent_at = lease, sent_at
+        owned.keep_at = context.clock.now() + KEEP_MS
+    if role.state is not None and not role.state.lost:
+        role.busy = False
+        return
+    _begin(context, name, role)
+
+
+def _begin(context: beliefs.Context, name: str, role: beliefs.Role) -> None:
+    """Saves the assignment that this coordinator begins with."""
+    saved = context.owned.everything.assignments.get(name)
+    if saved is None:
+        servers = {
+            item.id: item
+            for item in context.owned.servers.values()
+            if item.service == name
+        }
+        assignment, revision = coordination.make_first(
+            name, servers, context.owned.instance), 0
+    else:
+        assignment = coordination.make_next(saved.assignment,
+                                            context.owned.instance)
+        revision = saved.revision
+    predecessor = saved.assignment.author if saved else None
+
+    def take(result, unused_sent_at) -> None:
+        role.busy = False
+        if isinstance(result, outcomes.Failed):
+            context.logger.info('coordination_not_begun',
+                                service=name,
+                                reason=result.reason.value)
+            return
+        context.logger.info('coordination_begun',
+                            service=name,
+                            term=assignment.term,
+                            revision=result,
+                            ranges=len(assignment.ranges))
+        role.measured.seed_works(assignment.works)
+        role.state = coordination.begin(assignment, result, context.clock.now(),
+                                        predecessor)
+        context.publish()
+
+    context.call(lambda: context.platform.store.save(assignment, revision),
+                 take)
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -16,6 +16,7 @@
 from lentilmoor import outcomes
 from lentilmoor import shutdowns
 from lentilmoor import tries
+from lentilmoor.edge import beliefs
 from lentilmoor.edge import control
 from lentilmoor.edge import exchange
 from lentilmoor.edge import forwarding
@@ -24,6 +25,7 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
+from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 
 # Requests answered at once; each waits for one server.
@@ -75,7 +77,7 @@
     platform: ports.Platform
     clock: clocks.Clock
     logger: logs.Logger
-    forwarder: forwarding.Forwarder
+    forwarder: requests.Forwarder
     count: shutdowns.RequestCount
     measures: measures.Measures
     actor: pykka.ActorRef | None = None
@@ -129,10 +131,10 @@
                               opens_per_s=40.0,
                               burst=12.0,
                               socket_options=socket_options)
-    forwarder = forwarding.Forwarder(clock, platform, logger, rules)
+    forwarder = requests.Forwarder(clock, platform, logger, rules)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
                   measures.Measures(clock))
-    entry.actor = control.Control.start(control.Tables(instance), forwarder,
+    entry.actor = control.Control.start(beliefs.Beliefs(instance), forwarder,
                                         platform, logger,
                                         functools.partial(_watch_again, entry))
     entry.reporter = reporting.Reporter(
@@ -209,8 +211,8 @@
     return configuration.limits
 
 
-def _note(entry: Entry, request: forwarding.Request,
-          outcome: forwarding.Outcome) -> None:
+def _note(entry: Entry, request: requests.Request,
+          outcome: requests.Outcome) -> None:
     """Writes a line for a request that no server answered."""
     age_ms = round(entry.clock.now() - request.arrived_at)
     if isinstance(outcome, tries.Answer):
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -14,8 +14,8 @@
 from lentilmoor import shutdowns
 from lentilmoor import tries
 from lentilmoor.edge import exchange
-from lentilmoor.edge import forwarding
 from lentilmoor.edge import ports
+from lentilmoor.edge import requests
 
 # Requests that wait for the listening socket.
 BACKLOG = 512
@@ -26,8 +26,8 @@
 _Reason = outcomes.Reason
 _CHUNK_BYTES = 64 * 1024
 
-Forward = Callable[[forwarding.Request], forwarding.Outcome]
-Note = Callable[[forwarding.Request, forwarding.Outcome], None]
+Forward = Callable[[requests.Request], requests.Outcome]
+Note = Callable[[requests.Request, requests.Outcome], None]
 Page = Callable[[bytes], tuple[int, bytes, str]]
 """(body) -> status, body and content type of a page."""
 
@@ -129,22 +129,22 @@
 
 def _read_request(request: cheroot_server.HTTPRequest, dialect: ports.Dialect,
                   limit: int,
-                  clock: clocks.Clock) -> forwarding.Request | outcomes.NotRun:
+                  clock: clocks.Clock) -> requests.Request | outcomes.NotRun:
     arrived_at = clock.now()
     body = _read_body(request, limit)
     if isinstance(body, outcomes.NotRun):
         return body
     path, _, _ = request.uri.partition(b'?')
-    return forwarding.Request(fields=dialect.read_caller(request.inheaders),
-                              method=request.method.decode('latin-1'),
-                              host=request.inheaders.get(b'Host',
-                                                         b'').decode('latin-1'),
-                              path=path.decode('latin-1'),
-                              target=request.uri.decode('latin-1'),
-                              headers=_copy_headers(request, dialect, body),
-                              body=body,
-                              watch=exchange.CallerWatch(request.conn.socket),
-                              arrived_at=arrived_at)
+    return requests.Request(fields=dialect.read_caller(request.inheaders),
+                            method=request.method.decode('latin-1'),
+                            host=request.inheaders.get(b'Host',
+                                                       b'').decode('latin-1'),
+                            path=path.decode('latin-1'),
+                            target=request.uri.decode('latin-1'),
+                            headers=_copy_headers(request, dialect, body),
+                            body=body,
+                            watch=exchange.CallerWatch(request.conn.socket),
+                            arrived_at=arrived_at)
 
 
 def _read_body(request: cheroot_server.HTTPRequest,
@@ -205,8 +205,8 @@
     return headers
 
 
-def _write(request: cheroot_server.HTTPRequest, call: forwarding.Request,
-           outcome: forwarding.Outcome) -> None:
+def _write(request: cheroot_server.HTTPRequest, call: requests.Request,
+           outcome: requests.Outcome) -> None:
     if isinstance(outcome, exchange.Gone):
         request.close_connection = True
         request.sent_headers = True  # Nobody reads an answer.
--- /dev/null
+++ b/lentilmoor/edge/picks.py
@@ -0,0 +1,137 @@
+"""Which server a request is sent to next, or why it is refused.
+
+A request for a key goes to the key's owner, and waits a little while the key
+moves; any other goes to the server that is expected to answer first. What
+can't be served in time is refused at once.
+"""
+
+from lentilmoor import clocks
+from lentilmoor import outcomes
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import placement
+from lentilmoor.edge import requests
+from lentilmoor.edge import tables
+from lentilmoor.edge import waiting
+
+# How long a request waits for its key to get an owner: a little more than the
+# time in which keys are handed over.
+OWNER_WAIT_MS = 400.0
+# How long a request waits at least after the owner of its key said that it
+# isn't, if no other owner is known yet. Keys are released when the work that
+# runs on them has ended, so it is the server's time of work where that is more.
+OWNER_LOOK_MS = 60.0
+# Times to come back, ms: after a service was full, after a key had no owner,
+# and while an entry starts.
+FULL_RETRY_MS = 120
+OWNER_RETRY_MS = 200
+
+_Reason = outcomes.Reason
+
+
+def pick(forwarder: requests.Forwarder,
+         run: requests.Run) -> placement.Choice | outcomes.NotRun:
+    """Returns where the next try of a request goes, or why there is none."""
+    if run.service.keyed:
+        return _pick_owner(forwarder, run)
+    now = forwarder.clock.now()
+    servers = [
+        server for server in forwarder.snapshot.servers.get(
+            run.service.name, {}).values()
+        if not server.draining and server.id not in run.avoid
+    ]
+    with forwarder.lock:
+        wish = placement.Wish(forwarder.platform.settings.domain,
+                              run.route.large,
+                              placement.mean_work(servers, forwarder.states))
+        choice = placement.choose(servers, forwarder.states, wish, now,
+                                  forwarder.generator.random)
+    if choice is None:
+        return outcomes.NotRun(_Reason.NO_SERVER, 'no server is up',
+                               FULL_RETRY_MS)
+    return _check_time(run, choice, now)
+
+
+def _check_time(run: requests.Run, choice: placement.Choice,
+                now: float) -> placement.Choice | outcomes.NotRun:
+    """Refuses at once what can't be served in time."""
+    prospect = waiting.Prospect(choice.expected_ms, choice.full,
+                                run.until - now)
+    back_ms = waiting.judge(prospect)
+    if back_ms is None:
+        return choice
+    return outcomes.NotRun(
+        _Reason.OVERLOADED, f'{choice.server.id} is expected to answer in '
+        f'{choice.expected_ms:.0f} ms, of {prospect.left_ms:.0f} ms left' +
+        (', and is full' if choice.full else ''), round(back_ms))
+
+
+def _pick_owner(forwarder: requests.Forwarder,
+                run: requests.Run) -> placement.Choice | outcomes.NotRun:
+    """Finds the owner of the request's key; waits a little for a new one."""
+    key = run.request.fields.key
+    began = forwarder.clock.now()
+    wait_until = min(run.until, began + OWNER_WAIT_MS)
+    if _is_unserved(forwarder, run.service.name, key):
+        return outcomes.NotRun(_Reason.NO_OWNER, 'no server holds the key now',
+                               OWNER_RETRY_MS)
+    while True:
+        snapshot = forwarder.snapshot
+        server = _find_owner(snapshot, run.service.name, key)
+        now = forwarder.clock.now()
+        if server is not None and (server.id not in run.avoid or now
+                                   >= began + _find_look(forwarder, server)):
+            break
+        if now >= wait_until:
+            return outcomes.NotRun(_Reason.NO_OWNER, 'the key has no owner',
+                                   OWNER_RETRY_MS)
+        if run.request.watch.is_gone():
+            return outcomes.NotRun(
+                _Reason.CANCELLED,
+                f'waited for an owner of key {key}, sent to {run.avoid}')
+        forwarder.hurry.set()
+        _await_change(forwarder, snapshot,
+                      min(wait_until, now + OWNER_LOOK_MS) - now)
+    with forwarder.lock:
+        state = forwarder.states.setdefault(server.id, placement.ServerState())
+        if state.avoid_until > now:
+            return outcomes.NotRun(_Reason.NO_SERVER,
+                                   'the owner of the key is down',
+                                   OWNER_RETRY_MS)
+        work_ms = state.shared_ms or placement.mean_work(
+            snapshot.servers[run.service.name].values(), forwarder.states)
+        expected_ms, full = placement.expect(server, state, work_ms, now, True)
+    checked = _check_time(run, placement.Choice(server, expected_ms, full), now)
+    if isinstance(checked, outcomes.NotRun):
+        forwarder.samples.append(
+            requests.Sample(run.service.name, key, server.id, 0.0))
+    return checked
+
+
+def _find_look(forwarder: requests.Forwarder, server: tables.Server) -> float:
+    """Returns how long to look for another owner of a key, ms."""
+    state = forwarder.states.get(server.id)
+    work_ms = state.shared_ms if state is not None else 0.0
+    return min(OWNER_WAIT_MS, max(OWNER_LOOK_MS, work_ms))
+
+
+def _is_unserved(forwarder: requests.Forwarder, service: str, key: int) -> bool:
+    return any(first <= key <= last
+               for first, last in forwarder.unserved.get(service, ()))
+
+
+def _find_owner(snapshot: tables.Snapshot, service: str,
+                key: int) -> tables.Server | None:
+    assignment = snapshot.assignments.get(service)
+    if assignment is None:
+        return None
+    found = keyranges.find_owner(assignment, key)
+    if found is None:
+        return None
+    return snapshot.servers.get(service, {}).get(found.server)
+
+
+def _await_change(forwarder: requests.Forwarder, seen: tables.Snapshot,
+                  wait_ms: float) -> None:
+    with forwarder.changed:
+        if forwarder.snapshot is seen:
+            forwarder.changed.wait(max(0.0, wait_ms) / clocks.MS_PER_S)
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -12,12 +12,12 @@
 from lentilmoor import httpcalls
 from lentilmoor import outcomes
 from lentilmoor.edge import control
-from lentilmoor.edge import forwarding
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import reports
+from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 
 PATH = '/report'
@@ -47,7 +47,7 @@
     """
 
     instance: str
-    forwarder: forwarding.Forwarder
+    forwarder: requests.Forwarder
     caller: httpcalls.Caller
     tell: Callable[[object], None]
     table: hub.HubTable = dataclasses.field(default_factory=hub.HubTable)
@@ -195,7 +195,7 @@
             reporter.tell(control.AssignmentHeard(item))
 
 
-def _take_rows(forwarder: forwarding.Forwarder) -> dict[str, list[reports.Row]]:
+def _take_rows(forwarder: requests.Forwarder) -> dict[str, list[reports.Row]]:
     samples, forwarder.samples = forwarder.samples, []
     rows: dict[str, list[reports.Row]] = {}
     for item in samples:
@@ -204,14 +204,13 @@
     return rows
 
 
-def _take_crashes(
-        forwarder: forwarding.Forwarder) -> tuple[list[str], list[str]]:
+def _take_crashes(forwarder: requests.Forwarder) -> tuple[list[str], list[str]]:
     crashed, forwarder.crashed = forwarder.crashed, []
     cleared, forwarder.cleared = forwarder.cleared, []
     return crashed, cleared
 
 
-def _count_inflight(forwarder: forwarding.Forwarder) -> dict[str, int]:
+def _count_inflight(forwarder: requests.Forwarder) -> dict[str, int]:
     with forwarder.lock:
         return {
             name: state.inflight
--- /dev/null
+++ b/lentilmoor/edge/requests.py
@@ -0,0 +1,161 @@
+"""A request on its way, and what all requests of an entry share."""
+
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+import random
+import threading
+
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import outcomes
+from lentilmoor import tries
+from lentilmoor.edge import budgets
+from lentilmoor.edge import exchange
+from lentilmoor.edge import matching
+from lentilmoor.edge import placement
+from lentilmoor.edge import ports
+from lentilmoor.edge import tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request.
+
+    Attributes:
+      fields: What its headers say to entries.
+      method: HTTP method.
+      host: Host header.
+      path: Path without its query, as it was sent.
+      target: Path and query, as they were sent.
+      headers: What goes on to the server.
+      body: Its whole body.
+      watch: Watches the caller's connection.
+      arrived_at: ms.
+    """
+
+    fields: ports.CallerFields
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+    watch: exchange.CallerWatch
+    arrived_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """What was seen of a request for a key; reported to the coordinator.
+
+    Requests that were refused count too: what a server could not serve is
+    what tells that its keys are to move.
+    """
+
+    service: str
+    key: int
+    server: str
+    work_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Forwarder:
+    """What request threads share.
+
+    Attributes:
+      clock: Time.
+      platform: The adapter.
+      logger: Takes a line for each request that isn't answered by a server.
+      index: Routes of the configuration in force.
+      snapshot: What is known; replaced as a whole.
+      changed: Notified when the snapshot was replaced.
+      states: What was seen of servers, by id.
+      pools: Connections, by server id.
+      repeats: Repeats, by service.
+      samples: Requests for keys that are still to be reported.
+      hurry: Set when a report should not wait: a key has moved.
+      unserved: First and last keys that no server holds now, by service.
+      coordinated: What this entry tells the others, of each service that it
+        coordinates; replaced as a whole.
+      watched: Fingerprints of requests that are suspected to crash servers.
+      blocked: Fingerprints of requests that do.
+      crashed: Of those suspected since the last report.
+      cleared: Of those answered since the last report.
+      news: How far this entry has followed the store.
+      heard: How far the hub has, as it told last.
+      lock: Guards states, pools and repeats.
+    """
+
+    clock: clocks.Clock
+    platform: ports.Platform
+    logger: object
+    rules: connections.Rules
+    index: matching.RouteIndex = dataclasses.field(
+        default_factory=lambda: matching.make_index({}))
+    snapshot: tables.Snapshot = dataclasses.field(
+        default_factory=lambda: tables.Snapshot(None, {}, {}, {}, {}))
+    changed: threading.Condition = dataclasses.field(
+        default_factory=threading.Condition)
+    states: dict[str, placement.ServerState] = dataclasses.field(
+        default_factory=dict)
+    pools: dict[str, connections.Pool] = dataclasses.field(default_factory=dict)
+    repeats: dict[str, budgets.Budget] = dataclasses.field(default_factory=dict)
+    samples: list[Sample] = dataclasses.field(default_factory=list)
+    hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
+    unserved: dict[str,
+                   list[tuple[int,
+                              int]]] = dataclasses.field(default_factory=dict)
+    coordinated: dict[str, tables.Coordinated] = dataclasses.field(
+        default_factory=dict)
+    watched: frozenset[str] = frozenset()
+    blocked: frozenset[str] = frozenset()
+    crashed: list[str] = dataclasses.field(default_factory=list)
+    cleared: list[str] = dataclasses.field(default_factory=list)
+    news: tables.News = tables.News()
+    heard: tables.News = tables.News()
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+    generator: random.Random = dataclasses.field(default_factory=random.Random)
+
+
+Outcome = tries.Answer | outcomes.NotRun | outcomes.Unknown | exchange.Gone
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request on its way.
+
+    Attributes:
+      request: The request.
+      route: Its route.
+      service: The service that runs it.
+      until: When it is given up, ms.
+      sent: Servers that it was sent to.
+      avoid: Servers that are not to be tried again.
+      may_have_run: Whether a try ended without a certain outcome.
+      last: A server's failure that is passed on if no try does better.
+    """
+
+    request: Request
+    route: tables.Route
+    service: tables.Service
+    until: float
+    sent: int = 0
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+    last: tries.Answer | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be run more than once."""
+        return self.route.repeat is tables.Repeat.IDEMPOTENT
+
+
+def fingerprint(request: Request) -> str:
+    """Returns what tells a request from others, whoever sends it again."""
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (request.method, request.host, request.target,
+                 str(request.fields.key)):
+        digest.update(part.encode('latin-1', 'replace') + b'\0')
+    digest.update(request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/lentilmoor/edge/roles.py
@@ -0,0 +1,123 @@
+"""Carries out what the coordinator of a keyed service decides."""
+
+from lentilmoor import outcomes
+from lentilmoor.edge import beliefs
+from lentilmoor.edge import coordination
+from lentilmoor.edge import elections
+from lentilmoor.edge import moves
+from lentilmoor.edge import ownership
+from lentilmoor.edge import tables
+
+
+def coordinate(context: beliefs.Context, name: str, role: beliefs.Role,
+               now: float) -> None:
+    """Has the coordinator of a service do what is due now."""
+    state, owned = role.state, context.owned
+    if state is None:
+        return
+    if state.lost:
+        elections.resign(context, name, role,
+                         'a server has seen a higher fence')
+        return
+    if now - owned.lease_sent_at > ownership.TENURE_MS:
+        elections.resign(context, name, role,
+                         'the lease was not renewed for too long')
+        return
+    if _is_replaced(context, state.predecessor):
+        coordination.note_predecessor_ended(state, now)
+    servers = {
+        item.id: item
+        for item in owned.servers.values()
+        if item.service == name and item.id not in owned.ended
+    }
+    view = ownership.View(servers, frozenset(owned.ended), owned.left,
+                          role.measured.key_loads(now),
+                          role.measured.capacities(servers.values(), now),
+                          role.measured.list_works(servers.values()))
+    for action in coordination.plan(state, view, now):
+        _carry_out(context, state, action)
+    told = tables.Coordinated(moves.list_unserved(state),
+                              role.measured.estimate_works(servers.values()))
+    context.forwarder.coordinated = context.forwarder.coordinated | {name: told}
+
+
+def _is_replaced(context: beliefs.Context, instance: str) -> bool:
+    """Returns whether another process runs where an entry once ran."""
+    place = instance.rpartition('.')[0]
+    return bool(place) and any(
+        other.rpartition('.')[0] == place and other != instance
+        for other in context.owned.everything.entries)
+
+
+def _carry_out(context: beliefs.Context, state: ownership.Coordination,
+               action: ownership.Action) -> None:
+    if isinstance(action, ownership.Grant):
+        context.call(
+            lambda: _send_grant(context, action),
+            lambda result, sent: _granted(context, state, action, result, sent),
+            context.server_calls)
+    elif isinstance(action, ownership.Release):
+        context.call(
+            lambda: context.platform.servers.release(action),
+            lambda result, sent: _released(context, state, action, *result),
+            context.release_calls)
+    else:
+        context.call(
+            lambda: context.platform.store.save(action.assignment, action.
+                                                revision),
+            lambda result, sent: _saved(context, state, action, result))
+
+
+def _granted(context: beliefs.Context, state: ownership.Coordination,
+             grant: ownership.Grant, answer: ownership.Answer,
+             sent_at: float) -> None:
+    coordination.note_granted(state, grant, answer, sent_at,
+                              context.clock.now())
+    context.states.note('grant_answer',
+                        grant.server.id,
+                        answer,
+                        service=grant.service,
+                        fence=grant.item.fence,
+                        first=grant.item.first)
+
+
+def _released(context: beliefs.Context, state: ownership.Coordination,
+              release: ownership.Release, answer: ownership.Answer,
+              token: str) -> None:
+    coordination.note_released(state, release, answer, token,
+                               context.clock.now())
+    context.logger.info('keys_released',
+                        server=release.server.id,
+                        first=release.item.first,
+                        last=release.item.last,
+                        fence=release.item.fence,
+                        answer=answer.value,
+                        handed_over=bool(token))
+
+
+def _send_grant(context: beliefs.Context,
+                grant: ownership.Grant) -> ownership.Answer:
+    """Sends a grant unless it is out of date; run by a thread."""
+    now = context.clock.now()
+    if (now - context.owned.lease_sent_at > ownership.TENURE_MS or
+            now - grant.planned_at > ownership.STALE_MS):
+        return ownership.Answer.NOT_SENT
+    return context.platform.servers.grant(grant)
+
+
+def _saved(context: beliefs.Context, state: ownership.Coordination,
+           save: ownership.Save, result) -> None:
+    if not isinstance(result, outcomes.Failed):
+        coordination.note_saved(state, save, result, context.clock.now())
+        context.logger.info('assignment_saved',
+                            service=save.service,
+                            revision=result,
+                            ranges=len(save.assignment.ranges))
+        context.publish()
+        return
+    if result.reason is outcomes.Reason.CONFLICT:
+        state.lost = True
+    coordination.note_saved(state, save, None, context.clock.now())
+    context.logger.warning('assignment_not_saved',
+                           service=save.service,
+                           reason=result.reason.value)
--- /dev/null
+++ b/lentilmoor/edge/weighing.py
@@ -0,0 +1,102 @@
+"""What the end of a try means for its request and for what is known."""
+
+from lentilmoor import outcomes
+from lentilmoor.edge import exchange
+from lentilmoor.edge import placement
+from lentilmoor.edge import requests
+from lentilmoor.edge import tables
+
+_SERVER_FAULT = 500
+_SUCCESS = range(200, 300)
+
+_Reason = outcomes.Reason
+
+
+def weigh_loss(forwarder: requests.Forwarder, run: requests.Run,
+               server: tables.Server, state: placement.ServerState,
+               lost: outcomes.Unknown) -> requests.Outcome | None:
+    """Takes in a try without an answer; None if another may follow."""
+    now = forwarder.clock.now()
+    with forwarder.lock:
+        placement.note_failure(state, now, False)
+        if lost.reason is _Reason.CONNECTION_LOST:
+            state.broken.append((requests.fingerprint(run.request), now))
+    run.avoid.add(server.id)
+    run.may_have_run = True
+    forwarder.logger.info('try_lost',
+                          request=run.request.fields.request_id,
+                          server=server.id,
+                          reason=lost.reason.value,
+                          detail=lost.detail,
+                          age_ms=round(now - run.request.arrived_at))
+    if not run.repeatable or lost.reason is _Reason.TIMED_OUT:
+        return lost
+    return None
+
+
+def weigh_answer(forwarder: requests.Forwarder, run: requests.Run,
+                 server: tables.Server, state: placement.ServerState,
+                 reply: exchange.Reply,
+                 took_ms: float) -> requests.Outcome | None:
+    """Takes in an answer; None if another try may follow."""
+    now = forwarder.clock.now()
+    status, fields = reply.answer.status, reply.fields
+    if fields.not_run:
+        with forwarder.lock:
+            placement.note_failure(state, now, status == 503)
+        run.avoid.add(server.id)
+        if run.service.keyed:
+            forwarder.hurry.set()
+        return None
+    if forwarder.watched:
+        _clear(forwarder, run.request)
+    good = status < _SERVER_FAULT
+    if status in _SUCCESS and not fields.proven:
+        good = False
+    with forwarder.lock:
+        if good:
+            placement.note_answer(state, took_ms, fields.load, now)
+        else:
+            placement.note_failure(state, now, False)
+    if run.service.keyed and good:
+        work_ms = placement.find_work(took_ms, fields.load)
+        forwarder.samples.append(
+            requests.Sample(run.service.name, run.request.fields.key, server.id,
+                            work_ms))
+    if status in _SUCCESS and not fields.proven:
+        run.may_have_run = True
+        lost = outcomes.Unknown(_Reason.ANSWER_CUT, 'an answer without proof')
+        return None if run.repeatable else lost
+    if not good and run.repeatable:
+        run.avoid.add(server.id)
+        run.may_have_run = True
+        run.last = reply.answer
+        return None
+    if status in (408, 421, 429, 503) and not run.repeatable:
+        # Callers would take it for a promise that it has not run.
+        return outcomes.Unknown(_Reason.CONNECTION_LOST,
+                                f'the server answered {status}')
+    return reply.answer
+
+
+def _clear(forwarder: requests.Forwarder, request: requests.Request) -> None:
+    fingerprint = requests.fingerprint(request)
+    if fingerprint in forwarder.watched:
+        forwarder.cleared.append(fingerprint)
+
+
+def conclude(run: requests.Run, refusal: outcomes.NotRun) -> requests.Outcome:
+    """Returns the outcome of a request for which no try is left.
+
+    A refusal says that the request has not run; where it may have, the caller
+    is told a server's own failure, or that it isn't known.
+    """
+    if refusal.reason is _Reason.CANCELLED:
+        return exchange.Gone(refusal.detail)
+    if run.last is not None:
+        return run.last
+    if run.may_have_run and not run.repeatable:
+        return outcomes.Unknown(refusal.reason, refusal.detail)
+    if run.may_have_run:
+        return outcomes.Unknown(_Reason.CONNECTION_LOST, refusal.detail)
+    return refusal
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -16,6 +16,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 from lentilmoor.platform import dialect
 from standins import platform_server
@@ -58,8 +59,8 @@
         settings = ports.Settings('e1', 'a', '', '', '', '', (), 0, 0, _BOUNDS)
         clock = clocks.make_suspend_clock()
         platform = ports.Platform(settings, None, None, dialect.make_dialect())
-        self.forwarder = forwarding.Forwarder(clock, platform,
-                                              logs.make_logger('test'), _RULES)
+        self.forwarder = requests.Forwarder(clock, platform,
+                                            logs.make_logger('test'), _RULES)
         self.addCleanup(self._close_pools)
         self._publish(self.before.id)
 
@@ -90,15 +91,15 @@
         for pool in self.forwarder.pools.values():
             pool.close()
 
-    def _forward(self) -> forwarding.Outcome:
+    def _forward(self) -> requests.Outcome:
         ours, theirs = socket.socketpair()
         self.addCleanup(ours.close)
         self.addCleanup(theirs.close)
-        request = forwarding.Request(ports.CallerFields('r1', 2_000.0, _KEY),
-                                     'GET', 'h', '/x', '/x',
-                                     {'Lentilmoor-Shard-Key': str(_KEY)}, b'',
-                                     exchange.CallerWatch(ours),
-                                     self.forwarder.clock.now())
+        request = requests.Request(ports.CallerFields('r1', 2_000.0, _KEY),
+                                   'GET', 'h', '/x', '/x',
+                                   {'Lentilmoor-Shard-Key': str(_KEY)}, b'',
+                                   exchange.CallerWatch(ours),
+                                   self.forwarder.clock.now())
         return forwarding.forward(self.forwarder, request)
 
     def test_it_waits_for_the_new_owner_as_long_as_work_takes(self):
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -9,7 +9,6 @@
 from lentilmoor import httpcalls
 from lentilmoor import linequeue
 from lentilmoor import outcomes
-from lentilmoor.edge import forwarding
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
@@ -19,6 +18,7 @@
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
+from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 from tests import edgeworlds
 
@@ -155,7 +155,7 @@
     def setUp(self):
         super().setUp()
         clock = clocks.ManualTime().clock()
-        self.forwarder = forwarding.Forwarder(clock, None, None, None)
+        self.forwarder = requests.Forwarder(clock, None, None, None)
         peers = {
             'x': ports.Peer('e1', 'a:1'),
             'y': ports.Peer('e2', 'a:2'),
