--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -1,8 +1,8 @@
 """What entries report of requests for keys, and what follows from it.
 
-Each entry tells the coordinator every half second which keys it served and how
-long the servers worked. The coordinator lets counts fade, so that keys that
-were hot some seconds ago don't hold their place.
+Each entry tells the coordinator several times a second which keys it served
+and how long the servers worked. The coordinator lets counts fade, so that keys
+that were hot some seconds ago don't hold their place.
 """
 
 from collections.abc import Iterable
--- a/standins/backend_state.py
+++ b/standins/backend_state.py
@@ -98,7 +98,8 @@
       order: The request.
       held_epoch: Fence of the server's grant at the start, first part.
       held_sequence: Fence of the server's grant at the start, second part.
-      granted_until_ms: When that grant was to end, as known at the start.
+      granted_until_ms: When that grant was to end, as last renewed for this
+        request's point.
       started_ms: When it was started.
       ended_ms: When it ended, or 0.
       ending: How it ended.
@@ -178,10 +179,19 @@
             if not self.switches.check_grants:
                 return True
             accepted = self.held.offer(order, self.now())
+            self._prolong_runs()
             gone = ranges.subtract(self._warm, self.held.owned)
             self._warm = ranges.subtract(self._warm, gone)
             return accepted
 
+    def _prolong_runs(self) -> None:
+        """Notes a renewal with the runs on points that are still granted."""
+        for run in self._running:
+            if run.order.key and ranges.covers(self.held.owned,
+                                               run.order.point):
+                run.granted_until_ms = max(run.granted_until_ms,
+                                           self.held.expires_at)
+
     def raise_fence(self, epoch: int) -> None:
         """Refuses orders of older epochs from now on."""
         with self._lock:
--- a/tests/processhelp.py
+++ b/tests/processhelp.py
@@ -164,6 +164,9 @@
         ]
         shown = '\n'.join(f'{one}\n  and {two}' for one, two in pairs)
         self.assertEqual((len(pairs), checked.doubled), (0, 0), shown)
+        self.assertEqual([
+            run for run in checked.ungranted if run.started_ms >= self.began_ms
+        ], [])
 
     def list_runs(self, server: str) -> list[audits.JournalRun]:
         """Returns what a server has run."""
