--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -23,6 +23,8 @@
 WAY_BACK_MS = 8.0
 # A caller that doesn't say how long it waits.
 PATIENCE_MS = 10_000.0
+# Times to come back, ms: while an entry starts, which takes some 0.5 s, and to
+# a request that crashes its servers, which is blocked for so long.
 START_RETRY_MS = 300
 BLOCKED_RETRY_MS = 30_000
 
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -20,8 +20,8 @@
 # isn't, if no other owner is known yet. Keys are released when the work that
 # runs on them has ended, so it is the server's time of work where that is more.
 OWNER_LOOK_MS = 60.0
-# Times to come back, ms: after a service was full, after a key had no owner,
-# and while an entry starts.
+# Times to come back, ms: after a service was full, and after a key had no
+# owner.
 FULL_RETRY_MS = 120
 OWNER_RETRY_MS = 200
 
