Say once what stood twice on the new path

Found on rereading the change: the draw towards a service's mean and the running mean stood in placement and in workmeans; the begin of a plan in two functions of rebalancing; the list of keyed services in three places; a wait in ms in seven, old path included. A key function of the store's news was never called.

No behaviour is meant to change.

--- a/lentilmoor/claiming.py
+++ b/lentilmoor/claiming.py
@@ -13,7 +13,6 @@
 import dataclasses
 import itertools
 import secrets
-import threading
 
 from lentilmoor import calls
 from lentilmoor import claims
@@ -120,12 +119,12 @@
         reply = _ask(dispatcher, lines, message, min(left, ASK_TIMEOUT_MS))
         if reply is not None and reply.verdict == _Verdict.RUNNING and looks:
             looks -= 1
-            threading.Event().wait(RUNNING_LOOK_MS / clocks.MS_PER_S)
+            clocks.pause(RUNNING_LOOK_MS)
             continue
         if reply is not None and reply.verdict != _Verdict.NOT_GRANTOR:
             return reply
         dispatcher.hold(snapshot, min(left, RETRY_MS))
-        threading.Event().wait(RETRY_MS / clocks.MS_PER_S / 4)
+        clocks.pause(RETRY_MS / 4)
 
 
 def _ask(dispatcher: dispatchers.Dispatcher, lines: Lines,
@@ -233,4 +232,4 @@
                 address, message, SETTLE_TIMEOUT_MS), SETTLE_TIMEOUT_MS)
         if isinstance(reply, peer_pb2.SettleReply) and reply.accepted:
             return
-        threading.Event().wait(RETRY_MS / clocks.MS_PER_S)
+        clocks.pause(RETRY_MS)
--- a/lentilmoor/clocks.py
+++ b/lentilmoor/clocks.py
@@ -45,6 +45,11 @@
     return Clock(now=_read_boottime)
 
 
+def pause(ms: float) -> None:
+    """Waits for a time of the real clock."""
+    time.sleep(max(0.0, ms) / MS_PER_S)
+
+
 @dataclasses.dataclass(slots=True)
 class ManualTime:
     """Hand-moved time for tests and benchmarks, in milliseconds."""
--- a/lentilmoor/dispatch.py
+++ b/lentilmoor/dispatch.py
@@ -5,8 +5,6 @@
 once; nothing is held back.
 """
 
-import threading
-
 from lentilmoor import attempts
 from lentilmoor import bodies
 from lentilmoor import calls
@@ -171,7 +169,7 @@
     while not quarantine.start_alone(suspects, server, fingerprint):
         if run.dispatcher.clock.now() >= run.call.deadline:
             return runs.conclude(run, _NOT_ALONE)
-        threading.Event().wait(ALONE_LOOK_MS / clocks.MS_PER_S)
+        clocks.pause(ALONE_LOOK_MS)
     try:
         if runs.is_blocked(run):
             return runs.conclude(run, _BLOCKED)
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -190,9 +190,8 @@
                               version=configuration.version,
                               revision=everything.revision)
             self._forwarder.index = matching.make_index(configuration.routes)
-            for service in configuration.services.values():
-                if service.keyed:
-                    owned.roles.setdefault(service.name, beliefs.Role())
+            for name in configuration.list_keyed():
+                owned.roles.setdefault(name, beliefs.Role())
         elections.follow_rivals(self._context)
         self._publish()
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -232,8 +232,7 @@
     ready = (snapshot.configuration is not None and
              not entry.leaving.is_set() and
              all(name in snapshot.assignments
-                 for name, service in snapshot.configuration.services.items()
-                 if service.keyed))
+                 for name in snapshot.configuration.list_keyed()))
     return (200 if ready else 503), b'', 'text/plain'
 
 
@@ -258,14 +257,10 @@
 
 def _tick(entry: Entry) -> None:
     while True:
-        _wait(control.TICK_MS)
+        clocks.pause(control.TICK_MS)
         entry.actor.tell(control.Tick())
 
 
-def _wait(ms: float) -> None:
-    threading.Event().wait(ms / clocks.MS_PER_S)
-
-
 def _finish(entry: Entry) -> None:
     """Ends without interrupting a request."""
     began = entry.clock.now()
@@ -276,7 +271,7 @@
     entry.count.closing = True
     callers = entry.listeners[0]
     while entry.clock.now() - began < NOTICE_MS:
-        _wait(_LOOK_MS)
+        clocks.pause(_LOOK_MS)
     left_ms = grace_ms - (entry.clock.now() - began)
     callers.shutdown_timeout = left_ms / clocks.MS_PER_S
     # Takes no new connections, closes idle ones and waits for the others.
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -90,7 +90,7 @@
     forwarder = follower.reporter.forwarder
     while True:
         forwarder.followed = seen.revision
-        _wait(NEWS_LOOK_MS)
+        clocks.pause(NEWS_LOOK_MS)
         if number != follower.begun:
             return seen
         heard = forwarder.heard
@@ -140,8 +140,7 @@
     """Returns whether all that needs a coordinator has one."""
     return snapshot.configuration is not None and all(
         name in snapshot.coordinators
-        for name, service in snapshot.configuration.services.items()
-        if service.keyed)
+        for name in snapshot.configuration.list_keyed())
 
 
 def _follow_loss(follower: Follower, failed: outcomes.Failed,
@@ -155,9 +154,5 @@
         follower.logger.info('store_heard_from_peer', revision=heard.revision)
         follower.take(heard, True)
         seen = heard
-    _wait(STORE_AGAIN_MS)
+    clocks.pause(STORE_AGAIN_MS)
     return seen
-
-
-def _wait(ms: float) -> None:
-    threading.Event().wait(ms / clocks.MS_PER_S)
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -17,6 +17,7 @@
 
 from lentilmoor.edge import ports
 from lentilmoor.edge import tables
+from lentilmoor.edge import workmeans
 
 # What is older than this fades, to half in so much time.
 TOLD_FRESH_MS = 1_200.0
@@ -26,10 +27,6 @@
 SHARED_WORK_MS = 150.0
 # Weight of the newest answer in the mean time of work.
 NEWEST = 0.04
-# Answers of the service's mean that a server is taken to have given besides
-# its own: times of work vary as much as their mean, and one long answer as the
-# first made entries refuse what a server had room for.
-PRIOR = 2
 # Mean time of work of a server that has not answered yet, unless others of
 # its service have, ms.
 FIRST_WORK_MS = 100.0
@@ -186,8 +183,7 @@
         return state.shared_ms
     if not work_ms:
         return state.work_ms or FIRST_WORK_MS
-    weight = min(state.answers, 1 / NEWEST)
-    return (weight * state.work_ms + PRIOR * work_ms) / (weight + PRIOR)
+    return workmeans.blend(state.work_ms, state.answers, NEWEST, work_ms)
 
 
 def _count_others(state: ServerState, work_ms: float, alone: bool,
@@ -230,8 +226,8 @@
 def note_work(state: ServerState, work_ms: float) -> None:
     """Takes in how long a server worked on a request, ms."""
     state.answers += 1
-    step = max(NEWEST, 1 / state.answers)
-    state.work_ms += step * (work_ms - state.work_ms)
+    state.work_ms = workmeans.advance(state.work_ms, state.answers, NEWEST,
+                                      work_ms)
 
 
 def find_work(took_ms: float, load: ports.ServerLoad | None) -> float:
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -118,10 +118,8 @@
       loads: Load by key.
       capacities: Relative speed of each server that may hold keys.
     """
-    owned = list(ranges)
-    weights = {name: speed**SPEED_POWER for name, speed in capacities.items()}
-    plan = _Plan(owned, _measure_servers(owned, loads, weights), loads, weights)
-    if len(weights) < 2 or sum(plan.held.values()) <= 0:
+    plan = _make_plan(ranges, loads, capacities)
+    if len(capacities) < 2 or sum(plan.held.values()) <= 0:
         return []  # All keys are on their way, or there is no choice.
     transfers = _move_heavy(plan, capacities)
     while len(transfers) < MOST_MOVES:
@@ -137,12 +135,11 @@
                      loads: keyloads.KeyLoads,
                      capacities: Mapping[str, float]) -> Evenness:
     """Returns how evenly load lies over servers that may hold keys."""
-    weights = {name: speed**SPEED_POWER for name, speed in capacities.items()}
-    held = _measure_servers(ranges, loads, weights)
-    share = sum(held.values()) / max(sum(weights.values()), 1e-9)
+    plan = _make_plan(ranges, loads, capacities)
+    share = sum(plan.held.values()) / max(sum(plan.capacities.values()), 1e-9)
     ratios = {
-        name: load / max(share * weights[name], 1e-9)
-        for name, load in held.items()
+        name: load / max(share * plan.capacities[name], 1e-9)
+        for name, load in plan.held.items()
     }
     busiest = max(ratios, key=ratios.__getitem__, default='')
     key, load = next(iter(loads.list_heavy(0.0)), (-1, 0.0))
@@ -150,6 +147,13 @@
                     round(ratios.get(busiest, 0.0), 2), key, round(load, 1))
 
 
+def _make_plan(ranges: Iterable[keyranges.KeyRange], loads: keyloads.KeyLoads,
+               speeds: Mapping[str, float]) -> _Plan:
+    owned = list(ranges)
+    weights = {name: speed**SPEED_POWER for name, speed in speeds.items()}
+    return _Plan(owned, _measure_servers(owned, loads, weights), loads, weights)
+
+
 def _move_heavy(plan: _Plan, speeds: Mapping[str, float]) -> list[Transfer]:
     """Moves keys heavier than a share to the fastest servers; sets goals."""
     share = sum(plan.held.values()) / sum(plan.capacities.values())
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import time
 
 from lentilmoor import clocks
 from lentilmoor import httpcalls
@@ -64,7 +63,7 @@
         entries = len(forwarder.snapshot.entries)
         hurry_ms = max(HURRY_MS, HURRY_PER_ENTRY_MS * entries)
         pause_ms = max(REPORT_MS, REPORT_PER_ENTRY_MS * entries)
-        time.sleep(hurry_ms / clocks.MS_PER_S)
+        clocks.pause(hurry_ms)
         forwarder.hurry.wait((pause_ms - hurry_ms) / clocks.MS_PER_S)
         forwarder.hurry.clear()
         exchange(reporter)
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -106,6 +106,10 @@
     services: dict[str, Service]
     limits: CallerLimits
 
+    def list_keyed(self) -> list[str]:
+        """Returns the names of services whose keys have one owner each."""
+        return [name for name, item in self.services.items() if item.keyed]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Server:
--- a/lentilmoor/edge/workmeans.py
+++ b/lentilmoor/edge/workmeans.py
@@ -21,8 +21,9 @@
 # Answers that a mean counts for that has begun anew, or that needs to be known
 # before it can.
 FEW = 8
-# Answers of the service's mean that a server without any is taken to have
-# given.
+# Answers of the service's mean that a server is taken to have given besides its
+# own: one long answer as the first made entries refuse what a server had room
+# for.
 PRIOR = 2
 
 
@@ -44,13 +45,38 @@
 def add(mean: WorkMean, work_ms: float) -> None:
     """Takes in an answer."""
     mean.count += 1
-    mean.ms += max(NEWEST, 1.0 / mean.count) * (work_ms - mean.ms)
-    mean.recent += max(RECENT, 1.0 / mean.count) * (work_ms - mean.recent)
+    mean.ms = advance(mean.ms, mean.count, NEWEST, work_ms)
+    mean.recent = advance(mean.recent, mean.count, RECENT, work_ms)
     changed = not mean.ms * FASTER <= mean.recent <= mean.ms * SLOWER
     if mean.count > FEW and changed:
         mean.ms, mean.count = mean.recent, FEW
 
 
+def advance(mean_ms: float, count: int, newest: float, work_ms: float) -> float:
+    """Returns a running mean with one more answer.
+
+    Args:
+      mean_ms: The mean before.
+      count: Answers, this one included.
+      newest: Weight of the newest answer once there are many.
+      work_ms: The answer's time of work.
+    """
+    return mean_ms + max(newest, 1.0 / count) * (work_ms - mean_ms)
+
+
+def blend(mean_ms: float, count: int, newest: float, usual_ms: float) -> float:
+    """Returns a server's mean, drawn towards its service's by few answers.
+
+    Args:
+      mean_ms: The server's own mean.
+      count: Answers that it was learned from.
+      newest: Weight of the newest answer in it once there are many.
+      usual_ms: Mean of the service.
+    """
+    weight = min(count, 1 / newest)
+    return (weight * mean_ms + PRIOR * usual_ms) / (weight + PRIOR)
+
+
 def average(known: Iterable[WorkMean]) -> float:
     """Returns the mean over servers, by answers; 0 if none is known."""
     known = list(known)
@@ -75,9 +101,7 @@
     estimates = {}
     for name in names:
         mean = means.get(name, _UNKNOWN)
-        weight = min(mean.count, 1 / NEWEST)
-        estimates[name] = round(
-            (weight * mean.ms + PRIOR * usual) / (weight + PRIOR), 1)
+        estimates[name] = round(blend(mean.ms, mean.count, NEWEST, usual), 1)
     return estimates
 
 
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -326,7 +326,7 @@
     while entry.base.clock.now() < until:
         if not entry.ask(_has_shards):
             return
-        threading.Event().wait(_LOOK_EVERY_MS / clocks.MS_PER_S)
+        clocks.pause(_LOOK_EVERY_MS)
 
 
 def _has_shards(tables_: controltables.ControlTables, now: float) -> bool:
--- a/lentilmoor/followups.py
+++ b/lentilmoor/followups.py
@@ -1,7 +1,5 @@
 """What follows a try that ended without a whole answer."""
 
-import threading
-
 from lentilmoor import clocks
 from lentilmoor import outcomes
 from lentilmoor import retries
@@ -44,7 +42,7 @@
         return step.outcome
     run.fresh = step.fresh
     if step.delay_ms:
-        threading.Event().wait(step.delay_ms / clocks.MS_PER_S)
+        clocks.pause(step.delay_ms)
     return None
 
 
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -154,10 +154,6 @@
     return _Item(row['Key'], value, row['Rev'])
 
 
-def _get_revision(item: _Item) -> int:
-    return item.revision
-
-
 def _write_item(item: _Item) -> dict[str, object]:
     row: dict[str, object] = {'Key': item.key, 'Rev': item.revision}
     if item.value is None:
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -218,6 +218,20 @@
                     for server in self.catalogs)
                 for key in (0, 20_000, 40_000, 65_535)), 10)
 
+    def add_entry(self, **options) -> Entry:
+        """Starts one more entry, which knows the first as a seed."""
+        entry = Entry(self.store,
+                      len(self.entries) + 1, self.entries[0].control, **options)
+        self.entries.append(entry)
+        return entry
+
+    def add_route(self, version: int, prefix: str) -> None:
+        """Writes a configuration with one more route, like that of reports."""
+        new = make_configuration()['Routes']['report']
+        self.store.put(
+            'op/config',
+            make_configuration(version, new=new | {'Prefix': prefix}))
+
     def close(self) -> None:
         """Ends everything that was started."""
         for entry in self.entries:
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -153,10 +153,7 @@
         self.store = self.deployment.store
 
     def test_a_configuration_is_in_force_within_two_seconds(self):
-        new = platformhelp.make_configuration()['Routes']['report']
-        self.store.put(
-            'op/config',
-            platformhelp.make_configuration(2, new=new | {'Prefix': '/new/'}))
+        self.deployment.add_route(2, '/new/')
         platformhelp.wait_until(lambda: self.entry.call('/new/x')[0] == 200,
                                 2.0)
         # What doesn't parse, or is older, leaves the last one in force.
@@ -170,10 +167,7 @@
     def test_a_history_that_is_gone_loses_no_change(self):
         self.store.put('op/config', platformhelp.make_configuration(2))
         self.store.forget()
-        new = platformhelp.make_configuration()['Routes']['report']
-        self.store.put(
-            'op/config',
-            platformhelp.make_configuration(3, new=new | {'Prefix': '/new/'}))
+        self.deployment.add_route(3, '/new/')
         platformhelp.wait_until(lambda: self.entry.call('/new/x')[0] == 200,
                                 2.0)
 
@@ -182,10 +176,7 @@
         self.store.faults.away = 'silent'
         time.sleep(2.5)
         self.store.faults.away = ''
-        new = platformhelp.make_configuration()['Routes']['report']
-        self.store.put(
-            'op/config',
-            platformhelp.make_configuration(2, new=new | {'Prefix': '/new/'}))
+        self.deployment.add_route(2, '/new/')
         platformhelp.wait_until(lambda: self.entry.call('/new/x')[0] == 200,
                                 4.0, self.entry.read_log)
 
@@ -280,8 +271,7 @@
         self.addCleanup(deployment.close)
         small, = deployment.entries
         self.assertIn('coordination_begun', small.read_log())
-        large = platformhelp.Entry(deployment.store, 2)
-        deployment.entries.append(large)
+        large = deployment.add_entry()
         large.await_ready()
         until = time.monotonic() + 5.0
         while time.monotonic() < until:
@@ -296,9 +286,7 @@
         deployment = platformhelp.Deployment()
         self.addCleanup(deployment.close)
         deployment.store.faults.away = 'busy'
-        entry = platformhelp.Entry(deployment.store, 2,
-                                   deployment.entries[0].control)
-        deployment.entries.append(entry)
+        entry = deployment.add_entry()
         entry.await_ready(8.0)
         self.assertEqual(entry.call('/stock/lot', 30_000)[0], 200)
         self.assertIn('store_heard_from_peer', entry.read_log())
@@ -308,16 +296,11 @@
         deployment = platformhelp.Deployment()
         self.addCleanup(deployment.close)
         deployment.store.faults.away = 'silent'
-        entry = platformhelp.Entry(deployment.store, 2,
-                                   deployment.entries[0].control)
-        deployment.entries.append(entry)
+        entry = deployment.add_entry()
         entry.await_ready(12.0)
         time.sleep(2.0)
         deployment.store.faults.away = ''
-        new = platformhelp.make_configuration()['Routes']['report']
-        deployment.store.put(
-            'op/config',
-            platformhelp.make_configuration(2, new=new | {'Prefix': '/new/'}))
+        deployment.add_route(2, '/new/')
         platformhelp.wait_until(lambda: entry.call('/new/x')[0] == 200, 4.0,
                                 entry.read_log)
 
@@ -355,12 +338,7 @@
 
     def test_a_change_is_in_force_everywhere_within_a_second_and_a_half(self):
         for version in (2, 3, 4):
-            new = platformhelp.make_configuration()['Routes']['report']
-            self.store.put(
-                'op/config',
-                platformhelp.make_configuration(version,
-                                                new=new |
-                                                {'Prefix': f'/new{version}/'}))
+            self.deployment.add_route(version, f'/new{version}/')
             began = time.monotonic()
             for entry in self.deployment.entries:
                 platformhelp.wait_until(
