Ask owners that aren't listed before their keys are taken

Cause: after an outage of the store that nobody had found silent yet, the coordinator took servers whose entries had run out for gone at once: 77 moves in 0.1 s, each waiting for a hold. A new coordinator did the same with owners it had never seen, and waited 15 s for what it had released, as a release doesn't end what a predecessor granted.

What was granted to a process that has ended is taken for held by the one at its address, and its keys go there under a higher fence. An entry whose service isn't configured proves no other server's end.

In the model of 11 servers, 9 unlisted at a takeover: keys were unserved up to 15 s, now never.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -180,7 +180,7 @@
                               revision=everything.revision)
             owned.lost_at, owned.back_at = 0.0, now
         before = owned.everything
-        everything = _keep_newer(before, everything)
+        everything = self._leave_out_strangers(_keep_newer(before, everything))
         owned.everything = everything
         self._take_servers(before, everything, now)
         configuration = everything.configuration
@@ -211,18 +211,37 @@
                 self._end_predecessors(server)
             owned.servers[name] = server
             owned.missing.pop(name, None)
+        # Entries run out while a store is away that nobody has found silent
+        # yet: its news come before it is known to be back.
+        back_at = now if owned.doubted else owned.back_at
         for name in owned.servers:
             if name not in everything.servers and name not in owned.missing:
-                grace = owned.back_at + ownership.RETURN_MS
-                owned.missing[name] = max(now, grace)
+                owned.missing[name] = max(now, back_at + ownership.RETURN_MS)
 
     def _end_predecessors(self, server: tables.Server) -> None:
-        """A new lifetime at an address proves the end of the one before."""
         owned = self._owned
         for other in [*owned.servers.values(), *owned.left.values()]:
-            if other.address == server.address and other.id != server.id:
+            if tables.follows(server, other):
                 owned.ended.add(other.id)
 
+    def _leave_out_strangers(self, found: ports.Everything) -> ports.Everything:
+        """Leaves out entries of servers whose service nobody configured.
+
+        Such an entry may name the address of a server that is up, and must not
+        prove that one's end.
+        """
+        services = found.configuration.services if found.configuration else {}
+        kept = {}
+        for name, server in found.servers.items():
+            if server.service in services:
+                kept[name] = server
+            else:
+                self._context.states.note('server_entry_refused',
+                                          name,
+                                          'its service is not configured',
+                                          service=server.service)
+        return dataclasses.replace(found, servers=kept)
+
     def _expire_servers(self, now: float) -> None:
         owned = self._owned
         gone = [name for name, at in owned.missing.items() if at <= now]
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -31,11 +31,13 @@
                author: str = '') -> keyranges.Assignment:
     """Returns the assignment of a service that never had one."""
     ready = [item.id for item in servers.values() if not item.draining]
-    return keyranges.Assignment(service,
-                                1,
-                                2,
-                                keyranges.divide_evenly(ready, {}, 1),
-                                author=author)
+    return keyranges.Assignment(
+        service,
+        1,
+        2,
+        keyranges.divide_evenly(ready, {}, 1),
+        addresses={name: servers[name].address for name in ready},
+        author=author)
 
 
 def make_next(before: keyranges.Assignment,
@@ -96,7 +98,11 @@
     """Returns what is to be done now."""
     state.held = holds.expire(state.held, now)
     for server in view.ended:
-        state.held = holds.forget(state.held, server)
+        heir = ownership.find_heir(state, view, server)
+        if heir is None:
+            state.held = holds.forget(state.held, server)
+        else:
+            state.held = holds.inherit(state.held, server, heir)
     for server in view.servers:
         state.answered.setdefault(server, now)
     moves.plan_moves(state, view, now)
--- a/lentilmoor/edge/holds.py
+++ b/lentilmoor/edge/holds.py
@@ -54,6 +54,16 @@
         default=0.0)
 
 
+def find_others_until(holds: Iterable[Hold], server: str, first: int,
+                      last: int) -> float:
+    """Returns until when any server but one may hold any of the keys."""
+    return max(
+        (item.until
+         for item in holds
+         if item.server != server and keyranges.overlaps(item, first, last)),
+        default=0.0)
+
+
 def add(holds: Iterable[Hold], new: Hold) -> list[Hold]:
     """Adds a hold.
 
@@ -93,6 +103,22 @@
     return [item for item in holds if item.server != server]
 
 
+def inherit(holds: Iterable[Hold], server: str, heir: str) -> list[Hold]:
+    """Takes what a process may hold for held by the one in its place.
+
+    A grant names an address: it reaches whoever listens there when it comes.
+
+    Args:
+      holds: All holds.
+      server: Id of the server whose process has ended.
+      heir: Id of the server at its address.
+    """
+    return [
+        dataclasses.replace(item, server=heir, certain=False)
+        if item.server == server else item for item in holds
+    ]
+
+
 def expire(holds: Iterable[Hold], now: float) -> list[Hold]:
     """Leaves out what has ended."""
     return [item for item in holds if item.until > now]
--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -73,6 +73,7 @@
         owned.doubted = True
     elif owned.doubted:
         owned.doubted = False
+        owned.back_at = context.clock.now()
         context.logger.info('store_answers_again')
         context.watch_again()
 
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -32,9 +32,11 @@
         not _is_back(state, view, move, now)
     ]
     _plan_departures(state, view, capacities, now)
-    under_way = any(
-        move.phase is not ownership.Phase.WAIT for move in state.moves)
-    if not under_way and now - state.balanced_at >= ownership.BALANCE_MS:
+    unsure = any(
+        move.phase is not ownership.Phase.WAIT for move in state.moves) or any(
+            ownership.may_return(state, view, item.server, now)
+            for item in state.assignment.ranges)
+    if not unsure and now - state.balanced_at >= ownership.BALANCE_MS:
         state.balanced_at = now
         _plan_balance(state, view, capacities, now)
 
@@ -48,11 +50,24 @@
             continue
         if not _must_move(state, view, item, now):
             continue
+        if ownership.may_return(state, view, item.server, now):
+            continue
+        if item.server in view.servers and ownership.is_unasked(
+                state, item, now):
+            continue
         release = item.server not in view.ended and not ownership.is_failing(
             state, item.server, now)
         phase = ownership.Phase.RELEASE if release else ownership.Phase.WAIT
-        for transfer in rebalancing.plan_leave(item, owned, view.loads,
-                                               capacities):
+        heir = ownership.find_heir(state, view, item.server)
+        if item.server in view.ended and heir in capacities:
+            # It may hold them already, and others would have to wait for that.
+            transfers = [
+                rebalancing.Transfer(item.first, item.last, item.server, heir)
+            ]
+        else:
+            transfers = rebalancing.plan_leave(item, owned, view.loads,
+                                               capacities)
+        for transfer in transfers:
             state.moves.append(ownership.Move(transfer, phase, now))
 
 
@@ -153,15 +168,16 @@
     if state.saving or now < state.save_at:
         return []
     state.moves = [move for move in state.moves if _is_sound(state, move)]
-    ready = []
-    for move in state.moves:
-        transfer = move.transfer
-        until = holds.find_until(state.held, transfer.source, transfer.first,
-                                 transfer.last)
-        if (move.phase is ownership.Phase.WAIT and until <= now and
-                not ownership.is_under_way(state, transfer)):
-            ready.append(move)
-    _redirect(state, view, ready)
+    waiting = [
+        move for move in state.moves if move.phase is ownership.Phase.WAIT and
+        not ownership.is_under_way(state, move.transfer)
+    ]
+    _redirect(state, view, waiting)
+    ready = [
+        move for move in waiting
+        if holds.find_others_until(state.held, move.transfer.target, move.
+                                   transfer.first, move.transfer.last) <= now
+    ]
     for move in ready:
         move.phase = ownership.Phase.SAVING
     laid = [(move.transfer.first, move.transfer.last, move.transfer.target)
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -207,6 +207,47 @@
     works: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
+def find_heir(state: Coordination, view: View, name: str) -> str | None:
+    """Returns the server at the address of one that has ended, if there is one.
+
+    What was granted between its start and the news of it reached this one.
+    """
+    old = view.left.get(name)
+    address = old.address if old else state.assignment.addresses.get(name)
+    return next((server.id
+                 for server in view.servers.values()
+                 if server.address == address and server.id != name), None)
+
+
+def may_return(state: Coordination, view: View, name: str, now: float) -> bool:
+    """Returns whether an owner may be up although it isn't listed.
+
+    Entries of servers run out while the store is away, and are back soon after
+    it. A coordinator that begins in between once saw 2 of 11 servers, and left
+    the keys of the others unserved for 15 s. It grants them their keys first:
+    who answers keeps them.
+    """
+    if (now - state.since >= RETURN_MS or name in view.servers or
+            name in view.ended):
+        return False
+    address = state.assignment.addresses.get(name)
+    return address is not None and all(
+        server.address != address for server in view.servers.values())
+
+
+def is_unasked(state: Coordination, item: keyranges.KeyRange,
+               now: float) -> bool:
+    """Returns whether an owner is yet to answer this coordinator.
+
+    What an earlier coordinator granted ends for sure only with an answer under
+    a higher fence: without it a release saves none of the 15 s of waiting.
+    """
+    return now - state.since < RETURN_MS and any(
+        hold.server == item.server and not hold.certain and hold.fence <
+        item.fence and keyranges.overlaps(hold, item.first, item.last)
+        for hold in state.held)
+
+
 def is_failing(state: Coordination, name: str, now: float) -> bool:
     """Returns whether a server has not answered for as long as a hold."""
     return now - state.answered.get(name, now) > state.hold_ms
--- a/lentilmoor/edge/renewals.py
+++ b/lentilmoor/edge/renewals.py
@@ -12,6 +12,8 @@
     calling = {item.server for item in state.sent}
     for item in state.assignment.ranges:
         server = view.servers.get(item.server)
+        if ownership.may_return(state, view, item.server, now):
+            server = ownership.find_server(state, view, item.server)
         if server is None or item.server in view.ended:
             continue
         if ownership.is_failing(state, item.server, now):
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -116,7 +116,7 @@
     """One lifetime of a backend server.
 
     Attributes:
-      id: Its id; a restart has another one.
+      id: Its id; each start of its process has another one.
       service: Name of its service.
       address: host:port.
       domain: Its failure domain.
@@ -124,6 +124,9 @@
       draining: Whether it is about to leave.
       warm_at: Until when it is slow after its start, ms.
       seen_at: When this entry first knew it, ms.
+      name: What it is registered as and called; a restart may keep it.
+      started_at: When its process started, ms of the time of day; None if it
+        doesn't say.
     """
 
     id: str
@@ -134,6 +137,23 @@
     draining: bool
     warm_at: float
     seen_at: float
+    name: str = ''
+    started_at: int | None = None
+
+
+def follows(server: Server, other: Server) -> bool:
+    """Returns whether a server's start proves that another process has ended.
+
+    Two processes have neither one address nor one name at a time. Where both
+    say when they started, an entry that was written late proves nothing.
+    """
+    if server.id == other.id:
+        return False
+    same = server.address == other.address or (server.name and
+                                               server.name == other.name)
+    if server.started_at is None or other.started_at is None:
+        return bool(same)
+    return bool(same) and server.started_at > other.started_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/edgeworlds.py
+++ b/tests/edgeworlds.py
@@ -42,6 +42,8 @@
     # Takes calls and answers none; grants are applied much later.
     frozen: bool = False
     listed: bool = True
+    # The process that listens at its address after it ended.
+    successor: 'ServerModel | None' = None
     held: list[Held] = dataclasses.field(default_factory=list)
     seen: list[tuple[int, int, int]] = dataclasses.field(default_factory=list)
 
@@ -119,6 +121,36 @@
         self.servers[name] = ServerModel(entry, pace)
         return name
 
+    def restart(self, name: str, listed_after_ms: float) -> str:
+        """Ends a server's process and starts another one in its place.
+
+        Args:
+          name: The server.
+          listed_after_ms: When the store lists it.
+        """
+        old = self.servers[name]
+        new_name = self.add_server(old.entry.address)
+        new = self.servers[new_name]
+        new.entry = dataclasses.replace(new.entry,
+                                        name='same',
+                                        started_at=int(self.now) + 1)
+        old.up, old.successor = False, new
+        old.held.clear()
+        new.listed = False
+
+        def register():
+            old.listed, new.listed = False, True
+
+        self._after(listed_after_ms, register)
+        return new_name
+
+    def find_listening(self, name: str) -> ServerModel:
+        """Returns the process at a server's address."""
+        model = self.servers[name]
+        while model.successor is not None:
+            model = model.successor
+        return model
+
     def list_servers(self) -> dict[str, tables.Server]:
         """Returns what the store lists."""
         return {
@@ -172,10 +204,10 @@
             for name, server in self.servers.items()
             if not server.listed
         }
-        ended = frozenset(name for name, server in self.servers.items()
-                          if any(other.entry.address == server.entry.address and
-                                 other.entry.seen_at > server.entry.seen_at
-                                 for other in self.servers.values()))
+        ended = frozenset(name for name, server in self.servers.items() if any(
+            other.listed and other.entry.address == server.entry.address and
+            other.entry.seen_at > server.entry.seen_at
+            for other in self.servers.values()))
         return ownership.View(
             {
                 name: entry
@@ -209,7 +241,7 @@
                                       ownership.Answer.NOT_SENT, self.now,
                                       self.now)
             return
-        sent, model = self.now, self.servers[action.server.id]
+        sent, model = self.now, self.find_listening(action.server.id)
         state, keys = item.state, action.item
         draw = self.random.random()
 
@@ -236,7 +268,7 @@
             self._after(4, lambda: note(apply(self.now)))
 
     def _release(self, item, action) -> None:
-        model, state, keys = (self.servers[action.server.id], item.state,
+        model, state, keys = (self.find_listening(action.server.id), item.state,
                               action.item)
 
         def note(answer, token):
--- a/tests/test_edge_coordination.py
+++ b/tests/test_edge_coordination.py
@@ -1,5 +1,6 @@
 """Tests of the coordinator: no two owners at once, keys served again soon."""
 
+import dataclasses
 import random
 import unittest
 
@@ -223,6 +224,111 @@
         self.assertTrue(state.lost)
 
 
+class TakeoverTest(unittest.TestCase):
+    """A coordinator begins while it can't see or hasn't asked some owners."""
+
+    def _take_over(self, world):
+        world.take_over()
+        world.coordinators[0].up = False
+
+    def test_owners_whose_entries_ran_out_keep_their_keys(self):
+        for seed in range(12):
+            world = edgeworlds.World(seed, 11)
+            world.loads = dict.fromkeys(range(0, tables.KEYS, 512), 1.0)
+            world.run(3_000)
+            before = {item.server for item in world.saved.ranges}
+            lapsed = list(world.servers)[2:]
+            for name in lapsed:
+                world.servers[name].listed = False
+            self._take_over(world)
+            for _ in range(14):
+                world.run(100)
+                self.assertTrue(_covered(world), seed)
+            for name in lapsed:
+                world.servers[name].listed = True
+            for _ in range(60):
+                world.run(100)
+                self.assertTrue(_covered(world), seed)
+            self.assertEqual({item.server for item in world.saved.ranges},
+                             before)
+            self.assertEqual(world.breaches, [])
+
+    def test_an_owner_that_does_not_come_back_loses_its_keys(self):
+        world = edgeworlds.World(21, 6)
+        world.run(3_000)
+        world.servers['s2'].listed = False
+        self._take_over(world)
+        world.run(ownership.RETURN_MS + 1_000)
+        self.assertFalse(any(
+            item.server == 's2' for item in world.saved.ranges))
+        self.assertTrue(_covered(world))
+        self.assertEqual(world.breaches, [])
+
+    def test_an_owner_that_drains_meanwhile_hands_over_within_a_second(self):
+        for seed in range(12):
+            world = edgeworlds.World(seed, 6)
+            world.run(3_000)
+            leaving = world.servers['s2']
+            leaving.entry = dataclasses.replace(leaving.entry, draining=True)
+            self._take_over(world)
+            world.run(1_000)
+            self.assertTrue(_covered(world), seed)
+            self.assertFalse(leaving.held, seed)
+            self.assertEqual(world.breaches, [])
+
+    def test_a_process_at_the_address_of_an_owner_is_not_taken_for_it(self):
+        world = edgeworlds.World(22, 6)
+        world.run(3_000)
+        gone = world.servers['s2']
+        gone.up = gone.listed = False
+        other = world.servers['s3']
+        other.entry = dataclasses.replace(other.entry,
+                                          address=gone.entry.address)
+        view = ownership.View(world.list_servers(), frozenset(), {},
+                              keyloads.KeyLoads({}), {})
+        self._take_over(world)
+        state = world.coordinators[1].state
+        self.assertFalse(ownership.may_return(state, view, 's2', world.now))
+
+
+class RestartTest(unittest.TestCase):
+    """A server starts again in its place, known or not yet known of."""
+
+    def test_grants_that_reach_the_new_process_make_no_second_owner(self):
+        for seed in range(_SEEDS):
+            world = edgeworlds.World(seed, 6)
+            world.lost_share = 0.1
+            world.run(3_000 + 37 * seed)
+            world.restart('s2', world.random.uniform(0, 1_500))
+            world.run(6_000)
+            self.assertEqual(world.breaches[:2], [], seed)
+            self.assertTrue(_covered(world), seed)
+
+    def test_its_keys_are_served_again_soon_under_higher_fences(self):
+        for seed in range(12):
+            world = edgeworlds.World(seed, 6)
+            world.run(3_000)
+            before = world.saved.next_fence
+            new = world.restart('s2', 300.0)
+            world.run(1_200)
+            self.assertTrue(_covered(world), seed)
+            self.assertTrue(
+                all(item.fence >= before
+                    for item in world.saved.ranges
+                    if item.server == new))
+
+    def test_keys_wait_if_the_new_process_leaves_at_once(self):
+        for seed in range(_SEEDS):
+            world = edgeworlds.World(seed, 6)
+            world.run(3_000 + 37 * seed)
+            new = world.restart('s2', 900.0)
+            entry = world.servers[new].entry
+            world.servers[new].entry = dataclasses.replace(entry, draining=True)
+            world.run(6_000)
+            self.assertEqual(world.breaches[:2], [], seed)
+            self.assertTrue(_covered(world), seed)
+
+
 class LooseGrantTest(unittest.TestCase):
     """A renewal got no answer, and the server turns hot."""
 
