Tell lifetimes under one id apart; refuse entries by other writers

Cause: a server may start again under its id, and says so by born; an unknown state counted as ready, numbers as text were taken, missing fields had defaults.

Change: the adapter makes an id of the registered one and the start, so that speeds, counts, connections, holds and fences of the life before end with it. A late heartbeat of that life is refused. An entry that isn't as a server writes it names none, also where a good one stood before (the test that asserted otherwise had no server before, and stays). Tests use whole entries, as incomplete ones name no server any more.

--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -101,7 +101,7 @@
     state, pool = _enter(forwarder, server)
     headers = dict(request.headers)
     sent_at = forwarder.clock.now()
-    forwarder.platform.dialect.mark(headers, server.id, run.until - sent_at)
+    forwarder.platform.dialect.mark(headers, server.name, run.until - sent_at)
     order = exchange.Order(request.fields.request_id, request.method,
                            request.target, headers, request.body,
                            run.repeatable, run.until)
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -245,7 +245,7 @@
 
     Attributes:
       read_caller: Headers of a caller's request -> what they say.
-      mark: (headers, server id, time left in ms) -> adds what a server is
+      mark: (headers, server's name, time left in ms) -> adds what a server is
         to be told.
       read_answer: (status, headers) -> what a server's answer says.
       dropped: Names, in lower case, that are not passed on to servers.
--- a/lentilmoor/platform/dialect.py
+++ b/lentilmoor/platform/dialect.py
@@ -37,8 +37,8 @@
         None if key is None else int(key))
 
 
-def _mark(headers: dict[str, str], server: str, left_ms: float) -> None:
-    headers[_EXPECTED_SERVER] = server
+def _mark(headers: dict[str, str], server_name: str, left_ms: float) -> None:
+    headers[_EXPECTED_SERVER] = server_name
     headers[_PATIENCE_MS] = str(max(1, int(left_ms)))
 
 
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -8,6 +8,7 @@
 """
 
 from typing import Annotated
+from typing import Literal
 
 import msgspec
 
@@ -67,19 +68,25 @@
 
 
 class _Server(msgspec.Struct, rename='pascal'):
-    service: str
-    addr: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    addr: Annotated[str, msgspec.Meta(pattern=r'^[^:\s]+:\d+$')]
     # Its failure domain.
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal['ready', 'draining']
     # How much longer it is slow after its start.
-    warmup_left_ms: float = 0.0
+    warmup_left_ms: float
+    # Counts the process's heartbeats.
+    seq: int
+    # When the process started, Unix ms: one that starts again may keep its id.
+    born: int | None = msgspec.field(name='born', default=None)
 
 
-# Numbers that came as text are taken, as well as 5.0 for 5.
+# The store has checked it. Numbers that came as text are taken, 5.0 for 5 too.
 _read_configuration = msgspec.json.Decoder(_Configuration, strict=False).decode
-_read_server = msgspec.json.Decoder(_Server, strict=False).decode
+# Anybody may have written it: what isn't as a server writes it names none.
+_read_server = msgspec.json.Decoder(_Server).decode
 _read_assignment = msgspec.json.Decoder(keyranges.Assignment).decode
 _read_peer = msgspec.json.Decoder(tuple[str, str, bool]).decode
 _ERRORS = (msgspec.MsgspecError, UnicodeDecodeError)
@@ -125,7 +132,7 @@
     """Returns a backend server, or why its entry doesn't parse.
 
     Args:
-      name: Its id.
+      name: Its id there.
       data: Its entry.
       now: ms.
     """
@@ -133,9 +140,10 @@
         model = _read_server(data)
     except _ERRORS as error:
         return str(error)
-    return tables.Server(name, model.service, model.addr, model.zone,
+    lifetime = name if model.born is None else f'{name}@{model.born}'
+    return tables.Server(lifetime, model.service, model.addr, model.zone,
                          model.slots, model.state == 'draining',
-                         now + model.warmup_left_ms, now)
+                         now + model.warmup_left_ms, now, name, model.born)
 
 
 def write_assignment(assignment: keyranges.Assignment, mark: str) -> bytes:
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -418,23 +418,32 @@
                     item: _Item) -> bool:
         """Takes in a server's entry; returns if it is more than a heartbeat."""
         name = item.key.removeprefix(SERVERS)
+        known = self._servers.get(name)
         if item.value is None:
-            return servers.pop(name, None) is not None
+            return known is not None and servers.pop(known.id, None) is not None
         found = documents.parse_server(name, item.value, self._clock.now())
         if isinstance(found, str):
-            self._logger.error('server_entry_refused',
-                               server=name,
-                               reason=found)
-            return False
-        known = self._servers.get(name)
-        if known is not None:
+            self._refuse_server(name, item, found)
+            return known is not None and servers.pop(known.id, None) is not None
+        if known is not None and known.id == found.id:
             found = dataclasses.replace(found, seen_at=known.seen_at)
             if _is_heartbeat(known, found, self._clock.now()):
                 found = known
-        changed = servers.get(name) is not found
-        self._servers[name] = servers[name] = found
+        elif known is not None and tables.follows(known, found):
+            self._refuse_server(name, item, 'of an earlier start')
+            return False
+        elif known is not None:
+            servers.pop(known.id, None)
+        changed = servers.get(found.id) is not found
+        self._servers[name] = servers[found.id] = found
         return changed
 
+    def _refuse_server(self, name: str, item: _Item, reason: str) -> None:
+        self._logger.error('server_entry_refused',
+                           server=name,
+                           revision=item.revision,
+                           reason=reason)
+
 
 def _is_heartbeat(known: tables.Server, found: tables.Server,
                   now: float) -> bool:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -51,6 +51,7 @@
 
     def __init__(self, store, service: str, keyed: bool = False, port: int = 0):
         self.id = 'i-' + uuid.uuid4().hex[:10]
+        self.born = _tell_time_of_day()
         self.service, self.keyed, self.store = service, keyed, store
         self.work_s = 0.005
         self.journal: list[Run] = []
@@ -82,18 +83,36 @@
                 'Slots': 2,
                 'State': state,
                 'WarmupLeftMs': 0,
-                'Seq': 1
+                'Seq': 1,
+                'born': self.born
             })
 
+    def restart(self, register: bool = True) -> None:
+        """Ends as a crash does and starts again under its id.
+
+        Args:
+          register: Whether it writes its entry at once.
+        """
+        with self.lock:
+            self.held.clear()
+            self.seen.clear()
+            self.born = max(self.born + 1, _tell_time_of_day())
+            self._reset_all()
+        if register:
+            self.register()
+
     def close(self) -> None:
         """Ends as a crash does; its entry stays until it is deleted."""
         self._server.shutdown()
         self._server.server_close()
         with self.lock:
             self.held.clear()
-            for connection in self.open:
-                with contextlib.suppress(OSError):
-                    connection.shutdown(socket.SHUT_RDWR)
+            self._reset_all()
+
+    def _reset_all(self) -> None:
+        for connection in self.open:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
     def leave(self) -> None:
         """Deletes its entry and ends."""
@@ -144,6 +163,10 @@
         self.held = kept
 
 
+def _tell_time_of_day() -> int:
+    return int(time.time() * _MS_PER_S)
+
+
 def _make_handler(server: PlatformServer):
     # pylint: disable=too-many-statements
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -32,6 +32,27 @@
 Something.New=x
 '''
 
+_SERVER = {
+    'Service': 'x',
+    'Addr': '1.2.3.4:5',
+    'Zone': 'a',
+    'Version': 'v1',
+    'Slots': 2,
+    'State': 'ready',
+    'WarmupLeftMs': 0,
+    'Seq': 1
+}
+
+
+class _Lines:
+    """Keeps the lines that a logger would write."""
+
+    def __init__(self):
+        self.written = []
+
+    def error(self, event: str, **fields) -> None:
+        self.written.append((event, fields))
+
 
 class SettingsTest(unittest.TestCase):
 
@@ -125,10 +146,7 @@
 
     def test_many_items_come_in_pages(self):
         for number in range(120):
-            self.standin.put(f'servers/i-{number:03}', {
-                'Service': 'x',
-                'Addr': '1.2.3.4:5'
-            })
+            self.standin.put(f'servers/i-{number:03}', _SERVER)
         self.assertEqual(len(self.store.load().servers), 120)
 
     def test_a_write_whose_answer_is_lost_is_told_from_a_rivals(self):
@@ -168,7 +186,7 @@
         self.assertFalse(after.servers)
 
     def test_a_heartbeat_is_no_news(self):
-        entry = {'Service': 'x', 'Addr': 'a:1', 'Slots': 2, 'Seq': 1}
+        entry = _SERVER
         self.standin.put('servers/i-1', entry)
         first = self.store.load()
         self.standin.put('servers/i-1', entry | {'Seq': 2})
@@ -183,6 +201,78 @@
         self.standin.delete('servers/i-1')
         self.assertGreater(self.store.watch(third).news, third.news)
 
+    def test_an_entry_by_another_writer_names_no_server(self):
+        self.standin.put('servers/i-1', _SERVER)
+        self.standin.put('servers/i-2', _SERVER | {'Addr': '1.2.3.4:6'})
+        strange = [
+            b'\xff\x00', b'', b'[]', b'null', _SERVER | {
+                'State': 'retired'
+            }, _SERVER | {
+                'State': ''
+            }, _SERVER | {
+                'Slots': '2'
+            }, _SERVER | {
+                'Slots': 0
+            }, _SERVER | {
+                'Service': ''
+            }, _SERVER | {
+                'Service': None
+            }, _SERVER | {
+                'Addr': 'here'
+            }, _SERVER | {
+                'Addr': 7
+            }, _SERVER | {
+                'WarmupLeftMs': '0'
+            }, _SERVER | {
+                'Seq': 'one'
+            }, _SERVER | {
+                'born': '1700000000000'
+            }, _SERVER | {
+                'born': 1.5
+            }
+        ] + [{
+            name: value for name, value in _SERVER.items() if name != left_out
+        } for left_out in _SERVER]
+        for value in strange:
+            self.standin.put('servers/i-x', value)
+            self.assertEqual(list(self.store.load().servers), ['i-1', 'i-2'],
+                             value)
+
+    def test_an_entry_that_is_overwritten_names_no_server_until_it_is_back(
+            self):
+        lines = _Lines()
+        self.store = store.connect_store(self.standin.address,
+                                         clocks.make_suspend_clock(), lines)
+        self.standin.put('servers/i-1', _SERVER)
+        first = self.store.load()
+        self.standin.put('servers/i-1', b'{')
+        second = self.store.watch(first)
+        self.assertEqual(len(lines.written), 1)
+        self.assertFalse(second.servers)
+        self.assertEqual(second.news, second.revision)
+        self.standin.put('servers/i-1', _SERVER | {'Seq': 2})
+        third = self.store.watch(second)
+        self.assertEqual(list(third.servers), ['i-1'])
+
+    def test_a_restart_under_the_same_id_is_another_lifetime(self):
+        self.standin.put('servers/i-1', _SERVER | {'born': 1_000, 'Seq': 70})
+        first = self.store.load()
+        (old,) = first.servers.values()
+        self.standin.put('servers/i-1', _SERVER | {'born': 2_000})
+        second = self.store.watch(first)
+        (new,) = second.servers.values()
+        self.assertEqual(second.news, second.revision)
+        self.assertNotEqual(old.id, new.id)
+        self.assertEqual((old.name, new.name), ('i-1', 'i-1'))
+        self.assertTrue(tables.follows(new, old))
+        self.assertFalse(tables.follows(old, new))
+        # A heartbeat of the life before that was written late.
+        self.standin.put('servers/i-1', _SERVER | {'born': 1_000, 'Seq': 71})
+        third = self.store.watch(second)
+        self.assertEqual(list(third.servers), [new.id])
+        self.standin.delete('servers/i-1')
+        self.assertFalse(self.store.watch(third).servers)
+
     def test_what_one_entry_knows_another_can_take_over(self):
         self.standin.put('op/config', platformhelp.make_configuration(3))
         self.store.load()
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -199,6 +199,67 @@
             any('Handover' in fields
                 for fields in self.deployment.catalogs[1].grants))
 
+    def _await_all_served(self, seconds: float) -> None:
+        platformhelp.wait_until(
+            lambda: all(
+                self.entry.call('/stock/lot', key)[0] == 200
+                for key in range(0, 65_536, 6_007)), seconds,
+            self.entry.read_log)
+
+    def _check_regranted(self, server, before: int, seconds: float) -> None:
+        """Checks that a server that started again is granted keys anew."""
+        known = len(server.grants)
+        server.restart(register=False)
+        time.sleep(before / 1_000.0)
+        server.register()
+        self._await_all_served(seconds)
+        highest = max(fields['fence'] for fields in server.grants[:known])
+        platformhelp.wait_until(
+            lambda: any(fields['fence'] > highest
+                        for fields in server.grants[known:]), 3.0,
+            self.entry.read_log)
+
+    def test_a_server_that_starts_again_under_its_id_is_granted_anew(self):
+        self._check_regranted(self.deployment.catalogs[0], 0, 3.0)
+
+    def test_and_so_is_one_whose_entry_had_run_out(self):
+        server = self.deployment.catalogs[0]
+        self.deployment.store.delete(f'servers/{server.id}')
+        self._check_regranted(server, 600, 5.0)
+
+    def test_and_so_is_one_beside_a_grant_under_way(self):
+        server = self.deployment.catalogs[0]
+        server.faults.late_grant_s = 0.3
+        time.sleep(1.0)
+        server.faults.late_grant_s = 0.0
+        self._check_regranted(server, 200, 8.0)
+        until = time.monotonic() + 3.0
+        while time.monotonic() < until:
+            for key in (0, 20_000, 40_000, 65_535):
+                owners = [s for s in self.deployment.catalogs if s.holds(key)]
+                self.assertLessEqual(len(owners), 1)
+            time.sleep(0.02)
+
+    def test_an_entry_by_another_writer_takes_no_address_from_its_server(self):
+        server = self.deployment.catalogs[0]
+        self.deployment.store.put(
+            'servers/i-other', {
+                'Service': 'unheard-of',
+                'Addr': server.address,
+                'Zone': 'zone-a',
+                'Version': 'v1',
+                'Slots': 2,
+                'State': 'ready',
+                'WarmupLeftMs': 0,
+                'Seq': 1,
+                'born': server.born + 5_000
+            })
+        time.sleep(1.0)
+        self._await_all_served(1.0)
+        self.assertTrue(server.held)
+        self.assertEqual(
+            self.entry.read_log().count('its service is not configured'), 1)
+
     def test_keys_of_a_lost_server_are_served_after_its_hold(self):
         lost = self.deployment.catalogs[0]
         lost.close()
