Take in the hub's news as they come, beside a watch that waits

Cause: an entry took in what the hub told between its own watches only; one whose watch was not answered kept to what it knew. An entry that the store answered by turns began to follow it with a whole read each time. A whole read of the hub made all others read the store too.

Change: what is known lies in one view, in which each key keeps the revision of its last change, so that news, watches and whole reads may come in any order. The thread that reports takes in news at once. A whole read leaves no gap in what is told to others. Who hears of a newer configuration than it knows by the same revision reads the store as a whole.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -130,6 +130,7 @@
         entry.reporter, platform.store, clock, logger,
         functools.partial(_take_store, entry),
         lambda reason: entry.actor.tell(control.StoreLost(reason)))
+    entry.reporter.hear = functools.partial(following.take_news, entry.follower)
     log_error = listening.make_error_log(logger)
     callers = listening.make_listener(
         platform.settings.callers,
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -47,6 +47,10 @@
       take: (everything, whether another entry told it) takes in what is known.
       lose: (reason) takes in that the store can't be reached.
       begun: How often following was begun; only the last one goes on.
+      seen: What is known; None before the first answer.
+      whole: Whether the store is to be read as a whole.
+      hurried: Whether to look at the store now.
+      lock: Guards `seen`: what is known is taken in by one thread at a time.
     """
 
     reporter: reporting.Reporter
@@ -56,10 +60,24 @@
     take: Callable[[ports.Everything, bool], None]
     lose: Callable[[outcomes.Reason], None]
     begun: int = 0
+    seen: ports.Everything | None = None
+    whole: bool = True
+    hurried: threading.Event = dataclasses.field(
+        default_factory=threading.Event)
+    lock: threading.RLock = dataclasses.field(default_factory=threading.RLock)
 
 
 def follow_again(follower: Follower) -> None:
-    """Begins to follow the store; an earlier watch is left to itself."""
+    """Begins to follow the store; an earlier watch is left to itself.
+
+    Not if the store or the hub told something a moment ago: an entry that the
+    store answered by turns read it whole five times in 11 s, and took in the
+    configuration 0.9 s too late.
+    """
+    forwarder = follower.reporter.forwarder
+    told_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
+    if follower.begun and follower.clock.now() - told_at < NEWS_FRESH_MS:
+        return
     follower.begun += 1
     threading.Thread(target=follow,
                      args=(follower, follower.begun),
@@ -69,38 +87,69 @@
 def follow(follower: Follower, number: int) -> None:
     """Follows the store until following was begun anew."""
     store = follower.store
-    seen: ports.Everything | None = None
     while number == follower.begun:
-        found = store.load() if seen is None else store.watch(seen)
+        seen = follower.seen
+        whole = seen is None or follower.whole
+        found = store.load() if whole else store.watch(seen)
         if number != follower.begun:
             return
         if isinstance(found, outcomes.Failed):
-            seen = _follow_loss(follower, found, seen)
+            _follow_loss(follower, found)
             continue
+        if whole:
+            follower.whole = False
+        if not follower.whole:
+            follower.hurried.clear()
         follower.reporter.forwarder.news = tables.News(found.revision,
                                                        follower.clock.now())
-        follower.take(found, False)
-        seen = _follow_hub(follower, number, found)
+        _take(follower, found, False)
+        _await_look(follower, number)
+
+
+def _take(follower: Follower, found: ports.Everything, heard: bool) -> None:
+    with follower.lock:
+        if follower.seen is not None and (found.revision
+                                          < follower.seen.revision):
+            return
+        follower.seen = found
+        follower.reporter.forwarder.followed = found.revision
+        follower.take(found, heard)
 
 
-def _follow_hub(follower: Follower, number: int,
-                seen: ports.Everything) -> ports.Everything:
-    """Takes in what the hub tells until it is time to look at the store."""
+def _await_look(follower: Follower, number: int) -> None:
+    """Waits until it is time to look at the store."""
     began = follower.clock.now()
-    forwarder = follower.reporter.forwarder
-    while True:
-        forwarder.followed = seen.revision
-        clocks.pause(NEWS_LOOK_MS)
-        if number != follower.begun:
-            return seen
-        heard = forwarder.heard
-        if heard.revision > seen.revision:
-            merged = merge_news(follower, seen, heard)
-            if merged is None:
-                return seen
-            seen = merged
+    while number == follower.begun:
+        if follower.hurried.wait(NEWS_LOOK_MS / clocks.MS_PER_S):
+            follower.hurried.clear()
+            return
         if follower.clock.now() - began >= _find_pause(follower):
-            return seen
+            return
+
+
+def take_news(follower: Follower, heard: tables.News) -> None:
+    """Takes in what the hub told; looks at the store if that can't be used.
+
+    It never waits for a watch: beside one that was not answered, an entry kept
+    to a configuration for 4.6 s after the next one was in force.
+    """
+    with follower.lock:
+        seen = follower.seen
+        if seen is None:
+            return
+        if heard.revision > seen.revision:
+            if merge_news(follower, seen, heard) is None:
+                follower.hurried.set()
+            return
+    configuration = seen.configuration
+    version = configuration.version if configuration else 0
+    if heard.version > version and not follower.whole:
+        follower.logger.warning('behind_the_hub',
+                                version=version,
+                                hub=heard.version,
+                                revision=seen.revision)
+        follower.whole = True
+        follower.hurried.set()
 
 
 def merge_news(follower: Follower, seen: ports.Everything,
@@ -112,15 +161,18 @@
     """
     if heard.changes is None or heard.since > seen.revision:
         return None
+    merged = follower.store.merge_news(heard.changes, heard.revision)
+    if merged is None:
+        return None
     if not heard.changes:
-        return dataclasses.replace(seen, revision=heard.revision)
-    merged = follower.store.merge_news(seen, heard.changes, heard.revision)
-    if merged is not None:
-        follower.logger.info('news_heard',
-                             revision=merged.revision,
-                             news=merged.news,
-                             age_ms=round(follower.clock.now() - heard.seen_at))
-        follower.take(merged, True)
+        follower.seen = merged
+        follower.reporter.forwarder.followed = merged.revision
+        return merged
+    follower.logger.info('news_heard',
+                         revision=merged.revision,
+                         news=merged.news,
+                         age_ms=round(follower.clock.now() - heard.seen_at))
+    _take(follower, merged, True)
     return merged
 
 
@@ -143,16 +195,14 @@
         for name in snapshot.configuration.list_keyed())
 
 
-def _follow_loss(follower: Follower, failed: outcomes.Failed,
-                 seen: ports.Everything | None) -> ports.Everything | None:
-    """Returns where to go on watching after a call to the store failed."""
+def _follow_loss(follower: Follower, failed: outcomes.Failed) -> None:
+    """Takes in that a call to the store failed, and asks another entry."""
     if failed.reason is outcomes.Reason.NOT_FOUND:
-        return None
+        follower.whole = True
+        return
     follower.lose(failed.reason)
     heard = reporting.ask_peers(follower.reporter)
     if heard is not None:
         follower.logger.info('store_heard_from_peer', revision=heard.revision)
-        follower.take(heard, True)
-        seen = heard
+        _take(follower, heard, True)
     clocks.pause(STORE_AGAIN_MS)
-    return seen
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -152,8 +152,8 @@
         if there never was one.
       tell_news: (revision) -> what has changed since, but for assignments and
         heartbeats, empty if nothing; None if that is too long ago to tell.
-      merge_news: (everything, what `tell_news` of another entry returned, its
-        revision) -> a newer everything, or None if it doesn't parse.
+      merge_news: (what `tell_news` of another entry returned, its revision) ->
+        a newer everything, or None if it doesn't parse.
       dump: Returns all that is known, for an entry that can't reach the store.
       restore: (dump) -> everything, or None if it doesn't parse.
       save: (assignment, revision or 0 if there is none, service) -> revision,
@@ -169,7 +169,7 @@
     register: Callable[[Peer, Lease], None | outcomes.Failed]
     load_assignment: Callable[[str], SavedAssignment | None | outcomes.Failed]
     tell_news: Callable[[int], bytes | None]
-    merge_news: Callable[[Everything, bytes, int], Everything | None]
+    merge_news: Callable[[bytes, int], Everything | None]
     dump: Callable[[], bytes]
     restore: Callable[[bytes], Everything | None]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -46,6 +46,7 @@
       tell: Sends the control actor a message.
       table: What was reported to this entry.
       works_at: When it last asked for servers' times of work, ms.
+      hear: Takes in how far the hub has followed the store.
     """
 
     instance: str
@@ -54,6 +55,7 @@
     tell: Callable[[object], None]
     table: hub.HubTable = dataclasses.field(default_factory=hub.HubTable)
     works_at: float = float('-inf')
+    hear: Callable[[tables.News], None] = lambda unused_news: None
 
 
 def report(reporter: Reporter) -> None:
@@ -126,7 +128,12 @@
         revision=news.revision,
         since=found.revision,
         changes=reporter.forwarder.platform.store.tell_news(found.revision),
-        news_age_ms=min(now - news.seen_at, reports.NEVER_MS))
+        news_age_ms=min(now - news.seen_at, reports.NEVER_MS),
+        version=_find_version(reporter.forwarder.snapshot))
+
+
+def _find_version(snapshot: tables.Snapshot) -> int:
+    return snapshot.configuration.version if snapshot.configuration else 0
 
 
 def _tell_coordinated(reporter: Reporter,
@@ -190,11 +197,12 @@
         watched.update(reply.watched)
         blocked.update(reply.blocked)
         _hear_assignments(reporter, reply)
+        heard = tables.News(reply.revision, now - reply.news_age_ms,
+                            reply.since, reply.changes, reply.version)
         forwarder.heard = max(forwarder.heard,
-                              tables.News(reply.revision,
-                                          now - reply.news_age_ms, reply.since,
-                                          reply.changes),
+                              heard,
                               key=lambda item: item.seen_at)
+        reporter.hear(heard)
         with forwarder.lock:
             for name, state in forwarder.states.items():
                 state.reported = float(reply.others.get(name, 0))
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -61,6 +61,7 @@
       since: The revision that the report named.
       changes: What has changed since then (see `ports.Store.tell_news`).
       news_age_ms: How long ago the hub last heard from the store.
+      version: Of the configuration that the hub has in force.
     """
 
     others: dict[str, int]
@@ -72,6 +73,7 @@
     since: int = 0
     changes: bytes | None = None
     news_age_ms: float = NEVER_MS
+    version: int = 0
 
 
 def encode_report(report: Report) -> bytes:
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -166,12 +166,14 @@
       since: The revision that another entry named.
       changes: What has changed since then, in the adapter's own form; None if
         that is too long ago to tell.
+      version: Of the configuration that another entry has in force.
     """
 
     revision: int = 0
     seen_at: float = float('-inf')
     since: int = 0
     changes: bytes | None = None
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lentilmoor/platform/views.py
@@ -0,0 +1,299 @@
+"""What an entry knows of the store, in whatever order it learns of it.
+
+Whole reads, watches and other entries' news may overlap. Each item carries the
+revision of its last change, so that what is older never replaces what is newer.
+"""
+
+import base64
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import json
+import threading
+
+from lentilmoor import clocks
+from lentilmoor import logs
+from lentilmoor.edge import ports
+from lentilmoor.edge import tables
+from lentilmoor.platform import documents
+
+CONFIGURATION = 'op/config'
+SERVERS = 'servers/'
+COORDINATORS = 'lentilmoor/coordinator/'
+ASSIGNMENTS = 'lentilmoor/assignment/'
+ENTRIES = 'lentilmoor/entry/'
+
+# Changes that are kept for others: some minutes of a busy day's.
+MOST_NEWS = 500
+# Deleted keys whose revision is kept, so that no older change brings them back.
+MOST_DELETED = 1_000
+# What a server says of its warming up varies by the way of its heartbeats.
+WARM_SLACK_MS = 1_000.0
+
+_EMPTY = ports.Everything(None, {}, {}, {}, {}, 0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key of the store.
+
+    Attributes:
+      key: The key.
+      value: Its value; None if it was deleted.
+      revision: The store's revision of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+def read_item(row: Mapping) -> Item:
+    """Reads an item or an event of the store."""
+    value = None
+    if not row.get('Tombstone'):
+        value = base64.b64decode(row.get('Value', ''))
+    return Item(row['Key'], value, row['Rev'])
+
+
+def write_item(item: Item) -> dict[str, object]:
+    """Returns an item in the store's own form."""
+    row: dict[str, object] = {'Key': item.key, 'Rev': item.revision}
+    if item.value is None:
+        return row | {'Tombstone': True}
+    return row | {'Value': base64.b64encode(item.value).decode()}
+
+
+class View:
+    """What is known of the store; for many threads."""
+
+    def __init__(self, clock: clocks.Clock, logger: logs.Logger):
+        self._clock = clock
+        self._logger = logger
+        self._everything = _EMPTY
+        # The last entry of each server, by its key's name.
+        self._servers: dict[str, tables.Server] = {}
+        self._items: dict[str, Item] = {}
+        self._deleted: collections.OrderedDict[str,
+                                               int] = collections.OrderedDict()
+        # News, and the revision since when they are complete.
+        self._news: collections.deque[Item] = collections.deque()
+        self._news_since = 0
+        self._lock = threading.RLock()
+
+    def replace(self, items: Iterable[Item], revision: int) -> ports.Everything:
+        """Takes in all that the store holds.
+
+        Args:
+          items: The items.
+          revision: The store's revision before the first was read.
+        """
+        items = list(items)
+        with self._lock:
+            if not self._items:
+                self._news_since = revision
+            found = {item.key for item in items}
+            # Nobody deletes an assignment; news don't tell of a new one.
+            gone = [
+                Item(key, None, revision)
+                for key, item in self._items.items()
+                if key not in found and item.revision <= revision and
+                not key.startswith(ASSIGNMENTS)
+            ]
+            items = sorted(gone + items, key=lambda item: item.revision)
+            return self.apply(items, revision)
+
+    def apply(self, items: Iterable[Item], revision: int) -> ports.Everything:
+        """Takes in changes; returns what is known then.
+
+        Args:
+          items: New, changed and deleted items, in order.
+          revision: The store's revision up to which there are no others.
+        """
+        with self._lock:
+            before = self._everything
+            changed = dataclasses.replace(
+                before,
+                servers=dict(before.servers),
+                coordinators=dict(before.coordinators),
+                assignments=dict(before.assignments),
+                entries=dict(before.entries),
+                revision=max(before.revision, revision))
+            for item in items:
+                if self._is_known(item):
+                    continue
+                self._keep(item)
+                changed = self._take(changed, item)
+            self._everything = changed
+            return changed
+
+    def tell_news(self, after: int) -> bytes | None:
+        """Returns what has changed since a revision; None if it isn't known."""
+        with self._lock:
+            if after < self._news_since:
+                return None
+            rows = [
+                write_item(item) for item in self._news if item.revision > after
+            ]
+        return json.dumps(rows).encode() if rows else b''
+
+    def merge_news(self, data: bytes, revision: int) -> ports.Everything | None:
+        """Takes in what another entry told; None if it doesn't parse."""
+        try:
+            items = [read_item(row) for row in json.loads(data or b'[]')]
+        except (ValueError, KeyError, TypeError) as error:
+            self._logger.warning('news_refused', reason=str(error))
+            return None
+        return self.apply(items, revision)
+
+    def dump(self) -> bytes:
+        """Returns all that is known, in the store's own form."""
+        with self._lock:
+            rows = [write_item(item) for item in self._items.values()]
+            revision = self._everything.revision
+        return json.dumps({'items': rows, 'CurrentRev': revision}).encode()
+
+    def restore(self, data: bytes) -> ports.Everything | None:
+        """Returns what another entry knew; None if it knows nothing newer."""
+        try:
+            fields = json.loads(data)
+            items = [read_item(row) for row in fields['items']]
+            revision = fields['CurrentRev']
+        except (ValueError, KeyError, TypeError) as error:
+            self._logger.warning('dump_refused', reason=str(error))
+            return None
+        with self._lock:
+            if revision <= self._everything.revision:
+                return None
+            return self.replace(items, revision)
+
+    def _is_known(self, item: Item) -> bool:
+        known = self._items.get(item.key)
+        revision = known.revision if known else self._deleted.get(item.key, 0)
+        return item.revision <= revision
+
+    def _keep(self, item: Item) -> None:
+        if item.value is not None:
+            self._deleted.pop(item.key, None)
+            self._items[item.key] = item
+            return
+        self._items.pop(item.key, None)
+        self._deleted[item.key] = item.revision
+        if len(self._deleted) > MOST_DELETED:
+            self._deleted.popitem(last=False)
+
+    def _take(self, everything: ports.Everything,
+              item: Item) -> ports.Everything:
+        """Takes one item in; the dictionaries are this call's own."""
+        if item.key == CONFIGURATION:
+            everything = dataclasses.replace(
+                everything,
+                configuration=self._read_configuration(
+                    item, everything.configuration))
+        elif item.key.startswith(SERVERS):
+            if not self._put_server(everything.servers, item):
+                return everything
+        elif item.key.startswith(COORDINATORS):
+            self._put(everything.coordinators, item, COORDINATORS,
+                      documents.read_peer)
+        elif item.key.startswith(ASSIGNMENTS):
+            self._put(everything.assignments, item, ASSIGNMENTS,
+                      make_reader(item))
+            return everything
+        elif item.key.startswith(ENTRIES):
+            self._put(everything.entries, item, ENTRIES, documents.read_peer)
+        self._note_news(item)
+        return dataclasses.replace(everything,
+                                   news=max(everything.news, item.revision))
+
+    def _note_news(self, item: Item) -> None:
+        self._news.append(item)
+        while len(self._news) > MOST_NEWS:
+            dropped = self._news.popleft()
+            self._news_since = max(self._news_since, dropped.revision)
+
+    def _read_configuration(
+            self, item: Item,
+            before: tables.Configuration | None) -> tables.Configuration | None:
+        if item.value is None:
+            return before
+        found = documents.parse_configuration(item.value)
+        if isinstance(found, str):
+            self._logger.error('configuration_refused',
+                               revision=item.revision,
+                               reason=found)
+            return before
+        if before is not None and found.version < before.version:
+            self._logger.warning('configuration_older',
+                                 version=found.version,
+                                 in_force=before.version)
+            return before
+        return found
+
+    def _put(self, rows: dict, item: Item, prefix: str,
+             read: Callable[[bytes], object]) -> None:
+        """Takes in an entry of our own, unless it does not parse.
+
+        The last good one stays in force.
+        """
+        name = item.key.removeprefix(prefix)
+        if item.value is None:
+            rows.pop(name, None)
+            return
+        try:
+            rows[name] = read(item.value)
+        except ValueError as error:
+            self._logger.error('entry_refused',
+                               key=item.key,
+                               revision=item.revision,
+                               reason=str(error))
+
+    def _put_server(self, servers: dict[str, tables.Server],
+                    item: Item) -> bool:
+        """Takes in a server's entry; returns if it is more than a heartbeat."""
+        name = item.key.removeprefix(SERVERS)
+        known = self._servers.get(name)
+        if item.value is None:
+            return known is not None and servers.pop(known.id, None) is not None
+        now = self._clock.now()
+        found = documents.parse_server(name, item.value, now)
+        if isinstance(found, str):
+            self._refuse_server(name, item, found)
+            return known is not None and servers.pop(known.id, None) is not None
+        if known is not None and known.id == found.id:
+            found = dataclasses.replace(found, seen_at=known.seen_at)
+            if _is_heartbeat(known, found, now):
+                found = known
+        elif known is not None and tables.follows(known, found):
+            self._refuse_server(name, item, 'of an earlier start')
+            return False
+        elif known is not None:
+            servers.pop(known.id, None)
+        changed = servers.get(found.id) is not found
+        self._servers[name] = servers[found.id] = found
+        return changed
+
+    def _refuse_server(self, name: str, item: Item, reason: str) -> None:
+        self._logger.error('server_entry_refused',
+                           server=name,
+                           revision=item.revision,
+                           reason=reason)
+
+
+def _is_heartbeat(known: tables.Server, found: tables.Server,
+                  now: float) -> bool:
+    """Returns whether nothing has changed but what a heartbeat counts down."""
+    same = dataclasses.replace(found, warm_at=known.warm_at) == known
+    return same and found.warm_at < max(known.warm_at, now) + WARM_SLACK_MS
+
+
+def make_reader(item: Item) -> Callable[[bytes], ports.SavedAssignment]:
+    """Returns what reads the assignment that an item holds."""
+
+    def read(data: bytes) -> ports.SavedAssignment:
+        return ports.SavedAssignment(documents.read_assignment(data),
+                                     item.revision)
+
+    return read
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -1,6 +1,8 @@
 """Following the store by the hub's news."""
 
+import json
 import threading
+import time
 import unittest
 from unittest import mock
 
@@ -13,6 +15,7 @@
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 from lentilmoor.platform import store
+from lentilmoor.platform import views
 from standins import platform_store
 from tests import platformhelp
 
@@ -70,7 +73,7 @@
         self.hub.watch(self.hub_first)
         self.assertIsNone(self.hub.tell_news(self.first.revision - 1))
         self.assertIsNotNone(self.hub.tell_news(self.first.revision))
-        for number in range(store.MOST_NEWS + 5):
+        for number in range(views.MOST_NEWS + 5):
             self.standin.put('lentilmoor/entry/e',
                              f'["e{number}", "a:1", false]'.encode())
         self.hub.watch(self.hub_first)
@@ -81,6 +84,85 @@
         self.assertIsNone(following.merge_news(self.follower, self.first,
                                                heard))
 
+    def test_older_changes_replace_nothing_whenever_they_come(self):
+        self.standin.put('op/config', platformhelp.make_configuration(4))
+        self.standin.put('lentilmoor/entry/e', b'["e", "a:1", false]')
+        self.standin.delete('lentilmoor/entry/e')
+        heard = self._hear(self.first.revision)
+        following.take_news(self.follower, heard)  # Nothing is known yet.
+        self.follower.seen = self.first
+        following.take_news(self.follower, heard)
+        self.assertEqual(self.follower.seen.configuration.version, 4)
+        old = json.dumps([
+            views.write_item(
+                views.Item('lentilmoor/entry/e', b'["e", "a:1", false]',
+                           heard.revision - 1))
+        ]).encode()
+        found = self.store.merge_news(old, heard.revision)
+        self.assertFalse(found.entries)
+        self.assertEqual(found.revision, heard.revision)
+
+    def test_news_are_taken_in_beside_a_watch_that_is_not_answered(self):
+        thread = threading.Thread(target=following.follow,
+                                  args=(self.follower, 1))
+        self.follower.begun = 1
+        thread.start()
+        platformhelp.wait_until(lambda: self.taken, 3.0)
+        self.standin.put('op/config', platformhelp.make_configuration(4))
+        known = self.hub.watch(self.hub_first)
+        self.standin.faults.away = 'silent'
+        self.follower.hurried.set()
+        began = time.monotonic()
+        time.sleep(0.2)
+        following.take_news(
+            self.follower,
+            tables.News(known.revision, 0.0, self.first.revision,
+                        self.hub.tell_news(self.first.revision)))
+        self.assertLess(time.monotonic() - began, 0.5)
+        self.assertEqual(self.taken[-1].configuration.version, 4)
+        self.follower.begun = 2
+        thread.join(8.0)
+        self.assertFalse(thread.is_alive())
+
+    def test_a_whole_read_leaves_no_gap_in_what_is_told_to_others(self):
+        self.standin.put('op/config', platformhelp.make_configuration(4))
+        self.standin.put('lentilmoor/entry/e', b'["e", "a:1", false]')
+        self.hub.watch(self.hub_first)
+        self.standin.delete('lentilmoor/entry/e')
+        self.standin.put('op/config', platformhelp.make_configuration(5))
+        self.standin.forget()
+        whole = self.hub.load()
+        heard = tables.News(whole.revision, 0.0, self.first.revision,
+                            self.hub.tell_news(self.first.revision))
+        found = following.merge_news(self.follower, self.first, heard)
+        self.assertEqual(found.configuration.version, 5)
+        self.assertFalse(found.entries)
+
+    def test_who_lacks_the_configuration_of_the_hub_reads_all(self):
+        following.take_news(self.follower, tables.News(99, 0.0, 0, b'', 4))
+        self.assertFalse(self.follower.hurried.is_set())
+        self.follower.seen, self.follower.whole = self.first, False
+        following.take_news(
+            self.follower,
+            tables.News(self.first.revision, 0.0, self.first.revision, b'', 3))
+        self.assertFalse(self.follower.whole)
+        following.take_news(
+            self.follower,
+            tables.News(self.first.revision, 0.0, self.first.revision, b'', 4))
+        self.assertTrue(self.follower.whole)
+        self.assertTrue(self.follower.hurried.is_set())
+
+    def test_following_is_not_begun_anew_while_somebody_tells(self):
+        self.follower.begun = 1
+        now = self.follower.clock.now()
+        self.forwarder.heard = tables.News(5, now)
+        following.follow_again(self.follower)
+        self.assertEqual(self.follower.begun, 1)
+        self.forwarder.heard = tables.News(5, now - 10_000.0)
+        following.follow_again(self.follower)
+        self.assertEqual(self.follower.begun, 2)
+        self.follower.begun = 3
+
     def test_following_ends_when_it_has_begun_anew(self):
         self.follower.begun = 1
         thread = threading.Thread(target=following.follow,
