Take callers' connections before the program is loaded

Cause: loading takes 0.3 s of a start, in which the balancer's new connections were reset; requests that came before the configuration, some 25 ms more, spent their repeat on a refusal.

Change: the socket for callers is opened first and handed to the HTTP server; a request waits up to 120 ms for the configuration. A server without a name is called by its id, as a test of forwarding found.

--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -49,6 +49,9 @@
       hot: (begin, end, share, keys) in seconds.
       shed: (begin, end, share) in seconds: all servers turn part away.
       skew: Exponent of the popularity of keys.
+      spread: Spread of the times of work, as a lognormal's sigma.
+      tail: (share, factor) of requests that take so many times as long.
+      way_ms: One way between callers and entries.
     """
 
     name: str
@@ -65,6 +68,9 @@
     hot: tuple[tuple[float, float, float, int], ...] = ()
     shed: tuple[float, float, float] = (0, 0, 0)
     skew: float = 0.7
+    spread: float = 0.8
+    tail: tuple[float, float] = (0, 1)
+    way_ms: float = WAY_MS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -185,11 +191,15 @@
         if begin <= self.now / 1_000 < end:
             rate *= factor
         self._at(self.random.expovariate(rate / 1_000), self._arrive)
-        work = shape.work_ms * self.random.lognormvariate(-0.32, 0.8)
+        share, factor = shape.tail
+        work = shape.work_ms * self.random.lognormvariate(
+            -shape.spread**2 / 2, shape.spread)
+        if share and self.random.random() < share:
+            work *= factor
         work = min(work, shape.work_ms * 7.5)
         job = Job(self.now, self._pick_key(),
                   self.random.randrange(shape.entries), work, shape.patience_ms)
-        self._at(WAY_MS, self._take, job)
+        self._at(shape.way_ms, self._take, job)
 
     def _take(self, job: Job) -> None:
         servers = self.servers
@@ -242,7 +252,7 @@
             return
         job.came_back = True
         job.entry = self.random.randrange(self.shape.entries)
-        self._at(back + 2 * WAY_MS, self._take, job)
+        self._at(back + 2 * self.shape.way_ms, self._take, job)
 
     def _reach(self, job: Job) -> None:
         index = job.server
@@ -287,7 +297,7 @@
         placement.note_answer(state, took, load, self.now)
         self.rows[job.entry].append(
             (job.key, name, placement.find_work(took, load)))
-        age = self.now + WAY_MS - job.born
+        age = self.now + self.shape.way_ms - job.born
         if not whole or age > self.shape.patience_ms:
             self._end(job, 0.0)
         else:
@@ -366,7 +376,24 @@
 _BURST = (10, 14, 1.7)
 _vary = dataclasses.replace
 
+_BALANCES = Shape('balances, steady',
+                  290,
+                  60,
+                  200,
+                  800,
+                  0.1, (0.5, 1.0, 1.0, 1.5) * 3 + (0.5, 1.0),
+                  True,
+                  8,
+                  spread=0.3,
+                  tail=(0.01, 5),
+                  way_ms=10.0)
+
 SHAPES = (
+    _BALANCES,
+    _vary(_BALANCES, name='balances, hot 60', per_s=250, hot=_HOT_NEIGHBOURS),
+    _vary(_BALANCES, name='balances, one key', per_s=250, hot=_HOT_KEY),
+    _vary(_BALANCES, name='balances, burst', per_s=250, burst=_BURST),
+    _vary(_BALANCES, name='balances, shed', per_s=250, shed=(10, 16, 0.5)),
     _STOCK,
     _vary(_STOCK, name='stock, hot 60', hot=_HOT_NEIGHBOURS),
     _vary(_STOCK, name='stock, one key', per_s=300, hot=_HOT_KEY),
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -4,9 +4,9 @@
 import dataclasses
 import functools
 import signal
+import socket
 import threading
 
-from cheroot import server as cheroot_server
 import pykka
 
 from lentilmoor import clocks
@@ -68,7 +68,7 @@
     measures: measures.Measures
     actor: pykka.ActorRef | None = None
     reporter: reporting.Reporter | None = None
-    listeners: list[cheroot_server.HTTPServer] = dataclasses.field(
+    listeners: list[listening.Listener] = dataclasses.field(
         default_factory=list)
     follower: following.Follower | None = None
     leaving: threading.Event = dataclasses.field(
@@ -76,7 +76,8 @@
 
 
 def run(platform: ports.Platform, instance: str, clock: clocks.Clock,
-        logger: logs.Logger, socket_options: tuple) -> None:
+        logger: logs.Logger, socket_options: tuple,
+        callers: socket.socket | None) -> None:
     """Runs an entry until SIGTERM.
 
     Args:
@@ -85,9 +86,12 @@
       clock: Time.
       logger: Takes lines.
       socket_options: Set on connections to servers and entries.
+      callers: The socket on which callers' connections already arrive; one is
+        opened if there is none.
     """
     logs.quiet_libraries()
     entry = _make_entry(platform, instance, clock, logger, socket_options)
+    entry.listeners[0].opened = callers
     signal.signal(signal.SIGTERM, lambda *_: entry.leaving.set())
     signal.signal(signal.SIGHUP, lambda *_: logger.info('reload_asked'))
     for listener in entry.listeners:
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -26,6 +26,8 @@
 # Times to come back, ms: while an entry starts, which takes some 0.5 s, and to
 # a request that crashes its servers, which is blocked for so long.
 START_RETRY_MS = 300
+# How long a request waits at most for the configuration.
+START_WAIT_MS = 120.0
 BLOCKED_RETRY_MS = 30_000
 
 _Reason = outcomes.Reason
@@ -34,7 +36,7 @@
 def forward(forwarder: requests.Forwarder,
             request: requests.Request) -> requests.Outcome:
     """Carries a request to its outcome."""
-    snapshot = forwarder.snapshot
+    snapshot = _await_configuration(forwarder, request)
     if snapshot.configuration is None:
         return outcomes.NotRun(_Reason.STARTING, 'no configuration yet',
                                START_RETRY_MS)
@@ -63,6 +65,24 @@
     return _carry(forwarder, run)
 
 
+def _await_configuration(forwarder: requests.Forwarder,
+                         request: requests.Request) -> tables.Snapshot:
+    """Waits a little for the configuration of an entry that has just started.
+
+    It comes some 25 ms after the first requests are read; a caller that is
+    refused meanwhile has spent its only repeat.
+    """
+    snapshot = forwarder.snapshot
+    until = request.arrived_at + START_WAIT_MS
+    while snapshot.configuration is None:
+        left_ms = until - forwarder.clock.now()
+        if left_ms <= 0:
+            break
+        picks.await_change(forwarder, snapshot, left_ms)
+        snapshot = forwarder.snapshot
+    return snapshot
+
+
 def _carry(forwarder: requests.Forwarder,
            run: requests.Run) -> requests.Outcome:
     for _ in range(MOST_PICKS):
@@ -101,7 +121,8 @@
     state, pool = _enter(forwarder, server)
     headers = dict(request.headers)
     sent_at = forwarder.clock.now()
-    forwarder.platform.dialect.mark(headers, server.name, run.until - sent_at)
+    forwarder.platform.dialect.mark(headers, server.name or server.id,
+                                    run.until - sent_at)
     order = exchange.Order(request.fields.request_id, request.method,
                            request.target, headers, request.body,
                            run.repeatable, run.until)
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import socket
 
 from cheroot import server as cheroot_server
 from urllib3 import util
@@ -16,9 +17,8 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import ports
 from lentilmoor.edge import requests
+from lentilmoor.edge import sockets
 
-# Requests that wait for the listening socket.
-BACKLOG = 512
 # Kept on top of the time that callers may reuse an idle connection: the
 # library measures idle time by the time of day, which may jump by seconds.
 IDLE_SLACK_S = 5.0
@@ -32,9 +32,27 @@
 """(body) -> status, body and content type of a page."""
 
 
+class Listener(cheroot_server.HTTPServer):
+    """A server that may be handed a socket that listens already.
+
+    Attributes:
+      opened: That socket; None to open one.
+    """
+
+    opened: socket.socket | None = None
+
+    def bind(self, family, type, proto=0):  # pylint: disable=redefined-builtin
+        """Takes the socket that was handed over, or opens one."""
+        if self.opened is None:
+            return super().bind(family, type, proto)
+        # pylint: disable-next=attribute-defined-outside-init
+        self.socket = self.opened
+        self.bind_addr = self.resolve_real_bind_addr(self.socket)
+        return self.socket
+
+
 def make_listener(address: str, gateway: type[cheroot_server.Gateway],
-                  threads: int,
-                  log_error: Callable[..., None]) -> cheroot_server.HTTPServer:
+                  threads: int, log_error: Callable[..., None]) -> Listener:
     """Returns a server that hands each request to a gateway.
 
     Args:
@@ -44,12 +62,12 @@
       log_error: Takes the library's errors.
     """
     host, _, port = address.rpartition(':')
-    server = cheroot_server.HTTPServer((host, int(port)),
-                                       gateway,
-                                       minthreads=threads,
-                                       maxthreads=threads,
-                                       server_name='lentilmoor')
-    server.request_queue_size = BACKLOG
+    server = Listener((host, int(port)),
+                      gateway,
+                      minthreads=threads,
+                      maxthreads=threads,
+                      server_name='lentilmoor')
+    server.request_queue_size = sockets.BACKLOG
     server.keep_alive_conn_limit = None
     server.error_log = log_error
     return server
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -89,8 +89,8 @@
                 _Reason.CANCELLED,
                 f'waited for an owner of key {key}, sent to {run.avoid}')
         forwarder.hurry.set()
-        _await_change(forwarder, snapshot,
-                      min(wait_until, now + OWNER_LOOK_MS) - now)
+        await_change(forwarder, snapshot,
+                     min(wait_until, now + OWNER_LOOK_MS) - now)
     with forwarder.lock:
         state = forwarder.states.setdefault(server.id, placement.ServerState())
         if state.avoid_until > now:
@@ -132,8 +132,15 @@
     return snapshot.servers.get(service, {}).get(found.server)
 
 
-def _await_change(forwarder: requests.Forwarder, seen: tables.Snapshot,
-                  wait_ms: float) -> None:
+def await_change(forwarder: requests.Forwarder, seen: tables.Snapshot,
+                 wait_ms: float) -> None:
+    """Waits until another snapshot has replaced one, or a time is over.
+
+    Args:
+      forwarder: What request threads share.
+      seen: The snapshot.
+      wait_ms: The longest time.
+    """
     with forwarder.changed:
         if forwarder.snapshot is seen:
             forwarder.changed.wait(max(0.0, wait_ms) / clocks.MS_PER_S)
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -124,7 +124,8 @@
       draining: Whether it is about to leave.
       warm_at: Until when it is slow after its start, ms.
       seen_at: When this entry first knew it, ms.
-      name: What it is registered as and called; a restart may keep it.
+      name: What it is registered as and called, which a restart may keep; its
+        id if empty.
       started_at: When its process started, ms of the time of day; None if it
         doesn't say.
     """
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -1,8 +1,8 @@
 """The program that the platform runs on each machine."""
 
 import os
-import pathlib
 import secrets
+import socket
 import sys
 
 from lentilmoor import clocks
@@ -12,6 +12,7 @@
 from lentilmoor.edge import entry
 from lentilmoor.edge import ports
 from lentilmoor.platform import dialect
+from lentilmoor.platform import fields
 from lentilmoor.platform import servers
 from lentilmoor.platform import settings as settings_module
 from lentilmoor.platform import store
@@ -19,18 +20,19 @@
 _EXIT_REFUSED = 2
 
 
-def run() -> int:
+def run(callers: socket.socket | None = None) -> int:
     """Runs an entry with the settings that the platform wrote.
 
+    Args:
+      callers: The socket on which callers' connections already arrive.
+
     Returns:
       An exit code, if it could not start.
     """
-    path = os.environ.get(settings_module.BOOT_VARIABLE, '')
     try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-        settings, address = settings_module.parse_settings(text)
+        settings, address = settings_module.parse_settings(fields.read_text())
     except (OSError, exceptions.SettingsError) as error:
-        print(f'{settings_module.BOOT_VARIABLE}={path}: {error}',
+        print(f'{fields.BOOT_VARIABLE}={fields.find_path()}: {error}',
               file=sys.stderr)
         return _EXIT_REFUSED
     clock = clocks.make_suspend_clock()
@@ -41,7 +43,7 @@
                               store.connect_store(address, clock, logger),
                               servers.connect_servers(clock),
                               dialect.make_dialect())
-    entry.run(platform, instance, clock, logger, store.KEEPALIVE)
+    entry.run(platform, instance, clock, logger, store.KEEPALIVE, callers)
     lines.close()
     # Threads that wait for outside calls must not hold the process.
     os._exit(0)  # pylint: disable=protected-access
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -6,8 +6,8 @@
 
 from lentilmoor import exceptions
 from lentilmoor.edge import ports
+from lentilmoor.platform import fields as fields_module
 
-BOOT_VARIABLE = 'LENTILMOOR_BOOT'
 # Where the deploy file says that metrics are.
 METRICS_PORT = 9464
 _MS_PER_S = 1000.0
@@ -25,13 +25,12 @@
     Raises:
       SettingsError: A field is missing or not as expected; names the field.
     """
-    fields = dict(
-        line.split('=', 1) for line in text.splitlines() if '=' in line)
+    fields = fields_module.split_fields(text)
     bounds = _read_bounds(_take(fields, 'Bounds'))
     settings = ports.Settings(
         instance=_take(fields, 'Node'),
         domain=_take(fields, 'Zone'),
-        callers=_take_address(fields, 'Listen.Front'),
+        callers=_take_address(fields, fields_module.CALLERS),
         ready=_take_address(fields, 'Listen.Ready'),
         control=_take_address(fields, 'Listen.Control'),
         metrics=f'{_find_host(fields)}:{METRICS_PORT}',
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -327,6 +327,23 @@
             time.sleep(0.05)
         self.assertIn('coordination_begun', other.read_log())
 
+    def test_connections_that_come_while_an_entry_starts_are_served(self):
+        deployment = platformhelp.Deployment()
+        self.addCleanup(deployment.close)
+        entry = deployment.add_entry()
+        until = time.monotonic() + 5.0
+        connection = None
+        while connection is None and time.monotonic() < until:
+            try:
+                connection = socket.create_connection(
+                    ('127.0.0.1', entry.ports[0]), 5.0)
+            except ConnectionRefusedError:
+                time.sleep(0.002)
+        self.assertNotIn('entry_started', entry.read_log())
+        connection.close()
+        status, _, _ = entry.call('/stock/lot', 9, patience_ms=4_000)
+        self.assertEqual(status, 200, entry.read_log())
+
     def test_an_entry_on_a_small_machine_makes_way_without_a_gap(self):
         deployment = platformhelp.Deployment(link_mbps=10.0)
         self.addCleanup(deployment.close)
