Send nothing to a server that was not listed for a while

A server's entry was deleted while an entry that had just regained the store gave all missing ones 2.5 s from then on: up to 2.5 s after the deletion.

Change: how long keys stay with an unlisted server and how long it is sent requests are two things: the latter ends 1 s before the operator's bound, as for servers that drain.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -224,6 +224,8 @@
         for name in owned.servers:
             if name not in everything.servers and name not in owned.missing:
                 owned.missing[name] = max(now, back_at + ownership.RETURN_MS)
+                owned.servers[name] = dataclasses.replace(owned.servers[name],
+                                                          unlisted_at=now)
 
     def _end_predecessors(self, server: tables.Server) -> None:
         owned = self._owned
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -39,8 +39,8 @@
     now = forwarder.clock.now()
     servers = [
         server for server in forwarder.snapshot.servers.get(
-            run.service.name, {}).values()
-        if not server.draining and server.id not in run.avoid
+            run.service.name, {}).values() if not server.draining and
+        server.id not in run.avoid and not _has_left(forwarder, server)
     ]
     with forwarder.lock:
         wish = placement.Wish(forwarder.platform.settings.domain,
@@ -67,9 +67,16 @@
         return False
     if server.draining and not service.keyed:
         return False
+    return not _has_left(forwarder, server)
+
+
+def _has_left(forwarder: requests.Forwarder, server: tables.Server) -> bool:
+    """Returns whether a server that leaves may be sent nothing any more."""
+    if server.leaves_at is None:
+        return False
     bounds = forwarder.platform.settings.bounds
-    last = server.draining_at + bounds.drain_ms - DRAIN_NEWS_MS
-    return not server.draining or forwarder.clock.now() < last
+    last = server.leaves_at + bounds.drain_ms - DRAIN_NEWS_MS
+    return forwarder.clock.now() >= last
 
 
 def _check_time(run: requests.Run, choice: placement.Choice,
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -129,6 +129,8 @@
       started_at: When its process started, ms of the time of day; None if it
         doesn't say.
       draining_at: When this entry learned that it is about to leave, ms.
+      unlisted_at: When its entry was first missing, ms; 0 if it is listed. One
+        that ran out while the store was away may come back.
     """
 
     id: str
@@ -142,6 +144,14 @@
     name: str = ''
     started_at: int | None = None
     draining_at: float = 0.0
+    unlisted_at: float = 0.0
+
+    @property
+    def leaves_at(self) -> float | None:
+        """When this entry learned that it leaves, ms; None if it doesn't."""
+        if self.draining:
+            return self.draining_at
+        return self.unlisted_at or None
 
 
 def follows(server: Server, other: Server) -> bool:
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -1,5 +1,6 @@
 """Following the store by the hub's news."""
 
+import dataclasses
 import json
 import threading
 import time
@@ -8,8 +9,10 @@
 
 from lentilmoor import clocks
 from lentilmoor import logs
+from lentilmoor import outcomes
 from lentilmoor.edge import control
 from lentilmoor.edge import following
+from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import requests
@@ -199,5 +202,44 @@
         self.assertEqual(forwarder.snapshot.configuration.version, 14)
 
 
+class UnlistedTest(unittest.TestCase):
+    """A server's entry is gone after the store was away."""
+
+    def test_it_may_come_back_and_is_known_to_be_missing(self):
+        platform = mock.Mock(
+            **{
+                'store.open_lease.return_value': ports.Lease(1, 9_000.0),
+                'store.register.return_value': None
+            })
+        forwarder = requests.Forwarder(clocks.make_suspend_clock(), platform,
+                                       logs.make_logger('test'), None)
+        actor = control.Control.start(control.beliefs.Beliefs('e1'), forwarder,
+                                      platform, logs.make_logger('test'),
+                                      mock.Mock())
+        self.addCleanup(actor.stop)
+        configuration = tables.Configuration(
+            1, {}, {'x': tables.Service('x', False, 100, 0.0)},
+            tables.CallerLimits())
+        server = tables.Server('i-1', 'x', 'a:1', 'd', 2, False, 0.0, 0.0)
+        listed, missing = (ports.Everything(configuration, servers, {}, {}, {},
+                                            revision)
+                           for revision, servers in ((10, {
+                               'i-1': server
+                           }), (11, {})))
+        actor.tell(control.StoreSeen(listed))
+        actor.tell(control.StoreLost(outcomes.Reason.TIMED_OUT))
+        actor.tell(control.StoreSeen(missing))
+        actor.ask(control.Tick())
+        self.assertGreater(forwarder.snapshot.servers['x']['i-1'].leaves_at, 0)
+        actor.tell(control.StoreSeen(dataclasses.replace(listed, revision=12)))
+        actor.ask(control.Tick())
+        self.assertIsNone(forwarder.snapshot.servers['x']['i-1'].leaves_at)
+        # Nobody has lost the store now: one that is missing has left.
+        actor.tell(control.StoreSeen(dataclasses.replace(missing, revision=13)))
+        time.sleep((ownership.RETURN_MS + 500.0) / clocks.MS_PER_S)
+        actor.ask(control.Tick())
+        self.assertNotIn('x', forwarder.snapshot.servers)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -137,6 +137,19 @@
         self.assertEqual(outcome.reason, outcomes.Reason.NO_OWNER)
         self.assertEqual(self.before.arrivals, known)
 
+    def test_an_owner_that_is_not_listed_is_sent_nothing_after_a_while(self):
+        snapshot = self.forwarder.snapshot
+        for ago_ms, sent in ((500.0, True), (1_001.0, False)):
+            servers = dict(snapshot.servers['catalog'])
+            servers[self.before.id] = dataclasses.replace(
+                servers[self.before.id],
+                unlisted_at=self.forwarder.clock.now() - ago_ms)
+            self.forwarder.snapshot = dataclasses.replace(
+                snapshot, servers={'catalog': servers})
+            known = self.before.arrivals
+            self._forward()
+            self.assertEqual(self.before.arrivals > known, sent)
+
     def test_news_that_come_while_a_connection_is_opened_are_heeded(self):
         # One that took 0.5 s carried an order to a server that had left.
         rules = dataclasses.replace(_RULES, opens_per_s=5.0, burst=0.0)
