--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -29,8 +29,9 @@
 # Times that a conditional write without an answer is sent again.
 TRIES = 4
 # How long the first read waits for the one that began while the program was
-# loaded; after it, the store may be away.
-EARLY_MS = 300.0
+# loaded; after it, the store may be away. With 300 ms, a third of 60 entries
+# began a second read, and knew their servers up to 1 s after they had started.
+EARLY_MS = 1_000.0
 
 # A watch whose connection went silent is noticed after about 3 s by probes of
 # the kernel, which cost no call.
