Wait longer for the hub's reply on a full link; begin anew who hears from nobody

What filled its link isn't known.

Change: a reply is waited for as long as two pauses; an entry that nobody told anything for 4 s begins to follow anew and writes what it was at.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -264,6 +264,7 @@
     while True:
         clocks.pause(control.TICK_MS)
         entry.actor.tell(control.Tick())
+        following.check(entry.follower)
 
 
 def _finish(entry: Entry) -> None:
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -30,6 +30,9 @@
 # hub that can't reach the store itself must not keep others from it.
 NEWS_FRESH_MS = 1_200.0
 NEWS_LOOK_MS = 50.0
+# An entry that heard from nobody for so long begins to follow anew, whatever it
+# waits for: one of 60 did so for 10 s while its leases were kept.
+DEAF_MS = 4_000.0
 # A hub that fell silent may have ended: whoever takes its place is to know soon
 # after its lease has run out, or grants run out before they are renewed.
 LOST_HUB_MS = 4_000.0
@@ -48,6 +51,8 @@
       lose: (reason) takes in that the store can't be reached.
       begun: How often following was begun; only the last one goes on.
       seen: What is known; None before the first answer.
+      began_at: When it was last begun, ms.
+      doing: What the thread that follows is at, and since when, ms.
       whole: Whether the store is to be read as a whole.
       hurried: Whether to look at the store now.
       lock: Guards `seen`: what is known is taken in by one thread at a time.
@@ -61,6 +66,8 @@
     lose: Callable[[outcomes.Reason], None]
     begun: int = 0
     seen: ports.Everything | None = None
+    began_at: float = float('-inf')
+    doing: tuple[str, float] = ('', 0.0)
     whole: bool = True
     hurried: threading.Event = dataclasses.field(
         default_factory=threading.Event)
@@ -74,11 +81,36 @@
     store answered by turns read it whole five times in 11 s, and took in the
     configuration 0.9 s too late.
     """
+    if follower.begun and _find_silence(follower) < NEWS_FRESH_MS:
+        return
+    _begin(follower)
+
+
+def check(follower: Follower) -> None:
+    """Begins to follow anew if nobody has told anything for too long."""
+    now = follower.clock.now()
+    silence_ms = min(_find_silence(follower), now - follower.began_at)
+    if silence_ms < DEAF_MS:
+        return
+    what, since = follower.doing
+    follower.logger.warning('following_silent',
+                            silence_ms=round(silence_ms),
+                            doing=what,
+                            doing_ms=round(now - since),
+                            whole=follower.whole)
+    _begin(follower)
+
+
+def _find_silence(follower: Follower) -> float:
+    """Returns how long ago the store or the hub told something, ms."""
     forwarder = follower.reporter.forwarder
     told_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
-    if follower.begun and follower.clock.now() - told_at < NEWS_FRESH_MS:
-        return
+    return follower.clock.now() - told_at
+
+
+def _begin(follower: Follower) -> None:
     follower.begun += 1
+    follower.began_at = follower.clock.now()
     threading.Thread(target=follow,
                      args=(follower, follower.begun),
                      daemon=True).start()
@@ -90,6 +122,7 @@
     while number == follower.begun:
         seen = follower.seen
         whole = seen is None or follower.whole
+        _note_doing(follower, 'load' if whole else 'watch')
         found = store.load() if whole else store.watch(seen)
         if number != follower.begun:
             return
@@ -103,9 +136,14 @@
         follower.reporter.forwarder.news = tables.News(found.revision,
                                                        follower.clock.now())
         _take(follower, found, False)
+        _note_doing(follower, 'wait')
         _await_look(follower, number)
 
 
+def _note_doing(follower: Follower, what: str) -> None:
+    follower.doing = (what, follower.clock.now())
+
+
 def _take(follower: Follower, found: ports.Everything, heard: bool) -> None:
     with follower.lock:
         if follower.seen is not None and (found.revision
@@ -201,6 +239,7 @@
         follower.whole = True
         return
     follower.lose(failed.reason)
+    _note_doing(follower, 'ask')
     heard = reporting.ask_peers(follower.reporter)
     if heard is not None:
         follower.logger.info('store_heard_from_peer', revision=heard.revision)
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -31,6 +31,9 @@
 HURRY_MS = 25.0
 HURRY_PER_ENTRY_MS = 4.0
 TIMEOUT_MS = 300.0
+# A reply is waited for as long as two pauses at least: to an entry of 60 whose
+# link was full nothing came in 300 ms, and it kept to what it knew for 10 s.
+TIMEOUT_PAUSES = 2.0
 # Servers' times of work change slowly, and are a third of a reply.
 WORKS_MS = 1_000.0
 
@@ -64,13 +67,18 @@
     while True:
         entries = len(forwarder.snapshot.entries)
         hurry_ms = max(HURRY_MS, HURRY_PER_ENTRY_MS * entries)
-        pause_ms = max(REPORT_MS, REPORT_PER_ENTRY_MS * entries)
+        pause_ms = find_pause(entries)
         clocks.pause(hurry_ms)
         forwarder.hurry.wait((pause_ms - hurry_ms) / clocks.MS_PER_S)
         forwarder.hurry.clear()
         exchange(reporter)
 
 
+def find_pause(entries: int) -> float:
+    """Returns the pause between two reports of an entry, ms."""
+    return max(REPORT_MS, REPORT_PER_ENTRY_MS * entries)
+
+
 def exchange(reporter: Reporter) -> None:
     """Reports once to each hub, and takes in what they reply."""
     peers = find_hubs(reporter)
@@ -176,10 +184,11 @@
           found: reports.Report) -> reports.Reply | None:
     if peer.instance == reporter.instance:
         return answer(reporter, found)
+    pause_ms = find_pause(len(reporter.forwarder.snapshot.entries))
     result = reporter.caller.call(
         peer.address,
         httpcalls.Request('POST', PATH, reports.encode_report(found)),
-        TIMEOUT_MS)
+        max(TIMEOUT_MS, TIMEOUT_PAUSES * pause_ms))
     if isinstance(result, outcomes.Failed) or result.status != 200:
         return None
     return reports.decode_reply(result.body)
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -166,6 +166,20 @@
         self.assertEqual(self.follower.begun, 2)
         self.follower.begun = 3
 
+    def test_who_hears_from_nobody_begins_anew(self):
+        now = self.follower.clock.now()
+        self.follower.begun, self.follower.began_at = 1, now - 60_000.0
+        self.forwarder.heard = tables.News(5, now - following.DEAF_MS / 2)
+        following.check(self.follower)
+        self.assertEqual(self.follower.begun, 1)
+        self.forwarder.heard = tables.News(5, now - following.DEAF_MS - 1.0)
+        following.check(self.follower)
+        self.assertEqual(self.follower.begun, 2)
+        following.check(self.follower)
+        self.assertEqual(self.follower.begun, 2)
+        platformhelp.wait_until(lambda: self.taken, 3.0)
+        self.follower.begun = 3
+
     def test_following_ends_when_it_has_begun_anew(self):
         self.follower.begun = 1
         thread = threading.Thread(target=following.follow,
