--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+import pykka
+
 from lentilmoor import clocks
 from lentilmoor import logs
 from lentilmoor import outcomes
@@ -28,6 +30,20 @@
     return ports.Everything(configuration, {}, {}, {}, {}, revision)
 
 
+def _start_control() -> tuple[pykka.ActorRef, requests.Forwarder]:
+    platform = mock.Mock(
+        **{
+            'store.open_lease.return_value': ports.Lease(1, 9_000.0),
+            'store.register.return_value': None
+        })
+    forwarder = requests.Forwarder(clocks.make_suspend_clock(), platform,
+                                   logs.make_logger('test'), None)
+    actor = control.Control.start(control.beliefs.Beliefs('e1'),
+                                  forwarder, platform, logs.make_logger('test'),
+                                  mock.Mock())
+    return actor, forwarder
+
+
 class MergeTest(unittest.TestCase):
 
     def setUp(self):
@@ -194,16 +210,7 @@
 class ConfigurationTest(unittest.TestCase):
 
     def test_it_never_goes_back(self):
-        platform = mock.Mock(
-            **{
-                'store.open_lease.return_value': ports.Lease(1, 9_000.0),
-                'store.register.return_value': None
-            })
-        forwarder = requests.Forwarder(clocks.make_suspend_clock(), platform,
-                                       logs.make_logger('test'), None)
-        actor = control.Control.start(control.beliefs.Beliefs('e1'), forwarder,
-                                      platform, logs.make_logger('test'),
-                                      mock.Mock())
+        actor, forwarder = _start_control()
         self.addCleanup(actor.stop)
         actor.tell(control.StoreSeen(_make_everything(10, 13)))
         actor.tell(control.StoreSeen(_make_everything(12, 10), heard=True))
@@ -220,16 +227,7 @@
     """A server's entry is gone after the store was away."""
 
     def test_it_may_come_back_and_is_known_to_be_missing(self):
-        platform = mock.Mock(
-            **{
-                'store.open_lease.return_value': ports.Lease(1, 9_000.0),
-                'store.register.return_value': None
-            })
-        forwarder = requests.Forwarder(clocks.make_suspend_clock(), platform,
-                                       logs.make_logger('test'), None)
-        actor = control.Control.start(control.beliefs.Beliefs('e1'), forwarder,
-                                      platform, logs.make_logger('test'),
-                                      mock.Mock())
+        actor, forwarder = _start_control()
         self.addCleanup(actor.stop)
         configuration = tables.Configuration(
             1, {}, {'x': tables.Service('x', False, 100, 0.0)},
