Don't read the store beside loading: processes ended by themselves

Cause: not known.

Change: the thread goes, with its three tests. Callers' connections are still taken first.

--- a/lentilmoor/platform/__main__.py
+++ b/lentilmoor/platform/__main__.py
@@ -1,11 +1,9 @@
 """Runs an entry on the platform: `python -m lentilmoor.platform`.
 
-What comes first in a start comes first here: callers' connections are taken,
-the store is read, then the program is loaded, which takes most of a start.
+Callers' connections are taken before the program is loaded, which takes most of
+a start.
 """
 
-# pylint: disable=import-outside-toplevel
-
 import socket
 import sys
 
@@ -34,14 +32,10 @@
 
 def main() -> int:
     """Starts an entry and runs it to its end."""
-    found = _read_fields()
-    callers = _take_callers(found)
-    from lentilmoor.platform import early
-    read = None
-    if found.get(fields.STORE):
-        read = early.EarlyRead(found[fields.STORE])
+    callers = _take_callers(_read_fields())
+    # pylint: disable-next=import-outside-toplevel
     from lentilmoor.platform import program
-    return program.run(callers, read)
+    return program.run(callers)
 
 
 if __name__ == '__main__':
--- a/lentilmoor/platform/pages.py
+++ b/lentilmoor/platform/pages.py
@@ -1,8 +1,4 @@
-"""Whole reads of the platform's store, page by page.
-
-It imports nothing heavy: a starting entry reads the store before the rest of
-the program is loaded.
-"""
+"""Whole reads of the platform's store, page by page."""
 
 from collections.abc import Callable
 import urllib.parse
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -12,7 +12,6 @@
 from lentilmoor.edge import entry
 from lentilmoor.edge import ports
 from lentilmoor.platform import dialect
-from lentilmoor.platform import early
 from lentilmoor.platform import fields
 from lentilmoor.platform import servers
 from lentilmoor.platform import settings as settings_module
@@ -21,13 +20,11 @@
 _EXIT_REFUSED = 2
 
 
-def run(callers: socket.socket | None = None,
-        read: early.EarlyRead | None = None) -> int:
+def run(callers: socket.socket | None = None) -> int:
     """Runs an entry with the settings that the platform wrote.
 
     Args:
       callers: The socket on which callers' connections already arrive.
-      read: A read of the store that has begun already.
 
     Returns:
       An exit code, if it could not start.
@@ -43,7 +40,7 @@
     lines = linequeue.LineQueue(sys.stdout, clock)
     logger = logs.make_logger(instance, lines)
     platform = ports.Platform(settings,
-                              store.connect_store(address, clock, logger, read),
+                              store.connect_store(address, clock, logger),
                               servers.connect_servers(clock),
                               dialect.make_dialect())
     entry.run(platform, instance, clock, logger, store.KEEPALIVE, callers)
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -14,7 +14,6 @@
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
 from lentilmoor.platform import documents
-from lentilmoor.platform import early as early_module
 from lentilmoor.platform import pages
 from lentilmoor.platform import views
 
@@ -28,10 +27,6 @@
 WATCH_SLACK_MS = 800.0
 # Times that a conditional write without an answer is sent again.
 TRIES = 4
-# How long the first read waits for the one that began while the program was
-# loaded; after it, the store may be away. With 300 ms, a third of 60 entries
-# began a second read, and knew their servers up to 1 s after they had started.
-EARLY_MS = 1_000.0
 
 # A watch whose connection went silent is noticed after about 3 s by probes of
 # the kernel, which cost no call.
@@ -132,27 +127,20 @@
     return outcomes.Failed(_Reason.CONFLICT, 'another write came first')
 
 
-def connect_store(address: str,
-                  clock: clocks.Clock,
-                  logger: logs.Logger,
-                  early: early_module.EarlyRead | None = None) -> ports.Store:
+def connect_store(address: str, clock: clocks.Clock,
+                  logger: logs.Logger) -> ports.Store:
     """Returns the store at an address.
 
     Args:
       address: host:port.
       clock: This process's time.
       logger: Takes lines on entries that don't parse.
-      early: A whole read that has begun already.
     """
     client = _Client(address, clock)
     view = views.View(clock, logger)
 
     def load() -> ports.Everything | outcomes.Failed:
-        found = early.take(EARLY_MS) if early is not None else None
-        if isinstance(found, outcomes.Failed):
-            logger.warning('early_read_failed', reason=found.detail)
-        if found is None or isinstance(found, outcomes.Failed):
-            found = pages.read_all(lambda target: client.call('GET', target))
+        found = pages.read_all(lambda target: client.call('GET', target))
         if isinstance(found, outcomes.Failed):
             return found
         rows, revision = found
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,7 +1,6 @@
 """Tests of what the adapter reads: settings, documents, headers, the store."""
 
 import json
-import time
 import unittest
 
 from lentilmoor import clocks
@@ -13,7 +12,6 @@
 from lentilmoor.edge import tables
 from lentilmoor.platform import dialect
 from lentilmoor.platform import documents
-from lentilmoor.platform import early
 from lentilmoor.platform import settings
 from lentilmoor.platform import store
 from standins import platform_store
@@ -55,8 +53,6 @@
     def error(self, event: str, **fields) -> None:
         self.written.append((event, fields))
 
-    warning = error
-
 
 class SettingsTest(unittest.TestCase):
 
@@ -153,45 +149,6 @@
             self.standin.put(f'servers/i-{number:03}', _SERVER)
         self.assertEqual(len(self.store.load().servers), 120)
 
-    def _connect(self, early_read, lines=None):
-        return store.connect_store(self.standin.address,
-                                   clocks.make_suspend_clock(), lines or
-                                   _Lines(), early_read)
-
-    def test_what_was_read_early_is_used_once(self):
-        self.standin.put('servers/i-1', _SERVER)
-        read = early.EarlyRead(self.standin.address)
-        platformhelp.wait_until(lambda: self.standin.calls == 1, 3.0)
-        reader = self._connect(read)
-        self.assertEqual(list(reader.load().servers), ['i-1'])
-        self.assertEqual(self.standin.calls, 1)
-        self.standin.put('servers/i-2', _SERVER | {'Addr': '1.2.3.4:6'})
-        self.assertEqual(len(reader.load().servers), 2)
-
-    def test_an_early_read_that_fails_costs_nothing(self):
-        self.standin.put('servers/i-1', _SERVER)
-        self.standin.faults.away = 'busy'
-        read = early.EarlyRead(self.standin.address)
-        platformhelp.wait_until(lambda: not read.pending, 3.0)
-        self.standin.faults.away = ''
-        lines = _Lines()
-        self.assertEqual(list(self._connect(read, lines).load().servers),
-                         ['i-1'])
-        self.assertEqual([event for event, _ in lines.written],
-                         ['early_read_failed'])
-
-    def test_an_early_read_that_is_not_answered_is_not_waited_for(self):
-        self.standin.faults.away = 'silent'
-        read = early.EarlyRead(self.standin.address)
-        time.sleep(0.05)
-        self.standin.faults.away = ''
-        began = time.monotonic()
-        reader = self._connect(read)
-        self.assertIsInstance(reader.load(), ports.Everything)
-        took_ms = (time.monotonic() - began) * clocks.MS_PER_S
-        self.assertLess(took_ms, store.EARLY_MS + 500.0)
-        self.assertIsNone(read.take(0.0))
-
     def test_a_write_whose_answer_is_lost_is_told_from_a_rivals(self):
         self.standin.faults.lose_answers = 1
         revision = self.store.save(self.assignment, 0)
