--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -180,7 +180,8 @@
                               revision=everything.revision)
             owned.lost_at, owned.back_at = 0.0, now
         before = owned.everything
-        everything = self._leave_out_strangers(_keep_newer(before, everything))
+        everything = self._leave_out_unconfigured(
+            _keep_newer(before, everything))
         owned.everything = everything
         self._take_servers(before, everything, now)
         configuration = everything.configuration
@@ -233,7 +234,8 @@
             if tables.follows(server, other):
                 owned.ended.add(other.id)
 
-    def _leave_out_strangers(self, found: ports.Everything) -> ports.Everything:
+    def _leave_out_unconfigured(self,
+                                found: ports.Everything) -> ports.Everything:
         """Leaves out entries of servers whose service nobody configured.
 
         Such an entry may name the address of a server that is up, and must not
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -98,11 +98,11 @@
     """Returns what is to be done now."""
     state.held = holds.expire(state.held, now)
     for server in view.ended:
-        heir = ownership.find_heir(state, view, server)
-        if heir is None:
+        replacement = ownership.find_replacement(state, view, server)
+        if replacement is None:
             state.held = holds.forget(state.held, server)
         else:
-            state.held = holds.inherit(state.held, server, heir)
+            state.held = holds.hand_on(state.held, server, replacement)
     for server in view.servers:
         state.answered.setdefault(server, now)
     moves.plan_moves(state, view, now)
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -32,7 +32,7 @@
 NEWS_LOOK_MS = 50.0
 # An entry that heard from nobody for so long begins to follow anew, whatever it
 # waits for: one of 60 did so for 10 s while its leases were kept.
-DEAF_MS = 4_000.0
+SILENT_MS = 4_000.0
 # A hub that fell silent may have ended: whoever takes its place is to know soon
 # after its lease has run out, or grants run out before they are renewed.
 LOST_HUB_MS = 4_000.0
@@ -90,7 +90,7 @@
     """Begins to follow anew if nobody has told anything for too long."""
     now = follower.clock.now()
     silence_ms = min(_find_silence(follower), now - follower.began_at)
-    if silence_ms < DEAF_MS:
+    if silence_ms < SILENT_MS:
         return
     what, since = follower.doing
     follower.logger.warning('following_silent',
--- a/lentilmoor/edge/holds.py
+++ b/lentilmoor/edge/holds.py
@@ -103,7 +103,7 @@
     return [item for item in holds if item.server != server]
 
 
-def inherit(holds: Iterable[Hold], server: str, heir: str) -> list[Hold]:
+def hand_on(holds: Iterable[Hold], server: str, replacement: str) -> list[Hold]:
     """Takes what a process may hold for held by the one in its place.
 
     A grant names an address: it reaches whoever listens there when it comes.
@@ -111,10 +111,10 @@
     Args:
       holds: All holds.
       server: Id of the server whose process has ended.
-      heir: Id of the server at its address.
+      replacement: Id of the server at its address.
     """
     return [
-        dataclasses.replace(item, server=heir, certain=False)
+        dataclasses.replace(item, server=replacement, certain=False)
         if item.server == server else item for item in holds
     ]
 
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -58,11 +58,12 @@
         release = item.server not in view.ended and not ownership.is_failing(
             state, item.server, now)
         phase = ownership.Phase.RELEASE if release else ownership.Phase.WAIT
-        heir = ownership.find_heir(state, view, item.server)
-        if item.server in view.ended and heir in capacities:
+        replacement = ownership.find_replacement(state, view, item.server)
+        if item.server in view.ended and replacement in capacities:
             # It may hold them already, and others would have to wait for that.
             transfers = [
-                rebalancing.Transfer(item.first, item.last, item.server, heir)
+                rebalancing.Transfer(item.first, item.last, item.server,
+                                     replacement)
             ]
         else:
             transfers = rebalancing.plan_leave(item, owned, view.loads,
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -207,7 +207,7 @@
     works: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
-def find_heir(state: Coordination, view: View, name: str) -> str | None:
+def find_replacement(state: Coordination, view: View, name: str) -> str | None:
     """Returns the server at the address of one that has ended, if there is one.
 
     What was granted between its start and the news of it reached this one.
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -185,10 +185,10 @@
     def test_who_hears_from_nobody_begins_anew(self):
         now = self.follower.clock.now()
         self.follower.begun, self.follower.began_at = 1, now - 60_000.0
-        self.forwarder.heard = tables.News(5, now - following.DEAF_MS / 2)
+        self.forwarder.heard = tables.News(5, now - following.SILENT_MS / 2)
         following.check(self.follower)
         self.assertEqual(self.follower.begun, 1)
-        self.forwarder.heard = tables.News(5, now - following.DEAF_MS - 1.0)
+        self.forwarder.heard = tables.News(5, now - following.SILENT_MS - 1.0)
         following.check(self.follower)
         self.assertEqual(self.follower.begun, 2)
         following.check(self.follower)
