--- a/tests/test_edge_overload.py
+++ b/tests/test_edge_overload.py
@@ -47,8 +47,8 @@
         useful_ms = waiting.find_useful(250.0, 10.0)
         self.assertEqual(useful_ms, 250.0 * waiting.GOALS - 10.0)
         self.assertIsNone(
-            waiting.judge(
-                waiting.Prospect(useful_ms, False, 1_000.0, useful_ms)))
+            waiting.judge(waiting.Prospect(useful_ms, False, 1_000.0,
+                                           useful_ms)))
         back = waiting.judge(
             waiting.Prospect(useful_ms + 250.0, False, 1_000.0, useful_ms))
         self.assertEqual(back, 250.0)
