--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -82,9 +82,8 @@
       place: 'told' (least expected time), 'random', or 'mine' (by own
         requests only).
       balance: Whether keys move.
-      refuse: 'late' (what can't be answered in time, or without keys about
-        within its goal), 'patience' (what can't be answered in time), 'goal'
-        (what can't be answered within its goal) or 'never'.
+      refuse: 'late' (what can't be answered in time), 'goal' (what can't be
+        answered within its goal) or 'never'.
     """
 
     name: str
@@ -240,16 +239,10 @@
     def _judge(self, job: Job, expected: float, full: bool) -> float | None:
         if self.policy.refuse == 'never':
             return None
-        shape = self.shape
-        limit = (shape.goal_ms
-                 if self.policy.refuse == 'goal' else shape.patience_ms)
-        useful_ms = math.inf
-        if self.policy.refuse == 'late' and not shape.keyed:
-            # Who comes back doesn't say how long ago it began.
-            useful_ms = waiting.find_useful(shape.goal_ms, 0.0)
+        limit = (self.shape.goal_ms
+                 if self.policy.refuse == 'goal' else self.shape.patience_ms)
         return waiting.judge(
-            waiting.Prospect(expected, full, job.born + limit - self.now,
-                             useful_ms))
+            waiting.Prospect(expected, full, job.born + limit - self.now))
 
     def _refuse(self, job: Job, back: float) -> None:
         left = job.born + self.shape.patience_ms - self.now
@@ -382,17 +375,6 @@
 _HOT_KEY = ((8, 13, 0.25, 1), (16, 20, 0.3, 1))
 _BURST = (10, 14, 1.7)
 _vary = dataclasses.replace
-_CANCELS = Shape('cancels, steady',
-                 120,
-                 78,
-                 250,
-                 1_000,
-                 0.1, (0.5, 1.0, 1.0, 1.5) * 2,
-                 False,
-                 8,
-                 spread=0.3,
-                 tail=(0.01, 5),
-                 way_ms=10.0)
 
 _BALANCES = Shape('balances, steady',
                   290,
@@ -423,8 +405,4 @@
     _vary(_SHIFTS_STEADY, name='shifts, burst', per_s=65, burst=_BURST),
     _ORDERS_STEADY,
     _vary(_ORDERS_STEADY, name='orders, burst', per_s=120, burst=_BURST),
-    _vary(_CANCELS,
-          name='cancels, few servers',
-          speeds=(0.5, 1.0, 1.0, 0.5, 1.0, 1.0)),
-    _vary(_CANCELS, name='cancels, burst', burst=(10, 14, 1.8)),
 )
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -5,8 +5,6 @@
 can't be served in time is refused at once.
 """
 
-import math
-
 from lentilmoor import clocks
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
@@ -84,12 +82,8 @@
 def _check_time(run: requests.Run, choice: placement.Choice,
                 now: float) -> placement.Choice | outcomes.NotRun:
     """Refuses at once what can't be served in time."""
-    useful_ms = math.inf
-    if not run.service.keyed and not run.sent:
-        useful_ms = waiting.find_useful(run.route.goal_ms,
-                                        now - run.request.arrived_at)
     prospect = waiting.Prospect(choice.expected_ms, choice.full,
-                                run.until - now, useful_ms)
+                                run.until - now)
     back_ms = waiting.judge(prospect)
     if back_ms is None:
         return choice
--- a/tests/test_edge_routing.py
+++ b/tests/test_edge_routing.py
@@ -157,6 +157,13 @@
     def test_what_can_be_answered_in_time_may_wait(self):
         self.assertIsNone(waiting.judge(waiting.Prospect(400.0, False, 450.0)))
 
+    def test_work_that_takes_longer_than_its_goal_is_no_reason_to_refuse(self):
+        # A limit by the goal turned all requests of such a service away.
+        goal_ms, work_ms = 250.0, 800.0
+        self.assertGreater(work_ms, goal_ms)
+        self.assertIsNone(
+            waiting.judge(waiting.Prospect(work_ms, False, 2_000.0)))
+
     def test_what_cannot_is_told_when_to_come_back(self):
         back = waiting.judge(waiting.Prospect(900.0, False, 450.0))
         self.assertEqual(back, 450.0)
