--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -168,8 +168,8 @@
 def take_news(follower: Follower, heard: tables.News) -> None:
     """Takes in what the hub told; looks at the store if that can't be used.
 
-    It never waits for a watch: beside one that was not answered, an entry kept
-    to a configuration for 4.6 s after the next one was in force.
+    It never waits for a watch: one that is not answered holds nothing up for
+    the 3.3 s after which it counts as lost.
     """
     with follower.lock:
         seen = follower.seen
