--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -149,11 +149,15 @@
         if follower.seen is not None and (found.revision
                                           < follower.seen.revision):
             return
-        follower.seen = found
-        follower.reporter.forwarder.followed = found.revision
+        _note_seen(follower, found)
         follower.take(found, heard)
 
 
+def _note_seen(follower: Follower, found: ports.Everything) -> None:
+    follower.seen = found
+    follower.reporter.forwarder.followed = found.revision
+
+
 def _await_look(follower: Follower, number: int) -> None:
     """Waits until it is time to look at the store."""
     began = follower.clock.now()
@@ -203,8 +207,7 @@
     if merged is None:
         return None
     if not heard.changes:
-        follower.seen = merged
-        follower.reporter.forwarder.followed = merged.revision
+        _note_seen(follower, merged)
         return merged
     follower.logger.info('news_heard',
                          revision=merged.revision,
--- a/lentilmoor/platform/fields.py
+++ b/lentilmoor/platform/fields.py
@@ -8,7 +8,6 @@
 
 BOOT_VARIABLE = 'LENTILMOOR_BOOT'
 CALLERS = 'Listen.Front'
-STORE = 'Platform.Addr'
 
 
 def find_path() -> str:
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -40,7 +40,7 @@
                _take_number(fields, 'Limits.Cores')),
         link_mbps=_take_number(fields, 'Limits.LinkMbps'),
         bounds=bounds)
-    return settings, _take_address(fields, fields_module.STORE)
+    return settings, _take_address(fields, 'Platform.Addr')
 
 
 def _find_host(fields: dict[str, str]) -> str:
