See whether the hub keeps up, how reports and reads fare, and how old news are when used

Change: lines control_late, report_lost, report_slow, reply_held, store_read, sent_by_old_news, each bounded; metrics news_age_ms, control_late_ms, control_steps, control_step_ms. No decision changes.

--- a/lentilmoor/edge/beliefs.py
+++ b/lentilmoor/edge/beliefs.py
@@ -33,6 +33,23 @@
         default_factory=loads.LoadTable)
 
 
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Whether the actor keeps up with its messages.
+
+    Attributes:
+      steps: How often it worked out what is due.
+      step_ms: Time that this took in all.
+      late_ms: How long its last tick waited to be taken.
+      told_at: When a line last said that it is late, ms.
+    """
+
+    steps: int = 0
+    step_ms: float = 0.0
+    late_ms: float = 0.0
+    told_at: float = float('-inf')
+
+
 @dataclasses.dataclass(slots=True)
 class Beliefs:
     """All that the actor owns.
@@ -56,6 +73,7 @@
       entry_keeping: Whether a call for it is under way.
       doubted: Whether the store didn't answer the last renewal.
       leaving: Whether the entry is about to end.
+      pace: Whether the actor keeps up.
     """
 
     instance: str
@@ -77,6 +95,7 @@
     entry_keeping: bool = False
     doubted: bool = False
     leaving: bool = False
+    pace: Pace = dataclasses.field(default_factory=Pace)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -31,6 +31,9 @@
 SERVER_THREADS = 12
 # A release is answered when the work under way has ended.
 RELEASE_THREADS = 16
+# A tick that waited for longer is told, at most once in the second figure.
+LATE_MS = 250.0
+LATE_AGAIN_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,7 +58,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
-    """Time has passed."""
+    """Time has passed.
+
+    Attributes:
+      sent_at: When it was sent, ms.
+    """
+
+    sent_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +145,8 @@
             self._publish()
         elif isinstance(message, Leave):
             leases.end(self._context, message.done)
+        elif isinstance(message, Tick):
+            self._note_late(message)
         self._work()
 
     def on_failure(self, exception_type, exception_value, traceback) -> None:
@@ -144,10 +155,29 @@
                            exc_info=(exception_type, exception_value,
                                      traceback))
 
+    def _note_late(self, tick: Tick) -> None:
+        """Tells if messages wait: all that this entry decides is late then."""
+        pace, now = self._owned.pace, self._clock.now()
+        pace.late_ms = now - (now if tick.sent_at is None else tick.sent_at)
+        if pace.late_ms < LATE_MS or now - pace.told_at < LATE_AGAIN_MS:
+            return
+        pace.told_at = now
+        self._logger.warning('control_late',
+                             late_ms=round(pace.late_ms),
+                             waiting=self.actor_inbox.qsize(),
+                             steps=pace.steps,
+                             step_ms=round(pace.step_ms))
+
     def _work(self) -> None:
         now = self._clock.now()
         if self._owned.everything is None:
             return
+        self._work_at(now)
+        pace = self._owned.pace
+        pace.steps += 1
+        pace.step_ms += self._clock.now() - now
+
+    def _work_at(self, now: float) -> None:
         self._expire_servers(now)
         leases.keep(self._context, now)
         for name, role in self._owned.roles.items():
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -39,6 +39,8 @@
 LAST_MS = 400.0
 READY_PATH = '/-/readyz'
 METRICS_PATH = '/metrics'
+# A page that took longer to write held a thread: who asked doesn't read.
+SLOW_WRITE_MS = 100.0
 _LOOK_MS = 50.0
 
 
@@ -57,6 +59,7 @@
       reporter: Exchanges reports with the other entries.
       listeners: HTTP servers.
       follower: Follows the store.
+      pace: Whether the control actor keeps up.
       leaving: Set when the process is to end.
     """
 
@@ -71,6 +74,7 @@
     listeners: list[listening.Listener] = dataclasses.field(
         default_factory=list)
     follower: following.Follower | None = None
+    pace: beliefs.Pace | None = None
     leaving: threading.Event = dataclasses.field(
         default_factory=threading.Event)
 
@@ -124,8 +128,10 @@
     forwarder = requests.Forwarder(clock, platform, logger, rules)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
                   measures.Measures(clock))
+    owned = beliefs.Beliefs(instance)
+    entry.pace = owned.pace
     entry.actor = control.Control.start(
-        beliefs.Beliefs(instance), forwarder, platform, logger,
+        owned, forwarder, platform, logger,
         lambda: following.follow_again(entry.follower))
     entry.reporter = reporting.Reporter(
         instance, forwarder, httpcalls.Caller(clock, 1, socket_options),
@@ -146,29 +152,41 @@
     ready = listening.make_listener(
         platform.settings.ready,
         listening.make_page_gateway(
-            {READY_PATH: functools.partial(_show_ready, entry)}), PAGE_THREADS,
-        log_error)
+            {READY_PATH: functools.partial(_show_ready, entry)}, clock),
+        PAGE_THREADS, log_error)
     peers = listening.make_listener(
         platform.settings.control,
-        listening.make_page_gateway({
-            reporting.PATH:
-                functools.partial(_take_report, entry),
-            reporting.STATE_PATH:
-                lambda unused_body:
-                (200, platform.store.dump(), 'application/json'),
-        }), PAGE_THREADS, log_error)
+        listening.make_page_gateway(
+            {
+                reporting.PATH:
+                    functools.partial(_take_report, entry),
+                reporting.STATE_PATH:
+                    lambda unused_body:
+                    (200, platform.store.dump(), 'application/json'),
+            }, clock, functools.partial(_note_write, logger)), PAGE_THREADS,
+        log_error)
     entry.listeners = [callers, ready, peers]
     return entry
 
 
+def _note_write(logger: logs.Logger, peer: str, size: int,
+                took_ms: float) -> None:
+    """Tells of a peer that takes its reply slowly, and so holds a thread."""
+    if took_ms >= SLOW_WRITE_MS:
+        logger.info('reply_held',
+                    peer=peer,
+                    reply_bytes=size,
+                    took_ms=round(took_ms))
+
+
 def _serve_metrics(entry: Entry) -> None:
     """Serves metrics; an entry works without them if their port is taken."""
     address = entry.platform.settings.metrics
     listener = listening.make_listener(
         address,
         listening.make_page_gateway(
-            {METRICS_PATH: functools.partial(_show_metrics, entry)}), 1,
-        listening.make_error_log(entry.logger))
+            {METRICS_PATH: functools.partial(_show_metrics, entry)},
+            entry.clock), 1, listening.make_error_log(entry.logger))
     try:
         listener.prepare()
     except OSError as error:
@@ -195,6 +213,14 @@
             float(sum(len(rows) for rows in entry.forwarder.unserved.values())),
         'store_watches':
             float(entry.follower.begun),
+        'news_age_ms':
+            requests.find_news_age(entry.forwarder),
+        'control_late_ms':
+            entry.pace.late_ms,
+        'control_steps':
+            float(entry.pace.steps),
+        'control_step_ms':
+            entry.pace.step_ms,
     }
     return 200, entry.measures.show(gauges), 'text/plain; version=0.0.4'
 
@@ -263,7 +289,7 @@
 def _tick(entry: Entry) -> None:
     while True:
         clocks.pause(control.TICK_MS)
-        entry.actor.tell(control.Tick())
+        entry.actor.tell(control.Tick(entry.clock.now()))
         following.check(entry.follower)
 
 
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -36,6 +36,9 @@
 # A hub that fell silent may have ended: whoever takes its place is to know soon
 # after its lease has run out, or grants run out before they are renewed.
 LOST_HUB_MS = 4_000.0
+# A read of the store that took longer is told, as is one that failed. A watch
+# waits for a change, of which there is one in nearly each second.
+SLOW_READ_MS = 1_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +127,7 @@
         whole = seen is None or follower.whole
         _note_doing(follower, 'load' if whole else 'watch')
         found = store.load() if whole else store.watch(seen)
+        _note_read(follower, found)
         if number != follower.begun:
             return
         if isinstance(found, outcomes.Failed):
@@ -140,6 +144,22 @@
         _await_look(follower, number)
 
 
+def _note_read(follower: Follower,
+               found: ports.Everything | outcomes.Failed) -> None:
+    """Tells of a read of the store that failed or was slow."""
+    what, since = follower.doing
+    took_ms = follower.clock.now() - since
+    failed = isinstance(found, outcomes.Failed)
+    if not failed and took_ms < SLOW_READ_MS:
+        return
+    follower.logger.info('store_read',
+                         what=what,
+                         outcome=found.reason.value if failed else 'done',
+                         took_ms=round(took_ms),
+                         since=follower.seen.revision if follower.seen else 0,
+                         revision=0 if failed else found.revision)
+
+
 def _note_doing(follower: Follower, what: str) -> None:
     follower.doing = (what, follower.clock.now())
 
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -32,6 +32,10 @@
 # 800. An entry of 60 on a small machine once took 0.6 s to know it.
 START_WAIT_PART = 0.15
 BLOCKED_RETRY_MS = 30_000
+# A request that is sent by older news is told: a server may have left
+# meanwhile. At most one line in the second figure, as there may be many.
+OLD_NEWS_MS = 1_500.0
+OLD_NEWS_AGAIN_MS = 100.0
 
 _Reason = outcomes.Reason
 
@@ -129,6 +133,7 @@
         # A connection may take 0.5 s on a small machine, in which news come.
         if not picks.may_send(forwarder, run.service, server.id):
             return None
+        _note_old_news(forwarder, request, server)
         headers = dict(request.headers)
         forwarder.platform.dialect.mark(headers, server.name or server.id,
                                         run.until - forwarder.clock.now())
@@ -164,6 +169,21 @@
                                  now - sent_at)
 
 
+def _note_old_news(forwarder: requests.Forwarder, request: requests.Request,
+                   server: tables.Server) -> None:
+    """Tells of a request that is sent by news that may be too old."""
+    age_ms, now = requests.find_news_age(forwarder), forwarder.clock.now()
+    if (age_ms < OLD_NEWS_MS or
+            now - forwarder.old_news_told_at < OLD_NEWS_AGAIN_MS):
+        return
+    forwarder.old_news_told_at = now
+    forwarder.logger.info('sent_by_old_news',
+                          request=request.fields.request_id,
+                          server=server.id,
+                          news_age_ms=round(age_ms),
+                          age_ms=round(now - request.arrived_at))
+
+
 def _enter(
         forwarder: requests.Forwarder, service: tables.Service,
         server: tables.Server
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -30,6 +30,8 @@
 Note = Callable[[requests.Request, requests.Outcome], None]
 Page = Callable[[bytes], tuple[int, bytes, str]]
 """(body) -> status, body and content type of a page."""
+NoteWrite = Callable[[str, int, float], None]
+"""(address of who asked, bytes, ms) takes in how long a page took to write."""
 
 
 class Listener(cheroot_server.HTTPServer):
@@ -122,8 +124,17 @@
     return CallerGateway
 
 
-def make_page_gateway(pages: dict[str, Page]) -> type[cheroot_server.Gateway]:
-    """Returns a gateway class for small pages by path."""
+def make_page_gateway(
+        pages: dict[str, Page],
+        clock: clocks.Clock,
+        note_write: NoteWrite | None = None) -> type[cheroot_server.Gateway]:
+    """Returns a gateway class for small pages by path.
+
+    Args:
+      pages: By path.
+      clock: Time.
+      note_write: Told how long each page took to write, if given.
+    """
 
     class PageGateway(cheroot_server.Gateway):
         """Answers one request for a page."""
@@ -136,11 +147,18 @@
                 length = int(self.req.inheaders.get(b'Content-Length', 0))
                 status, body, kind = page(
                     self.req.rfile.read(length) if length else b'')
-            responses.write_problem(
-                self.req,
-                problems.Problem(status, (('Content-Type', kind),
-                                          ('Content-Length', str(len(body)))),
-                                 body))
+            began = clock.now()
+            try:
+                responses.write_problem(
+                    self.req,
+                    problems.Problem(status,
+                                     (('Content-Type', kind),
+                                      ('Content-Length', str(len(body)))),
+                                     body))
+            finally:
+                if note_write is not None:
+                    note_write(self.req.conn.remote_addr, len(body),
+                               clock.now() - began)
 
     return PageGateway
 
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -34,6 +34,8 @@
 # A reply is waited for as long as two pauses at least: to an entry of 60 whose
 # link was full nothing came in 300 ms, and it kept to what it knew for 10 s.
 TIMEOUT_PAUSES = 2.0
+# A reply that took longer is told, as is one that didn't come.
+SLOW_MS = 500.0
 # Servers' times of work change slowly, and are a third of a reply.
 WORKS_MS = 1_000.0
 
@@ -184,16 +186,35 @@
           found: reports.Report) -> reports.Reply | None:
     if peer.instance == reporter.instance:
         return answer(reporter, found)
+    clock = reporter.forwarder.clock
     pause_ms = find_pause(len(reporter.forwarder.snapshot.entries))
-    result = reporter.caller.call(
-        peer.address,
-        httpcalls.Request('POST', PATH, reports.encode_report(found)),
-        max(TIMEOUT_MS, TIMEOUT_PAUSES * pause_ms))
+    data = reports.encode_report(found)
+    sent_at = clock.now()
+    result = reporter.caller.call(peer.address,
+                                  httpcalls.Request('POST', PATH, data),
+                                  max(TIMEOUT_MS, TIMEOUT_PAUSES * pause_ms))
+    _note_reply(reporter, peer, len(data), clock.now() - sent_at, result)
     if isinstance(result, outcomes.Failed) or result.status != 200:
         return None
     return reports.decode_reply(result.body)
 
 
+def _note_reply(reporter: Reporter, peer: ports.Peer, sent_bytes: int,
+                took_ms: float,
+                result: httpcalls.Reply | outcomes.Failed) -> None:
+    """Tells of a reply that didn't come, or was slow."""
+    failed = isinstance(result, outcomes.Failed)
+    if not failed and result.status == 200 and took_ms < SLOW_MS:
+        return
+    reporter.forwarder.logger.info(
+        'report_lost' if failed else 'report_slow',
+        hub=peer.instance,
+        reason=result.reason.value if failed else str(result.status),
+        took_ms=round(took_ms),
+        sent_bytes=sent_bytes,
+        reply_bytes=0 if failed else len(result.body))
+
+
 def _apply(reporter: Reporter, replies: list[reports.Reply]) -> None:
     """Takes in what the hubs told; what none tells any more is forgotten."""
     forwarder = reporter.forwarder
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -15,6 +15,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 
 
@@ -92,6 +93,8 @@
         hub.
       news: How far it has by itself.
       heard: How far the hub has, and what changed, as it told last.
+      old_news_told_at: When a line last told of a request that was sent by
+        old news, ms.
       lock: Guards states, pools and repeats.
     """
 
@@ -123,6 +126,7 @@
     followed: int = 0
     news: tables.News = tables.News()
     heard: tables.News = tables.News()
+    old_news_told_at: float = float('-inf')
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
     generator: random.Random = dataclasses.field(default_factory=random.Random)
 
@@ -160,6 +164,12 @@
         return self.route.repeat is tables.Repeat.IDEMPOTENT
 
 
+def find_news_age(forwarder: Forwarder) -> float:
+    """Returns how long ago an entry knew all that the store held, ms."""
+    known_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
+    return min(forwarder.clock.now() - known_at, reports.NEVER_MS)
+
+
 def fingerprint(request: Request) -> str:
     """Returns what tells a request from others, whoever sends it again."""
     digest = hashlib.blake2b(digest_size=8)
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -10,6 +10,7 @@
 from lentilmoor import clocks
 from lentilmoor import httpcalls
 from lentilmoor import linequeue
+from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyloads
@@ -209,8 +210,8 @@
         super().setUp()
         clock = clocks.ManualTime().clock()
         store = mock.Mock(**{'tell_news.return_value': b'news'})
-        self.forwarder = requests.Forwarder(clock, mock.Mock(store=store), None,
-                                            None)
+        self.forwarder = requests.Forwarder(clock, mock.Mock(store=store),
+                                            logs.make_logger('test'), None)
         peers = {
             'x': ports.Peer('e1', 'a:1'),
             'y': ports.Peer('e2', 'a:2'),
