Let peers that don't take their replies hold up no other

Cause: a reply to a report is written by the thread that answers; two threads answered all entries, and a peer whose link is full or cut held one for 10 s. Change: 16 threads for other entries, and a reply is given up when nothing of it was taken for 1 s.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -32,6 +32,12 @@
 # Requests answered at once; each waits for one server.
 CALLER_THREADS = 64
 PAGE_THREADS = 2
+# Other entries answered at once, and how long a reply is written at most. Who
+# doesn't take it holds a thread: with two threads and the library's 10 s, two
+# entries on full links kept the hub's news from all others for 10 s. A report
+# is given up by who sent it after some 1 s.
+PEER_THREADS = 16
+REPLY_WRITE_MS = 1_000.0
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
@@ -169,8 +175,8 @@
                 reporting.STATE_PATH:
                     lambda unused_body:
                     (200, platform.store.dump(), 'application/json'),
-            }, clock, functools.partial(_note_write, logger)),
-        PAGE_THREADS, log_error)
+            }, clock, functools.partial(_note_write, logger), REPLY_WRITE_MS),
+        PEER_THREADS, log_error)
     entry.listeners = [callers, ready, peers]
     return entry
 
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -127,13 +127,16 @@
 def make_page_gateway(
         pages: dict[str, Page],
         clock: clocks.Clock,
-        note_write: NoteWrite | None = None) -> type[cheroot_server.Gateway]:
+        note_write: NoteWrite | None = None,
+        write_ms: float | None = None) -> type[cheroot_server.Gateway]:
     """Returns a gateway class for small pages by path.
 
     Args:
       pages: By path.
       clock: Time.
       note_write: Told how long each page took to write, if given.
+      write_ms: A reader that takes nothing for so long is given up; the
+        library's time if None.
     """
 
     class PageGateway(cheroot_server.Gateway):
@@ -147,6 +150,8 @@
                 length = int(self.req.inheaders.get(b'Content-Length', 0))
                 status, body, kind = page(
                     self.req.rfile.read(length) if length else b'')
+            if write_ms is not None:
+                self.req.conn.socket.settimeout(write_ms / clocks.MS_PER_S)
             began = clock.now()
             try:
                 responses.write_problem(
@@ -159,6 +164,7 @@
                 if note_write is not None:
                     note_write(self.req.conn.remote_addr, len(body),
                                clock.now() - began)
+            self.req.conn.socket.settimeout(self.req.server.timeout)
 
     return PageGateway
 
