Count the age of news from the question

Cause: news that were 0.9 s under way counted as new when they came, so an entry that heard late went on by what it knew without looking at the store. Change: ages count from when the hub was asked. Figures: a reply 900 ms under way with news of 100 ms: 100 ms before, 1,000 ms after.

--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -63,6 +63,20 @@
     hear: Callable[[tables.News], None] = lambda unused_news: None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a hub replied.
+
+    Attributes:
+      reply: Its reply.
+      asked_at: When it was asked, ms: ages count from then, as the reply's way
+        may take long.
+    """
+
+    reply: reports.Reply
+    asked_at: float
+
+
 def report(reporter: Reporter) -> None:
     """Reports for as long as the process lives."""
     forwarder = reporter.forwarder
@@ -88,7 +102,7 @@
     wants_works = now - reporter.works_at >= WORKS_MS
     if wants_works:
         reporter.works_at = now
-    replies: list[reports.Reply] = []
+    replies: list[Told] = []
     rows = _take_rows(reporter.forwarder)
     crashed, cleared = _take_crashes(reporter.forwarder)
     for peer, services in peers.items():
@@ -98,9 +112,10 @@
             name: item.next_fence
             for name, item in reporter.forwarder.snapshot.assignments.items()
         }, crashed, cleared, reporter.forwarder.followed, wants_works)
+        asked_at = reporter.forwarder.clock.now()
         reply = _send(reporter, peer, found)
         if reply is not None:
-            replies.append(reply)
+            replies.append(Told(reply, asked_at))
     _apply(reporter, replies)
 
 
@@ -215,19 +230,20 @@
         reply_bytes=0 if failed else len(result.body))
 
 
-def _apply(reporter: Reporter, replies: list[reports.Reply]) -> None:
+def _apply(reporter: Reporter, replies: list[Told]) -> None:
     """Takes in what the hubs told; what none tells any more is forgotten."""
     forwarder = reporter.forwarder
     now = forwarder.clock.now()
     coordinated: dict[str, tables.Coordinated] = {}
     watched: set[str] = set()
     blocked: set[str] = set()
-    for reply in replies:
+    for told in replies:
+        reply = told.reply
         coordinated.update(reply.coordinated)
         watched.update(reply.watched)
         blocked.update(reply.blocked)
         _hear_assignments(reporter, reply)
-        heard = tables.News(reply.revision, now - reply.news_age_ms,
+        heard = tables.News(reply.revision, told.asked_at - reply.news_age_ms,
                             reply.since, reply.changes, reply.version)
         forwarder.heard = max(forwarder.heard,
                               heard,
