Tests that fail: what is large is told whole, in replies that are waited for briefly

Looked for elsewhere: what all need, in one exchange that is too large for its time limit. An entry that the store turns away asks a peer for all that it knows and waits 300 ms; the hub's news carry whole configurations to each entry.

--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -157,6 +157,54 @@
         self.assertEqual(found.configuration.version, 5)
         self.assertFalse(found.entries)
 
+    def test_a_peer_tells_what_changed_rather_than_all(self):
+        # All that the store holds with 250 servers and a large configuration
+        # doesn't come over a link of 10 Mbit/s in the 300 ms that were waited,
+        # and was asked for again and again by who the store turned away.
+        for number in range(200):
+            self.standin.put(f'lentilmoor/entry/e{number}',
+                             f'["e{number}", "a:1", false]'.encode())
+        known = self.store.load()
+        self.hub.load()
+        self.standin.put('op/config', platformhelp.make_configuration(4))
+        self.standin.put('lentilmoor/assignment/s', b'{"broken": 1}')
+        self.hub.watch(self.hub.load())
+        part = self.hub.dump(known.revision)
+        self.assertLess(len(part), len(self.hub.dump(0)) / 5)
+        self.assertIn('assignment/s', part.decode())
+        found = self.store.restore(part)
+        self.assertEqual(found.configuration.version, 4)
+        self.assertEqual(len(found.entries), 200)
+        self.assertIsNone(self.store.restore(part))
+
+    def test_what_begins_later_than_what_is_known_is_not_restored(self):
+        self.standin.put('op/config', platformhelp.make_configuration(4))
+        known = self.hub.load()
+        self.standin.put('op/config', platformhelp.make_configuration(5))
+        self.hub.watch(known)
+        part = self.hub.dump(known.revision)
+        self.assertIsNone(self.store.restore(part))
+        self.assertEqual(
+            self.store.restore(self.hub.dump(0)).configuration.version, 5)
+
+    def test_large_changes_are_read_from_the_store(self):
+        # The hub told 0.5 MB to each of 88 entries, in replies that are waited
+        # for 1.4 s at most; from then on its news reached nobody.
+        route = platformhelp.make_configuration()['Routes']['report']
+        routes = {
+            f'r{number}': route | {
+                'Prefix': f'/r{number}/'
+            } for number in range(1_400)
+        }
+        self.standin.put('op/config',
+                         platformhelp.make_configuration(4, **routes))
+        heard = self._hear(self.first.revision)
+        self.assertTrue(heard.changes is None)
+        self.follower.seen = self.first
+        following.take_news(self.follower, heard)
+        self.assertTrue(self.follower.hurried.is_set())
+        self.assertEqual(self.store.watch(self.first).configuration.version, 4)
+
     def test_who_lacks_the_configuration_of_the_hub_reads_all(self):
         following.take_news(self.follower, tables.News(99, 0.0, 0, b'', 4))
         self.assertFalse(self.follower.hurried.is_set())
