Give up a peer that can't be connected to after 300 ms, as before

Cause: with 2.5 s for a reply, a peer without power would hold the thread that follows the store for 2.5 s, in place of 300 ms. Change: a call may have a limit for its connection alone. Figures: a connection that doesn't come about is given up after 100 ms of 5 s (test); it would have taken the 5 s.

--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -197,7 +197,8 @@
     result = reporter.caller.call(
         address,
         httpcalls.Request('POST', STATE_PATH,
-                          str(forwarder.followed).encode()), STATE_MS)
+                          str(forwarder.followed).encode()), STATE_MS,
+        TIMEOUT_MS)
     if isinstance(result, outcomes.Failed) or result.status != 200:
         return None
     return forwarder.platform.store.restore(result.body)
--- a/lentilmoor/httpcalls.py
+++ b/lentilmoor/httpcalls.py
@@ -76,14 +76,18 @@
         pool = self._pools.get(address)
         return pool is not None and pool.num_requests > 0
 
-    def call(self, address: str, request: Request,
-             timeout_ms: float) -> Reply | outcomes.Failed:
+    def call(self,
+             address: str,
+             request: Request,
+             timeout_ms: float,
+             connect_ms: float | None = None) -> Reply | outcomes.Failed:
         """Makes one call.
 
         Args:
           address: host:port.
           request: What to send.
           timeout_ms: Time limit from now to the end of the reply.
+          connect_ms: Time limit of a new connection; `timeout_ms` if None.
         """
         pool = self._find(address)
         ends = self._clock.now() + timeout_ms
@@ -92,8 +96,8 @@
                                     request.target,
                                     body=request.body,
                                     headers=request.headers,
-                                    timeout=urllib3.Timeout(total=timeout_ms /
-                                                            clocks.MS_PER_S),
+                                    timeout=_make_timeout(
+                                        timeout_ms, connect_ms),
                                     retries=False,
                                     redirect=False,
                                     preload_content=False)
@@ -144,3 +148,11 @@
                 return None
         response.release_conn()
         return b''.join(blocks)
+
+
+def _make_timeout(timeout_ms: float,
+                  connect_ms: float | None) -> urllib3.Timeout:
+    limits = {'total': timeout_ms / clocks.MS_PER_S}
+    if connect_ms is not None:
+        limits['connect'] = connect_ms / clocks.MS_PER_S
+    return urllib3.Timeout(**limits)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import threading
+import time
 import unittest
 
 from lentilmoor import clocks
@@ -138,6 +139,18 @@
         self.assertEqual(
             caller.call(self.address, request, 100.0).reason, _Reason.TIMED_OUT)
 
+    def test_a_connection_that_does_not_come_about_has_a_limit_of_its_own(self):
+        caller = httpcalls.Caller(clocks.Clock(), 1)
+        request = httpcalls.Request('GET', servers.HEALTH_PATH)
+        with socket.create_server(('127.0.0.1', 0), backlog=0) as full:
+            host, port = full.getsockname()
+            waiting = socket.create_connection((host, port), 1.0)
+            self.addCleanup(waiting.close)
+            began = time.monotonic()
+            lost = caller.call(f'{host}:{port}', request, 5_000.0, 100.0)
+            self.assertLess(time.monotonic() - began, 1.0)
+        self.assertEqual(lost.reason, _Reason.CONNECT_FAILED)
+
     def call_at_once(self, caller, limit_ms):
         """Makes three calls that are all under way at the same time."""
         request = httpcalls.Request('GET', servers.HEALTH_PATH)
