Test that fails: large news are read as a whole, by who has room they are told

Versions in quick succession, each with the large configuration, come to small entries seconds late. A watch answers with each of the versions since; five of 0.6 MB are 3 MB, more than a link of 10 Mbit/s brings in the 3.3 s of a watch.

--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -24,6 +24,9 @@
 from standins import platform_store
 from tests import platformhelp
 
+# More than any news here.
+_ROOM = 2**20
+
 
 def _make_everything(revision: int, version: int = 1) -> ports.Everything:
     configuration = tables.Configuration(version, {}, {}, tables.CallerLimits())
@@ -67,7 +70,7 @@
     def _hear(self, since: int) -> tables.News:
         known = self.hub.watch(self.hub_first)
         return tables.News(known.revision, 0.0, since,
-                           self.hub.tell_news(since))
+                           self.hub.tell_news(since, _ROOM))
 
     def test_news_bring_what_changed(self):
         self.standin.put('op/config', platformhelp.make_configuration(4))
@@ -90,13 +93,13 @@
     def test_what_is_too_long_ago_is_not_told(self):
         self.standin.put('op/config', platformhelp.make_configuration(4))
         self.hub.watch(self.hub_first)
-        self.assertIsNone(self.hub.tell_news(self.first.revision - 1))
-        self.assertIsNotNone(self.hub.tell_news(self.first.revision))
+        self.assertIsNone(self.hub.tell_news(self.first.revision - 1, _ROOM))
+        self.assertIsNotNone(self.hub.tell_news(self.first.revision, _ROOM))
         for number in range(views.MOST_NEWS + 5):
             self.standin.put('lentilmoor/entry/e',
                              f'["e{number}", "a:1", false]'.encode())
         self.hub.watch(self.hub_first)
-        self.assertIsNone(self.hub.tell_news(self.first.revision))
+        self.assertIsNone(self.hub.tell_news(self.first.revision, _ROOM))
 
     def test_what_does_not_parse_is_not_used(self):
         heard = tables.News(99, 0.0, self.first.revision, b'{"x": 1')
@@ -136,7 +139,7 @@
         following.take_news(
             self.follower,
             tables.News(known.revision, 0.0, self.first.revision,
-                        self.hub.tell_news(self.first.revision)))
+                        self.hub.tell_news(self.first.revision, _ROOM)))
         self.assertLess(time.monotonic() - began, 0.5)
         self.assertEqual(self.taken[-1].configuration.version, 4)
         self.follower.begun = 2
@@ -152,7 +155,7 @@
         self.standin.forget()
         whole = self.hub.load()
         heard = tables.News(whole.revision, 0.0, self.first.revision,
-                            self.hub.tell_news(self.first.revision))
+                            self.hub.tell_news(self.first.revision, _ROOM))
         found = following.merge_news(self.follower, self.first, heard)
         self.assertEqual(found.configuration.version, 5)
         self.assertFalse(found.entries)
@@ -198,12 +201,27 @@
         }
         self.standin.put('op/config',
                          platformhelp.make_configuration(4, **routes))
-        heard = self._hear(self.first.revision)
-        self.assertTrue(heard.changes is None)
-        self.follower.seen = self.first
-        following.take_news(self.follower, heard)
+        known = self.hub.watch(self.hub_first)
+        since = self.first.revision
+        self.assertTrue(self.hub.tell_news(since, 64 * 1024) is None)
+        self.assertIn(b'op/config', self.hub.tell_news(since, _ROOM))
+        self.follower.seen, self.follower.whole = self.first, False
+        following.take_news(self.follower,
+                            tables.News(known.revision, 0.0, since, None))
+        # Not by a watch: it answers with each of the versions since, which at
+        # five of them was more than a link of 10 Mbit/s brings in its 3.3 s.
+        self.assertTrue(self.follower.whole)
+        self.assertTrue(self.follower.hurried.is_set())
+        self.assertEqual(self.store.load().configuration.version, 4)
+
+    def test_after_a_gap_a_watch_brings_the_rest(self):
+        self.follower.seen, self.follower.whole = self.first, False
+        following.take_news(
+            self.follower,
+            tables.News(self.first.revision + 9, 0.0, self.first.revision + 5,
+                        b''))
+        self.assertFalse(self.follower.whole)
         self.assertTrue(self.follower.hurried.is_set())
-        self.assertEqual(self.store.watch(self.first).configuration.version, 4)
 
     def test_who_lacks_the_configuration_of_the_hub_reads_all(self):
         following.take_news(self.follower, tables.News(99, 0.0, 0, b'', 4))
