Log: a read of the store names the revision that it was asked from

Cause: store_read named what was known when the read came back. Change: the revision handed to the read is logged. No decision changes.

--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -127,7 +127,7 @@
         whole = seen is None or follower.whole
         _note_doing(follower, 'load' if whole else 'watch')
         found = store.load() if whole else store.watch(seen)
-        _note_read(follower, found)
+        _note_read(follower, seen, found)
         if number != follower.begun:
             return
         if isinstance(found, outcomes.Failed):
@@ -144,7 +144,7 @@
         _await_look(follower, number)
 
 
-def _note_read(follower: Follower,
+def _note_read(follower: Follower, seen: ports.Everything | None,
                found: ports.Everything | outcomes.Failed) -> None:
     """Tells of a read of the store that failed or was slow."""
     what, since = follower.doing
@@ -156,7 +156,7 @@
                          what=what,
                          outcome=found.reason.value if failed else 'done',
                          took_ms=round(took_ms),
-                         since=follower.seen.revision if follower.seen else 0,
+                         since=seen.revision if seen else 0,
                          revision=0 if failed else found.revision)
 
 
