Model of the hub: ages of grants are of each key, not of where a range began

Cause: a range that was granted as a part of a larger one, and then cut off, was counted from when a range that began with the same key was last granted. Trace: keys 21131 to 21139 of one server, granted at 7,550 ms and 8,325 ms within 21101 to 21139, were counted from 7,375 ms on, as 1,725 ms, when they were cut off at 8,555 ms. Seen when the coordinator began 1,620 ms to 1,650 ms after the first server. Change: each key has the time of the last grant that covered it; all keys count, so the check of 1,500 ms is the stricter.

--- a/benchmarks/edge_hub.py
+++ b/benchmarks/edge_hub.py
@@ -67,8 +67,7 @@
       owned: What the actor believes.
       saved: The last assignment that it saved.
       silent: Servers that answer nothing.
-      granted: Who was last granted the range that begins with a key, and when,
-        ms.
+      granted: Who was last granted each key, and when, ms; None before.
     """
 
     def __init__(self, entries: int, keyed: int, others: int):
@@ -85,7 +84,7 @@
         self._numbers = itertools.count()
         self._took_ms = ANSWER_MS
         self.silent: set[str] = set()
-        self.granted: dict[int, tuple[str, float]] = {}
+        self.granted: list[tuple[str, float] | None] = [None] * tables.KEYS
         self.saved: keyranges.Assignment | None = None
         self.owned = beliefs.Beliefs(_HUB)
         self._everything = _make_everything(entries, keyed, others)
@@ -134,7 +133,9 @@
         if grant.server.id in self.silent:
             self._took_ms = SILENT_MS
             return ownership.Answer.UNKNOWN
-        self.granted[grant.item.first] = (grant.server.id, self._time.at)
+        first, last = grant.item.first, grant.item.last
+        self.granted[first:last + 1] = [(grant.server.id, self._time.at)
+                                       ] * (last + 1 - first)
         return ownership.Answer.DONE
 
     def _release(self,
@@ -175,13 +176,17 @@
     def find_oldest_grant(self) -> float:
         """Returns how long ago a server that answers was last granted, ms.
 
-        The longest such time of all its ranges that were not moved since.
+        The longest such time of all keys that were not moved since. Ranges may
+        have been joined or cut meanwhile, so each key counts by itself.
         """
-        return max(self.now - at
-                   for first, (name, at) in self.granted.items()
-                   if name not in self.silent and
-                   keyranges.find_owner(self.saved, first).server == name and
-                   keyranges.find_owner(self.saved, first).first == first)
+        oldest = self.now
+        for item in self.saved.ranges:
+            if item.server in self.silent:
+                continue
+            for known in self.granted[item.first:item.last + 1]:
+                if known is not None and known[0] == item.server:
+                    oldest = min(oldest, known[1])
+        return self.now - oldest
 
     def drain(self, name: str) -> None:
         """Lists a server as leaving."""
