--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,8 @@
 # Seeded and in simulated time, or by processor time; then by wall clock.
 NAMES = ('ownership', 'balance', 'liveness', 'successors', 'admission',
          'retries', 'quarantine', 'claims', 'spread', 'membership',
-         'connections', 'edge', 'instruments', 'peers', 'slopes', 'speed')
+         'connections', 'edge', 'edge_spread', 'instruments', 'peers', 'slopes',
+         'speed')
 
 
 def main(arguments: list[str]) -> int:
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -7,8 +7,10 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from concurrent import futures
 import dataclasses
+import itertools
 import threading
 
 import pykka
@@ -41,6 +43,8 @@
 SERVER_THREADS = 64
 # A release is answered when the work under way has ended.
 RELEASE_THREADS = 16
+# Servers that one line names.
+MOST_NAMED = 20
 # A tick that waited for longer is told, at most once in the second figure.
 LATE_MS = 250.0
 LATE_AGAIN_MS = 1_000.0
@@ -143,9 +147,8 @@
         self._clock = forwarder.clock
         # Servers that don't answer must not keep leases from being kept.
         self._store_calls = futures.ThreadPoolExecutor(STORE_THREADS, 'store')
-        settings = platform.settings
         self._context = beliefs.Context(
-            ports.Peer(owned.instance, settings.control, settings.small),
+            ports.make_peer(owned.instance, platform.settings),
             owned,
             forwarder,
             platform,
@@ -247,7 +250,8 @@
         everything = self._leave_out_unconfigured(
             _keep_newer(before, everything))
         owned.everything = everything
-        self._take_servers(before, everything, now)
+        self._take_servers(everything, now)
+        self._log_servers(before, everything, heard)
         configuration = everything.configuration
         if configuration is not None and (before is None or before.configuration
                                           is not configuration):
@@ -260,25 +264,9 @@
         elections.follow_rivals(self._context)
         self._publish()
 
-    def _take_servers(self, before: ports.Everything | None,
-                      everything: ports.Everything, now: float) -> None:
+    def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
-        known = before.servers if before else {}
-        if not before:
-            # One line for all: 262 of them took 40 ms of a start, and the
-            # places of the lines on requests.
-            self._logger.info('servers_known',
-                              servers=len(everything.servers),
-                              revision=everything.revision)
         for name, server in everything.servers.items():
-            if before and (known.get(name) is not server or
-                           name not in owned.servers):
-                self._logger.info('server_seen',
-                                  server=name,
-                                  service=server.service,
-                                  address=server.address,
-                                  draining=server.draining,
-                                  revision=everything.revision)
             if name not in owned.servers:
                 self._end_predecessors(server)
             owned.servers[name] = server
@@ -292,6 +280,38 @@
                 owned.servers[name] = dataclasses.replace(owned.servers[name],
                                                           unlisted_at=now)
 
+    def _log_servers(self, before: ports.Everything | None,
+                     everything: ports.Everything, heard: bool) -> None:
+        """Tells of servers that changed.
+
+        Each is told by who read the store; the others name them in one line,
+        or the lines would grow with entries times servers.
+        """
+        known = before.servers if before else {}
+        changed = [
+            server for name, server in everything.servers.items()
+            if known.get(name) is not server
+        ]
+        if not before:
+            self._logger.info('servers_known',
+                              servers=len(changed),
+                              revision=everything.revision)
+        elif heard and changed:
+            self._logger.info(
+                'servers_heard',
+                servers=len(changed),
+                draining=_name_some(item for item in changed if item.draining),
+                ready=_name_some(item for item in changed if not item.draining),
+                revision=everything.revision)
+        else:
+            for server in changed:
+                self._logger.info('server_seen',
+                                  server=server.id,
+                                  service=server.service,
+                                  address=server.address,
+                                  draining=server.draining,
+                                  revision=everything.revision)
+
     def _end_predecessors(self, server: tables.Server) -> None:
         owned = self._owned
         for other in [*owned.servers.values(), *owned.left.values()]:
@@ -325,7 +345,9 @@
         for name in gone:
             del owned.missing[name]
             owned.left[name] = owned.servers.pop(name)
-            self._logger.info('server_gone', server=name)
+        self._logger.info('servers_gone',
+                          count=len(gone),
+                          servers=gone[:MOST_NAMED])
         self._publish()
         self._forget(gone)
 
@@ -378,6 +400,10 @@
                 role.measured.add(rows, self._clock.now())
 
 
+def _name_some(servers: Iterable[tables.Server]) -> list[str]:
+    return [server.id for server in itertools.islice(servers, MOST_NAMED)]
+
+
 def find_pause(servers: int) -> float:
     """Returns the pause between two steps of the actor, ms."""
     return min(TICK_MS, max(STEP_MS, STEP_PER_SERVER_MS * servers))
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -27,16 +27,17 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import subscriptions
 from lentilmoor.edge import tables
 
-# Requests answered at once; each waits for one server.
-CALLER_THREADS = 64
-PAGE_THREADS = 2
+# Requests answered at once, at first and at most; each waits for one server.
+CALLER_THREADS = (16, 64)
+PAGE_THREADS = (2, 2)
 # Other entries answered at once, and how long a reply is written at most. Who
 # doesn't take it holds a thread: with two threads and the library's 10 s, two
 # entries on full links kept the hub's news from all others for 10 s. A report
-# is given up by who sent it after some 1 s.
-PEER_THREADS = 16
+# is given up by who sent it after some 1 s. Requests for news wait in them.
+PEER_THREADS = (8, 16 + following.MOST_HELD)
 REPLY_WRITE_MS = 1_000.0
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
@@ -113,6 +114,7 @@
     following.follow_again(entry.follower)
     _start(functools.partial(_tick, entry))
     _start(functools.partial(reporting.report, entry.reporter))
+    _start(functools.partial(subscriptions.listen, entry.follower))
     logger.info('entry_started', callers=platform.settings.callers)
     while not entry.leaving.wait(1.0):
         pass
@@ -149,8 +151,8 @@
         instance, forwarder, httpcalls.Caller(clock, 1, socket_options),
         entry.actor.tell)
     entry.follower = following.Follower(
-        entry.reporter, platform.store, clock, logger,
-        functools.partial(_take_store, entry),
+        ports.make_peer(instance, platform.settings), entry.reporter,
+        platform.store, clock, logger, functools.partial(_take_store, entry),
         lambda reason: entry.actor.tell(control.StoreLost(reason)))
     entry.reporter.hear = functools.partial(following.take_news, entry.follower)
     log_error = listening.make_error_log(logger)
@@ -172,6 +174,7 @@
             {
                 reporting.PATH: functools.partial(_take_report, entry),
                 reporting.STATE_PATH: functools.partial(_show_state, entry),
+                subscriptions.PATH: functools.partial(_tell_news, entry),
             }, clock, functools.partial(_note_write, logger), REPLY_WRITE_MS),
         PEER_THREADS, log_error)
     entry.listeners = [callers, ready, peers]
@@ -195,7 +198,7 @@
         address,
         listening.make_page_gateway(
             {METRICS_PATH: functools.partial(_show_metrics, entry)},
-            entry.clock), 1, listening.make_error_log(entry.logger))
+            entry.clock), (1, 1), listening.make_error_log(entry.logger))
     try:
         listener.prepare()
     except OSError as error:
@@ -231,6 +234,8 @@
         'control_step_ms':
             entry.pace.step_ms,
     }
+    calls = entry.platform.store.count_calls()
+    gauges |= {f'store_calls_{kind}': float(calls[kind]) for kind in calls}
     return 200, entry.measures.show(gauges), 'text/plain; version=0.0.4'
 
 
@@ -281,7 +286,17 @@
     if body and not body.isdigit():
         return 400, b'', 'text/plain'
     dump = entry.platform.store.dump(int(body or 0))
-    return 200, dump, 'application/json'
+    return 200, dump, 'application/octet-stream'
+
+
+def _tell_news(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
+    asked = reports.decode_news_request(body)
+    if asked is None:
+        return 400, b'', 'text/plain'
+    reply = subscriptions.answer(entry.follower, asked)
+    if reply is None:
+        return 503, b'', 'text/plain'
+    return 200, reports.encode_news(reply), 'application/json'
 
 
 def _take_report(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -1,7 +1,8 @@
-"""Follows the store: by watches, by the hub's news, or by what peers know.
+"""Follows the store: by watches, by others' news, or by what peers know.
 
 One thread follows at a time. The hub watches for all; the others take in what
-it tells, and look at the store themselves when it tells nothing.
+they are told, by the hub or by their parent among the relays, and look at the
+store themselves when they are told nothing.
 """
 
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor.edge import ports
+from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
 from lentilmoor.edge import tables
 
@@ -26,10 +28,28 @@
 # often. Each look brings all heartbeats since the last one: with 230 servers
 # they came to 66 KB a second, half of a link of 10 Mbit/s for some moments.
 TOLD_PAUSE_MS = 6_000.0
+# Relays and those that they tell don't look while they are told.
+NEVER_MS = float('inf')
 # What the hub told counts for so long: it reports a few times as often, and a
 # hub that can't reach the store itself must not keep others from it.
 NEWS_FRESH_MS = 1_200.0
 NEWS_LOOK_MS = 50.0
+# An entry that relays tell looks at the store once none of them has answered
+# for the first figure, or none knew anything newer for the second: the store
+# is away then, and the relays try it more often.
+ALONE_MS = 2_500.0
+OUTDATED_MS = 5_000.0
+# Requests for news that wait for a change at a time; more are answered at once.
+MOST_HELD = 24
+# A start on a small machine asks larger ones for what the store holds, which is
+# 19 calls with 900 keys, for so long, with such pauses.
+LEARN_MS = 1_500.0
+LEARN_PAUSE_MS = 100.0
+# Larger entries that are asked between two looks at who is registered.
+LEARN_PEERS = 2
+# A configuration that others have in force is read from the store unless it
+# comes by news meanwhile.
+BEHIND_MS = 200.0
 # An entry that heard from nobody for so long begins to follow anew, whatever it
 # waits for: one of 60 did so for 10 s while its leases were kept.
 SILENT_MS = 4_000.0
@@ -46,6 +66,7 @@
     """What following the store needs.
 
     Attributes:
+      own: This entry, as the others know it.
       reporter: Exchanges reports with the hub.
       store: The store.
       clock: Time.
@@ -57,10 +78,17 @@
       began_at: When it was last begun, ms.
       doing: What the thread that follows is at, and since when, ms.
       whole: Whether the store is to be read as a whole.
+      wanted: Version of the configuration that others have in force.
+      wanted_at: When that was heard, ms.
       hurried: Whether to look at the store now.
+      place: This entry's place among the relays, if they tell it.
+      told_at: When one of them last answered, ms.
       lock: Guards `seen`: what is known is taken in by one thread at a time.
+      changed: Notified when something was taken in.
+      held: Counts requests for news that wait for that.
     """
 
+    own: ports.Peer
     reporter: reporting.Reporter
     store: ports.Store
     clock: clocks.Clock
@@ -72,9 +100,17 @@
     began_at: float = float('-inf')
     doing: tuple[str, float] = ('', 0.0)
     whole: bool = True
+    wanted: int = 0
+    wanted_at: float = float('-inf')
     hurried: threading.Event = dataclasses.field(
         default_factory=threading.Event)
+    place: relays.Place | None = None
+    told_at: float = float('-inf')
     lock: threading.RLock = dataclasses.field(default_factory=threading.RLock)
+    changed: threading.Condition = dataclasses.field(
+        default_factory=threading.Condition)
+    held: threading.Semaphore = dataclasses.field(
+        default_factory=lambda: threading.Semaphore(MOST_HELD))
 
 
 def follow_again(follower: Follower) -> None:
@@ -105,12 +141,22 @@
 
 
 def _find_silence(follower: Follower) -> float:
-    """Returns how long ago the store or the hub told something, ms."""
+    """Returns how long ago the store, the hub or a relay told something, ms.
+
+    What a relay tells may be old: while the store is away it knows no more.
+    """
     forwarder = follower.reporter.forwarder
     told_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
+    if _is_leaf(follower):
+        told_at = max(told_at, follower.told_at)
     return follower.clock.now() - told_at
 
 
+def _is_leaf(follower: Follower) -> bool:
+    """Returns whether relays tell this entry, and it isn't one of them."""
+    return follower.place is not None and not follower.place.relay
+
+
 def _begin(follower: Follower) -> None:
     follower.begun += 1
     follower.began_at = follower.clock.now()
@@ -121,29 +167,103 @@
 
 def follow(follower: Follower, number: int) -> None:
     """Follows the store until following was begun anew."""
-    store = follower.store
+    known = follower.seen is None and follower.own.small and _learn(follower)
     while number == follower.begun:
-        seen = follower.seen
-        whole = seen is None or follower.whole
-        _note_doing(follower, 'load' if whole else 'watch')
-        found = store.load() if whole else store.watch(seen)
-        _note_read(follower, seen, found)
-        if number != follower.begun:
-            return
-        if isinstance(found, outcomes.Failed):
-            _follow_loss(follower, found)
+        if not known and not _read(follower, number):
             continue
-        if whole:
-            follower.whole = False
-        if not follower.whole:
-            follower.hurried.clear()
-        follower.reporter.forwarder.news = tables.News(found.revision,
-                                                       follower.clock.now())
-        _take(follower, found, False)
+        known = False
         _note_doing(follower, 'wait')
         _await_look(follower, number)
 
 
+def _learn(follower: Follower) -> bool:
+    """Learns from an entry on a larger machine what the store holds.
+
+    So a start costs the store a call or two, and a slow link a part of the
+    bytes.
+
+    Returns:
+      Whether it did; if not, the store is to be read.
+    """
+    until = follower.clock.now() + LEARN_MS
+    while follower.clock.now() < until:
+        _note_doing(follower, 'learn')
+        found = follower.store.list_entries()
+        if isinstance(found, outcomes.Failed):
+            return False
+        for peer in _choose_larger(follower, found):
+            learned = reporting.ask_state(follower.reporter, peer.address, 0)
+            if learned is not None and learned.configuration is not None:
+                follower.logger.info('store_learned',
+                                     peer=peer.instance,
+                                     revision=learned.revision)
+                follower.whole = False
+                take(follower, learned, True)
+                return True
+        clocks.pause(LEARN_PAUSE_MS)
+    return False
+
+
+def _choose_larger(follower: Follower,
+                   found: list[ports.Peer]) -> list[ports.Peer]:
+    """Returns some entries on larger machines, near ones first."""
+    generator = follower.reporter.forwarder.generator
+    larger = [
+        peer for peer in found
+        if not peer.small and peer.address != follower.own.address
+    ]
+    larger.sort(key=lambda peer:
+                (peer.domain != follower.own.domain, generator.random()))
+    return larger[:LEARN_PEERS]
+
+
+def _read(follower: Follower, number: int) -> bool:
+    """Reads the store; returns whether what it holds was taken in."""
+    seen, store = follower.seen, follower.store
+    what = _find_read(follower)
+    _note_doing(follower, what)
+    if what == 'load':
+        found = store.load()
+    elif what == 'configuration':
+        found = store.load_configuration()
+    else:
+        found = store.watch(seen)
+    _note_read(follower, seen, found)
+    if number != follower.begun:
+        return False
+    if isinstance(found, outcomes.Failed):
+        _follow_loss(follower, found)
+        return False
+    if what == 'load':
+        follower.whole = False
+    if not follower.whole:
+        follower.hurried.clear()
+    if what != 'configuration':
+        follower.reporter.forwarder.news = tables.News(found.revision,
+                                                       follower.clock.now())
+    take(follower, found, False)
+    return True
+
+
+def _find_read(follower: Follower) -> str:
+    """Returns what to read of the store next."""
+    if follower.seen is None or follower.whole:
+        return 'load'
+    if _is_behind(follower):
+        return 'configuration'
+    return 'watch'
+
+
+def _find_version(seen: ports.Everything) -> int:
+    return seen.configuration.version if seen.configuration else 0
+
+
+def _is_behind(follower: Follower) -> bool:
+    """Returns whether others have a newer configuration in force."""
+    return (follower.seen is not None and
+            _find_version(follower.seen) < follower.wanted)
+
+
 def _note_read(follower: Follower, seen: ports.Everything | None,
                found: ports.Everything | outcomes.Failed) -> None:
     """Tells of a read of the store that failed or was slow."""
@@ -164,13 +284,38 @@
     follower.doing = (what, follower.clock.now())
 
 
-def _take(follower: Follower, found: ports.Everything, heard: bool) -> None:
+def take(follower: Follower, found: ports.Everything, heard: bool) -> None:
+    """Takes in what is known now, unless more is known already.
+
+    Args:
+      follower: Knows the rest.
+      found: What is known.
+      heard: Whether another entry told it.
+    """
     with follower.lock:
         if follower.seen is not None and (found.revision
                                           < follower.seen.revision):
             return
         _note_seen(follower, found)
         follower.take(found, heard)
+    with follower.changed:
+        follower.changed.notify_all()
+
+
+def await_change(follower: Follower, revision: int, hold_ms: float) -> None:
+    """Waits for a change since a revision, unless many do so already."""
+    if not follower.held.acquire(blocking=False):
+        return
+    until = follower.clock.now() + hold_ms
+    try:
+        with follower.changed:
+            while follower.seen is None or follower.seen.news <= revision:
+                left_ms = until - follower.clock.now()
+                if left_ms <= 0:
+                    return
+                follower.changed.wait(left_ms / clocks.MS_PER_S)
+    finally:
+        follower.held.release()
 
 
 def _note_seen(follower: Follower, found: ports.Everything) -> None:
@@ -185,12 +330,15 @@
         if follower.hurried.wait(NEWS_LOOK_MS / clocks.MS_PER_S):
             follower.hurried.clear()
             return
-        if follower.clock.now() - began >= _find_pause(follower):
+        now = follower.clock.now()
+        if now - began >= find_pause(follower):
+            return
+        if _is_behind(follower) and now - follower.wanted_at >= BEHIND_MS:
             return
 
 
 def take_news(follower: Follower, heard: tables.News) -> None:
-    """Takes in what the hub told; looks at the store if that can't be used.
+    """Takes in what another told; looks at the store if that can't be used.
 
     It never waits for a watch: one that is not answered holds nothing up for
     the 3.3 s after which it counts as lost.
@@ -204,17 +352,18 @@
             if seen is None:
                 follower.hurried.set()
                 return
+    forwarder = follower.reporter.forwarder
+    forwarder.heard = max(forwarder.heard, heard, key=lambda item: item.seen_at)
     # One that is too large to tell is read: by a watch each of the versions
-    # since would come, by a whole read just the last one.
-    configuration = seen.configuration
-    version = configuration.version if configuration else 0
-    if heard.version > version and not follower.whole:
+    # since would come.
+    version = _find_version(seen)
+    if heard.version > max(version, follower.wanted):
         follower.logger.warning('behind_the_hub',
                                 version=version,
                                 hub=heard.version,
                                 revision=seen.revision)
-        follower.whole = True
-        follower.hurried.set()
+        follower.wanted = heard.version
+        follower.wanted_at = follower.clock.now()
 
 
 def merge_news(follower: Follower, seen: ports.Everything,
@@ -236,19 +385,25 @@
                          revision=merged.revision,
                          news=merged.news,
                          age_ms=round(follower.clock.now() - heard.seen_at))
-    _take(follower, merged, True)
+    take(follower, merged, True)
     return merged
 
 
-def _find_pause(follower: Follower) -> float:
-    forwarder = follower.reporter.forwarder
-    heard_ms = follower.clock.now() - forwarder.heard.seen_at
-    leads = any(peer.instance == follower.reporter.instance
+def find_pause(follower: Follower) -> float:
+    """Returns the pause until the store is to be looked at again, ms."""
+    forwarder, place = follower.reporter.forwarder, follower.place
+    now = follower.clock.now()
+    heard_ms = now - forwarder.heard.seen_at
+    leads = any(peer.address == follower.own.address
                 for peer in reporting.find_hubs(follower.reporter))
-    if leads or not _is_settled(forwarder.snapshot):
+    if leads or place is None and not _is_settled(forwarder.snapshot):
         return COORDINATOR_PAUSE_MS
+    if _is_leaf(follower):
+        if now - follower.told_at >= ALONE_MS:
+            return WATCH_PAUSE_MS
+        return NEVER_MS if heard_ms < OUTDATED_MS else OUTDATED_MS
     if heard_ms < NEWS_FRESH_MS:
-        return TOLD_PAUSE_MS
+        return TOLD_PAUSE_MS if place is None else NEVER_MS
     return COORDINATOR_PAUSE_MS if heard_ms < LOST_HUB_MS else WATCH_PAUSE_MS
 
 
@@ -266,12 +421,12 @@
         return
     follower.lose(failed.reason)
     _note_doing(follower, 'ask')
-    whole = follower.whole
+    whole = follower.whole or _is_behind(follower)
     heard = reporting.ask_peers(follower.reporter, whole)
     if heard is not None:
         follower.whole = False
         follower.logger.info('store_heard_from_peer',
                              revision=heard.revision,
                              whole=whole)
-        _take(follower, heard, True)
+        take(follower, heard, True)
     clocks.pause(STORE_AGAIN_MS)
--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -10,6 +10,8 @@
 # An entry's own lease, by which the others count it.
 ENTRY_LEASE_MS = 9_000.0
 ENTRY_KEEP_MS = 1_000.0
+# What others tell is what the store holds now if they knew it so recently.
+HEARD_MS = 1_200.0
 # A lease that could not be kept for so long: the store may be away.
 STORE_DOUBT_MS = 1_300.0
 
@@ -63,12 +65,17 @@
     owned = context.owned
     owned.entry_keeping = False
     if beliefs.is_ended(result):
+        context.logger.warning('entry_lease_lapsed',
+                               lease=owned.entry_lease.id,
+                               detail=result.detail)
         owned.entry_lease = None
     _note_store(context, result is None or beliefs.is_ended(result))
 
 
 def _note_store(context: beliefs.Context, answers: bool) -> None:
     owned = context.owned
+    if answers:
+        _note_regained(context)
     if not answers:
         owned.doubted = True
     elif owned.doubted:
@@ -78,6 +85,21 @@
         context.watch_again()
 
 
+def _note_regained(context: beliefs.Context) -> None:
+    """Notes that the store is back, if others tell what it holds now.
+
+    An entry that relays tell doesn't look at the store itself.
+    """
+    owned, now = context.owned, context.clock.now()
+    heard_ms = now - context.forwarder.heard.seen_at
+    if not owned.lost_at or heard_ms >= HEARD_MS:
+        return
+    context.logger.info('store_regained',
+                        away_ms=round(now - owned.lost_at),
+                        heard_ms=round(heard_ms))
+    owned.lost_at, owned.back_at = 0.0, now
+
+
 def _kept(context: beliefs.Context, result, sent_at: float) -> None:
     owned = context.owned
     if result is None:
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 import logging
 import socket
+import threading
 
 from cheroot import server as cheroot_server
+from cheroot.workers import threadpool
 from urllib3 import util
 
 from lentilmoor import chunks
@@ -25,6 +27,8 @@
 
 _Reason = outcomes.Reason
 _CHUNK_BYTES = 64 * 1024
+# Started beyond what is lacking: where all are busy, more requests come.
+SPARE_THREADS = 4
 
 Forward = Callable[[requests.Request], requests.Outcome]
 Note = Callable[[requests.Request, requests.Outcome], None]
@@ -34,6 +38,35 @@
 """(address of who asked, bytes, ms) takes in how long a page took to write."""
 
 
+class Pool(threadpool.ThreadPool):
+    """Threads that answer requests; more are started when all are busy.
+
+    Most entries need a few, and each takes memory and a part of a start.
+    """
+
+    def __init__(self, server: cheroot_server.HTTPServer, least: int,
+                 most: int):
+        super().__init__(server, min=least, max=most)
+        self._growing = threading.Lock()
+
+    def put(self, obj) -> None:
+        """Hands over a connection on which a request has come."""
+        super().put(obj)
+        if self._count_lacking() > 0 and len(self._threads) < self.max:
+            # The library waits until a new thread runs; who accepts
+            # connections must not.
+            threading.Thread(target=self._add_lacking, daemon=True).start()
+
+    def _count_lacking(self) -> int:
+        return self._queue.qsize() - self.idle
+
+    def _add_lacking(self) -> None:
+        with self._growing:
+            lacking = self._count_lacking()
+            if lacking > 0:
+                self.grow(lacking + SPARE_THREADS)
+
+
 class Listener(cheroot_server.HTTPServer):
     """A server that may be handed a socket that listens already.
 
@@ -54,21 +87,20 @@
 
 
 def make_listener(address: str, gateway: type[cheroot_server.Gateway],
-                  threads: int, log_error: Callable[..., None]) -> Listener:
+                  threads: tuple[int, int],
+                  log_error: Callable[..., None]) -> Listener:
     """Returns a server that hands each request to a gateway.
 
     Args:
       address: host:port.
       gateway: Answers requests.
-      threads: Requests answered at once.
+      threads: Requests answered at once: without starting more threads, and at
+        most.
       log_error: Takes the library's errors.
     """
     host, _, port = address.rpartition(':')
-    server = Listener((host, int(port)),
-                      gateway,
-                      minthreads=threads,
-                      maxthreads=threads,
-                      server_name='lentilmoor')
+    server = Listener((host, int(port)), gateway, server_name='lentilmoor')
+    server.requests = Pool(server, *threads)
     server.request_queue_size = sockets.BACKLOG
     server.keep_alive_conn_limit = None
     server.error_log = log_error
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -83,11 +83,18 @@
       instance: Its id, new with each start of its process.
       address: host:port for the other entries.
       small: Whether its machine is too small to coordinate many entries.
+      domain: Its failure domain; '' if it doesn't say.
     """
 
     instance: str
     address: str
     small: bool = False
+    domain: str = ''
+
+
+def make_peer(instance: str, settings: Settings) -> Peer:
+    """Returns this entry as the others know it."""
+    return Peer(instance, settings.control, settings.small, settings.domain)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,6 +148,9 @@
 
     Attributes:
       load: Reads everything.
+      load_configuration: Reads the configuration; a newer everything.
+      list_entries: Reads which entries are registered, or were a few seconds
+        ago.
       watch: (everything) -> a newer everything; blocks until there is a
         change. NOT_FOUND: the history is gone, load again.
       open_lease: (ttl_ms) -> a lease.
@@ -161,9 +171,12 @@
         later than what is known.
       save: (assignment, revision or 0 if there is none, service) -> revision,
         CONFLICT, or another failure after which it may be done.
+      count_calls: How many calls were made, by kind.
     """
 
     load: Callable[[], Everything | outcomes.Failed]
+    load_configuration: Callable[[], Everything | outcomes.Failed]
+    list_entries: Callable[[], list[Peer] | outcomes.Failed]
     watch: Callable[[Everything], Everything | outcomes.Failed]
     open_lease: Callable[[float], Lease | outcomes.Failed]
     keep_lease: Callable[[Lease], None | outcomes.Failed]
@@ -176,6 +189,7 @@
     dump: Callable[[int], bytes]
     restore: Callable[[bytes], Everything | None]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
+    count_calls: Callable[[], dict[str, int]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -1,7 +1,8 @@
 """Exchanges reports with the hub, several times a second.
 
 The hub is the coordinator of a keyed service. Without one it is the entry
-with the lowest id, on which all agree without asking.
+with the lowest id of those on large machines, on which all agree without
+asking.
 """
 
 from collections.abc import Callable
@@ -145,8 +146,9 @@
     for service, peer in sorted(snapshot.coordinators.items()):
         peers.setdefault(peer, set()).add(service)
     if not peers and snapshot.entries:
-        first = min(snapshot.entries)
-        peers[snapshot.entries[first]] = set()
+        first = min(snapshot.entries.values(),
+                    key=lambda peer: (peer.small, peer.instance))
+        peers[first] = set()
     return peers
 
 
@@ -217,13 +219,27 @@
     hubs = known & {peer.address for peer in find_hubs(reporter)}
     if whole and hubs and forwarder.generator.random() < HUB_PART:
         address = min(hubs)
-    since = 0 if whole else forwarder.followed
+    return ask_state(reporter, address, 0 if whole else forwarder.followed)
+
+
+def ask_state(reporter: Reporter, address: str,
+              since: int) -> ports.Everything | None:
+    """Asks an entry what has changed in the store.
+
+    Args:
+      reporter: Makes the call.
+      address: The entry's.
+      since: The revision from which on; 0 for all that it knows.
+
+    Returns:
+      Everything, if it knows more than this one.
+    """
     result = reporter.caller.call(
         address, httpcalls.Request('POST', STATE_PATH,
                                    str(since).encode()), STATE_MS, TIMEOUT_MS)
     if isinstance(result, outcomes.Failed) or result.status != 200:
         return None
-    return forwarder.platform.store.restore(result.body)
+    return reporter.forwarder.platform.store.restore(result.body)
 
 
 def _send(reporter: Reporter, peer: ports.Peer,
@@ -274,9 +290,6 @@
         _hear_assignments(reporter, reply)
         heard = tables.News(reply.revision, told.asked_at - reply.news_age_ms,
                             reply.since, reply.changes, reply.version)
-        forwarder.heard = max(forwarder.heard,
-                              heard,
-                              key=lambda item: item.seen_at)
         reporter.hear(heard)
         with forwarder.lock:
             for name, state in forwarder.states.items():
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -76,6 +76,40 @@
     version: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsRequest:
+    """What an entry asks another to be told of changes.
+
+    Attributes:
+      entry: Its instance id.
+      revision: How far it has followed the store.
+    """
+
+    entry: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsReply:
+    """What has changed in the store.
+
+    Attributes:
+      revision: How far the one that replies has followed the store.
+      since: The revision that the request named.
+      changes: What has changed since then (see `ports.Store.tell_news`).
+      news_age_ms: How long ago all that the store held was known.
+      version: Of the configuration that it has in force.
+      held_ms: How long it waited for a change.
+    """
+
+    revision: int
+    since: int
+    changes: bytes | None
+    news_age_ms: float
+    version: int
+    held_ms: float
+
+
 def encode_report(report: Report) -> bytes:
     """Returns a report as it travels."""
     return msgspec.json.encode(report)
@@ -96,6 +130,21 @@
     return _decode(_read_reply, data)
 
 
+def encode_news(message: NewsRequest | NewsReply) -> bytes:
+    """Returns a request for news, or its reply, as it travels."""
+    return msgspec.json.encode(message)
+
+
+def decode_news_request(data: bytes) -> NewsRequest | None:
+    """Returns a request for news, or None if it doesn't parse."""
+    return _decode(_read_news_request, data)
+
+
+def decode_news_reply(data: bytes) -> NewsReply | None:
+    """Returns a reply to a request for news, or None if it doesn't parse."""
+    return _decode(_read_news_reply, data)
+
+
 def _decode(read: Callable[[bytes], _T], data: bytes) -> _T | None:
     try:
         return read(data)
@@ -105,3 +154,5 @@
 
 _read_report = msgspec.json.Decoder(Report).decode
 _read_reply = msgspec.json.Decoder(Reply).decode
+_read_news_request = msgspec.json.Decoder(NewsRequest).decode
+_read_news_reply = msgspec.json.Decoder(NewsReply).decode
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -83,12 +83,19 @@
     born: int | None = msgspec.field(name='born', default=None)
 
 
+class _Peer(msgspec.Struct, array_like=True):
+    instance: str
+    address: str
+    small: bool
+    domain: str = ''
+
+
 # The store has checked it. Numbers that came as text are taken, 5.0 for 5 too.
 _read_configuration = msgspec.json.Decoder(_Configuration, strict=False).decode
 # Anybody may have written it: what isn't as a server writes it names none.
 _read_server = msgspec.json.Decoder(_Server).decode
 _read_assignment = msgspec.json.Decoder(keyranges.Assignment).decode
-_read_peer = msgspec.json.Decoder(tuple[str, str, bool]).decode
+_read_peer = msgspec.json.Decoder(_Peer).decode
 _ERRORS = (msgspec.MsgspecError, UnicodeDecodeError)
 
 
@@ -168,7 +175,8 @@
 
 def write_peer(peer: ports.Peer) -> bytes:
     """Returns the form in which an entry is kept."""
-    return msgspec.json.encode((peer.instance, peer.address, peer.small))
+    return msgspec.json.encode(
+        _Peer(peer.instance, peer.address, peer.small, peer.domain))
 
 
 def read_peer(data: bytes) -> ports.Peer:
@@ -177,4 +185,5 @@
     Raises:
       MsgspecError: It is something else.
     """
-    return ports.Peer(*_read_peer(data))
+    model = _read_peer(data)
+    return ports.Peer(model.instance, model.address, model.small, model.domain)
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -1,7 +1,9 @@
 """The client of the platform's key-value store."""
 
 import base64
+import collections
 from collections.abc import Mapping
+import functools
 import json
 import secrets
 import socket
@@ -42,6 +44,18 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_500),
 )
 
+# What calls are counted as, by the last part of their path.
+_KINDS = {
+    'kv-range': 'read_page',
+    'kv-key': 'read_key',
+    'kv-watch': 'watch',
+    'kv-txn': 'write',
+    'kv-lease': 'open_lease',
+    'kv-keep': 'keep_lease',
+    'kv-lease-end': 'end_lease',
+}
+_STALE = 'read_stale_page'
+
 _Reason = outcomes.Reason
 _REASONS = {
     404: _Reason.NOT_FOUND,
@@ -59,6 +73,7 @@
         # A waiting watch must not keep other calls from their connection.
         self._caller = httpcalls.Caller(clock, 4, KEEPALIVE)
         self._watcher = httpcalls.Caller(clock, 1, KEEPALIVE)
+        self.counts: collections.Counter[str] = collections.Counter()
 
     def call(self,
              method: str,
@@ -69,6 +84,7 @@
 
         For CONFLICT the detail is the answer's body.
         """
+        self.counts[_find_kind(target)] += 1
         data = None if body is None else json.dumps(body).encode()
         caller = self._caller if timeout_ms == CALL_MS else self._watcher
         reply = caller.call(
@@ -116,6 +132,13 @@
         return fields
 
 
+def _find_kind(target: str) -> str:
+    path, _, query = target.partition('?')
+    kind = _KINDS[path.split('/')[2]]
+    stale = kind == 'read_page' and pages.ALLOW_STALE in query
+    return _STALE if stale else kind
+
+
 def _read_conflict(failed: outcomes.Failed,
                    value: bytes) -> int | outcomes.Failed:
     """Tells our own earlier write, whose answer was lost, from a rival's."""
@@ -130,6 +153,17 @@
     return outcomes.Failed(_Reason.CONFLICT, 'another write came first')
 
 
+def _read_entries(client: _Client,
+                  view: views.View) -> list[ports.Peer] | outcomes.Failed:
+    found = pages.read_all(
+        lambda target: client.call('GET', target, timeout_ms=PAGE_MS),
+        views.ENTRIES,
+        stale=True)
+    if isinstance(found, outcomes.Failed):
+        return found
+    return view.read_peers(map(views.read_item, found[0]))
+
+
 def connect_store(address: str, clock: clocks.Clock,
                   logger: logs.Logger) -> ports.Store:
     """Returns the store at an address.
@@ -150,6 +184,13 @@
         rows, revision = found
         return view.replace([views.read_item(row) for row in rows], revision)
 
+    def load_configuration() -> ports.Everything | outcomes.Failed:
+        query = urllib.parse.urlencode({'Key': views.CONFIGURATION})
+        fields = client.call('GET', f'/-/kv-key?{query}', timeout_ms=PAGE_MS)
+        if isinstance(fields, outcomes.Failed):
+            return fields
+        return view.apply([views.read_item(fields)], 0)
+
     def watch(before: ports.Everything) -> ports.Everything | outcomes.Failed:
         query = urllib.parse.urlencode({
             'Prefix': '',
@@ -206,6 +247,20 @@
         item = views.read_item(fields)
         return views.make_reader(item)(item.value)
 
-    return ports.Store(load, watch, open_lease, keep_lease, end_lease,
-                       take_role, register, load_assignment, view.tell_news,
-                       view.merge_news, view.dump, view.restore, save)
+    return ports.Store(load=load,
+                       load_configuration=load_configuration,
+                       list_entries=functools.partial(_read_entries, client,
+                                                      view),
+                       watch=watch,
+                       open_lease=open_lease,
+                       keep_lease=keep_lease,
+                       end_lease=end_lease,
+                       take_role=take_role,
+                       register=register,
+                       load_assignment=load_assignment,
+                       tell_news=view.tell_news,
+                       merge_news=view.merge_news,
+                       dump=view.dump,
+                       restore=view.restore,
+                       save=save,
+                       count_calls=lambda: dict(client.counts))
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -12,6 +12,7 @@
 import dataclasses
 import json
 import threading
+import zlib
 
 from lentilmoor import clocks
 from lentilmoor import logs
@@ -29,6 +30,9 @@
 MOST_NEWS = 500
 # Deleted keys whose revision is kept, so that no older change brings them back.
 MOST_DELETED = 1_000
+# What is told as a whole is compressed so little: many ask a large machine at
+# once, and it is the link of who asks that is slow.
+DUMP_LEVEL = 1
 # What a server says of its warming up varies by the way of its heartbeats.
 WARM_SLACK_MS = 1_000.0
 
@@ -173,7 +177,7 @@
                 fields['Since'] = after
                 items = self._list_changes(after)
         fields['items'] = [write_item(item) for item in items]
-        return json.dumps(fields).encode()
+        return zlib.compress(json.dumps(fields).encode(), DUMP_LEVEL)
 
     def _list_changes(self, after: int) -> list[Item]:
         """Returns what has changed since a revision, heartbeats left out."""
@@ -186,10 +190,10 @@
     def restore(self, data: bytes) -> ports.Everything | None:
         """Returns what another entry knew; None if it knows nothing newer."""
         try:
-            fields = json.loads(data)
+            fields = json.loads(zlib.decompress(data))
             items = [read_item(row) for row in fields['items']]
             revision, since = fields['CurrentRev'], fields.get('Since')
-        except (ValueError, KeyError, TypeError) as error:
+        except (zlib.error, ValueError, KeyError, TypeError) as error:
             self._logger.warning('dump_refused', reason=str(error))
             return None
         with self._lock:
@@ -312,6 +316,17 @@
         self._servers[name] = servers[found.id] = found
         return changed
 
+    def read_peers(self, items: Iterable[Item]) -> list[ports.Peer]:
+        """Returns the entries that registered; what doesn't parse names none.
+
+        Args:
+          items: Their items; they aren't taken in.
+        """
+        peers: dict[str, ports.Peer] = {}
+        for item in items:
+            self._put(peers, item, ENTRIES, documents.read_peer)
+        return list(peers.values())
+
     def _refuse_server(self, name: str, item: Item, reason: str) -> None:
         self._logger.error('server_entry_refused',
                            server=name,
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from unittest import mock
+import zlib
 
 import pykka
 
@@ -60,6 +61,7 @@
         self.forwarder = requests.Forwarder(clock, None, logger, None)
         self.taken: list[ports.Everything] = []
         self.follower = following.Follower(
+            ports.Peer('e1', 'a:1'),
             reporting.Reporter('e1', self.forwarder, None, None), self.store,
             clock, logger, lambda found, heard: self.taken.append(found),
             mock.Mock())
@@ -173,8 +175,11 @@
         self.standin.put('lentilmoor/assignment/s', b'{"broken": 1}')
         self.hub.watch(self.hub.load())
         part = self.hub.dump(known.revision)
-        self.assertLess(len(part), len(self.hub.dump(0)) / 5)
-        self.assertIn('assignment/s', part.decode())
+        # Both are compressed on their way.
+        changed, everything = map(zlib.decompress, (part, self.hub.dump(0)))
+        self.assertLess(len(changed), len(everything) / 5)
+        self.assertLess(len(part), len(self.hub.dump(0)))
+        self.assertIn('assignment/s', changed.decode())
         found = self.store.restore(part)
         self.assertEqual(found.configuration.version, 4)
         self.assertEqual(len(found.entries), 200)
@@ -215,11 +220,11 @@
         self.assertEqual(self.follower.seen.revision, known.revision)
         # Not by a watch: it answers with each of the versions since, which at
         # five of them was more than a link of 10 Mbit/s brings in its 3.3 s.
-        self.assertTrue(self.follower.whole)
-        self.assertTrue(self.follower.hurried.is_set())
-        found = self.store.load()
+        self.assertEqual(self.follower.wanted, 4)
+        found = self.store.load_configuration()
         self.assertEqual(found.configuration.version, 4)
         self.assertEqual(list(found.entries), ['e'])
+        self.assertEqual(found.revision, known.revision)
 
     def test_a_peer_tells_what_was_too_large_for_news(self):
         self.standin.put('op/config', platformhelp.make_configuration(4))
@@ -243,19 +248,32 @@
         self.assertFalse(self.follower.whole)
         self.assertTrue(self.follower.hurried.is_set())
 
-    def test_who_lacks_the_configuration_of_the_hub_reads_all(self):
+    def test_who_lacks_the_configuration_of_the_hub_reads_just_that(self):
+        # All was read before: 19 calls each of 195 entries, and the heartbeats
+        # of 719 servers.
         following.take_news(self.follower, tables.News(99, 0.0, 0, b'', 4))
         self.assertFalse(self.follower.hurried.is_set())
         self.follower.seen, self.follower.whole = self.first, False
         following.take_news(
             self.follower,
             tables.News(self.first.revision, 0.0, self.first.revision, b'', 3))
-        self.assertFalse(self.follower.whole)
+        self.assertEqual(self.follower.wanted, 0)
+        self.standin.put('op/config', platformhelp.make_configuration(4))
         following.take_news(
             self.follower,
             tables.News(self.first.revision, 0.0, self.first.revision, b'', 4))
-        self.assertTrue(self.follower.whole)
-        self.assertTrue(self.follower.hurried.is_set())
+        self.assertEqual(self.follower.wanted, 4)
+        calls = self.standin.calls
+        self.follower.begun = 1
+        thread = threading.Thread(target=following.follow,
+                                  args=(self.follower, 1))
+        thread.start()
+        platformhelp.wait_until(lambda: self.taken, 3.0)
+        self.follower.begun = 2
+        thread.join(2.0)
+        self.assertEqual(self.taken[0].configuration.version, 4)
+        self.assertEqual(self.standin.paths['/-/kv-key'], 1)
+        self.assertLessEqual(self.standin.calls, calls + 2)
 
     def test_following_is_not_begun_anew_while_somebody_tells(self):
         self.follower.begun = 1
--- a/tests/test_edge_hub.py
+++ b/tests/test_edge_hub.py
@@ -1,5 +1,6 @@
 """The hub, which tells all other entries what has changed."""
 
+import functools
 import http.client
 import io
 import json
@@ -15,6 +16,7 @@
 from lentilmoor import logs
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import control
+from lentilmoor.edge import following
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -111,6 +113,14 @@
         forwarder.snapshot = tables.Snapshot(None, {}, {},
                                              {'x': ports.Peer('e1', 'a:1')}, {})
         reporter = reporting.Reporter('e9', forwarder, SlowCaller(), None)
+        follower = following.Follower(ports.Peer('e9', 'a:9'), reporter, None,
+                                      forwarder.clock, forwarder.logger,
+                                      mock.Mock(), mock.Mock())
+        reporter.hear = functools.partial(following.take_news, follower)
+        reporting.exchange(reporter)
+        # What isn't taken in makes nothing newer.
+        self.assertEqual(requests.find_news_age(forwarder), reports.NEVER_MS)
+        follower.seen = ports.Everything(None, {}, {}, {}, {}, 5)
         reporting.exchange(reporter)
         self.assertEqual(requests.find_news_age(forwarder), 1_000.0)
 
--- /dev/null
+++ b/tests/test_edge_subscriptions.py
@@ -0,0 +1,343 @@
+"""How changes spread from the hub over relays to all entries."""
+
+import functools
+import threading
+import time
+import unittest
+from unittest import mock
+
+from lentilmoor import clocks
+from lentilmoor import httpcalls
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor.edge import following
+from lentilmoor.edge import ports
+from lentilmoor.edge import relays
+from lentilmoor.edge import reporting
+from lentilmoor.edge import reports
+from lentilmoor.edge import requests
+from lentilmoor.edge import subscriptions
+from lentilmoor.edge import tables
+from lentilmoor.platform import store
+from standins import platform_store
+from tests import platformhelp
+
+_HUB = '10.0.0.1:1'
+
+
+def _make_fleet(domains: int, per_domain: int) -> dict[str, ports.Peer]:
+    """Returns entries, three of each failure domain on large machines."""
+    peers = [
+        ports.Peer(f'e-{domain}-{number}.1', f'10.0.{domain}.{number + 1}:1',
+                   number >= 3, f'd{domain}')
+        for domain in range(domains)
+        for number in range(per_domain)
+    ]
+    return {peer.instance: peer for peer in peers}
+
+
+class PlaceTest(unittest.TestCase):
+
+    def _place_all(self, fleet, hubs=(_HUB,)):
+        return {
+            peer.address: relays.find_place(peer, fleet, set(hubs))
+            for peer in fleet.values()
+        }
+
+    def test_a_small_fleet_is_told_by_the_hub_itself(self):
+        self.assertEqual(set(self._place_all(_make_fleet(3, 10)).values()),
+                         {None})
+
+    def test_nobody_tells_many_and_all_are_told_in_a_few_steps(self):
+        for domains, per_domain, most_steps in ((5, 39, 2), (15, 327, 3)):
+            with self.subTest(domains * per_domain):
+                fleet = _make_fleet(domains, per_domain)
+                sample = self._place_all(fleet) if domains == 5 else {
+                    peer.address: relays.find_place(peer, fleet, {_HUB})
+                    for peer in fleet.values()
+                    if peer.domain in ('d0', 'd7')
+                }
+                told: dict[str, int] = {}
+                for address, place in sample.items():
+                    if place is None:
+                        self.assertEqual(address, _HUB)
+                        continue
+                    told[place.parents[0]] = told.get(place.parents[0], 0) + 1
+                    self.assertNotIn(address, place.parents)
+                    steps, parent = 1, place.parents[0]
+                    while parent != _HUB:
+                        steps, parent = steps + 1, sample[parent].parents[0]
+                    self.assertLessEqual(steps, most_steps)
+                    self.assertEqual(place.relay, steps == 1)
+                self.assertLessEqual(told.pop(_HUB),
+                                     domains * relays.DOMAIN_RELAYS)
+                self.assertLessEqual(max(told.values()), relays.FANOUT)
+
+    def test_large_machines_are_relays_of_their_own_failure_domain(self):
+        fleet = _make_fleet(5, 39)
+        by_address = {peer.address: peer for peer in fleet.values()}
+        for address, place in self._place_all(fleet).items():
+            if place is None or place.relay:
+                continue
+            parent = by_address[place.parents[0]]
+            if parent.domain != 'd0':  # One of its large ones is the hub.
+                self.assertFalse(parent.small)
+            self.assertEqual(parent.domain, by_address[address].domain)
+
+    def test_an_entry_that_started_again_moves_nobody(self):
+        fleet = _make_fleet(5, 39)
+        before = self._place_all(fleet)
+        again = ports.Peer('e-1-20.2', '10.0.1.21:1', True, 'd1')
+        self.assertEqual(self._place_all(fleet | {again.instance: again}),
+                         before)
+
+    def test_those_of_a_lost_relay_are_shared_out(self):
+        fleet = _make_fleet(5, 39)
+        lost = '10.0.1.1:1'
+        seconds = [
+            place.parents[1]
+            for place in self._place_all(fleet).values()
+            if place and not place.relay and place.parents[0] == lost
+        ]
+        self.assertEqual(len(set(seconds)), 2)
+
+    def test_who_is_avoided_is_asked_last(self):
+        place = relays.Place(False, ('a', 'b', 'c'))
+        self.assertEqual(subscriptions.choose(place, {}, 100.0), 'a')
+        self.assertEqual(subscriptions.choose(place, {'a': 200.0}, 100.0), 'b')
+        self.assertEqual(subscriptions.choose(place, {'a': 90.0}, 100.0), 'a')
+        self.assertEqual(
+            subscriptions.choose(place, {
+                'a': 300.0,
+                'b': 200.0,
+                'c': 400.0
+            }, 100.0), 'b')
+
+
+class _Peers:
+    """Calls between entries in one process."""
+
+    def __init__(self):
+        self.pages = {}
+        self.lost: set[str] = set()
+
+    def call(self, address, request, unused_timeout_ms, unused_connect_ms=None):
+        """Makes a call, as `httpcalls.Caller` does."""
+        if address in self.lost:
+            return outcomes.Failed(outcomes.Reason.CONNECT_FAILED, address)
+        status, body = self.pages[address, request.target](request.body)
+        return httpcalls.Reply(status, {}, body)
+
+
+class NewsTest(unittest.TestCase):
+    """Changes go from the hub to a relay, and from there to an entry."""
+
+    def setUp(self):
+        super().setUp()
+        self.standin = platform_store.PlatformStore()
+        self.addCleanup(self.standin.close)
+        self.standin.put('op/config', platformhelp.make_configuration(3))
+        self.ended = threading.Event()
+        self.peers = _Peers()
+        self.hub, self.relay, self.entry = (
+            self._make(f'e{number}') for number in range(3))
+        following.take(self.hub, self.hub.store.load(), False)
+        for follower in (self.relay, self.entry):
+            following.take(follower,
+                           follower.store.restore(self.hub.store.dump(0)), True)
+
+    def _make(self, name):
+        clock = clocks.make_suspend_clock()
+        logger = logs.make_logger('test')
+        connected = store.connect_store(self.standin.address, clock, logger)
+        forwarder = requests.Forwarder(
+            clock, mock.Mock(**{
+                'store': connected,
+                'settings.link_mbps': 200.0
+            }), logger, None)
+        reporter = reporting.Reporter(name, forwarder, self.peers, None)
+        follower = following.Follower(ports.Peer(name, name + ':1'), reporter,
+                                      connected, clock, logger, mock.Mock(),
+                                      mock.Mock())
+        self.peers.pages[name + ':1', subscriptions.PATH] = functools.partial(
+            self._answer, follower)
+        return follower
+
+    def _answer(self, follower, body):
+        reply = subscriptions.answer(follower,
+                                     reports.decode_news_request(body))
+        return (200, reports.encode_news(reply)) if reply else (503, b'')
+
+    def _listen(self, follower, *parents):
+        """Has an entry ask others for news until the test ends."""
+        follower.place = relays.Place(False, parents)
+        avoided: dict[str, float] = {}
+
+        def listen():
+            while not self.ended.is_set():
+                self.ended.wait(
+                    subscriptions.exchange(follower, avoided) / clocks.MS_PER_S)
+
+        thread = threading.Thread(target=listen)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.ended.set)
+
+    def _change(self, version):
+        """Changes the configuration; the hub learns of it by its watch."""
+        self.standin.put('op/config', platformhelp.make_configuration(version))
+        found = self.hub.store.watch(self.hub.seen)
+        self.hub.reporter.forwarder.news = tables.News(found.revision,
+                                                       self.hub.clock.now())
+        following.take(self.hub, found, False)
+
+    def _await_version(self, follower, version, seconds):
+        platformhelp.wait_until(
+            lambda: follower.seen.configuration.version == version, seconds)
+
+    def test_a_change_reaches_all_at_once_and_costs_the_store_nothing(self):
+        self._listen(self.relay, 'e0:1')
+        self._listen(self.entry, 'e1:1')
+        time.sleep(0.6)
+        for version in (4, 5):
+            calls = self.standin.calls
+            self._change(version)
+            began = time.monotonic()
+            self._await_version(self.entry, version, 2.0)
+            # Its time at the relay and the hub is over each 250 ms; a change
+            # isn't held until then.
+            self.assertLess(time.monotonic() - began, 0.2)
+            self.assertEqual(self.standin.calls, calls + 1)
+
+    def test_ages_add_up_on_the_way(self):
+        self.hub.reporter.forwarder.news = tables.News(
+            self.hub.seen.revision,
+            self.hub.clock.now() - 900.0)
+        self._listen(self.relay, 'e0:1')
+        self._listen(self.entry, 'e1:1')
+        time.sleep(0.8)
+        age_ms = requests.find_news_age(self.entry.reporter.forwarder)
+        self.assertGreaterEqual(age_ms, 1_600.0)
+        self.assertLess(age_ms, 3_500.0)
+
+    def test_another_tells_when_the_relay_is_lost(self):
+        self._listen(self.relay, 'e0:1')
+        self._listen(self.entry, 'e1:1', 'e0:1')
+        time.sleep(0.4)
+        self.peers.lost.add('e1:1')
+        self._change(4)
+        self._await_version(self.entry, 4, 2.0)
+
+    def test_another_is_asked_when_what_the_relay_knows_is_old(self):
+        # The relay answers and hears from nobody.
+        self._listen(self.entry, 'e1:1', 'e0:1')
+        self._change(4)
+        self._await_version(self.entry, 4, 2.0)
+
+    def test_more_than_a_few_that_wait_are_answered_at_once(self):
+        for _ in range(following.MOST_HELD):
+            self.hub.held.acquire()
+        asked = reports.NewsRequest('e9', self.hub.seen.revision)
+        began = time.monotonic()
+        reply = subscriptions.answer(self.hub, asked)
+        self.assertLess(time.monotonic() - began, 0.1)
+        self.assertEqual(reply.changes, b'')
+
+    def test_who_knows_nothing_says_so(self):
+        self.hub.seen = None
+        self.assertEqual(
+            self._answer(self.hub,
+                         reports.encode_news(reports.NewsRequest('e9', 0)))[0],
+            503)
+
+    def test_what_is_no_request_is_refused(self):
+        self.assertIsNone(reports.decode_news_request(b'{"entry": 5}'))
+        self.assertIsNone(reports.decode_news_reply(b'{"revision": "x"}'))
+
+
+class LookTest(unittest.TestCase):
+    """Entries that relays tell leave the store alone."""
+
+    def setUp(self):
+        super().setUp()
+        self.time = clocks.ManualTime(100_000.0)
+        clock = self.time.clock()
+        forwarder = requests.Forwarder(clock, None, logs.make_logger('test'),
+                                       None)
+        reporter = reporting.Reporter('e9', forwarder, mock.Mock(), None)
+        lost = outcomes.Failed(outcomes.Reason.TIMED_OUT)
+        away = mock.Mock(**{'load.return_value': lost})
+        self.follower = following.Follower(ports.Peer('e9', 'a:9'),
+                                           reporter, away, clock, mock.Mock(),
+                                           mock.Mock(), mock.Mock())
+        self.forwarder = forwarder
+
+    def _find_pause(self, relay, heard_ms, told_ms=0.0):
+        now = self.time.at
+        self.follower.place = relays.Place(relay, ('b:1',))
+        self.follower.told_at = now - told_ms
+        self.forwarder.heard = tables.News(1, now - heard_ms)
+        return following.find_pause(self.follower)
+
+    def test_nobody_looks_who_is_told(self):
+        for relay in (False, True):
+            self.assertEqual(self._find_pause(relay, 900.0), following.NEVER_MS)
+
+    def test_relays_look_when_the_hub_knows_nothing_new(self):
+        self.assertEqual(self._find_pause(True, 1_300.0),
+                         following.COORDINATOR_PAUSE_MS)
+
+    def test_the_others_leave_that_to_the_relays(self):
+        # 195 entries that looked for themselves while the hub couldn't reach
+        # the store made 15 calls each.
+        self.assertEqual(self._find_pause(False, 1_300.0), following.NEVER_MS)
+        self.assertGreaterEqual(self._find_pause(False, 9_000.0), 5_000.0)
+
+    def test_an_entry_that_no_relay_answers_looks(self):
+        self.assertEqual(self._find_pause(False, 900.0, 2_600.0),
+                         following.WATCH_PAUSE_MS)
+
+    def test_an_old_store_that_answers_again_is_left_to_the_relays(self):
+        self._find_pause(False, 9_000.0)
+        self.follower.begun = 1
+        following.follow_again(self.follower)
+        following.check(self.follower)
+        self.assertEqual(self.follower.begun, 1)
+        self._find_pause(False, 9_000.0, 9_000.0)
+        self.forwarder.platform = mock.Mock(**{'settings.seeds': ()})
+        following.follow_again(self.follower)
+        self.assertEqual(self.follower.begun, 2)
+        self.follower.begun = 3
+
+
+class StartTest(unittest.TestCase):
+    """An entry on a small machine starts."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.deployment = platformhelp.Deployment(catalogs=1, orders=1)
+        cls.addClassCleanup(cls.deployment.close)
+
+    def test_it_learns_from_a_larger_one_and_spares_the_store(self):
+        # All of 195 read the store in 19 calls each, after all lost power.
+        before = self.deployment.store.paths.copy()
+        entry = self.deployment.add_entry(link_mbps=10.0)
+        entry.await_ready()
+        log = entry.read_log()
+        self.assertIn('"store_learned"', log)
+        pages = self.deployment.store.paths['/-/kv-range']
+        self.assertEqual(pages - before['/-/kv-range'], 1)
+        status, _, _ = entry.call('/stock/1', key=7)
+        self.assertEqual(status, 200)
+
+    def test_alone_it_reads_the_store(self):
+        deployment = platformhelp.Deployment(catalogs=1,
+                                             orders=1,
+                                             link_mbps=10.0)
+        self.addCleanup(deployment.close)
+        self.assertNotIn('"store_learned"', deployment.entries[0].read_log())
+
+
+if __name__ == '__main__':
+    unittest.main()
