A server that turned a request away may be asked again within the route's attempts

Cause: a new owner is known once it is saved, some ms before it is granted the keys. A request that the old and the new owner had both turned away had used both attempts and was refused, 'no repeats are left for the service'. Change: attempts count the servers that a request was sent to, as the route means it; each send still takes from the shared budget of repeats. Before: the new test fails.

--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -97,7 +97,7 @@
         choice = picks.pick(forwarder, run)
         if not isinstance(choice, placement.Choice):
             return weighing.conclude(run, choice)
-        if run.sent and not _may_repeat(forwarder, run):
+        if run.sent and not _may_repeat(forwarder, run, choice):
             return weighing.conclude(
                 run,
                 outcomes.NotRun(_Reason.OVERLOADED,
@@ -112,8 +112,11 @@
                         picks.FULL_RETRY_MS))
 
 
-def _may_repeat(forwarder: requests.Forwarder, run: requests.Run) -> bool:
-    if run.sent >= max(1, run.route.attempts):
+def _may_repeat(forwarder: requests.Forwarder, run: requests.Run,
+                choice: placement.Choice) -> bool:
+    # The new owner of a moving key may have turned the request away before it
+    # was granted the key; asking it again takes it to no other server.
+    if len(run.sent | {choice.server.id}) > max(1, run.route.attempts):
         return False
     with forwarder.lock:
         return budgets.take_repeat(_budget_of(forwarder, run.service.name),
@@ -161,7 +164,7 @@
             forwarder.crashed += placement.take_crashed(state, now)
         run.avoid.add(server.id)
         return None
-    run.sent += 1
+    run.sent.add(server.id)
     if isinstance(result, outcomes.Unknown):
         return weighing.weigh_loss(forwarder, run, choice, state, result,
                                    now - sent_at)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -153,7 +153,7 @@
     route: tables.Route
     service: tables.Service
     until: float
-    sent: int = 0
+    sent: set[str] = dataclasses.field(default_factory=set)
     avoid: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     last: tries.Answer | None = None
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -66,10 +66,10 @@
         self.addCleanup(self._close_pools)
         self._publish(self.before.id)
 
-    def _publish(self, owner: str) -> None:
+    def _publish(self, owner: str, attempts: int = 3) -> None:
         route = tables.Route('stock', 'h', '/', tables.Repeat.IDEMPOTENT, False,
-                             (tables.Part('catalog', 1.0),), 3, 3_000.0, 500.0,
-                             1)
+                             (tables.Part('catalog', 1.0),), attempts, 3_000.0,
+                             500.0, 1)
         configuration = tables.Configuration(
             1, {'stock': route},
             {'catalog': tables.Service('catalog', True, 100, 0.0)},
@@ -104,6 +104,36 @@
                                    self.forwarder.clock.now())
         return forwarding.forward(self.forwarder, request)
 
+    def test_the_new_owner_may_be_asked_again_before_it_has_the_key(self):
+        # It is known once it is saved, some ms before it is granted the key. A
+        # request that both servers had turned away had no tries left then.
+        self.after.held.clear()
+        self._publish(self.before.id, attempts=2)
+        timers = [
+            threading.Timer(0.02, self._publish, (self.after.id, 2)),
+            threading.Timer(0.05, self.after.grant, ({
+                'From': 0,
+                'To': 65_535,
+                'fence': 3,
+                'HoldMs': 8_000
+            }, time.monotonic()))
+        ]
+        for timer in timers:
+            timer.start()
+            self.addCleanup(timer.join)
+        outcome = self._forward()
+        self.assertIsInstance(outcome, tries.Answer)
+        self.assertEqual(outcome.status, 200)
+        self.assertEqual(self.after.arrivals, 2)
+        self.assertEqual(self.before.arrivals, 1)
+
+    def test_no_more_servers_are_asked_than_the_route_allows(self):
+        self._publish(self.before.id, attempts=1)
+        threading.Timer(0.02, self._publish, (self.after.id, 1)).start()
+        outcome = self._forward()
+        self.assertIsInstance(outcome, outcomes.NotRun)
+        self.assertEqual(self.after.arrivals, 0)
+
     def test_it_waits_for_the_new_owner_as_long_as_work_takes(self):
         # Keys are released when the work on them has ended: entries asked the
         # old owner again after 60 ms, and had no tries left after 120 ms.
