What an entry knows is apart from how it follows; comments give reasons only

Comments in edge/ and the store's client that told of measurements, trials or sizes of a deployment now give the reason. Two connections to another entry are kept, one for reports and one for news, which would close each other's.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -31,15 +31,14 @@
 
 TICK_MS = 100.0
 # What is due is worked out no closer than this, or than the second figure for
-# each server, whichever is more. After each of the 780 messages a second of 59
-# entries and 108 servers with keys it took 1.29 s of processor time a second,
-# at the hub by which all others learn what has changed; like this, 0.16 s.
+# each server, whichever is more: working it out after each message leaves a hub
+# of many entries no time to tell them what has changed.
 STEP_MS = 5.0
 STEP_PER_SERVER_MS = 0.12
 STORE_THREADS = 4
-# Grants and probes. Each silent server holds some for 400 ms: with 18 of 108
-# silent and 12 threads, the others' grants, which last 3 s, came 3.4 s apart;
-# with 64, 0.8 s. Threads start when they are needed.
+# Grants and probes. Silent servers hold some until their calls time out, and
+# must not keep the others' grants from being renewed. Threads start when they
+# are needed.
 SERVER_THREADS = 64
 # A release is answered when the work under way has ended.
 RELEASE_THREADS = 16
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -21,6 +21,7 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import following
 from lentilmoor.edge import forwarding
+from lentilmoor.edge import knowledge
 from lentilmoor.edge import listening
 from lentilmoor.edge import measures
 from lentilmoor.edge import ports
@@ -34,11 +35,13 @@
 CALLER_THREADS = (16, 64)
 PAGE_THREADS = (2, 2)
 # Other entries answered at once, and how long a reply is written at most. Who
-# doesn't take it holds a thread: with two threads and the library's 10 s, two
-# entries on full links kept the hub's news from all others for 10 s. A report
-# is given up by who sent it after some 1 s. Requests for news wait in them.
-PEER_THREADS = (8, 16 + following.MOST_HELD)
+# doesn't take it holds a thread, and must not keep the hub's news from all
+# others. A report is given up by who sent it after some 1 s. Requests for news
+# wait in these threads too.
+PEER_THREADS = (8, 16 + knowledge.MOST_HELD)
 REPLY_WRITE_MS = 1_000.0
+# Kept open to another entry: one for reports, one for news.
+PEER_CONNECTIONS = 2
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
@@ -81,7 +84,7 @@
     reporter: reporting.Reporter | None = None
     listeners: list[listening.Listener] = dataclasses.field(
         default_factory=list)
-    follower: following.Follower | None = None
+    follower: knowledge.Follower | None = None
     pace: beliefs.Pace | None = None
     hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
     leaving: threading.Event = dataclasses.field(
@@ -148,13 +151,14 @@
         lambda: following.follow_again(entry.follower),
         wake=entry.hurry.set)
     entry.reporter = reporting.Reporter(
-        instance, forwarder, httpcalls.Caller(clock, 1, socket_options),
+        instance, forwarder,
+        httpcalls.Caller(clock, PEER_CONNECTIONS, socket_options),
         entry.actor.tell)
-    entry.follower = following.Follower(
+    entry.follower = knowledge.Follower(
         ports.make_peer(instance, platform.settings), entry.reporter,
         platform.store, clock, logger, functools.partial(_take_store, entry),
         lambda reason: entry.actor.tell(control.StoreLost(reason)))
-    entry.reporter.hear = functools.partial(following.take_news, entry.follower)
+    entry.reporter.hear = functools.partial(knowledge.take_news, entry.follower)
     log_error = listening.make_error_log(logger)
     callers = listening.make_listener(
         platform.settings.callers,
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -5,15 +5,12 @@
 store themselves when they are told nothing.
 """
 
-from collections.abc import Callable
-import dataclasses
 import threading
 
 from lentilmoor import clocks
-from lentilmoor import logs
 from lentilmoor import outcomes
+from lentilmoor.edge import knowledge
 from lentilmoor.edge import ports
-from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
 from lentilmoor.edge import tables
 
@@ -25,8 +22,8 @@
 WATCH_PAUSE_MS = 850.0
 COORDINATOR_PAUSE_MS = 350.0
 # While the hub tells what has changed, the others look for themselves only this
-# often. Each look brings all heartbeats since the last one: with 230 servers
-# they came to 66 KB a second, half of a link of 10 Mbit/s for some moments.
+# often: each look brings the heartbeats of all servers since the last one,
+# which fill a slow link.
 TOLD_PAUSE_MS = 6_000.0
 # Relays and those that they tell don't look while they are told.
 NEVER_MS = float('inf')
@@ -39,10 +36,8 @@
 # is away then, and the relays try it more often.
 ALONE_MS = 2_500.0
 OUTDATED_MS = 5_000.0
-# Requests for news that wait for a change at a time; more are answered at once.
-MOST_HELD = 24
-# A start on a small machine asks larger ones for what the store holds, which is
-# 19 calls with 900 keys, for so long, with such pauses.
+# A start on a small machine asks larger ones for what the store holds, which
+# costs the store a call for each page, for so long, with such pauses.
 LEARN_MS = 1_500.0
 LEARN_PAUSE_MS = 100.0
 # Larger entries that are asked between two looks at who is registered.
@@ -51,7 +46,7 @@
 # comes by news meanwhile.
 BEHIND_MS = 200.0
 # An entry that heard from nobody for so long begins to follow anew, whatever it
-# waits for: one of 60 did so for 10 s while its leases were kept.
+# waits for: a call may hang while its leases are kept.
 SILENT_MS = 4_000.0
 # A hub that fell silent may have ended: whoever takes its place is to know soon
 # after its lease has run out, or grants run out before they are renewed.
@@ -61,59 +56,7 @@
 SLOW_READ_MS = 1_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class Follower:
-    """What following the store needs.
-
-    Attributes:
-      own: This entry, as the others know it.
-      reporter: Exchanges reports with the hub.
-      store: The store.
-      clock: Time.
-      logger: Takes lines.
-      take: (everything, whether another entry told it) takes in what is known.
-      lose: (reason) takes in that the store can't be reached.
-      begun: How often following was begun; only the last one goes on.
-      seen: What is known; None before the first answer.
-      began_at: When it was last begun, ms.
-      doing: What the thread that follows is at, and since when, ms.
-      whole: Whether the store is to be read as a whole.
-      wanted: Version of the configuration that others have in force.
-      wanted_at: When that was heard, ms.
-      hurried: Whether to look at the store now.
-      place: This entry's place among the relays, if they tell it.
-      told_at: When one of them last answered, ms.
-      lock: Guards `seen`: what is known is taken in by one thread at a time.
-      changed: Notified when something was taken in.
-      held: Counts requests for news that wait for that.
-    """
-
-    own: ports.Peer
-    reporter: reporting.Reporter
-    store: ports.Store
-    clock: clocks.Clock
-    logger: logs.Logger
-    take: Callable[[ports.Everything, bool], None]
-    lose: Callable[[outcomes.Reason], None]
-    begun: int = 0
-    seen: ports.Everything | None = None
-    began_at: float = float('-inf')
-    doing: tuple[str, float] = ('', 0.0)
-    whole: bool = True
-    wanted: int = 0
-    wanted_at: float = float('-inf')
-    hurried: threading.Event = dataclasses.field(
-        default_factory=threading.Event)
-    place: relays.Place | None = None
-    told_at: float = float('-inf')
-    lock: threading.RLock = dataclasses.field(default_factory=threading.RLock)
-    changed: threading.Condition = dataclasses.field(
-        default_factory=threading.Condition)
-    held: threading.Semaphore = dataclasses.field(
-        default_factory=lambda: threading.Semaphore(MOST_HELD))
-
-
-def follow_again(follower: Follower) -> None:
+def follow_again(follower: knowledge.Follower) -> None:
     """Begins to follow the store; an earlier watch is left to itself.
 
     Not if the store or the hub told something a moment ago: an entry that the
@@ -125,7 +68,7 @@
     _begin(follower)
 
 
-def check(follower: Follower) -> None:
+def check(follower: knowledge.Follower) -> None:
     """Begins to follow anew if nobody has told anything for too long."""
     now = follower.clock.now()
     silence_ms = min(_find_silence(follower), now - follower.began_at)
@@ -140,7 +83,7 @@
     _begin(follower)
 
 
-def _find_silence(follower: Follower) -> float:
+def _find_silence(follower: knowledge.Follower) -> float:
     """Returns how long ago the store, the hub or a relay told something, ms.
 
     What a relay tells may be old: while the store is away it knows no more.
@@ -152,12 +95,12 @@
     return follower.clock.now() - told_at
 
 
-def _is_leaf(follower: Follower) -> bool:
+def _is_leaf(follower: knowledge.Follower) -> bool:
     """Returns whether relays tell this entry, and it isn't one of them."""
     return follower.place is not None and not follower.place.relay
 
 
-def _begin(follower: Follower) -> None:
+def _begin(follower: knowledge.Follower) -> None:
     follower.begun += 1
     follower.began_at = follower.clock.now()
     threading.Thread(target=follow,
@@ -165,7 +108,7 @@
                      daemon=True).start()
 
 
-def follow(follower: Follower, number: int) -> None:
+def follow(follower: knowledge.Follower, number: int) -> None:
     """Follows the store until following was begun anew."""
     known = follower.seen is None and follower.own.small and _learn(follower)
     while number == follower.begun:
@@ -176,7 +119,7 @@
         _await_look(follower, number)
 
 
-def _learn(follower: Follower) -> bool:
+def _learn(follower: knowledge.Follower) -> bool:
     """Learns from an entry on a larger machine what the store holds.
 
     So a start costs the store a call or two, and a slow link a part of the
@@ -198,13 +141,13 @@
                                      peer=peer.instance,
                                      revision=learned.revision)
                 follower.whole = False
-                take(follower, learned, True)
+                knowledge.take(follower, learned, True)
                 return True
         clocks.pause(LEARN_PAUSE_MS)
     return False
 
 
-def _choose_larger(follower: Follower,
+def _choose_larger(follower: knowledge.Follower,
                    found: list[ports.Peer]) -> list[ports.Peer]:
     """Returns some entries on larger machines, near ones first."""
     generator = follower.reporter.forwarder.generator
@@ -217,7 +160,7 @@
     return larger[:LEARN_PEERS]
 
 
-def _read(follower: Follower, number: int) -> bool:
+def _read(follower: knowledge.Follower, number: int) -> bool:
     """Reads the store; returns whether what it holds was taken in."""
     seen, store = follower.seen, follower.store
     what = _find_read(follower)
@@ -241,30 +184,20 @@
     if what != 'configuration':
         follower.reporter.forwarder.news = tables.News(found.revision,
                                                        follower.clock.now())
-    take(follower, found, False)
+    knowledge.take(follower, found, False)
     return True
 
 
-def _find_read(follower: Follower) -> str:
+def _find_read(follower: knowledge.Follower) -> str:
     """Returns what to read of the store next."""
     if follower.seen is None or follower.whole:
         return 'load'
-    if _is_behind(follower):
+    if knowledge.is_behind(follower):
         return 'configuration'
     return 'watch'
 
 
-def _find_version(seen: ports.Everything) -> int:
-    return seen.configuration.version if seen.configuration else 0
-
-
-def _is_behind(follower: Follower) -> bool:
-    """Returns whether others have a newer configuration in force."""
-    return (follower.seen is not None and
-            _find_version(follower.seen) < follower.wanted)
-
-
-def _note_read(follower: Follower, seen: ports.Everything | None,
+def _note_read(follower: knowledge.Follower, seen: ports.Everything | None,
                found: ports.Everything | outcomes.Failed) -> None:
     """Tells of a read of the store that failed or was slow."""
     what, since = follower.doing
@@ -280,50 +213,11 @@
                          revision=0 if failed else found.revision)
 
 
-def _note_doing(follower: Follower, what: str) -> None:
+def _note_doing(follower: knowledge.Follower, what: str) -> None:
     follower.doing = (what, follower.clock.now())
 
 
-def take(follower: Follower, found: ports.Everything, heard: bool) -> None:
-    """Takes in what is known now, unless more is known already.
-
-    Args:
-      follower: Knows the rest.
-      found: What is known.
-      heard: Whether another entry told it.
-    """
-    with follower.lock:
-        if follower.seen is not None and (found.revision
-                                          < follower.seen.revision):
-            return
-        _note_seen(follower, found)
-        follower.take(found, heard)
-    with follower.changed:
-        follower.changed.notify_all()
-
-
-def await_change(follower: Follower, revision: int, hold_ms: float) -> None:
-    """Waits for a change since a revision, unless many do so already."""
-    if not follower.held.acquire(blocking=False):
-        return
-    until = follower.clock.now() + hold_ms
-    try:
-        with follower.changed:
-            while follower.seen is None or follower.seen.news <= revision:
-                left_ms = until - follower.clock.now()
-                if left_ms <= 0:
-                    return
-                follower.changed.wait(left_ms / clocks.MS_PER_S)
-    finally:
-        follower.held.release()
-
-
-def _note_seen(follower: Follower, found: ports.Everything) -> None:
-    follower.seen = found
-    follower.reporter.forwarder.followed = found.revision
-
-
-def _await_look(follower: Follower, number: int) -> None:
+def _await_look(follower: knowledge.Follower, number: int) -> None:
     """Waits until it is time to look at the store."""
     began = follower.clock.now()
     while number == follower.begun:
@@ -333,63 +227,12 @@
         now = follower.clock.now()
         if now - began >= find_pause(follower):
             return
-        if _is_behind(follower) and now - follower.wanted_at >= BEHIND_MS:
+        if knowledge.is_behind(
+                follower) and now - follower.wanted_at >= BEHIND_MS:
             return
 
 
-def take_news(follower: Follower, heard: tables.News) -> None:
-    """Takes in what another told; looks at the store if that can't be used.
-
-    It never waits for a watch: one that is not answered holds nothing up for
-    the 3.3 s after which it counts as lost.
-    """
-    with follower.lock:
-        seen = follower.seen
-        if seen is None:
-            return
-        if heard.revision > seen.revision:
-            seen = merge_news(follower, seen, heard)
-            if seen is None:
-                follower.hurried.set()
-                return
-    forwarder = follower.reporter.forwarder
-    forwarder.heard = max(forwarder.heard, heard, key=lambda item: item.seen_at)
-    # One that is too large to tell is read: by a watch each of the versions
-    # since would come.
-    version = _find_version(seen)
-    if heard.version > max(version, follower.wanted):
-        follower.logger.warning('behind_the_hub',
-                                version=version,
-                                hub=heard.version,
-                                revision=seen.revision)
-        follower.wanted = heard.version
-        follower.wanted_at = follower.clock.now()
-
-
-def merge_news(follower: Follower, seen: ports.Everything,
-               heard: tables.News) -> ports.Everything | None:
-    """Returns what is known with the hub's news; None if it can't be used.
-
-    News that begin later than what is known would leave a gap: an entry once
-    went back to an older configuration by such.
-    """
-    if heard.changes is None or heard.since > seen.revision:
-        return None
-    merged = follower.store.merge_news(heard.changes, heard.revision)
-    if merged is None:
-        return None
-    if not heard.changes:
-        _note_seen(follower, merged)
-        return merged
-    follower.logger.info('news_heard',
-                         revision=merged.revision,
-                         news=merged.news,
-                         age_ms=round(follower.clock.now() - heard.seen_at))
-    take(follower, merged, True)
-    return merged
-
-
-def find_pause(follower: Follower) -> float:
+def find_pause(follower: knowledge.Follower) -> float:
     """Returns the pause until the store is to be looked at again, ms."""
     forwarder, place = follower.reporter.forwarder, follower.place
     now = follower.clock.now()
@@ -414,19 +257,19 @@
         for name in snapshot.configuration.list_keyed())
 
 
-def _follow_loss(follower: Follower, failed: outcomes.Failed) -> None:
+def _follow_loss(follower: knowledge.Follower, failed: outcomes.Failed) -> None:
     """Takes in that a call to the store failed, and asks another entry."""
     if failed.reason is outcomes.Reason.NOT_FOUND:
         follower.whole = True
         return
     follower.lose(failed.reason)
     _note_doing(follower, 'ask')
-    whole = follower.whole or _is_behind(follower)
+    whole = follower.whole or knowledge.is_behind(follower)
     heard = reporting.ask_peers(follower.reporter, whole)
     if heard is not None:
         follower.whole = False
         follower.logger.info('store_heard_from_peer',
                              revision=heard.revision,
                              whole=whole)
-        take(follower, heard, True)
+        knowledge.take(follower, heard, True)
     clocks.pause(STORE_AGAIN_MS)
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -28,8 +28,8 @@
 # Times to come back, ms: while an entry starts, which takes some 0.5 s, and to
 # a request that crashes its servers, which is blocked for so long.
 START_RETRY_MS = 300
-# Part of its time that a request waits at most for the configuration: 120 ms of
-# 800. An entry of 60 on a small machine once took 0.6 s to know it.
+# Part of its time that a request waits at most for the configuration: it leaves
+# the caller time to come back elsewhere.
 START_WAIT_PART = 0.15
 BLOCKED_RETRY_MS = 30_000
 # A request that is sent by older news is told: a server may have left
--- a/lentilmoor/edge/hub.py
+++ b/lentilmoor/edge/hub.py
@@ -40,8 +40,8 @@
     Attributes:
       inflight: When each entry last reported, ms, and its requests under way.
       totals: Requests of all entries under way, by server. They are kept up
-        with each report: adding them up for each reply took 2.6 ms at 88
-        entries and 231 servers, a third of a core.
+        with each report, as adding them up for each reply would take the hub's
+        time with many entries.
       expired_at: When old reports were last dropped, ms.
       suspects: By fingerprint.
       lock: Guards all of them.
--- /dev/null
+++ b/lentilmoor/edge/knowledge.py
@@ -0,0 +1,170 @@
+"""What an entry knows of the store, and how it takes in what it is told."""
+
+from collections.abc import Callable
+import dataclasses
+import threading
+
+from lentilmoor import clocks
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor.edge import ports
+from lentilmoor.edge import relays
+from lentilmoor.edge import reporting
+from lentilmoor.edge import tables
+
+# Requests for news that wait for a change at a time; more are answered at once.
+MOST_HELD = 24
+
+
+@dataclasses.dataclass(slots=True)
+class Follower:
+    """What following the store needs.
+
+    Attributes:
+      own: This entry, as the others know it.
+      reporter: Exchanges reports with the hub.
+      store: The store.
+      clock: Time.
+      logger: Takes lines.
+      take: (everything, whether another entry told it) takes in what is known.
+      lose: (reason) takes in that the store can't be reached.
+      begun: How often following was begun; only the last one goes on.
+      seen: What is known; None before the first answer.
+      began_at: When it was last begun, ms.
+      doing: What the thread that follows is at, and since when, ms.
+      whole: Whether the store is to be read as a whole.
+      wanted: Version of the configuration that others have in force.
+      wanted_at: When that was heard, ms.
+      hurried: Whether to look at the store now.
+      place: This entry's place among the relays, if they tell it.
+      told_at: When one of them last answered, ms.
+      lock: Guards `seen`: what is known is taken in by one thread at a time.
+      changed: Notified when something was taken in.
+      held: Counts requests for news that wait for that.
+    """
+
+    own: ports.Peer
+    reporter: reporting.Reporter
+    store: ports.Store
+    clock: clocks.Clock
+    logger: logs.Logger
+    take: Callable[[ports.Everything, bool], None]
+    lose: Callable[[outcomes.Reason], None]
+    begun: int = 0
+    seen: ports.Everything | None = None
+    began_at: float = float('-inf')
+    doing: tuple[str, float] = ('', 0.0)
+    whole: bool = True
+    wanted: int = 0
+    wanted_at: float = float('-inf')
+    hurried: threading.Event = dataclasses.field(
+        default_factory=threading.Event)
+    place: relays.Place | None = None
+    told_at: float = float('-inf')
+    lock: threading.RLock = dataclasses.field(default_factory=threading.RLock)
+    changed: threading.Condition = dataclasses.field(
+        default_factory=threading.Condition)
+    held: threading.Semaphore = dataclasses.field(
+        default_factory=lambda: threading.Semaphore(MOST_HELD))
+
+
+def find_version(seen: ports.Everything) -> int:
+    """Returns the version of the configuration in force; 0 if there is none."""
+    return seen.configuration.version if seen.configuration else 0
+
+
+def is_behind(follower: Follower) -> bool:
+    """Returns whether others have a newer configuration in force."""
+    return (follower.seen is not None and
+            find_version(follower.seen) < follower.wanted)
+
+
+def take(follower: Follower, found: ports.Everything, heard: bool) -> None:
+    """Takes in what is known now, unless more is known already.
+
+    Args:
+      follower: Knows the rest.
+      found: What is known.
+      heard: Whether another entry told it.
+    """
+    with follower.lock:
+        if follower.seen is not None and (found.revision
+                                          < follower.seen.revision):
+            return
+        _note_seen(follower, found)
+        follower.take(found, heard)
+    with follower.changed:
+        follower.changed.notify_all()
+
+
+def await_change(follower: Follower, revision: int, hold_ms: float) -> None:
+    """Waits for a change since a revision, unless many do so already."""
+    if not follower.held.acquire(blocking=False):
+        return
+    until = follower.clock.now() + hold_ms
+    try:
+        with follower.changed:
+            while follower.seen is None or follower.seen.news <= revision:
+                left_ms = until - follower.clock.now()
+                if left_ms <= 0:
+                    return
+                follower.changed.wait(left_ms / clocks.MS_PER_S)
+    finally:
+        follower.held.release()
+
+
+def _note_seen(follower: Follower, found: ports.Everything) -> None:
+    follower.seen = found
+    follower.reporter.forwarder.followed = found.revision
+
+
+def take_news(follower: Follower, heard: tables.News) -> None:
+    """Takes in what another told; looks at the store if that can't be used.
+
+    It never waits for a watch: one that is not answered holds nothing up for
+    the 3.3 s after which it counts as lost.
+    """
+    with follower.lock:
+        seen = follower.seen
+        if seen is None:
+            return
+        if heard.revision > seen.revision:
+            seen = merge_news(follower, seen, heard)
+            if seen is None:
+                follower.hurried.set()
+                return
+    forwarder = follower.reporter.forwarder
+    forwarder.heard = max(forwarder.heard, heard, key=lambda item: item.seen_at)
+    # One that is too large to tell is read: by a watch each of the versions
+    # since would come.
+    version = find_version(seen)
+    if heard.version > max(version, follower.wanted):
+        follower.logger.warning('behind_the_hub',
+                                version=version,
+                                hub=heard.version,
+                                revision=seen.revision)
+        follower.wanted = heard.version
+        follower.wanted_at = follower.clock.now()
+
+
+def merge_news(follower: Follower, seen: ports.Everything,
+               heard: tables.News) -> ports.Everything | None:
+    """Returns what is known with the hub's news; None if it can't be used.
+
+    News that begin later than what is known would leave a gap: an entry once
+    went back to an older configuration by such.
+    """
+    if heard.changes is None or heard.since > seen.revision:
+        return None
+    merged = follower.store.merge_news(heard.changes, heard.revision)
+    if merged is None:
+        return None
+    if not heard.changes:
+        _note_seen(follower, merged)
+        return merged
+    follower.logger.info('news_heard',
+                         revision=merged.revision,
+                         news=merged.news,
+                         age_ms=round(follower.clock.now() - heard.seen_at))
+    take(follower, merged, True)
+    return merged
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -20,8 +20,8 @@
 # isn't, if no other owner is known yet. Keys are released when the work that
 # runs on them has ended, so it is the server's time of work where that is more.
 OWNER_LOOK_MS = 60.0
-# How old the news that a server leaves may be when they come: they took up to
-# 0.9 s to 60 entries on small machines.
+# How old the news that a server leaves may be when they come to an entry on a
+# slow link.
 DRAIN_NEWS_MS = 1_000.0
 # Times to come back, ms: after a service was full, and after a key had no
 # owner.
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -36,8 +36,6 @@
 LONGEST_AVOID_MS = 2_000.0
 # Requests that servers take beyond their slots: a few; some reset the
 # connection beyond that, and what may be run only once is lost then.
-# With 6 in place of 5 the load model serves 0.008 to 0.015 more of keyed
-# requests, with the worth unchanged; 7 cost 0.01 of worth on bursts.
 QUEUE = 6
 # A cold server takes this many times as long.
 COLD_FACTOR = 2.0
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -13,9 +13,8 @@
 from lentilmoor.edge import ownership
 from lentilmoor.edge import tables
 
-# Reports of 59 entries are 3.5 Mbit/s of replies. On a link of 10 Mbit/s grants
-# waited behind them until servers held no keys: 0.26 to 0.35 of the worth of
-# keyed requests was earned, and 0.79 with a coordinator on one of 200 Mbit/s.
+# Below these a machine is small: on its link grants would wait behind replies
+# to the reports of many entries, until servers hold no keys.
 SMALL_MBPS = 50.0
 SMALL_CORES = 0.5
 
--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -21,8 +21,8 @@
 from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
 
-# A server gives keys away if it has this much more than its share. In the load
-# model 1.1 moved 7% more keys and earned the same.
+# A server gives keys away if it has this much more than its share: each move
+# costs a cold start.
 SURPLUS_FACTOR = 1.2
 # And if its surplus is this many times what chance alone makes of it: a count
 # varies by its square root.
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -32,16 +32,14 @@
 HURRY_MS = 25.0
 HURRY_PER_ENTRY_MS = 4.0
 TIMEOUT_MS = 300.0
-# A reply is waited for as long as two pauses at least: to an entry of 60 whose
-# link was full nothing came in 300 ms, and it kept to what it knew for 10 s.
+# A reply is waited for as long as two pauses at least: it may come late over a
+# full link, and an entry that gives it up keeps to what it knows.
 TIMEOUT_PAUSES = 2.0
-# All that the store holds is waited for so long: 0.7 MB with 256 servers and a
-# large configuration, 0.6 s of a link of 10 Mbit/s. 300 ms were too short for
-# it, and it was asked for again. Mostly it is just what has changed.
+# All that the store holds is waited for so long: over a slow link it takes most
+# of a second, and who gives it up asks again. Mostly it is just what changed.
 STATE_MS = 2_500.0
-# News may keep the hub's link busy for so long, told to all entries. 1,400
-# routes are 0.3 MB: 28 MB for 88 entries, 1.1 s of a link of 200 Mbit/s, beside
-# the 1.4 s in which a reply is waited for. The rest is read from the store.
+# News may keep the link of who tells them busy for so long, told to all: what
+# takes longer comes too late for everybody. The rest is read from the store.
 NEWS_LINK_MS = 200.0
 _BYTES_PER_MBIT = 125_000.0
 # Who lacks a configuration that the hub has asks the hub for all that it knows
--- a/lentilmoor/edge/subscriptions.py
+++ b/lentilmoor/edge/subscriptions.py
@@ -8,7 +8,7 @@
 from lentilmoor import clocks
 from lentilmoor import httpcalls
 from lentilmoor import outcomes
-from lentilmoor.edge import following
+from lentilmoor.edge import knowledge
 from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -33,7 +33,7 @@
 AVOID_STALE_MS = 1_500.0
 
 
-def listen(follower: following.Follower) -> None:
+def listen(follower: knowledge.Follower) -> None:
     """Asks for news for as long as the process lives."""
     avoided: dict[str, float] = {}
     while True:
@@ -41,7 +41,7 @@
         clocks.pause(exchange(follower, avoided))
 
 
-def exchange(follower: following.Follower, avoided: dict[str, float]) -> float:
+def exchange(follower: knowledge.Follower, avoided: dict[str, float]) -> float:
     """Asks once for news, if there is somebody to ask.
 
     Args:
@@ -59,7 +59,7 @@
     now = follower.clock.now()
     if heard is not None:
         follower.told_at = now
-        following.take_news(follower, heard)
+        knowledge.take_news(follower, heard)
     if heard is None:
         avoided[address] = now + AVOID_MS
     elif began - heard.seen_at > STALE_MS:
@@ -76,14 +76,14 @@
                                        avoided.get(address, 0.0) - now))
 
 
-def _find_place(follower: following.Follower) -> relays.Place | None:
+def _find_place(follower: knowledge.Follower) -> relays.Place | None:
     reporter = follower.reporter
     hubs = {peer.address for peer in reporting.find_hubs(reporter)}
     return relays.find_place(follower.own, reporter.forwarder.snapshot.entries,
                              hubs)
 
 
-def _ask(follower: following.Follower, address: str) -> tables.News | None:
+def _ask(follower: knowledge.Follower, address: str) -> tables.News | None:
     """Asks an entry for news; None if it doesn't answer."""
     reporter = follower.reporter
     data = reports.encode_news(
@@ -110,7 +110,7 @@
                        reply.version)
 
 
-def answer(follower: following.Follower,
+def answer(follower: knowledge.Follower,
            asked: reports.NewsRequest) -> reports.NewsReply | None:
     """Tells what has changed, once there is something; None if nothing known.
 
@@ -119,7 +119,7 @@
       asked: Who asks, and how far it has followed.
     """
     began = follower.clock.now()
-    following.await_change(follower, asked.revision, HOLD_MS)
+    knowledge.await_change(follower, asked.revision, HOLD_MS)
     seen = follower.seen
     if seen is None:
         return None
--- a/lentilmoor/edge/waiting.py
+++ b/lentilmoor/edge/waiting.py
@@ -13,9 +13,7 @@
 # A refused caller is told to come back when the surplus is expected to have
 # been worked off, but not before this part of its time has passed, and within
 # these limits: sooner it would meet the same queue, later it may have no time
-# left. In the load model 0.15 raised what was served at all of shifts (1.5 s of
-# patience) from 0.933 to 0.943 on hot keys, with the worth unchanged; 0.25 cost
-# 0.01 of worth of stock (0.5 s).
+# left.
 SOONEST_MS = 40.0
 RETURN_PART = 0.15
 LATEST_MS = 1_000.0
--- a/lentilmoor/edge/workmeans.py
+++ b/lentilmoor/edge/workmeans.py
@@ -14,9 +14,8 @@
 # Weight of the newest answer in the mean of the last ones, about a dozen.
 RECENT = 0.15
 # The mean begins anew when the mean of the last ones is so many times as large,
-# or as small a part of it. In 100,000 answers of servers that did not change
-# (lognormal, sigma 0.8, 1% five times as long) this never came; servers that
-# became 6 times as slow were told after 6 answers, and 14 after they were well.
+# or as small a part of it: far enough apart that a few long requests in a row
+# aren't taken for a slow server.
 SLOWER, FASTER = 3.0, 0.3
 # Answers that a mean counts for that has begun anew, or that needs to be known
 # before it can.
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -21,12 +21,12 @@
 
 # The store answers in 4 ms, and 60 times slower on its slow days.
 CALL_MS = 1_200.0
-# A page of a whole read: 0.6 MB with a large configuration are 0.5 s of an idle
-# link of 10 Mbit/s. Within 1.2 s it timed out again and again on a busy one.
+# A page of a whole read: one with a large configuration takes long over a slow
+# link that others use too.
 PAGE_MS = 3_000.0
 # A watch without events is answered after this. Servers write each 870 ms, so
-# that one without events tells that the store is silent; of 20 s, an outage of
-# 5 s passed unnoticed.
+# that one without events tells that the store is silent; a longer wait would
+# let an outage pass unnoticed.
 WATCH_MS = 2_500.0
 # Beyond it, a watch counts as lost.
 WATCH_SLACK_MS = 800.0
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -15,6 +15,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import control
 from lentilmoor.edge import following
+from lentilmoor.edge import knowledge
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
@@ -60,7 +61,7 @@
                                                     logger) for _ in range(2))
         self.forwarder = requests.Forwarder(clock, None, logger, None)
         self.taken: list[ports.Everything] = []
-        self.follower = following.Follower(
+        self.follower = knowledge.Follower(
             ports.Peer('e1', 'a:1'),
             reporting.Reporter('e1', self.forwarder, None, None), self.store,
             clock, logger, lambda found, heard: self.taken.append(found),
@@ -77,7 +78,7 @@
     def test_news_bring_what_changed(self):
         self.standin.put('op/config', platformhelp.make_configuration(4))
         heard = self._hear(self.first.revision)
-        found = following.merge_news(self.follower, self.first, heard)
+        found = knowledge.merge_news(self.follower, self.first, heard)
         self.assertEqual(found.configuration.version, 4)
         self.assertEqual(found.revision, heard.revision)
         self.assertEqual(self.taken, [found])
@@ -88,7 +89,7 @@
         self.standin.put('op/config', platformhelp.make_configuration(4))
         heard = self._hear(self.first.revision + 1)
         self.assertEqual(heard.changes, b'')
-        self.assertIsNone(following.merge_news(self.follower, self.first,
+        self.assertIsNone(knowledge.merge_news(self.follower, self.first,
                                                heard))
         self.assertFalse(self.taken)
 
@@ -105,7 +106,7 @@
 
     def test_what_does_not_parse_is_not_used(self):
         heard = tables.News(99, 0.0, self.first.revision, b'{"x": 1')
-        self.assertIsNone(following.merge_news(self.follower, self.first,
+        self.assertIsNone(knowledge.merge_news(self.follower, self.first,
                                                heard))
 
     def test_older_changes_replace_nothing_whenever_they_come(self):
@@ -113,9 +114,9 @@
         self.standin.put('lentilmoor/entry/e', b'["e", "a:1", false]')
         self.standin.delete('lentilmoor/entry/e')
         heard = self._hear(self.first.revision)
-        following.take_news(self.follower, heard)  # Nothing is known yet.
+        knowledge.take_news(self.follower, heard)  # Nothing is known yet.
         self.follower.seen = self.first
-        following.take_news(self.follower, heard)
+        knowledge.take_news(self.follower, heard)
         self.assertEqual(self.follower.seen.configuration.version, 4)
         old = json.dumps([
             views.write_item(
@@ -138,7 +139,7 @@
         self.follower.hurried.set()
         began = time.monotonic()
         time.sleep(0.2)
-        following.take_news(
+        knowledge.take_news(
             self.follower,
             tables.News(known.revision, 0.0, self.first.revision,
                         self.hub.tell_news(self.first.revision, _ROOM)))
@@ -158,7 +159,7 @@
         whole = self.hub.load()
         heard = tables.News(whole.revision, 0.0, self.first.revision,
                             self.hub.tell_news(self.first.revision, _ROOM))
-        found = following.merge_news(self.follower, self.first, heard)
+        found = knowledge.merge_news(self.follower, self.first, heard)
         self.assertEqual(found.configuration.version, 5)
         self.assertFalse(found.entries)
 
@@ -213,7 +214,7 @@
         heard = tables.News(known.revision, 0.0, since,
                             self.hub.tell_news(since, 64 * 1024), 4)
         self.follower.seen, self.follower.whole = self.first, False
-        following.take_news(self.follower, heard)
+        knowledge.take_news(self.follower, heard)
         # What fits is known at once: a server that leaves was learned of 2.9 s
         # late, as all news waited for a large configuration.
         self.assertEqual(list(self.taken[-1].entries), ['e'])
@@ -241,7 +242,7 @@
 
     def test_after_a_gap_a_watch_brings_the_rest(self):
         self.follower.seen, self.follower.whole = self.first, False
-        following.take_news(
+        knowledge.take_news(
             self.follower,
             tables.News(self.first.revision + 9, 0.0, self.first.revision + 5,
                         b''))
@@ -251,15 +252,15 @@
     def test_who_lacks_the_configuration_of_the_hub_reads_just_that(self):
         # All was read before: 19 calls each of 195 entries, and the heartbeats
         # of 719 servers.
-        following.take_news(self.follower, tables.News(99, 0.0, 0, b'', 4))
+        knowledge.take_news(self.follower, tables.News(99, 0.0, 0, b'', 4))
         self.assertFalse(self.follower.hurried.is_set())
         self.follower.seen, self.follower.whole = self.first, False
-        following.take_news(
+        knowledge.take_news(
             self.follower,
             tables.News(self.first.revision, 0.0, self.first.revision, b'', 3))
         self.assertEqual(self.follower.wanted, 0)
         self.standin.put('op/config', platformhelp.make_configuration(4))
-        following.take_news(
+        knowledge.take_news(
             self.follower,
             tables.News(self.first.revision, 0.0, self.first.revision, b'', 4))
         self.assertEqual(self.follower.wanted, 4)
--- a/tests/test_edge_hub.py
+++ b/tests/test_edge_hub.py
@@ -16,7 +16,7 @@
 from lentilmoor import logs
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import control
-from lentilmoor.edge import following
+from lentilmoor.edge import knowledge
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -113,10 +113,10 @@
         forwarder.snapshot = tables.Snapshot(None, {}, {},
                                              {'x': ports.Peer('e1', 'a:1')}, {})
         reporter = reporting.Reporter('e9', forwarder, SlowCaller(), None)
-        follower = following.Follower(ports.Peer('e9', 'a:9'), reporter, None,
+        follower = knowledge.Follower(ports.Peer('e9', 'a:9'), reporter, None,
                                       forwarder.clock, forwarder.logger,
                                       mock.Mock(), mock.Mock())
-        reporter.hear = functools.partial(following.take_news, follower)
+        reporter.hear = functools.partial(knowledge.take_news, follower)
         reporting.exchange(reporter)
         # What isn't taken in makes nothing newer.
         self.assertEqual(requests.find_news_age(forwarder), reports.NEVER_MS)
--- a/tests/test_edge_subscriptions.py
+++ b/tests/test_edge_subscriptions.py
@@ -11,6 +11,7 @@
 from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor.edge import following
+from lentilmoor.edge import knowledge
 from lentilmoor.edge import ports
 from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
@@ -141,9 +142,9 @@
         self.peers = _Peers()
         self.hub, self.relay, self.entry = (
             self._make(f'e{number}') for number in range(3))
-        following.take(self.hub, self.hub.store.load(), False)
+        knowledge.take(self.hub, self.hub.store.load(), False)
         for follower in (self.relay, self.entry):
-            following.take(follower,
+            knowledge.take(follower,
                            follower.store.restore(self.hub.store.dump(0)), True)
 
     def _make(self, name):
@@ -156,7 +157,7 @@
                 'settings.link_mbps': 200.0
             }), logger, None)
         reporter = reporting.Reporter(name, forwarder, self.peers, None)
-        follower = following.Follower(ports.Peer(name, name + ':1'), reporter,
+        follower = knowledge.Follower(ports.Peer(name, name + ':1'), reporter,
                                       connected, clock, logger, mock.Mock(),
                                       mock.Mock())
         self.peers.pages[name + ':1', subscriptions.PATH] = functools.partial(
@@ -189,7 +190,7 @@
         found = self.hub.store.watch(self.hub.seen)
         self.hub.reporter.forwarder.news = tables.News(found.revision,
                                                        self.hub.clock.now())
-        following.take(self.hub, found, False)
+        knowledge.take(self.hub, found, False)
 
     def _await_version(self, follower, version, seconds):
         platformhelp.wait_until(
@@ -235,7 +236,7 @@
         self._await_version(self.entry, 4, 2.0)
 
     def test_more_than_a_few_that_wait_are_answered_at_once(self):
-        for _ in range(following.MOST_HELD):
+        for _ in range(knowledge.MOST_HELD):
             self.hub.held.acquire()
         asked = reports.NewsRequest('e9', self.hub.seen.revision)
         began = time.monotonic()
@@ -267,7 +268,7 @@
         reporter = reporting.Reporter('e9', forwarder, mock.Mock(), None)
         lost = outcomes.Failed(outcomes.Reason.TIMED_OUT)
         away = mock.Mock(**{'load.return_value': lost})
-        self.follower = following.Follower(ports.Peer('e9', 'a:9'),
+        self.follower = knowledge.Follower(ports.Peer('e9', 'a:9'),
                                            reporter, away, clock, mock.Mock(),
                                            mock.Mock(), mock.Mock())
         self.forwarder = forwarder
