--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -72,7 +72,8 @@
                                    min(ownership.HOLD_MS, longest_ms))
     if predecessor is not None:
         state.predecessor = predecessor
-        until = holds.find_end(now + ownership.TENURE_MS, state.hold_ms)
+        until = holds.find_end(now + ownership.TENURE_MS + ownership.GRANT_MS,
+                               state.hold_ms)
         state.held = [
             # Under the fences of earlier coordinators, which are lower.
             holds.Hold(item.first, item.last, item.server, item.fence - 1,
@@ -123,7 +124,7 @@
       grant: What was sent.
       answer: What came of it.
       sent_at: When it was sent, ms.
-      now: ms.
+      now: When it was answered or given up, ms; it can't arrive any more.
     """
     item = grant.item
     state.sent.remove(item)
@@ -142,7 +143,8 @@
         return
     if answer is not ownership.Answer.NOT_SENT:
         done = answer is ownership.Answer.DONE
-        until = holds.find_end(sent_at, grant.hold_ms)
+        # It may have arrived just now.
+        until = holds.find_end(now, grant.hold_ms)
         state.held = holds.add(
             state.held,
             holds.Hold(item.first, item.last, item.server, item.fence, until,
--- a/lentilmoor/edge/holds.py
+++ b/lentilmoor/edge/holds.py
@@ -1,9 +1,9 @@
 """How long a backend server may still hold keys, as far as we can tell.
 
-A grant runs from its arrival at the server, whose clock may be slow. One that
-was answered ends at a known time at the latest. One that was not answered may
-be applied later, yet its time runs from its arrival too; so it bounds the
-hold just as well, but a release in between doesn't end it.
+A grant runs from its arrival at the server, whose clock may be slow. It arrives
+before it is answered or given up, as its connection is aborted then. One that
+was not answered may be applied later, yet its time runs from its arrival too;
+so it bounds the hold just as well, but a release in between doesn't end it.
 """
 
 from collections.abc import Iterable
@@ -39,9 +39,9 @@
     certain: bool
 
 
-def find_end(sent_at: float, hold_ms: float) -> float:
-    """Returns when a grant that was sent at a time has surely ended, ms."""
-    return sent_at + hold_ms * CLOCK_FACTOR + MARGIN_MS
+def find_end(arrived_by: float, hold_ms: float) -> float:
+    """Returns when a grant that arrived by a time has surely ended, ms."""
+    return arrived_by + hold_ms * CLOCK_FACTOR + MARGIN_MS
 
 
 def find_until(holds: Iterable[Hold], server: str, first: int,
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -22,6 +22,9 @@
 RENEW_PART = 0.25
 # Shortest hold that is granted: a few times the way to a server and back.
 SHORTEST_HOLD_MS = 200.0
+# Time limit of a grant; a server that is up answers at once. Its connection is
+# aborted then, so that it can't arrive any later.
+GRANT_MS = 400.0
 # A grant without an answer is sent again after this.
 AGAIN_MS = 300.0
 # A coordinator that can't reach the store goes on renewing for so long, so
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -196,7 +196,8 @@
     """Control calls to backend servers.
 
     Attributes:
-      grant: (grant) -> what came of it.
+      grant: (grant) -> what came of it. Once it is answered or given up it
+        can't arrive any more.
       release: (release) -> what came of it, and a hand-over token or ''.
       probe: (probe) -> DONE if the server answers.
     """
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -6,6 +6,7 @@
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import coordination
 from lentilmoor.edge import elections
+from lentilmoor.edge import holds
 from lentilmoor.edge import moves
 from lentilmoor.edge import ownership
 from lentilmoor.edge import rebalancing
@@ -94,8 +95,18 @@
 def _granted(context: beliefs.Context, state: ownership.Coordination,
              grant: ownership.Grant, answer: ownership.Answer,
              sent_at: float) -> None:
-    coordination.note_granted(state, grant, answer, sent_at,
-                              context.clock.now())
+    now = context.clock.now()
+    coordination.note_granted(state, grant, answer, sent_at, now)
+    if answer is ownership.Answer.UNKNOWN:
+        in_force_ms = holds.find_end(now, grant.hold_ms) - now
+        context.logger.warning('grant_unanswered',
+                               service=grant.service,
+                               server=grant.server.id,
+                               first=grant.item.first,
+                               last=grant.item.last,
+                               fence=grant.item.fence,
+                               took_ms=round(now - sent_at),
+                               in_force_ms=round(in_force_ms))
     context.states.note('grant_answer',
                         grant.server.id,
                         answer,
--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -1,6 +1,8 @@
 """Control calls to backend servers: granting keys and taking them back."""
 
 import json
+import socket
+import struct
 
 from lentilmoor import clocks
 from lentilmoor import httpcalls
@@ -12,11 +14,11 @@
 _GRANT = '/-/grant'
 _RELEASE = '/-/release'
 _TOKEN = 'Lentilmoor-Handover'
-# A grant is answered at once by a server that is up; the longest delay between
-# failure domains is a few ms.
-GRANT_MS = 400.0
 # A release is answered when the work that runs on its keys has ended.
 RELEASE_MS = 2_500.0
+# Closing a connection resets it, also when the process is killed. Otherwise the
+# system would go on sending what was given up, for as long as its path is cut.
+ABORT_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
 
 _Answer = ownership.Answer
 
@@ -27,7 +29,7 @@
     Args:
       clock: This process's time.
     """
-    caller = httpcalls.Caller(clock, 4, store.KEEPALIVE)
+    caller = httpcalls.Caller(clock, 4, (*store.KEEPALIVE, ABORT_ON_CLOSE))
 
     def call(address: str, target: str, fields: dict,
              timeout_ms: float) -> httpcalls.Reply | outcomes.Failed:
@@ -46,7 +48,7 @@
         }
         if action.token:
             fields['Handover'] = action.token
-        reply = call(action.server.address, _GRANT, fields, GRANT_MS)
+        reply = call(action.server.address, _GRANT, fields, ownership.GRANT_MS)
         return _judge(reply)
 
     def release(action: ownership.Release) -> tuple[ownership.Answer, str]:
@@ -61,7 +63,8 @@
     def probe(action: ownership.Probe) -> ownership.Answer:
         # Releases a key that is about to be taken from it anyhow.
         fields = {'From': 0, 'To': 0, 'fence': 0}
-        return _judge(call(action.server.address, _RELEASE, fields, GRANT_MS))
+        return _judge(
+            call(action.server.address, _RELEASE, fields, ownership.GRANT_MS))
 
     return ports.Servers(grant, release, probe)
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -10,6 +10,7 @@
 import http.server
 import json
 import socket
+import sys
 import threading
 import time
 import uuid
@@ -69,8 +70,7 @@
         self.faults = Faults()
         self.lock = threading.Lock()
         self.slots = threading.Semaphore(2)
-        self._server = http.server.ThreadingHTTPServer(('127.0.0.1', port),
-                                                       _make_handler(self))
+        self._server = _Server(('127.0.0.1', port), _make_handler(self))
         self._server.daemon_threads = True
         host, port = self._server.server_address
         self.port, self.address = port, f'{host}:{port}'
@@ -169,6 +169,15 @@
         self.held = kept
 
 
+class _Server(http.server.ThreadingHTTPServer):
+    """Takes connections that callers may reset."""
+
+    def handle_error(self, request, client_address) -> None:
+        """Writes what failed, unless the caller closed or reset."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 def _tell_time_of_day() -> int:
     return int(time.time() * _MS_PER_S)
 
