--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -43,7 +43,8 @@
 def make_next(before: keyranges.Assignment,
               author: str = '') -> keyranges.Assignment:
     """Returns the assignment that a new coordinator begins with."""
-    fence = before.next_fence
+    # Its author may have used fences that were not saved.
+    fence = before.next_fence + ownership.FENCES_AHEAD
     ranges = keyranges.merge(
         structs.replace(item, fence=fence) for item in before.ranges)
     return dataclasses.replace(before,
@@ -69,6 +70,7 @@
       longest_ms: Longest hold that the operator allows.
     """
     state = ownership.Coordination(assignment, revision, now,
+                                   assignment.next_fence,
                                    min(ownership.HOLD_MS, longest_ms))
     if predecessor is not None:
         state.predecessor = predecessor
@@ -116,48 +118,59 @@
 
 
 def note_granted(state: ownership.Coordination, grant: ownership.Grant,
-                 answer: ownership.Answer, sent_at: float, now: float) -> None:
+                 granted: ownership.Granted, sent_at: float,
+                 now: float) -> None:
     """Takes in what came of a grant.
 
     Args:
       state: The coordinator.
       grant: What was sent.
-      answer: What came of it.
+      granted: What came of it.
       sent_at: When it was sent, ms.
       now: When it was answered or given up, ms; it can't arrive any more.
     """
-    item = grant.item
+    item, answer = grant.item, granted.answer
     state.sent.remove(item)
-    if answer is ownership.Answer.DONE:
-        state.answered[item.server] = sent_at
-        state.proven.add(item.server)
-        state.unreleased.discard(item.server)
-    else:
-        state.proven.discard(item.server)
-    renewal = state.renewals.get(item)
+    _note_grant_answer(state, item.server, answer, sent_at)
+    renewal = ownership.find_renewal(state, item)
+    if renewal is not None and item in state.renewals:
+        renewal.pending = False
     if answer is ownership.Answer.REFUSED:
         # What was merged or moved since has a higher fence of our own.
-        state.lost |= item in state.assignment.ranges
-        if renewal is not None:
-            renewal.pending = False
+        state.lost |= (item in state.assignment.ranges and
+                       (renewal is None or renewal.fence == grant.fence))
         return
-    if answer is not ownership.Answer.NOT_SENT:
+    if answer in (ownership.Answer.DONE, ownership.Answer.UNKNOWN):
         done = answer is ownership.Answer.DONE
         # It may have arrived just now.
         until = holds.find_end(now, grant.hold_ms)
         state.held = holds.add(
             state.held,
-            holds.Hold(item.first, item.last, item.server, item.fence, until,
+            holds.Hold(item.first, item.last, item.server, grant.fence, until,
                        done))
-    if renewal is None:
+    if renewal is None or renewal.fence != grant.fence:
         return
-    renewal.pending = False
     if answer is ownership.Answer.DONE:
+        renewal.link = granted.link
         renewal.answered = True
-        renewal.due_at = sent_at + grant.hold_ms * ownership.RENEW_PART
         state.tokens.pop(item, None)
+        if item in state.renewals:
+            renewal.due_at = sent_at + grant.hold_ms * ownership.RENEW_PART
+        return
+    if answer is not ownership.Answer.NOT_SENT or granted.link is not None:
+        ownership.change_fence(state, renewal, granted.link)
+    unsent = answer is ownership.Answer.UNLINKED and renewal.link is None
+    renewal.due_at = now if unsent else now + ownership.AGAIN_MS
+
+
+def _note_grant_answer(state: ownership.Coordination, name: str,
+                       answer: ownership.Answer, sent_at: float) -> None:
+    if answer is ownership.Answer.DONE:
+        state.answered[name] = sent_at
+        state.proven.add(name)
+        state.unreleased.discard(name)
     else:
-        renewal.due_at = now + ownership.AGAIN_MS
+        state.proven.discard(name)
 
 
 def note_released(state: ownership.Coordination, release: ownership.Release,
@@ -235,6 +248,10 @@
     for old in before:
         if (old.server == item.server and old.fence == item.fence and
                 old.first <= item.first and old.last >= item.last):
-            renewal = state.renewals.get(old, ownership.Renewal())
-            return dataclasses.replace(renewal, pending=False)
-    return ownership.Renewal()
+            renewal = state.renewals.get(old, ownership.Renewal(old.fence))
+            kept = dataclasses.replace(renewal, pending=False)
+            if renewal.pending:
+                # The grant under way may have used the fence by now.
+                ownership.change_fence(state, kept, renewal.link)
+            return kept
+    return ownership.Renewal(item.fence)
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 import dataclasses
 
+from msgspec import structs
+
 from lentilmoor.edge import holds
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ownership
@@ -152,10 +154,20 @@
         if transfer.source not in state.proven:
             calling.add(transfer.source)
         actions.append(
-            ownership.Release(state.assignment.service, server, pieces[0]))
+            ownership.Release(state.assignment.service, server,
+                              _find_granted(state, pieces[0])))
     return actions
 
 
+def _find_granted(state: ownership.Coordination,
+                  item: keyranges.KeyRange) -> keyranges.KeyRange:
+    """Returns keys with the fence that they were last granted under."""
+    renewal = ownership.find_renewal(state, item)
+    if renewal is None:
+        return item
+    return structs.replace(item, fence=renewal.fence)
+
+
 def list_unserved(state: ownership.Coordination) -> list[tuple[int, int]]:
     """Returns first and last keys that wait for a server's hold to run out."""
     return [(move.transfer.first, move.transfer.last)
@@ -184,20 +196,21 @@
     laid = [(move.transfer.first, move.transfer.last, move.transfer.target)
             for move in ready]
     laid += _take_loose(state)
-    if not laid:
-        return []
     assignment = state.assignment
+    ahead = state.next_fence - assignment.next_fence
+    if not laid and ahead < ownership.FENCES_AHEAD / 2:
+        return []
     changed = [
-        keyranges.KeyRange(first, last, server, assignment.next_fence + number)
+        keyranges.KeyRange(first, last, server, state.next_fence + number)
         for number, (first, last, server) in enumerate(laid)
     ]
     state.saving = True
     ranges = keyranges.reassign(assignment.ranges, changed)
-    ranges, next_fence = keyranges.join_neighbours(
-        ranges, assignment.next_fence + len(changed),
+    ranges, state.next_fence = keyranges.join_neighbours(
+        ranges, state.next_fence + len(changed),
         [(item.first, item.last) for item in changed])
     following = dataclasses.replace(assignment,
-                                    next_fence=next_fence,
+                                    next_fence=state.next_fence,
                                     ranges=ranges,
                                     works=view.works,
                                     addresses=_list_addresses(
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -25,7 +25,7 @@
 # Time limit of a grant; a server that is up answers at once. Its connection is
 # aborted then, so that it can't arrive any later.
 GRANT_MS = 400.0
-# A grant without an answer is sent again after this.
+# Keys whose grant got no answer are granted again after this.
 AGAIN_MS = 300.0
 # A coordinator that can't reach the store goes on renewing for so long, so
 # that keys stay served through the store's outages, the longest of which took
@@ -37,6 +37,9 @@
 PROBE_MS = 1_000.0
 # A grant that could not be sent for so long after it was decided is dropped.
 STALE_MS = 500.0
+# Fences that a coordinator may use beyond the saved ones, while the store is
+# away. Its successor begins above them.
+FENCES_AHEAD = 100_000
 # Pause between two plans that even out load.
 BALANCE_MS = 500.0
 # A server that leaves the list while the store was away may come back for so
@@ -60,18 +63,22 @@
     Attributes:
       service: Name of the service.
       server: The server.
-      item: The keys, and their fence.
+      item: The keys, as assigned.
+      fence: The number to grant them under.
       hold_ms: How long it is to hold them.
       token: What their last holder handed over; empty if nothing.
       planned_at: When it was decided, ms. It is not to be sent much later.
+      link: The only connection that may carry it; None if any may.
     """
 
     service: str
     server: tables.Server
     item: keyranges.KeyRange
+    fence: int
     hold_ms: float
     token: str
     planned_at: float = 0.0
+    link: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,14 +111,31 @@
 
 
 class Answer(enum.Enum):
-    """What came of a grant or a release."""
+    """What came of a grant or a release.
+
+    UNLINKED: not sent, as the connection that the grant is bound to has ended.
+    """
 
     DONE = 'done'
     REFUSED = 'refused'
     NOT_SENT = 'not-sent'
+    UNLINKED = 'unlinked'
     UNKNOWN = 'unknown'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """What came of a grant.
+
+    Attributes:
+      answer: The outcome.
+      link: Number of the connection that carried it; None if none did.
+    """
+
+    answer: Answer
+    link: int | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Move:
     """Keys on their way from one server to another.
@@ -131,14 +155,23 @@
 
 @dataclasses.dataclass(slots=True)
 class Renewal:
-    """When a range was granted.
+    """How a range is granted.
+
+    A grant names an address, and whoever listens there takes it. So that no
+    two processes are granted keys under one fence, a fence goes over one
+    connection only; once that has ended the keys get another one.
 
     Attributes:
+      fence: The number that its owner is granted it under: that of the range,
+        or a higher one.
+      link: The connection that has carried this fence; None if none has.
       due_at: When to grant it again, ms.
       pending: Whether a grant is under way.
-      answered: Whether its owner has answered its fence.
+      answered: Whether its owner has answered.
     """
 
+    fence: int
+    link: int | None = None
     due_at: float = 0.0
     pending: bool = False
     answered: bool = False
@@ -152,6 +185,7 @@
       assignment: Who owns what, as saved.
       revision: The store's revision of it.
       since: When this entry became coordinator, ms.
+      next_fence: Above every fence used so far, saved or not.
       hold_ms: How long servers hold keys without a renewal.
       held: What servers may hold.
       renewals: By range.
@@ -178,6 +212,7 @@
     assignment: keyranges.Assignment
     revision: int
     since: float
+    next_fence: int
     hold_ms: float = HOLD_MS
     held: list[holds.Hold] = dataclasses.field(default_factory=list)
     renewals: dict[keyranges.KeyRange,
@@ -220,6 +255,37 @@
     works: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
+def change_fence(state: Coordination, renewal: Renewal,
+                 link: int | None) -> None:
+    """Has keys granted under a fence that no connection has carried.
+
+    If none is left they keep theirs, and aren't granted before the next save.
+
+    Args:
+      state: The coordinator.
+      renewal: How the keys are granted.
+      link: The connection that carried their fence last.
+    """
+    if state.next_fence < state.assignment.next_fence + FENCES_AHEAD:
+        renewal.fence, renewal.link = state.next_fence, None
+        state.next_fence += 1
+    elif link is not None:
+        renewal.link = link
+
+
+def find_renewal(state: Coordination,
+                 item: keyranges.KeyRange) -> Renewal | None:
+    """Returns how keys are granted, or the range that they are a part of."""
+    found = state.renewals.get(item)
+    if found is not None:
+        return found
+    assigned = keyranges.find_range(state.assignment.ranges, item.first)
+    if (assigned is None or assigned.last < item.last or
+            assigned.server != item.server or assigned.fence != item.fence):
+        return None
+    return state.renewals.get(assigned)
+
+
 def find_replacement(state: Coordination, view: View, name: str) -> str | None:
     """Returns the server at the address of one that has ended, if there is one.
 
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -196,13 +196,13 @@
     """Control calls to backend servers.
 
     Attributes:
-      grant: (grant) -> what came of it. Once it is answered or given up it
-        can't arrive any more.
+      grant: (grant) -> what came of it, and which connection carried it.
+        Once it is answered or given up it can't arrive any more.
       release: (release) -> what came of it, and a hand-over token or ''.
       probe: (probe) -> DONE if the server answers.
     """
 
-    grant: Callable[[ownership.Grant], ownership.Answer]
+    grant: Callable[[ownership.Grant], ownership.Granted]
     release: Callable[[ownership.Release], tuple[ownership.Answer, str]]
     probe: Callable[[ownership.Probe], ownership.Answer]
 
--- a/lentilmoor/edge/renewals.py
+++ b/lentilmoor/edge/renewals.py
@@ -3,6 +3,7 @@
 from lentilmoor.edge import holds
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ownership
+from lentilmoor.edge import tables
 
 
 def plan_grants(state: ownership.Coordination, view: ownership.View,
@@ -18,7 +19,7 @@
             continue
         if ownership.is_failing(state, item.server, now):
             continue  # It is probed, and its keys are about to move.
-        renewal = state.renewals.setdefault(item, ownership.Renewal())
+        renewal = state.renewals.setdefault(item, ownership.Renewal(item.fence))
         if renewal.pending or renewal.due_at > now:
             continue
         if item.server not in state.proven:
@@ -32,21 +33,30 @@
             if renewal.answered:
                 state.sent += pieces
                 actions += [
-                    ownership.Grant(state.assignment.service, server, piece,
-                                    _find_hold(state, piece, now), '', now)
+                    _make_grant(state, server, piece, renewal, now)
                     for piece in pieces
                 ]
                 renewal.due_at = now + state.hold_ms * ownership.RENEW_PART
             continue
         renewal.pending = True
         state.sent.append(item)
-        actions.append(
-            ownership.Grant(state.assignment.service, server, item,
-                            _find_hold(state, item, now),
-                            state.tokens.get(item, ''), now))
+        actions.append(_make_grant(state, server, item, renewal, now))
     return actions
 
 
+def _make_grant(state: ownership.Coordination, server: tables.Server,
+                item: keyranges.KeyRange, renewal: ownership.Renewal,
+                now: float) -> ownership.Grant:
+    return ownership.Grant(state.assignment.service,
+                           server,
+                           item,
+                           renewal.fence,
+                           _find_hold(state, item, now),
+                           state.tokens.get(item, ''),
+                           planned_at=now,
+                           link=renewal.link)
+
+
 def _find_hold(state: ownership.Coordination, item: keyranges.KeyRange,
                now: float) -> float:
     """Returns how long a server is to hold keys, ms.
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -93,25 +93,26 @@
 
 
 def _granted(context: beliefs.Context, state: ownership.Coordination,
-             grant: ownership.Grant, answer: ownership.Answer,
+             grant: ownership.Grant, granted: ownership.Granted,
              sent_at: float) -> None:
     now = context.clock.now()
-    coordination.note_granted(state, grant, answer, sent_at, now)
-    if answer is ownership.Answer.UNKNOWN:
+    coordination.note_granted(state, grant, granted, sent_at, now)
+    if granted.answer is ownership.Answer.UNKNOWN:
         in_force_ms = holds.find_end(now, grant.hold_ms) - now
         context.logger.warning('grant_unanswered',
                                service=grant.service,
                                server=grant.server.id,
                                first=grant.item.first,
                                last=grant.item.last,
-                               fence=grant.item.fence,
+                               fence=grant.fence,
+                               link=granted.link,
                                took_ms=round(now - sent_at),
                                in_force_ms=round(in_force_ms))
     context.states.note('grant_answer',
                         grant.server.id,
-                        answer,
+                        granted.answer,
                         service=grant.service,
-                        fence=grant.item.fence,
+                        fence=grant.fence,
                         first=grant.item.first)
 
 
@@ -130,12 +131,12 @@
 
 
 def _send_grant(context: beliefs.Context,
-                grant: ownership.Grant) -> ownership.Answer:
+                grant: ownership.Grant) -> ownership.Granted:
     """Sends a grant unless it is out of date; run by a thread."""
     now = context.clock.now()
     if (now - context.owned.lease_sent_at > ownership.TENURE_MS or
             now - grant.planned_at > ownership.STALE_MS):
-        return ownership.Answer.NOT_SENT
+        return ownership.Granted(ownership.Answer.NOT_SENT)
     return context.platform.servers.grant(grant)
 
 
--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -1,26 +1,118 @@
 """Control calls to backend servers: granting keys and taking them back."""
 
+from collections.abc import Mapping
+import dataclasses
+import http.client
+import itertools
 import json
 import socket
 import struct
+import threading
+
+from urllib3 import connection as http_connection
+import urllib3.exceptions
 
 from lentilmoor import clocks
 from lentilmoor import httpcalls
 from lentilmoor import outcomes
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
+from lentilmoor.edge import tables
 from lentilmoor.platform import store
 
 _GRANT = '/-/grant'
 _RELEASE = '/-/release'
 _TOKEN = 'Lentilmoor-Handover'
+_HEADERS = {'Content-Type': 'application/json'}
 # A release is answered when the work that runs on its keys has ended.
 RELEASE_MS = 2_500.0
+# Connections of servers that are sent no grants any more are closed after this.
+IDLE_MS = 30_000.0
 # Closing a connection resets it, also when the process is killed. Otherwise the
 # system would go on sending what was given up, for as long as its path is cut.
 ABORT_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+_OPTIONS = (*store.KEEPALIVE, ABORT_ON_CLOSE)
 
 _Answer = ownership.Answer
+_BROKEN = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """The connection that carries one server's grants, one at a time.
+
+    Attributes:
+      address: host:port.
+      lock: Held while a grant is under way.
+      http: The connection; None before the first, or once it has ended.
+      number: Its number; no other connection ever has the same.
+      used_at: When it was last used, ms.
+    """
+
+    address: str
+    used_at: float
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+    http: http_connection.HTTPConnection | None = None
+    number: int | None = None
+
+    def close(self) -> None:
+        """Aborts the connection: what is on its way is lost."""
+        if self.http is not None:
+            self.http.close()
+        self.http = self.number = None
+
+
+class _Links:
+    """The links to all servers; for many threads."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._rows: dict[tuple[str, str], _Link] = {}
+        self._numbers = itertools.count(1)
+        self._looked_at = clock.now()
+
+    def find(self, server: tables.Server) -> _Link:
+        """Returns the link to a server, perhaps not connected yet."""
+        now = self._clock.now()
+        with self._lock:
+            self._close_idle(now)
+            link = self._rows.setdefault((server.id, server.address),
+                                         _Link(server.address, now))
+            link.used_at = now
+            return link
+
+    def connect(self, link: _Link, until: float) -> None:
+        """Connects a link, whose lock is held, if it isn't connected.
+
+        Raises:
+          urllib3.exceptions.HTTPError: It can't be connected in time.
+        """
+        if link.http is not None:
+            return
+        host, _, port = link.address.rpartition(':')
+        left_s = _find_left_s(self._clock, until)
+        connection = http_connection.HTTPConnection(host.strip('[]'),
+                                                    int(port),
+                                                    timeout=left_s,
+                                                    socket_options=_OPTIONS)
+        try:
+            connection.connect()
+        except BaseException:
+            connection.close()
+            raise
+        link.http, link.number = connection, next(self._numbers)
+
+    def _close_idle(self, now: float) -> None:
+        if now - self._looked_at < IDLE_MS:
+            return
+        self._looked_at = now
+        idle = [
+            key for key, link in self._rows.items()
+            if now - link.used_at > IDLE_MS and not link.lock.locked()
+        ]
+        for key in idle:
+            self._rows.pop(key).close()
 
 
 def connect_servers(clock: clocks.Clock) -> ports.Servers:
@@ -29,54 +121,108 @@
     Args:
       clock: This process's time.
     """
-    caller = httpcalls.Caller(clock, 4, (*store.KEEPALIVE, ABORT_ON_CLOSE))
+    links = _Links(clock)
+    caller = httpcalls.Caller(clock, 4, _OPTIONS)
 
-    def call(address: str, target: str, fields: dict,
+    def call(address: str, fields: Mapping,
              timeout_ms: float) -> httpcalls.Reply | outcomes.Failed:
-        request = httpcalls.Request('POST', target,
-                                    json.dumps(fields).encode(),
-                                    {'Content-Type': 'application/json'})
+        request = httpcalls.Request('POST', _RELEASE,
+                                    json.dumps(fields).encode(), _HEADERS)
         return caller.call(address, request, timeout_ms)
 
-    def grant(action: ownership.Grant) -> ownership.Answer:
-        item = action.item
-        fields = {
-            'From': item.first,
-            'To': item.last,
-            'fence': item.fence,
-            'HoldMs': int(action.hold_ms),
-        }
-        if action.token:
-            fields['Handover'] = action.token
-        reply = call(action.server.address, _GRANT, fields, ownership.GRANT_MS)
-        return _judge(reply)
+    def grant(action: ownership.Grant) -> ownership.Granted:
+        until = clock.now() + ownership.GRANT_MS
+        link = links.find(action.server)
+        if not link.lock.acquire(timeout=_find_left_s(clock, until)):
+            return ownership.Granted(_Answer.NOT_SENT)
+        try:
+            return _grant_over(links, link, action, until, clock)
+        finally:
+            link.lock.release()
 
     def release(action: ownership.Release) -> tuple[ownership.Answer, str]:
         item = action.item
         fields = {'From': item.first, 'To': item.last, 'fence': item.fence}
-        reply = call(action.server.address, _RELEASE, fields, RELEASE_MS)
+        reply = call(action.server.address, fields, RELEASE_MS)
         token = ''
         if isinstance(reply, httpcalls.Reply):
             token = reply.headers.get(_TOKEN, '')
-        return _judge(reply), token
+        return _judge_reply(reply), token
 
     def probe(action: ownership.Probe) -> ownership.Answer:
         # Releases a key that is about to be taken from it anyhow.
         fields = {'From': 0, 'To': 0, 'fence': 0}
-        return _judge(
-            call(action.server.address, _RELEASE, fields, ownership.GRANT_MS))
+        return _judge_reply(
+            call(action.server.address, fields, ownership.GRANT_MS))
 
     return ports.Servers(grant, release, probe)
 
 
-def _judge(reply: httpcalls.Reply | outcomes.Failed) -> ownership.Answer:
+def _grant_over(links: _Links, link: _Link, action: ownership.Grant,
+                until: float, clock: clocks.Clock) -> ownership.Granted:
+    """Sends a grant over a link, whose lock is held."""
+    if link.http is not None and not link.http.is_connected:
+        link.close()
+    if action.link is not None and action.link != link.number:
+        return ownership.Granted(_Answer.UNLINKED)
+    try:
+        links.connect(link, until)
+    except _BROKEN:
+        return ownership.Granted(_Answer.NOT_SENT)
+    number = link.number
+    try:
+        status = _post(link.http, _encode_grant(action), until, clock)
+    except _BROKEN:
+        link.close()
+        return ownership.Granted(_Answer.UNKNOWN, number)
+    return ownership.Granted(_judge(status), number)
+
+
+def _post(connection: http_connection.HTTPConnection, body: bytes, until: float,
+          clock: clocks.Clock) -> int:
+    """Sends a grant; returns the status of its answer."""
+    connection.sock.settimeout(_find_left_s(clock, until))
+    connection.request('POST',
+                       _GRANT,
+                       body,
+                       _HEADERS,
+                       preload_content=False,
+                       decode_content=False)
+    connection.timeout = _find_left_s(clock, until)
+    response = connection.getresponse()
+    response.read()
+    return response.status
+
+
+def _encode_grant(action: ownership.Grant) -> bytes:
+    fields = {
+        'From': action.item.first,
+        'To': action.item.last,
+        'fence': action.fence,
+        'HoldMs': int(action.hold_ms),
+    }
+    if action.token:
+        fields['Handover'] = action.token
+    return json.dumps(fields).encode()
+
+
+def _find_left_s(clock: clocks.Clock, until: float) -> float:
+    """Returns the time left, in seconds; never 0, which would not wait."""
+    return max(1.0, until - clock.now()) / clocks.MS_PER_S
+
+
+def _judge_reply(reply: httpcalls.Reply | outcomes.Failed) -> ownership.Answer:
     if isinstance(reply, outcomes.Failed):
         if reply.reason is outcomes.Reason.CONNECT_FAILED:
             return _Answer.NOT_SENT
         return _Answer.UNKNOWN
-    if reply.status == 200:
+    return _judge(reply.status)
+
+
+def _judge(status: int) -> ownership.Answer:
+    if status == 200:
         return _Answer.DONE
-    if reply.status == 409:
+    if status == 409:
         return _Answer.REFUSED
     # Another process at this address answers, or the server rejects the call.
     return _Answer.NOT_SENT
