--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -266,7 +266,9 @@
     def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
         for name, server in everything.servers.items():
-            if name not in owned.servers:
+            # An entry that comes back after its process has ended was written
+            # late, and proves nothing.
+            if name not in owned.servers and name not in owned.ended:
                 self._end_predecessors(server)
             owned.servers[name] = server
             owned.missing.pop(name, None)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -55,9 +55,10 @@
                  service: str,
                  keyed: bool = False,
                  port: int = 0,
-                 registers: bool = True):
+                 registers: bool = True,
+                 tells_start: bool = True):
         self.id = 'i-' + uuid.uuid4().hex[:10]
-        self.born = _tell_time_of_day()
+        self.born = _tell_time_of_day() if tells_start else None
         self.service, self.keyed, self.store = service, keyed, store
         self.work_s = 0.005
         self.journal: list[Run] = []
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -197,11 +197,15 @@
                  orders: int = 2,
                  entries: int = 1,
                  link_mbps: float = 1_000.0,
-                 held_paths: bool = False):
+                 held_paths: bool = False,
+                 servers_tell_start: bool = True):
         self.store = platform_store.PlatformStore()
         self.store.put('op/config', make_configuration())
         self.catalogs = [
-            platform_server.PlatformServer(self.store, 'catalog', True)
+            platform_server.PlatformServer(self.store,
+                                           'catalog',
+                                           True,
+                                           tells_start=servers_tell_start)
             for _ in range(catalogs)
         ]
         self.paths = []
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -24,9 +24,12 @@
 
 class _DeploymentTest(unittest.TestCase):
 
+    servers_tell_start = True
+
     def setUp(self):
         super().setUp()
-        self.deployment = platformhelp.Deployment(held_paths=True)
+        self.deployment = platformhelp.Deployment(
+            held_paths=True, servers_tell_start=self.servers_tell_start)
         self.addCleanup(self.deployment.close)
         self.entry = self.deployment.entries[0]
         self.server, self.other = self.deployment.catalogs
@@ -84,5 +87,42 @@
             self.assertGreater(fields['fence'], highest)
 
 
+class StaleEntryTest(_DeploymentTest):
+    """An entry is written late, when its process has long been replaced."""
+
+    servers_tell_start = False
+
+    def _replace(self) -> platform_server.PlatformServer:
+        """Ends the first server's process; another starts at its address."""
+        self.server.close()
+        following = platform_server.PlatformServer(self.deployment.store,
+                                                   'catalog',
+                                                   True,
+                                                   self.server.port,
+                                                   registers=False,
+                                                   tells_start=False)
+        self.addCleanup(following.close)
+        following.address = self.server.address
+        following.register()
+        self.deployment.catalogs[0] = following
+        platformhelp.wait_until(
+            lambda: all(
+                any(server.holds(key)
+                    for server in self.deployment.catalogs)
+                for key in _PROBED_KEYS), 5.0, self.entry.read_log)
+        return following
+
+    def test_it_takes_no_keys_from_the_process_that_is_up(self):
+        following = self._replace()
+        self.deployment.store.delete(f'servers/{self.server.id}')
+        platformhelp.wait_until(
+            lambda: '"servers_gone"' in self.entry.read_log(), 8.0,
+            self.entry.read_log)
+        self.assertTrue(following.held)
+        self.server.register()
+        self._watch_owners(3.0)
+        self.assertTrue(following.held)
+
+
 if __name__ == '__main__':
     unittest.main()
