--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -6,8 +6,8 @@
 what came of it.
 
 No two servers hold a key at once. A key goes to another server only after the
-one that held it answered a release, after its hold has surely run out, or
-after its process has surely ended. A new coordinator grants everything once
+one that held it answered a release, or after its hold has surely run out; at
+once only to the process that has followed it at its address. A new coordinator grants everything once
 more under a fence above all earlier ones: a server that answers this refuses
 whatever an earlier coordinator may still send. For servers that don't answer,
 it waits until an earlier coordinator can't have renewed their keys any more.
@@ -102,9 +102,7 @@
     state.held = holds.expire(state.held, now)
     for server in view.ended:
         replacement = ownership.find_replacement(state, view, server)
-        if replacement is None:
-            state.held = holds.forget(state.held, server)
-        else:
+        if replacement is not None:
             state.held = holds.hand_on(state.held, server, replacement)
     for server in view.servers:
         state.answered.setdefault(server, now)
--- a/lentilmoor/edge/holds.py
+++ b/lentilmoor/edge/holds.py
@@ -98,11 +98,6 @@
     return kept
 
 
-def forget(holds: Iterable[Hold], server: str) -> list[Hold]:
-    """Ends all holds of a server whose process has surely ended."""
-    return [item for item in holds if item.server != server]
-
-
 def hand_on(holds: Iterable[Hold], server: str, replacement: str) -> list[Hold]:
     """Takes what a process may hold for held by the one in its place.
 
--- a/tests/test_edge_coordination.py
+++ b/tests/test_edge_coordination.py
@@ -348,6 +348,32 @@
             self.assertTrue(_covered(world), seed)
 
 
+class EndedServerTest(unittest.TestCase):
+    """A server is said to have ended, and no other listens at its address."""
+
+    def test_its_keys_wait_until_its_holds_have_run_out(self):
+        # A late entry of another service at its address would end a server that
+        # is up, and its keys would go to another one while it holds them.
+        world = edgeworlds.World(31)
+        world.run(2_000)
+        state = world.coordinators[0].state
+        ended = frozenset({'s2'})
+        servers = world.list_servers()
+        view = ownership.View(
+            {
+                name: entry for name, entry in servers.items() if name != 's2'
+            }, ended, {'s2': servers['s2']}, keyloads.KeyLoads({}), {})
+        until = holds.find_until(state.held, 's2', 0, tables.KEYS)
+        actions = coordination.plan(state, view, world.now)
+        self.assertEqual(holds.find_until(state.held, 's2', 0, tables.KEYS),
+                         until)
+        self.assertFalse(
+            any(isinstance(item, ownership.Save) for item in actions))
+        actions = coordination.plan(state, view, until)
+        self.assertTrue(
+            any(isinstance(item, ownership.Save) for item in actions))
+
+
 class LooseGrantTest(unittest.TestCase):
     """A renewal got no answer, and the server turns hot."""
 
