--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -7,10 +7,11 @@
 
 No two servers hold a key at once. A key goes to another server only after the
 one that held it answered a release, or after its hold has surely run out; at
-once only to the process that has followed it at its address. A new coordinator grants everything once
-more under a fence above all earlier ones: a server that answers this refuses
-whatever an earlier coordinator may still send. For servers that don't answer,
-it waits until an earlier coordinator can't have renewed their keys any more.
+once only to the process that has followed it at its address. A new coordinator
+grants everything once more under a fence above all earlier ones: a server that
+answers this refuses whatever an earlier coordinator may still send. For servers
+that don't answer, it waits until an earlier coordinator can't have renewed their
+keys any more.
 """
 
 from collections.abc import Mapping
