--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -10,8 +10,8 @@
 once only to the process that has followed it at its address. A new coordinator
 grants everything once more under a fence above all earlier ones: a server that
 answers this refuses whatever an earlier coordinator may still send. For servers
-that don't answer, it waits until an earlier coordinator can't have renewed their
-keys any more.
+that don't answer, it waits until an earlier coordinator can't have renewed
+their keys any more.
 """
 
 from collections.abc import Mapping
