--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -270,4 +270,11 @@
                 # The grant under way may have used the fence by now.
                 ownership.change_fence(state, kept, renewal.link)
             return kept
-    return ownership.Renewal(item.fence)
+    renewal = ownership.Renewal(item.fence)
+    if any(old.server == item.server and
+           keyranges.overlaps(old, item.first, item.last) and
+           old in state.renewals and state.renewals[old].fence >= item.fence
+           for old in before):
+        # Its fence was chosen for the save, and keys got higher ones since.
+        ownership.change_fence(state, renewal, None)
+    return renewal
--- a/tests/test_edge_fences.py
+++ b/tests/test_edge_fences.py
@@ -8,6 +8,7 @@
 from lentilmoor.edge import ownership
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import tables
+from tests import edgeworlds
 
 _Answer = ownership.Answer
 
@@ -21,6 +22,50 @@
                           frozenset(), {}, keyloads.KeyLoads({}), {})
 
 
+class SaveWhileFencesChangeTest(unittest.TestCase):
+    """A connection ends while an assignment is being saved."""
+
+    def setUp(self):
+        super().setUp()
+        self.model = edgeworlds.ServerModel(_make_server('a'), 1.0)
+
+    def _answer(self, state, actions, now, link):
+        """Has the server answer grants over a connection."""
+        for grant in actions:
+            if not isinstance(grant, ownership.Grant) or (grant.server.id
+                                                          != 'a'):
+                continue
+            if grant.link is not None and grant.link != link:
+                granted = ownership.Granted(_Answer.UNLINKED)
+            else:
+                granted = ownership.Granted(
+                    self.model.grant(grant.item.first, grant.item.last,
+                                     grant.fence, grant.hold_ms, now, now),
+                    link)
+            coordination.note_granted(state, grant, granted, now, now)
+
+    def test_a_join_is_not_saved_below_a_fence_that_was_used_meanwhile(self):
+        ranges = (keyranges.KeyRange(0, 99, 'a',
+                                     2), keyranges.KeyRange(100, 199, 'a', 3),
+                  keyranges.KeyRange(200, tables.KEYS - 1, 'gone', 4))
+        state = coordination.begin(keyranges.Assignment('stock', 1, 5, ranges),
+                                   1, 0.0, None)
+        view = _make_view('a', 'c')
+        actions = coordination.plan(state, view, 0.0)
+        save = next(x for x in actions if isinstance(x, ownership.Save))
+        self._answer(state, actions, 1.0, 1)
+        for now in (5.0, 10.0):
+            self._answer(state, coordination.plan(state, view, now), now, 1)
+        # The store answers after 0.8 s. The connection ended meanwhile.
+        for now in (770.0, 775.0, 780.0, 785.0):
+            self._answer(state, coordination.plan(state, view, now), now, 2)
+        self.assertFalse(state.lost)
+        coordination.note_saved(state, save, 2, 800.0)
+        for now in (805.0, 810.0, 815.0):
+            self._answer(state, coordination.plan(state, view, now), now, 2)
+        self.assertFalse(state.lost)
+
+
 class TwoGrantsOfOneFenceTest(unittest.TestCase):
     """A part of a range moves out, and those beside it are renewed."""
 
