--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -226,16 +226,28 @@
     state.unreleased.discard(name)
 
 
+def note_not_saved(state: ownership.Coordination, refused: bool,
+                   now: float) -> None:
+    """Takes in that a save failed.
+
+    Args:
+      state: The coordinator.
+      refused: Whether the store said so. Otherwise it may be carried out all
+        the same, and whoever reads it grants its targets the keys.
+      now: ms.
+    """
+    state.saving = False
+    state.save_at = now + ownership.SAVE_AGAIN_MS
+    for move in state.moves:
+        if move.phase is ownership.Phase.SAVING:
+            move.phase = ownership.Phase.WAIT
+            move.unsettled |= not refused
+
+
 def note_saved(state: ownership.Coordination, save: ownership.Save,
-               revision: int | None, now: float) -> None:
-    """Takes in what came of a save; without a revision it was not done."""
+               revision: int) -> None:
+    """Takes in that an assignment was saved."""
     state.saving = False
-    if revision is None:
-        state.save_at = now + ownership.SAVE_AGAIN_MS
-        for move in state.moves:
-            if move.phase is ownership.Phase.SAVING:
-                move.phase = ownership.Phase.WAIT
-        return
     before = set(state.assignment.ranges)
     state.assignment, state.revision = save.assignment, revision
     saved = [
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -31,7 +31,7 @@
     state.moves = [
         move for move in state.moves
         if move.phase is not ownership.Phase.WAIT or move.token or
-        not _is_back(state, view, move, now)
+        move.unsettled or not _is_back(state, view, move, now)
     ]
     _plan_departures(state, view, capacities, now)
     unsure = any(
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -147,14 +147,16 @@
     Attributes:
       transfer: Which keys, from whom, to whom.
       phase: How far it has come.
-      token: What the source handed over; empty if nothing.
       began_at: When it was planned, ms.
+      token: What the source handed over; empty if nothing.
+      unsettled: Whether a save of it may have been carried out.
     """
 
     transfer: rebalancing.Transfer
     phase: Phase
     began_at: float
     token: str = ''
+    unsettled: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -143,7 +143,7 @@
 def _saved(context: beliefs.Context, state: ownership.Coordination,
            save: ownership.Save, result) -> None:
     if not isinstance(result, outcomes.Failed):
-        coordination.note_saved(state, save, result, context.clock.now())
+        coordination.note_saved(state, save, result)
         context.logger.info('assignment_saved',
                             service=save.service,
                             revision=result,
@@ -152,7 +152,9 @@
         return
     if result.reason is outcomes.Reason.CONFLICT:
         state.lost = True
-    coordination.note_saved(state, save, None, context.clock.now())
+    refused = result.reason not in (outcomes.Reason.TIMED_OUT,
+                                    outcomes.Reason.CONNECTION_LOST)
+    coordination.note_not_saved(state, refused, context.clock.now())
     context.logger.warning('assignment_not_saved',
                            service=save.service,
                            reason=result.reason.value)
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -119,7 +119,7 @@
             'Writes': [write],
             'Delete': [],
         }
-        fields: dict | outcomes.Failed = outcomes.Failed(_Reason.TIMED_OUT)
+        unknown = None
         for _ in range(TRIES):
             fields = self.call('POST', '/-/kv-txn', body)
             if not isinstance(fields, outcomes.Failed):
@@ -128,8 +128,10 @@
                 return _read_conflict(fields, value)
             if fields.reason not in (_Reason.TIMED_OUT,
                                      _Reason.CONNECTION_LOST):
-                return fields
-        return fields
+                # A refusal says nothing of an earlier try without an answer.
+                return unknown or fields
+            unknown = fields
+        return unknown
 
 
 def _find_kind(target: str) -> str:
--- a/tests/edgeworlds.py
+++ b/tests/edgeworlds.py
@@ -380,8 +380,10 @@
                 self.saved = action.assignment
             else:
                 item.state.lost |= item.sees_store
-            coordination.note_saved(item.state, action,
-                                    self.revision if done else None, self.now)
+            if done:
+                coordination.note_saved(item.state, action, self.revision)
+            else:
+                coordination.note_not_saved(item.state, True, self.now)
 
         self._after(5, apply)
 
--- a/tests/test_edge_fences.py
+++ b/tests/test_edge_fences.py
@@ -60,7 +60,7 @@
         for now in (770.0, 775.0, 780.0, 785.0):
             self._answer(state, coordination.plan(state, view, now), now, 2)
         self.assertFalse(state.lost)
-        coordination.note_saved(state, save, 2, 800.0)
+        coordination.note_saved(state, save, 2)
         for now in (805.0, 810.0, 815.0):
             self._answer(state, coordination.plan(state, view, now), now, 2)
         self.assertFalse(state.lost)
--- /dev/null
+++ b/tests/test_edge_saves.py
@@ -0,0 +1,121 @@
+"""Tests of saves whose answer is lost."""
+
+import unittest
+from unittest import mock
+
+import urllib3
+
+from lentilmoor import clocks
+from lentilmoor import httpcalls
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor.edge import coordination
+from lentilmoor.edge import keyloads
+from lentilmoor.edge import keyranges
+from lentilmoor.edge import ownership
+from lentilmoor.edge import tables
+from lentilmoor.platform import store
+from tests import edgeworlds
+
+
+def _make_server(name):
+    return tables.Server(name, 'stock', f'{name}:1', 'd', 2, False, 0.0, 0.0)
+
+
+class UnansweredSaveTest(unittest.TestCase):
+    """The store carries out a save, and its answer is lost."""
+
+    def setUp(self):
+        super().setUp()
+        self.models = {
+            name: edgeworlds.ServerModel(_make_server(name), 1.0)
+            for name in 'ab'
+        }
+        self.cut = False
+        self.shared = []
+
+    def _step(self, state, now):
+        """Plans; servers answer unless cut. Returns the saves."""
+        view = ownership.View(
+            {
+                name: item.entry for name, item in self.models.items()
+            }, frozenset(), {}, keyloads.KeyLoads({}), {})
+        saves = []
+        for action in coordination.plan(state, view, now):
+            if isinstance(action, ownership.Save):
+                saves.append(action)
+            elif isinstance(action, ownership.Probe):
+                answer = (ownership.Answer.UNKNOWN
+                          if self.cut else ownership.Answer.DONE)
+                coordination.note_probed(state, action, answer, now)
+            elif isinstance(action, ownership.Grant):
+                model = self.models[action.server.id]
+                if self.cut and action.server.id == 'a':
+                    granted = ownership.Granted(ownership.Answer.NOT_SENT)
+                else:
+                    granted = ownership.Granted(
+                        model.grant(action.item.first, action.item.last,
+                                    action.fence, action.hold_ms, now, now), 1)
+                coordination.note_granted(state, action, granted, now, now)
+        for key in (0, 100):
+            owners = [n for n, m in self.models.items() if m.holds(key, now)]
+            if len(owners) > 1:
+                self.shared.append((now, key, owners))
+        return saves
+
+    def test_the_successor_gives_no_key_away_that_its_owner_got_back(self):
+        ranges = (keyranges.KeyRange(0, 999, 'a', 2),
+                  keyranges.KeyRange(1000, tables.KEYS - 1, 'b', 3))
+        state = coordination.begin(keyranges.Assignment('stock', 1, 4, ranges),
+                                   1, 0.0, None)
+        state.balanced_at = 1e9
+        now, saves = 0.0, []
+        while now < 1_000:
+            now += 20.0
+            self._step(state, now)
+        self.cut = True  # The path to a.
+        while not saves and now < 20_000:
+            now += 20.0
+            saves = self._step(state, now)
+        self.assertTrue(saves)
+        # The store executes it; the answer is lost, known after 1.2 s. The
+        # path to a is back meanwhile.
+        stored, self.cut = saves[0].assignment, False
+        until = now + 1_200.0
+        while now < until:
+            now += 20.0
+            self._step(state, now)
+        coordination.note_not_saved(state, False, now)
+        resent = []
+        for _ in range(40):
+            now += 20.0
+            resent += self._step(state, now)
+        self.assertTrue(resent)
+        # Another entry takes over, or this one anew: it reads what is stored.
+        following = coordination.begin(coordination.make_next(stored, 'x.2'), 3,
+                                       now, 'x.1')
+        following.balanced_at = 1e9
+        for _ in range(20):
+            now += 20.0
+            self._step(following, now)
+        self.assertEqual(self.shared[:2], [])
+
+
+class RepeatedWriteTest(unittest.TestCase):
+    """A conditional write gets no answer, and its repeat is turned away."""
+
+    def test_whether_it_was_carried_out_is_not_known(self):
+        replies = [
+            outcomes.Failed(outcomes.Reason.TIMED_OUT),
+            httpcalls.Reply(503, urllib3.HTTPHeaderDict(), b'')
+        ]
+        client = store.connect_store('127.0.0.1:1', clocks.Clock(),
+                                     logs.make_logger('test'))
+        assignment = keyranges.Assignment('stock', 1, 2, ())
+        with mock.patch.object(httpcalls.Caller, 'call', side_effect=replies):
+            result = client.save(assignment, 1)
+        self.assertIs(result.reason, outcomes.Reason.TIMED_OUT)
+
+
+if __name__ == '__main__':
+    unittest.main()
