--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -21,6 +21,7 @@
 from lentilmoor.edge import elections
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import leases
+from lentilmoor.edge import lifetimes
 from lentilmoor.edge import matching
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
@@ -265,11 +266,10 @@
 
     def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
+        lifetimes.end_predecessors(owned, everything)
+        for name in lifetimes.take_back_ends(owned, everything):
+            self._logger.info('server_up_after_all', server=name)
         for name, server in everything.servers.items():
-            # An entry that comes back after its process has ended was written
-            # late, and proves nothing.
-            if name not in owned.servers and name not in owned.ended:
-                self._end_predecessors(server)
             owned.servers[name] = server
             owned.missing.pop(name, None)
         # Entries run out while a store is away that nobody has found silent
@@ -313,12 +313,6 @@
                                   draining=server.draining,
                                   revision=everything.revision)
 
-    def _end_predecessors(self, server: tables.Server) -> None:
-        owned = self._owned
-        for other in [*owned.servers.values(), *owned.left.values()]:
-            if tables.follows(server, other):
-                owned.ended.add(other.id)
-
     def _leave_out_unconfigured(self,
                                 found: ports.Everything) -> ports.Everything:
         """Leaves out entries of servers whose service nobody configured.
