--- a/lentilmoor/edge/lifetimes.py
+++ b/lentilmoor/edge/lifetimes.py
@@ -1,7 +1,7 @@
 """Which servers' processes have ended, as far as the list of servers tells.
 
-Entries may be written late, by processes that ended long ago or that nobody here
-ever knew; not all servers tell when they started.
+Entries may be written late, by processes that ended long ago or that nobody
+here ever knew; not all servers tell when they started.
 """
 
 import collections
@@ -16,8 +16,8 @@
     """Notes whose processes have ended, as others are in their place.
 
     An entry that comes back after its process has ended was written late, and
-    proves nothing. Of two that are new at once and don't tell when they started,
-    nobody knows which is older.
+    proves nothing. Of two that are new at once and don't tell when they
+    started, nobody knows which is older.
 
     Args:
       owned: What is believed, before the list is taken in.
