--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -3,11 +3,9 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import coordination
+from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 
-# The coordinator's lease. Its successor takes over after the lease has run
-# out, which must leave time to renew grants before they run out in turn.
-LEASE_MS = 1_500.0
 KEEP_MS = 450.0
 # Longest pause before an entry stands for coordinator: the first to do so
 # spares the others the call.
@@ -127,7 +125,7 @@
     lease = owned.lease
     sent_at = context.clock.now()
     if lease is None:
-        lease = store.open_lease(LEASE_MS)
+        lease = store.open_lease(ownership.LEASE_MS)
         if isinstance(lease, outcomes.Failed):
             return lease
     taken = store.take_role(name, context.peer, lease)
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -14,6 +14,9 @@
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import tables
 
+# The coordinator's lease. Its successor takes over after the lease has run
+# out, which must leave time to renew grants before they run out in turn.
+LEASE_MS = 1_500.0
 # How long a server holds keys without a renewal. Keys of a server that went
 # silent stay unserved for so long; a coordinator that is lost must be
 # replaced within what a renewal leaves of it.
@@ -261,6 +264,20 @@
     works: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
+def may_link(kept_at: float, now: float) -> bool:
+    """Returns whether a grant may go over a new connection.
+
+    Who takes it there may be a process that no successor has granted anything
+    yet, and which refuses nothing. Nobody can have taken the role before the
+    grant arrives.
+
+    Args:
+      kept_at: When the coordinator's lease was last kept, as of sending, ms.
+      now: ms.
+    """
+    return now - kept_at <= LEASE_MS - GRANT_WAIT_MS - GRANT_MS
+
+
 def change_fence(state: Coordination, renewal: Renewal,
                  link: int | None) -> None:
     """Has keys granted under a fence that no connection has carried.
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -133,9 +133,10 @@
 def _send_grant(context: beliefs.Context,
                 grant: ownership.Grant) -> ownership.Granted:
     """Sends a grant unless it is out of date; run by a thread."""
-    now = context.clock.now()
-    if (now - context.owned.lease_sent_at > ownership.TENURE_MS or
-            now - grant.planned_at > ownership.STALE_MS):
+    now, kept_at = context.clock.now(), context.owned.lease_sent_at
+    if (now - kept_at > ownership.TENURE_MS or
+            now - grant.planned_at > ownership.STALE_MS or
+            grant.link is None and not ownership.may_link(kept_at, now)):
         return ownership.Granted(ownership.Answer.NOT_SENT)
     return context.platform.servers.grant(grant)
 
--- a/tests/edgeworlds.py
+++ b/tests/edgeworlds.py
@@ -182,6 +182,8 @@
         self.revision += 1
         self.saved = following
         for item in self.coordinators:
+            if item.sees_store:
+                item.kept_at = self.now - ownership.LEASE_MS
             item.sees_store = False
         self.coordinators.append(
             CoordinatorModel(
@@ -253,7 +255,9 @@
                                       ownership.Granted(answer, link), sent,
                                       self.now)
 
-        if self.now - action.planned_at > ownership.STALE_MS:
+        if (self.now - action.planned_at > ownership.STALE_MS or
+                action.link is None and
+                not ownership.may_link(item.kept_at, self.now)):
             note(ownership.Answer.NOT_SENT)
             return
         if not self._is_linked(item, action, model):
