--- a/lentilmoor/linequeue.py
+++ b/lentilmoor/linequeue.py
@@ -79,9 +79,29 @@
                 fields = {'event': 'lines_left_out', 'count': left_out}
                 text += json.dumps(fields) + '\n'
             try:
-                self._stream.write(text)
-                self._stream.flush()
+                _write_whole(self._stream, text)
             except (OSError, ValueError):
                 # Nobody reads any more, and there is nowhere to say so.
                 with self._changed:
                     self._left_out += text.count('\n')
+
+
+def _write_whole(stream: TextIO, text: str) -> None:
+    """Writes a text to its end.
+
+    A text stream over an unbuffered one takes a short write for a whole one.
+
+    Raises:
+      OSError: Nothing more is taken.
+    """
+    binary = getattr(stream, 'buffer', None)
+    if binary is None:
+        stream.write(text)
+    else:
+        left = memoryview(text.encode())
+        while left:
+            taken = binary.write(left)
+            if not taken:
+                raise OSError('nothing is taken')
+            left = left[taken:]
+    stream.flush()
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -275,8 +275,35 @@
         return super().write(text)
 
 
+class _ShortWrites(io.RawIOBase):
+    """A descriptor that takes a part of what is written, as a pipe may."""
+
+    def __init__(self):
+        super().__init__()
+        self.taken = b''
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data) -> int:
+        part = bytes(data[:1_000])
+        self.taken += part
+        return len(part)
+
+
 class LineQueueTest(unittest.TestCase):
 
+    def test_lines_that_are_written_together_all_arrive(self):
+        # An unbuffered stream hands on the first part, and tells of no rest.
+        raw = _ShortWrites()
+        stream = io.TextIOWrapper(raw, encoding='utf-8', write_through=True)
+        lines = linequeue.LineQueue(stream, clocks.ManualTime().clock())
+        expected = [f'{number:0250}\n' for number in range(200)]
+        for line in expected:
+            lines.write(line)
+        lines.close()
+        self.assertEqual(raw.taken.decode(), ''.join(expected))
+
     def test_a_reader_that_is_stuck_costs_lines_and_no_time(self):
         stream = _StuckStream()
         time_ = clocks.ManualTime()
