--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -54,6 +54,9 @@
 # A read of the store that took longer is told, as is one that failed. A watch
 # waits for a change, of which there is one in nearly each second.
 SLOW_READ_MS = 1_000.0
+# A watch that has waited for so long when the store answers again may have been
+# sent while it was silent, and is never answered then.
+HUNG_MS = 250.0
 
 
 def follow_again(follower: knowledge.Follower) -> None:
@@ -61,17 +64,26 @@
 
     Not if the store or the hub told something a moment ago: an entry that the
     store answered by turns read it whole five times in 11 s, and took in the
-    configuration 0.9 s too late.
+    configuration 0.9 s too late. A watch that may hang is left all the same, as
+    its thread couldn't look once nobody tells any more.
     """
-    if follower.begun and _find_silence(follower) < NEWS_FRESH_MS:
-        return
-    _begin(follower)
+    hangs = _hangs(follower)
+    if not follower.begun or _find_silence(follower, hangs) >= NEWS_FRESH_MS:
+        _begin(follower)
+    elif hangs:
+        _begin(follower, reads=False)
+
+
+def _hangs(follower: knowledge.Follower) -> bool:
+    """Returns whether a watch may have been sent to a silent store."""
+    what, since = follower.doing
+    return what == 'watch' and follower.clock.now() - since >= HUNG_MS
 
 
 def check(follower: knowledge.Follower) -> None:
     """Begins to follow anew if nobody has told anything for too long."""
     now = follower.clock.now()
-    silence_ms = min(_find_silence(follower), now - follower.began_at)
+    silence_ms = min(_find_silence(follower, False), now - follower.began_at)
     if silence_ms < SILENT_MS:
         return
     what, since = follower.doing
@@ -83,14 +95,15 @@
     _begin(follower)
 
 
-def _find_silence(follower: knowledge.Follower) -> float:
+def _find_silence(follower: knowledge.Follower, looks: bool) -> float:
     """Returns how long ago the store, the hub or a relay told something, ms.
 
-    What a relay tells may be old: while the store is away it knows no more.
+    What a relay tells may be old: while the store is away it knows no more. So
+    it doesn't count for who looks for itself.
     """
     forwarder = follower.reporter.forwarder
     told_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
-    if _is_leaf(follower):
+    if _is_leaf(follower) and not looks:
         told_at = max(told_at, follower.told_at)
     return follower.clock.now() - told_at
 
@@ -100,17 +113,26 @@
     return follower.place is not None and not follower.place.relay
 
 
-def _begin(follower: knowledge.Follower) -> None:
+def _begin(follower: knowledge.Follower, reads: bool = True) -> None:
     follower.begun += 1
     follower.began_at = follower.clock.now()
     threading.Thread(target=follow,
-                     args=(follower, follower.begun),
+                     args=(follower, follower.begun, reads),
                      daemon=True).start()
 
 
-def follow(follower: knowledge.Follower, number: int) -> None:
-    """Follows the store until following was begun anew."""
-    known = follower.seen is None and follower.own.small and _learn(follower)
+def follow(follower: knowledge.Follower,
+           number: int,
+           reads: bool = True) -> None:
+    """Follows the store until following was begun anew.
+
+    Args:
+      follower: What it needs.
+      number: Which beginning this is.
+      reads: Whether to read the store at once, not when it is time to.
+    """
+    known = not reads or (follower.seen is None and follower.own.small and
+                          _learn(follower))
     while number == follower.begun:
         if not known and not _read(follower, number):
             continue
--- a/tests/test_edge_subscriptions.py
+++ b/tests/test_edge_subscriptions.py
@@ -310,6 +310,67 @@
         self.assertEqual(self.follower.begun, 2)
         self.follower.begun = 3
 
+    def _answer_again(self, what, heard_ms):
+        """The store answers again while a call of a leaf to it is under way."""
+        self._find_pause(False, heard_ms)
+        self.forwarder.platform = mock.Mock(**{'settings.seeds': ()})
+        self.follower.begun = 1
+        self.follower.doing = (what, self.time.at - 1_000.0)
+        following.follow_again(self.follower)
+        self.addCleanup(setattr, self.follower, 'begun', 9)
+        return self.follower.begun
+
+    def test_who_waits_for_a_call_of_the_silent_store_looks_again(self):
+        # It waited up to 3.3 s more, as a relay that knew nothing had spoken.
+        self.assertEqual(self._answer_again('watch', 9_000.0), 2)
+        platformhelp.wait_until(lambda: self.follower.store.load.called, 3.0)
+
+    def test_who_is_told_leaves_such_a_call_and_waits(self):
+        # Its thread couldn't look when nobody told it any more.
+        self.follower.seen = ports.Everything(None, {}, {}, {}, {}, 1)
+        self.assertEqual(self._answer_again('watch', 100.0), 2)
+        platformhelp.wait_until(lambda: self.follower.doing[0] == 'wait', 3.0)
+        self.assertFalse(self.follower.store.watch.called)
+        self.assertFalse(self.follower.store.load.called)
+
+    def test_a_long_read_goes_on_while_somebody_tells(self):
+        # Over a slow link it takes longer than the calls that seem lost.
+        for what in ('load', 'configuration'):
+            self.assertEqual(self._answer_again(what, 100.0), 1)
+
+
+class HungWatchTest(unittest.TestCase):
+    """The store is silent for a while, and a watch of an entry hangs."""
+
+    def test_the_configuration_is_known_soon_after_its_return(self):
+        standin = platform_store.PlatformStore()
+        self.addCleanup(standin.close)
+        standin.put('op/config', platformhelp.make_configuration(4))
+        clock, logger = clocks.make_suspend_clock(), logs.make_logger('test')
+        forwarder = requests.Forwarder(clock,
+                                       mock.Mock(**{'settings.seeds': ()}),
+                                       logger, None)
+        follower = knowledge.Follower(
+            ports.Peer('e1', 'a:1'),
+            reporting.Reporter('e1', forwarder, mock.Mock(), mock.Mock()),
+            store.connect_store(standin.address, clock, logger), clock, logger,
+            mock.Mock(), mock.Mock())
+        follower.place = relays.Place(False, ('b:1',))
+        self.addCleanup(setattr, follower, 'begun', 9)
+        following.follow_again(follower)
+        platformhelp.wait_until(lambda: follower.doing[0] == 'wait', 3.0)
+        standin.faults.away = 'silent'
+        follower.hurried.set()
+        platformhelp.wait_until(lambda: follower.doing[0] == 'watch', 3.0)
+        # What is known grows old; its relay answers, and knows no more.
+        time.sleep(1.3)
+        standin.faults.away = ''
+        standin.put('op/config', platformhelp.make_configuration(6))
+        follower.told_at = clock.now()
+        following.follow_again(follower)
+        platformhelp.wait_until(
+            lambda: follower.seen.configuration.version == 6, 1.0)
+
 
 class StartTest(unittest.TestCase):
     """An entry on a small machine starts."""
