--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -146,7 +146,7 @@
         with self._lock:
             if after < self._news_since:
                 return None
-            items = [item for item in self._news if item.revision > after]
+            items = _find_last(self._news, after)
         rows = [
             write_item(item) for item in items if len(item.value or b'') <= room
         ]
@@ -185,7 +185,7 @@
             item for key, item in self._items.items()
             if key.startswith(ASSIGNMENTS)
         ]
-        return [item for item in (*self._news, *saved) if item.revision > after]
+        return _find_last((*self._news, *saved), after)
 
     def restore(self, data: bytes) -> ports.Everything | None:
         """Returns what another entry knew; None if it knows nothing newer."""
@@ -341,6 +341,20 @@
     return same and found.warm_at < max(known.warm_at, now) + WARM_SLACK_MS
 
 
+def _find_last(items: Iterable[Item], after: int) -> list[Item]:
+    """Returns the last change of each key since a revision, in order.
+
+    Those before it would fill the links of all who are told.
+    """
+    last: dict[str, Item] = {}
+    for item in items:
+        known = last.get(item.key)
+        if item.revision > after and (known is None or
+                                      known.revision < item.revision):
+            last[item.key] = item
+    return sorted(last.values(), key=lambda item: item.revision)
+
+
 def make_reader(item: Item) -> Callable[[bytes], ports.SavedAssignment]:
     """Returns what reads the assignment that an item holds."""
 
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -227,6 +227,28 @@
         self.assertEqual(list(found.entries), ['e'])
         self.assertEqual(found.revision, known.revision)
 
+    def test_only_the_last_change_of_a_key_is_told(self):
+        # Replies of half a megabyte, most of it replaced configurations, kept
+        # small machines' links busy for 7 s; each that was given up grew.
+        since = self.first.revision
+        for version in (4, 5, 6):
+            self.standin.put('op/config',
+                             platformhelp.make_configuration(version))
+        self.standin.put('lentilmoor/entry/e', b'["e", "a:1", false]')
+        self.standin.delete('lentilmoor/entry/e')
+        known = self.hub.watch(self.hub_first)
+        rows = json.loads(self.hub.tell_news(since, _ROOM))
+        self.assertEqual([row['Key'] for row in rows],
+                         ['op/config', 'lentilmoor/entry/e'])
+        part = json.loads(zlib.decompress(self.hub.dump(since)))
+        self.assertEqual(len(part['items']), 2)
+        heard = tables.News(known.revision, 0.0, since,
+                            self.hub.tell_news(since, _ROOM))
+        found = knowledge.merge_news(self.follower, self.first, heard)
+        self.assertEqual(found.configuration.version, 6)
+        self.assertFalse(found.entries)
+        self.assertEqual(found.revision, known.revision)
+
     def test_a_peer_tells_what_was_too_large_for_news(self):
         self.standin.put('op/config', platformhelp.make_configuration(4))
         known = self.hub.watch(self.hub_first)
