--- a/lentilmoor/linequeue.py
+++ b/lentilmoor/linequeue.py
@@ -6,6 +6,8 @@
 """
 
 import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
 import json
 import threading
 from typing import TextIO
@@ -17,6 +19,9 @@
 LINES_PER_S = 300
 # Lines that wait for a reader that is slow; about half a megabyte.
 MOST_WAITING = 2_000
+# Lines that are written at once: what a pipe takes as a whole, and what readers
+# of logs keep of one write.
+BLOCK_BYTES = 4_096
 _CLOSE_S = 0.3
 
 
@@ -72,18 +77,33 @@
                     self._changed.wait()
                 if not self._lines:
                     return
-                text = ''.join(self._lines)
+                lines = list(self._lines)
                 self._lines.clear()
                 left_out, self._left_out = self._left_out, 0
             if left_out:
                 fields = {'event': 'lines_left_out', 'count': left_out}
-                text += json.dumps(fields) + '\n'
-            try:
-                _write_whole(self._stream, text)
-            except (OSError, ValueError):
-                # Nobody reads any more, and there is nowhere to say so.
-                with self._changed:
-                    self._left_out += text.count('\n')
+                lines.append(json.dumps(fields) + '\n')
+            for text in _join_blocks(lines):
+                try:
+                    _write_whole(self._stream, text)
+                except (OSError, ValueError):
+                    # Nobody reads any more, and there is nowhere to say so.
+                    with self._changed:
+                        self._left_out += text.count('\n')
+
+
+def _join_blocks(lines: Iterable[str]) -> Iterator[str]:
+    """Yields lines in blocks; a longer line is a block of its own."""
+    block, size = [], 0
+    for line in lines:
+        length = len(line.encode())
+        if block and size + length > BLOCK_BYTES:
+            yield ''.join(block)
+            block, size = [], 0
+        block.append(line)
+        size += length
+    if block:
+        yield ''.join(block)
 
 
 def _write_whole(stream: TextIO, text: str) -> None:
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -291,8 +291,35 @@
         return len(part)
 
 
+class _CutWrites(io.RawIOBase):
+    """A descriptor whose reader keeps no more than 8 KB of each write."""
+
+    def __init__(self):
+        super().__init__()
+        self.taken = b''
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data) -> int:
+        self.taken += bytes(data[:8_192])
+        return len(data)
+
+
 class LineQueueTest(unittest.TestCase):
 
+    def test_a_reader_of_short_writes_gets_all_lines(self):
+        # The lines after the first 34 of one instant were missing.
+        raw = _CutWrites()
+        stream = io.TextIOWrapper(io.BufferedWriter(raw), encoding='utf-8')
+        lines = linequeue.LineQueue(stream, clocks.ManualTime().clock())
+        expected = [f'{number:0240}\n' for number in range(200)]
+        expected.insert(7, 'x' * 6_000 + '\n')
+        for line in expected:
+            lines.write(line)
+        lines.close()
+        self.assertEqual(raw.taken.decode(), ''.join(expected))
+
     def test_lines_that_are_written_together_all_arrive(self):
         # An unbuffered stream hands on the first part, and tells of no rest.
         raw = _ShortWrites()
