--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -186,14 +186,14 @@
     """Reads the store; returns whether what it holds was taken in."""
     seen, store = follower.seen, follower.store
     what = _find_read(follower)
-    _note_doing(follower, what)
+    doing = _note_doing(follower, what)
     if what == 'load':
         found = store.load()
     elif what == 'configuration':
         found = store.load_configuration()
     else:
         found = store.watch(seen)
-    _note_read(follower, seen, found)
+    _note_read(follower, doing, seen, found)
     if number != follower.begun:
         return False
     if isinstance(found, outcomes.Failed):
@@ -219,10 +219,14 @@
     return 'watch'
 
 
-def _note_read(follower: knowledge.Follower, seen: ports.Everything | None,
+def _note_read(follower: knowledge.Follower, doing: tuple[str, float],
+               seen: ports.Everything | None,
                found: ports.Everything | outcomes.Failed) -> None:
-    """Tells of a read of the store that failed or was slow."""
-    what, since = follower.doing
+    """Tells of a read of the store that failed or was slow.
+
+    Another thread may follow by now: `follower.doing` is what that one is at.
+    """
+    what, since = doing
     took_ms = follower.clock.now() - since
     failed = isinstance(found, outcomes.Failed)
     if not failed and took_ms < SLOW_READ_MS:
@@ -235,8 +239,9 @@
                          revision=0 if failed else found.revision)
 
 
-def _note_doing(follower: knowledge.Follower, what: str) -> None:
-    follower.doing = (what, follower.clock.now())
+def _note_doing(follower: knowledge.Follower, what: str) -> tuple[str, float]:
+    doing = follower.doing = (what, follower.clock.now())
+    return doing
 
 
 def _await_look(follower: knowledge.Follower, number: int) -> None:
--- a/tests/test_edge_subscriptions.py
+++ b/tests/test_edge_subscriptions.py
@@ -333,6 +333,29 @@
         self.assertFalse(self.follower.store.watch.called)
         self.assertFalse(self.follower.store.load.called)
 
+    def test_a_call_that_was_left_is_told_as_what_it_was(self):
+        # Lines said that a wait had timed out.
+        ended = threading.Event()
+
+        def hang():
+            ended.wait()
+            return outcomes.Failed(outcomes.Reason.TIMED_OUT)
+
+        self.follower.store.load.side_effect = hang
+        self.forwarder.platform = mock.Mock(**{'settings.seeds': ()})
+        self.follower.begun = 1
+        thread = threading.Thread(target=following.follow,
+                                  args=(self.follower, 1))
+        thread.start()
+        platformhelp.wait_until(lambda: self.follower.doing[0] == 'load', 3.0)
+        self.time.advance(3_300.0)
+        self.follower.begun = 9
+        self.follower.doing = ('wait', self.time.at)
+        ended.set()
+        thread.join(3.0)
+        _, fields = self.follower.logger.info.call_args
+        self.assertEqual((fields['what'], fields['took_ms']), ('load', 3_300))
+
     def test_a_long_read_goes_on_while_somebody_tells(self):
         # Over a slow link it takes longer than the calls that seem lost.
         for what in ('load', 'configuration'):
