--- a/tests/test_edge_elections.py
+++ b/tests/test_edge_elections.py
@@ -7,6 +7,7 @@
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import elections
 from lentilmoor.edge import ports
+from lentilmoor.edge import roles
 from lentilmoor.edge import tables
 
 _STEP_MS = 10.0
@@ -53,5 +54,25 @@
                                delta=2 * _STEP_MS)
 
 
+class ReplacedEntryTest(unittest.TestCase):
+    """Another process runs in the place of a predecessor.
+
+    Its successor waits for a hold then, not for 12 s more: it has to be a later
+    process.
+    """
+
+    def test_an_earlier_process_of_its_place_proves_no_end(self):
+        # The entry of a process that was killed is listed for 9 s more.
+        earlier, later = ports.Peer('e1.a', 'a:1'), ports.Peer('e1.b', 'a:1')
+        owned = beliefs.Beliefs('e2.c')
+        owned.everything = ports.Everything(None, {}, {}, {}, {
+            'e1.a': earlier,
+            'e1.b': later
+        }, 1)
+        context = mock.Mock(owned=owned)
+        # pylint: disable-next=protected-access
+        self.assertFalse(roles._is_replaced(context, 'e1.b'))
+
+
 if __name__ == '__main__':
     unittest.main()
