--- a/benchmarks/edge_hub.py
+++ b/benchmarks/edge_hub.py
@@ -129,14 +129,14 @@
         self._pools.setdefault(threads, _Pool(threads)).waiting.append(
             (work, take))
 
-    def _grant(self, grant: ownership.Grant) -> ownership.Granted:
+    def _grant(self, grant: ownership.Grant) -> ownership.GrantResult:
         if grant.server.id in self.silent:
             self._took_ms = SILENT_MS
-            return ownership.Granted(ownership.Answer.UNKNOWN, 1)
+            return ownership.GrantResult(ownership.Answer.UNKNOWN, 1)
         first, last = grant.item.first, grant.item.last
         self.granted[first:last + 1] = [(grant.server.id, self._time.at)
                                        ] * (last + 1 - first)
-        return ownership.Granted(ownership.Answer.DONE, 1)
+        return ownership.GrantResult(ownership.Answer.DONE, 1)
 
     def _release(self,
                  release: ownership.Release) -> tuple[ownership.Answer, str]:
--- a/benchmarks/edge_slopes.py
+++ b/benchmarks/edge_slopes.py
@@ -64,8 +64,8 @@
     state.balanced_at = 1.0
     for item in coordination.plan(state, view, 1.0):
         coordination.note_granted(state, item,
-                                  ownership.Granted(ownership.Answer.DONE), 1.0,
-                                  1.0)
+                                  ownership.GrantResult(ownership.Answer.DONE),
+                                  1.0, 1.0)
     return _time(lambda: coordination.plan(state, view, 2.0))
 
 
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -118,7 +118,7 @@
 
 
 def note_granted(state: ownership.Coordination, grant: ownership.Grant,
-                 granted: ownership.Granted, sent_at: float,
+                 granted: ownership.GrantResult, sent_at: float,
                  now: float) -> None:
     """Takes in what came of a grant.
 
@@ -158,30 +158,38 @@
 
 
 def _note_renewal(state: ownership.Coordination, renewal: ownership.Renewal,
-                  grant: ownership.Grant, granted: ownership.Granted,
+                  grant: ownership.Grant, granted: ownership.GrantResult,
                   sent_at: float, now: float) -> None:
     """Works out when and how keys are granted again."""
-    item, answer = grant.item, granted.answer
-    whole = item in state.renewals
+    whole = grant.item in state.renewals
     if whole:
         renewal.pending = False
-    if answer is ownership.Answer.REFUSED or renewal.fence != grant.fence:
+    if (granted.answer is ownership.Answer.REFUSED or
+            renewal.fence != grant.fence):
         return
-    if answer is ownership.Answer.DONE:
-        state.tokens.pop(item, None)
-        renewal.answered = True
-        if renewal.link in (None, granted.link):
-            renewal.link = granted.link
-        else:
-            # Another part of the range went over another connection.
-            ownership.change_fence(state, renewal, granted.link)
+    if granted.answer is ownership.Answer.DONE:
+        _note_renewed(state, renewal, grant, granted.link)
         if whole:
             renewal.due_at = sent_at + grant.hold_ms * ownership.RENEW_PART
         return
-    if answer is not ownership.Answer.NOT_SENT:
+    if granted.answer is not ownership.Answer.NOT_SENT:
         ownership.change_fence(state, renewal, granted.link)
-    unsent = answer is ownership.Answer.UNLINKED and renewal.link is None
-    renewal.due_at = now if unsent else now + ownership.AGAIN_MS
+    # A new fence needs no wait if the old one was not sent.
+    at_once = (granted.answer is ownership.Answer.UNLINKED and
+               renewal.link is None)
+    renewal.due_at = now if at_once else now + ownership.AGAIN_MS
+
+
+def _note_renewed(state: ownership.Coordination, renewal: ownership.Renewal,
+                  grant: ownership.Grant, link: int | None) -> None:
+    """Notes that keys were granted over a connection."""
+    state.tokens.pop(grant.item, None)
+    renewal.answered = True
+    if renewal.link in (None, link):
+        renewal.link = link
+    else:
+        # Another part of the range went over another connection.
+        ownership.change_fence(state, renewal, link)
 
 
 def note_released(state: ownership.Coordination, release: ownership.Release,
@@ -259,7 +267,7 @@
     for item in save.assignment.ranges:
         if item in before:
             continue
-        state.renewals[item] = _inherit(state, item, before)
+        state.renewals[item] = _make_renewal(state, item, before)
         for move in saved:
             if move.token and (move.transfer.first,
                                move.transfer.last) == (item.first, item.last):
@@ -270,9 +278,12 @@
             del state.renewals[item]
 
 
-def _inherit(state: ownership.Coordination, item: keyranges.KeyRange,
-             before: set[keyranges.KeyRange]) -> ownership.Renewal:
-    """A piece that stayed with its owner keeps its renewal times."""
+def _make_renewal(state: ownership.Coordination, item: keyranges.KeyRange,
+                  before: set[keyranges.KeyRange]) -> ownership.Renewal:
+    """Returns how a range that was just saved is granted.
+
+    A piece that stayed with its owner keeps its renewal times.
+    """
     for old in before:
         if (old.server == item.server and old.fence == item.fence and
                 old.first <= item.first and old.last >= item.last):
@@ -283,10 +294,15 @@
                 ownership.change_fence(state, kept, renewal.link)
             return kept
     renewal = ownership.Renewal(item.fence)
-    if any(old.server == item.server and
-           keyranges.overlaps(old, item.first, item.last) and
-           old in state.renewals and state.renewals[old].fence >= item.fence
-           for old in before):
-        # Its fence was chosen for the save, and keys got higher ones since.
+    if _has_higher_fence(state, item, before):
         ownership.change_fence(state, renewal, None)
     return renewal
+
+
+def _has_higher_fence(state: ownership.Coordination, item: keyranges.KeyRange,
+                      before: set[keyranges.KeyRange]) -> bool:
+    """Returns whether keys got a higher fence while they were being saved."""
+    return any(old.server == item.server and
+               keyranges.overlaps(old, item.first, item.last) and
+               old in state.renewals and state.renewals[old].fence >= item.fence
+               for old in before)
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -55,20 +55,20 @@
 # waits for a change, of which there is one in nearly each second.
 SLOW_READ_MS = 1_000.0
 # A watch that has waited for so long when the store answers again may have been
-# sent while it was silent, and is never answered then.
+# sent while it was silent, and may never be answered.
 HUNG_MS = 250.0
 
 
 def follow_again(follower: knowledge.Follower) -> None:
     """Begins to follow the store; an earlier watch is left to itself.
 
-    Not if the store or the hub told something a moment ago: an entry that the
-    store answered by turns read it whole five times in 11 s, and took in the
-    configuration 0.9 s too late. A watch that may hang is left all the same, as
-    its thread couldn't look once nobody tells any more.
+    Not if the store or the hub told something a moment ago, as whole reads fill
+    a slow link. A watch that may hang is left all the same: until it times out,
+    its thread can't look at the store.
     """
     hangs = _hangs(follower)
-    if not follower.begun or _find_silence(follower, hangs) >= NEWS_FRESH_MS:
+    silence_ms = _find_silence(follower, counts_relays=not hangs)
+    if not follower.begun or silence_ms >= NEWS_FRESH_MS:
         _begin(follower)
     elif hangs:
         _begin(follower, reads=False)
@@ -83,7 +83,8 @@
 def check(follower: knowledge.Follower) -> None:
     """Begins to follow anew if nobody has told anything for too long."""
     now = follower.clock.now()
-    silence_ms = min(_find_silence(follower, False), now - follower.began_at)
+    silence_ms = min(_find_silence(follower, counts_relays=True),
+                     now - follower.began_at)
     if silence_ms < SILENT_MS:
         return
     what, since = follower.doing
@@ -95,15 +96,18 @@
     _begin(follower)
 
 
-def _find_silence(follower: knowledge.Follower, looks: bool) -> float:
+def _find_silence(follower: knowledge.Follower, *,
+                  counts_relays: bool) -> float:
     """Returns how long ago the store, the hub or a relay told something, ms.
 
-    What a relay tells may be old: while the store is away it knows no more. So
-    it doesn't count for who looks for itself.
+    Args:
+      follower: Who follows.
+      counts_relays: Whether what a relay told counts. It may be old: while the
+        store is away relays know no more.
     """
     forwarder = follower.reporter.forwarder
     told_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
-    if _is_leaf(follower) and not looks:
+    if _is_leaf(follower) and counts_relays:
         told_at = max(told_at, follower.told_at)
     return follower.clock.now() - told_at
 
--- a/lentilmoor/edge/holds.py
+++ b/lentilmoor/edge/holds.py
@@ -44,6 +44,11 @@
     return arrived_by + hold_ms * CLOCK_FACTOR + MARGIN_MS
 
 
+def find_longest(until: float, arrived_by: float) -> float:
+    """Returns the longest hold that has surely ended by a time, ms."""
+    return (until - MARGIN_MS - arrived_by) / CLOCK_FACTOR
+
+
 def find_until(holds: Iterable[Hold], server: str, first: int,
                last: int) -> float:
     """Returns until when a server may hold any of the keys; 0 if it can't."""
--- a/lentilmoor/edge/lifetimes.py
+++ b/lentilmoor/edge/lifetimes.py
@@ -36,9 +36,10 @@
 
 def take_back_ends(owned: beliefs.Beliefs,
                    everything: ports.Everything) -> list[str]:
-    """Takes servers for up that go on writing alone at their address.
+    """Takes servers for up that are listed alone at their address.
 
-    A late entry, of a process that nobody here knew, ended them.
+    Only those that don't tell when they started: a late entry, of a process
+    that nobody here knew, may have ended them.
 
     Returns:
       Their ids.
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -155,12 +155,12 @@
             calling.add(transfer.source)
         actions.append(
             ownership.Release(state.assignment.service, server,
-                              _find_granted(state, pieces[0])))
+                              _with_granted_fence(state, pieces[0])))
     return actions
 
 
-def _find_granted(state: ownership.Coordination,
-                  item: keyranges.KeyRange) -> keyranges.KeyRange:
+def _with_granted_fence(state: ownership.Coordination,
+                        item: keyranges.KeyRange) -> keyranges.KeyRange:
     """Returns keys with the fence that they were last granted under."""
     renewal = ownership.find_renewal(state, item)
     if renewal is None:
@@ -177,7 +177,7 @@
 
 def plan_save(state: ownership.Coordination, view: ownership.View,
               now: float) -> list[ownership.Action]:
-    """Returns the save of what may change hands now, if anything may."""
+    """Returns the save of what may change hands now, or of many new fences."""
     if state.saving or now < state.save_at:
         return []
     state.moves = [move for move in state.moves if _is_sound(state, move)]
@@ -197,8 +197,8 @@
             for move in ready]
     laid += _take_loose(state)
     assignment = state.assignment
-    ahead = state.next_fence - assignment.next_fence
-    if not laid and ahead < ownership.FENCES_AHEAD / 2:
+    unsaved = state.next_fence - assignment.next_fence
+    if not laid and unsaved < ownership.FENCES_AHEAD / 2:
         return []
     changed = [
         keyranges.KeyRange(first, last, server, state.next_fence + number)
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -25,10 +25,10 @@
 RENEW_PART = 0.25
 # Shortest hold that is granted: a few times the way to a server and back.
 SHORTEST_HOLD_MS = 200.0
-# Time limit of a grant; a server that is up answers at once. Its connection is
-# aborted then, so that it can't arrive any later.
+# Time limit of a grant; a server that is up answers at once. After it the
+# connection is reset, so that the grant can't arrive any more.
 GRANT_MS = 400.0
-# Longest wait for a connection to be free, before that.
+# Time limit for getting a free connection, before that of the grant.
 GRANT_WAIT_MS = 400.0
 # Keys whose grant got no answer are granted again after this.
 AGAIN_MS = 300.0
@@ -42,8 +42,8 @@
 PROBE_MS = 1_000.0
 # A grant that could not be sent for so long after it was decided is dropped.
 STALE_MS = 500.0
-# Fences that a coordinator may use beyond the saved ones, while the store is
-# away. Its successor begins above them.
+# Fences that a coordinator may use beyond the saved ones, so that a new fence
+# needs no save. Its successor begins above them.
 FENCES_AHEAD = 100_000
 # Pause between two plans that even out load.
 BALANCE_MS = 500.0
@@ -116,10 +116,14 @@
 
 
 class Answer(enum.Enum):
-    """What came of a grant or a release.
+    """What came of a grant, a release or a probe.
 
+    DONE: carried out.
+    REFUSED: the server has seen a higher fence.
     DECLINED: answered, and not carried out.
+    NOT_SENT: nothing was sent.
     UNLINKED: not sent, as the connection that the grant is bound to has ended.
+    UNKNOWN: no answer; it may have been carried out.
     """
 
     DONE = 'done'
@@ -131,7 +135,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Granted:
+class GrantResult:
     """What came of a grant.
 
     Attributes:
@@ -267,12 +271,13 @@
 def may_link(kept_at: float, now: float) -> bool:
     """Returns whether a grant may go over a new connection.
 
-    Who takes it there may be a process that no successor has granted anything
-    yet, and which refuses nothing. Nobody can have taken the role before the
-    grant arrives.
+    A process that has just started refuses no fence yet, so it would take a
+    lower one than a successor has granted elsewhere. A grant over a new
+    connection must therefore arrive while the lease surely holds, including the
+    wait for a connection.
 
     Args:
-      kept_at: When the coordinator's lease was last kept, as of sending, ms.
+      kept_at: When the last renewal of the coordinator's lease was sent, ms.
       now: ms.
     """
     return now - kept_at <= LEASE_MS - GRANT_WAIT_MS - GRANT_MS
@@ -282,12 +287,12 @@
                  link: int | None) -> None:
     """Has keys granted under a fence that no connection has carried.
 
-    If none is left they keep theirs, and aren't granted before the next save.
+    If none is left they keep theirs, bound to the connection that carried it.
 
     Args:
       state: The coordinator.
       renewal: How the keys are granted.
-      link: The connection that carried their fence last.
+      link: The connection that carried their fence last; None if none did.
     """
     if state.next_fence < state.assignment.next_fence + FENCES_AHEAD:
         renewal.fence, renewal.link = state.next_fence, None
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -202,7 +202,7 @@
       probe: (probe) -> DONE if the server answers.
     """
 
-    grant: Callable[[ownership.Grant], ownership.Granted]
+    grant: Callable[[ownership.Grant], ownership.GrantResult]
     release: Callable[[ownership.Release], tuple[ownership.Answer, str]]
     probe: Callable[[ownership.Probe], ownership.Answer]
 
--- a/lentilmoor/edge/renewals.py
+++ b/lentilmoor/edge/renewals.py
@@ -67,8 +67,7 @@
     if item.server in state.proven:
         return state.hold_ms
     until = holds.find_until(state.held, item.server, item.first, item.last)
-    left_ms = ((until - now - ownership.GRANT_MS - holds.MARGIN_MS) /
-               holds.CLOCK_FACTOR)
+    left_ms = holds.find_longest(until, now + ownership.GRANT_MS)
     if left_ms <= 0:
         return state.hold_ms
     return min(state.hold_ms, max(ownership.SHORTEST_HOLD_MS, left_ms))
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -93,7 +93,7 @@
 
 
 def _granted(context: beliefs.Context, state: ownership.Coordination,
-             grant: ownership.Grant, granted: ownership.Granted,
+             grant: ownership.Grant, granted: ownership.GrantResult,
              sent_at: float) -> None:
     now = context.clock.now()
     coordination.note_granted(state, grant, granted, sent_at, now)
@@ -131,13 +131,13 @@
 
 
 def _send_grant(context: beliefs.Context,
-                grant: ownership.Grant) -> ownership.Granted:
+                grant: ownership.Grant) -> ownership.GrantResult:
     """Sends a grant unless it is out of date; run by a thread."""
     now, kept_at = context.clock.now(), context.owned.lease_sent_at
     if (now - kept_at > ownership.TENURE_MS or
             now - grant.planned_at > ownership.STALE_MS or
             grant.link is None and not ownership.may_link(kept_at, now)):
-        return ownership.Granted(ownership.Answer.NOT_SENT)
+        return ownership.GrantResult(ownership.Answer.NOT_SENT)
     return context.platform.servers.grant(grant)
 
 
--- a/lentilmoor/linequeue.py
+++ b/lentilmoor/linequeue.py
@@ -19,8 +19,8 @@
 LINES_PER_S = 300
 # Lines that wait for a reader that is slow; about half a megabyte.
 MOST_WAITING = 2_000
-# Lines that are written at once: what a pipe takes as a whole, and what readers
-# of logs keep of one write.
+# Longest write, but for one long line: a pipe takes it as a whole, and readers
+# of logs may cut longer ones.
 BLOCK_BYTES = 4_096
 _CLOSE_S = 0.3
 
@@ -107,9 +107,10 @@
 
 
 def _write_whole(stream: TextIO, text: str) -> None:
-    """Writes a text to its end.
+    """Writes all of a text.
 
-    A text stream over an unbuffered one takes a short write for a whole one.
+    A text stream over an unbuffered one ignores a short write, so bytes go to
+    the stream below it.
 
     Raises:
       OSError: Nothing more is taken.
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -119,7 +119,7 @@
             'Writes': [write],
             'Delete': [],
         }
-        unknown = None
+        unanswered: outcomes.Failed | None = None
         for _ in range(TRIES):
             fields = self.call('POST', '/-/kv-txn', body)
             if not isinstance(fields, outcomes.Failed):
@@ -129,9 +129,9 @@
             if fields.reason not in (_Reason.TIMED_OUT,
                                      _Reason.CONNECTION_LOST):
                 # A refusal says nothing of an earlier try without an answer.
-                return unknown or fields
-            unknown = fields
-        return unknown
+                return unanswered or fields
+            unanswered = fields
+        return unanswered
 
 
 def _find_kind(target: str) -> str:
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -30,9 +30,9 @@
 MOST_NEWS = 500
 # Deleted keys whose revision is kept, so that no older change brings them back.
 MOST_DELETED = 1_000
-# What is told is compressed so little: many ask a large machine at once, and it
-# is the link of who asks that is slow.
-DUMP_LEVEL = 1
+# Low, as many ask one large machine at once, and it is the link of who asks
+# that is slow.
+COMPRESSION_LEVEL = 1
 # News that were told last are kept, as most ask for the same.
 MOST_TOLD = 8
 # What a server says of its warming up varies by the way of its heartbeats.
@@ -182,7 +182,7 @@
                 fields['Since'] = after
                 items = self._list_changes(after)
         fields['items'] = [write_item(item) for item in items]
-        return zlib.compress(json.dumps(fields).encode(), DUMP_LEVEL)
+        return zlib.compress(json.dumps(fields).encode(), COMPRESSION_LEVEL)
 
     def _list_changes(self, after: int) -> list[Item]:
         """Returns what has changed since a revision, heartbeats left out."""
@@ -365,7 +365,8 @@
     rows = [
         write_item(item) for item in items if len(item.value or b'') <= room
     ]
-    return zlib.compress(json.dumps(rows).encode(), DUMP_LEVEL) if rows else b''
+    return zlib.compress(json.dumps(rows).encode(),
+                         COMPRESSION_LEVEL) if rows else b''
 
 
 def _read_news(data: bytes) -> list[Item]:
--- a/standins/held_path.py
+++ b/standins/held_path.py
@@ -34,7 +34,7 @@
         self._open.set()
 
     def close(self) -> None:
-        """Takes no more connections."""
+        """Takes no more connections, and lets through what was held back."""
         self._listening.close()
         self._open.set()
 
@@ -53,7 +53,7 @@
             if self._open.is_set():
                 target = socket.create_connection(self._target)
         pair = _Pair(self._open, self._target, caller, target)
-        threading.Thread(target=pair.forward, daemon=True).start()
+        pair.forward()
 
 
 class _Pair:
@@ -84,7 +84,7 @@
 
     def _read(self) -> None:
         """Takes what the caller writes; a reset takes back what is held."""
-        block, reset = b'', False
+        reset = False
         while True:
             try:
                 block = self._caller.recv(_BLOCK)
--- a/tests/edgeworlds.py
+++ b/tests/edgeworlds.py
@@ -252,7 +252,7 @@
 
         def note(answer, link=None):
             coordination.note_granted(state, action,
-                                      ownership.Granted(answer, link), sent,
+                                      ownership.GrantResult(answer, link), sent,
                                       self.now)
 
         if (self.now - action.planned_at > ownership.STALE_MS or
--- a/tests/orders.py
+++ b/tests/orders.py
@@ -205,7 +205,7 @@
             yield _Step(1, text, new)
     served = bool(world.holders())
     while True:
-        if world.seats[-1].state.lost:
+        if world.coordinators[-1].state.lost:
             world.take_over(False, True)
             yield _Step(0, 'another coordinator begins', world, True)
             return
@@ -267,7 +267,7 @@
     for address in scope.addresses:
         faults += _list_path_faults(world, address)
         faults += _list_process_faults(scope, world, address)
-    if len(world.seats) == 1:
+    if len(world.coordinators) == 1:
         faults += [
             ('takeover', 'another coordinator begins, the first goes on',
              lambda new: new.take_over(True, True)),
@@ -289,7 +289,7 @@
             faults.append(
                 ('cut', f'the path to {address} is cut for {ms:.0f} ms',
                  lambda new, ms=ms: new.cut_path(address, ms)))
-    newest = len(world.seats) - 1
+    newest = len(world.coordinators) - 1
     if newest and not world.cut:
         faults.append(
             ('apart', f'the newest coordinator does not reach {address}',
--- a/tests/orderworlds.py
+++ b/tests/orderworlds.py
@@ -115,7 +115,7 @@
     Attributes:
       at: When, ms.
       kind: Which method of `World` does it, and what it is called in traces.
-      seat: Index of the coordinator that it belongs to; -1 if none.
+      coordinator: Index of the coordinator that it belongs to; -1 if none.
       name: The process or the address that it belongs to.
       action: What was sent, if it is about that.
       sent_at: When that was sent, ms.
@@ -126,7 +126,7 @@
 
     at: float
     kind: str
-    seat: int = -1
+    coordinator: int = -1
     name: str = ''
     action: ownership.Action | None = None
     sent_at: float = 0.0
@@ -136,7 +136,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Seat:
+class Coordinator:
     """A coordinator, its links, and what it knows of servers.
 
     Attributes:
@@ -174,7 +174,7 @@
       rules: What is allowed.
       processes: By id, in the order of their starts.
       listed: Ids that the store lists.
-      seats: Coordinators, the one in force last.
+      coordinators: Coordinators, the one in force last.
       events: What is to happen, in order.
       cut: Paths that let nothing through: index of the coordinator, or -1 for
         all, and address.
@@ -193,7 +193,7 @@
         self.rules = rules
         self.processes: dict[str, edgeworlds.ServerModel] = {}
         self.listed: frozenset[str] = frozenset()
-        self.seats: list[Seat] = []
+        self.coordinators: list[Coordinator] = []
         self.events: list[Event] = []
         self.cut: frozenset[tuple[int, str]] = frozenset()
         self.frozen: dict[str, float] = {}
@@ -210,8 +210,8 @@
             2, (keyranges.KeyRange(KEY, KEY, first, 1),),
             addresses={first: ADDRESSES[0]})
         self.revision = 1
-        self.seats.append(
-            Seat(coordination.begin(self.saved, 1, 0.0, None), 0.0))
+        self.coordinators.append(
+            Coordinator(coordination.begin(self.saved, 1, 0.0, None), 0.0))
         self.follow_store()
 
     def copy(self) -> 'World':
@@ -221,7 +221,9 @@
         new.processes = {
             name: _copy_process(item) for name, item in self.processes.items()
         }
-        new.seats = [_copy_seat(item) for item in self.seats]
+        new.coordinators = [
+            _copy_coordinator(item) for item in self.coordinators
+        ]
         new.events = list(self.events)
         new.cut, new.frozen = self.cut, dict(self.frozen)
         new.taken, new.number = dict(self.taken), self.number
@@ -272,13 +274,13 @@
 
     def follow_store(self) -> None:
         """Has the coordinator that sees the store know what it lists."""
-        for seat in self.seats:
-            if not seat.sees_store:
+        for coordinator in self.coordinators:
+            if not coordinator.sees_store:
                 continue
-            seat.listed = self.listed
-            seat.known |= self.listed
-            seat.ended |= {
-                other for other in seat.known
+            coordinator.listed = self.listed
+            coordinator.known |= self.listed
+            coordinator.ended |= {
+                other for other in coordinator.known
                 for name in self.listed if tables.follows(
                     self.processes[name].entry, self.processes[other].entry)
             }
@@ -328,8 +330,8 @@
 
     def is_grant_carried(self, index: int, action: ownership.Grant) -> bool:
         """Returns whether a grant gets a connection that may carry it."""
-        seat, server = self.seats[index], action.server
-        link = seat.links.get(server.id)
+        coordinator, server = self.coordinators[index], action.server
+        link = coordinator.links.get(server.id)
         if self.is_cut(index, server.address):
             return link is not None and action.link in (None, link[0])
         process = self.find_listening(server.address)
@@ -340,12 +342,14 @@
         return link == (action.link, process.entry.id)
 
     def _send_grant(self, index, action, fate) -> None:
-        now, seat, server = self.now, self.seats[index], action.server
-        if action.link is None and not ownership.may_link(seat.kept_at, now):
+        now, coordinator, server = self.now, self.coordinators[
+            index], action.server
+        if action.link is None and not ownership.may_link(
+                coordinator.kept_at, now):
             self._note_grant(index, action, _Answer.NOT_SENT, None, now)
             return
         busy_until = max(
-            (item.at for item in self.events if item.seat == index and
+            (item.at for item in self.events if item.coordinator == index and
              item.kind == 'end_grant' and item.action.server == server),
             default=0.0)
         if busy_until > now or fate is Fate.QUEUED:
@@ -355,10 +359,11 @@
             return
         process = self.find_listening(server.address)
         cut = self.is_cut(index, server.address)
-        link = seat.links.get(server.id)
+        link = coordinator.links.get(server.id)
         if (link is not None and not cut and
             (process is None or link[1] != process.entry.id)):
-            link = seat.links.pop(server.id) and None
+            del coordinator.links[server.id]
+            link = None
         if (self.rules.linked and action.link is not None and
             (link is None or link[0] != action.link)):
             self._note_grant(index, action, _Answer.UNLINKED, None, now)
@@ -376,7 +381,8 @@
             return
         if link is None:
             self.number += 1
-            link = seat.links[server.id] = (self.number, process.entry.id)
+            link = coordinator.links[server.id] = (self.number,
+                                                   process.entry.id)
         self._carry_grant(index, action, fate, link)
 
     def _carry_grant(self, index, action, fate, link) -> None:
@@ -460,22 +466,22 @@
                       action=action))
             return
         answer = _Answer.NOT_SENT if process is None else _Answer.DONE
-        coordination.note_probed(self.seats[index].state, action, answer,
+        coordination.note_probed(self.coordinators[index].state, action, answer,
                                  self.now)
 
     def _save(self, index, action, fate) -> None:
-        seat = self.seats[index]
-        done = (seat.sees_store and action.revision == self.revision and
+        coordinator = self.coordinators[index]
+        done = (coordinator.sees_store and action.revision == self.revision and
                 fate is Fate.ANSWERED)
         if done:
             self.revision += 1
             self.saved = action.assignment
-        elif seat.sees_store and action.revision != self.revision:
-            seat.state.lost = True
+        elif coordinator.sees_store and action.revision != self.revision:
+            coordinator.state.lost = True
         if done:
-            coordination.note_saved(seat.state, action, self.revision)
+            coordination.note_saved(coordinator.state, action, self.revision)
         else:
-            coordination.note_not_saved(seat.state, True, self.now)
+            coordination.note_not_saved(coordinator.state, True, self.now)
 
     # What happens when its time has come.
 
@@ -510,7 +516,7 @@
                                          self.taken.get(event.name, 0))
         self._check_holders()
         if event.answers:
-            self._note_grant(event.seat, grant, answer, event.link,
+            self._note_grant(event.coordinator, grant, answer, event.link,
                              event.sent_at)
 
     def _check_taken(self, name: str, fence: int) -> None:
@@ -528,24 +534,25 @@
                                      f'{" and ".join(holders)} hold the key')
 
     def _do_end_grant(self, event: Event) -> None:
-        seat = self.seats[event.seat]
+        coordinator = self.coordinators[event.coordinator]
         if event.link is None:
-            self._note_grant(event.seat, event.action, _Answer.NOT_SENT, None,
-                             event.sent_at)
+            self._note_grant(event.coordinator, event.action, _Answer.NOT_SENT,
+                             None, event.sent_at)
             return
         name = event.action.server.id
-        if seat.links.get(name, (None,))[0] == event.link:
-            del seat.links[name]
-        self._note_grant(event.seat, event.action, _Answer.UNKNOWN, event.link,
-                         event.sent_at)
+        if coordinator.links.get(name, (None,))[0] == event.link:
+            del coordinator.links[name]
+        self._note_grant(event.coordinator, event.action, _Answer.UNKNOWN,
+                         event.link, event.sent_at)
 
     def _do_send_again(self, event: Event) -> None:
-        seat, action = self.seats[event.seat], event.action
-        if (seat.up and self.now - seat.kept_at <= ownership.TENURE_MS and
+        coordinator, action = self.coordinators[event.coordinator], event.action
+        if (coordinator.up and
+                self.now - coordinator.kept_at <= ownership.TENURE_MS and
                 self.now - action.planned_at <= ownership.STALE_MS):
-            self._send_grant(event.seat, action, Fate.ANSWERED)
+            self._send_grant(event.coordinator, action, Fate.ANSWERED)
         else:
-            self._note_grant(event.seat, action, _Answer.NOT_SENT, None,
+            self._note_grant(event.coordinator, action, _Answer.NOT_SENT, None,
                              self.now)
 
     def _do_release(self, event: Event) -> None:
@@ -555,16 +562,16 @@
 
     def _do_end_release(self, event: Event) -> None:
         done = event.answers and self.processes[event.name].up
-        self._note_released(event.seat, event.action,
+        self._note_released(event.coordinator, event.action,
                             _Answer.DONE if done else _Answer.UNKNOWN)
 
     def _do_end_probe(self, event: Event) -> None:
-        seat = self.seats[event.seat]
-        coordination.note_probed(seat.state, event.action, _Answer.UNKNOWN,
-                                 self.now)
+        coordinator = self.coordinators[event.coordinator]
+        coordination.note_probed(coordinator.state, event.action,
+                                 _Answer.UNKNOWN, self.now)
 
     def _do_heal(self, event: Event) -> None:
-        self.cut -= {(event.seat, event.name)}
+        self.cut -= {(event.coordinator, event.name)}
 
     def _do_thaw(self, event: Event) -> None:
         self.frozen.pop(event.name, None)
@@ -582,14 +589,14 @@
         self.drop_process(event.name)
 
     def _note_grant(self, index, action, answer, link, sent_at) -> None:
-        coordination.note_granted(self.seats[index].state, action,
-                                  ownership.Granted(answer, link), sent_at,
+        coordination.note_granted(self.coordinators[index].state, action,
+                                  ownership.GrantResult(answer, link), sent_at,
                                   self.now)
 
     def _note_released(self, index, action, answer) -> None:
         token = 'token' if answer is _Answer.DONE else ''
-        coordination.note_released(self.seats[index].state, action, answer,
-                                   token, self.now)
+        coordination.note_released(self.coordinators[index].state, action,
+                                   answer, token, self.now)
 
     def _add(self, event: Event) -> None:
         index = next((index for index, item in enumerate(self.events)
@@ -670,18 +677,18 @@
           knows: Whether the new one saw the servers before, and that the one
             before has ended, if so.
         """
-        before = self.seats[-1]
+        before = self.coordinators[-1]
         before.sees_store, before.up = False, goes_on
         before.kept_at = self.now - ownership.LEASE_MS
         self.saved = coordination.make_next(self.saved)
         self.revision += 1
         state = coordination.begin(self.saved, self.revision, self.now, 'one.1')
-        seat = Seat(state, self.now)
+        coordinator = Coordinator(state, self.now)
         if knows:
-            seat.known, seat.ended = before.known, before.ended
+            coordinator.known, coordinator.ended = before.known, before.ended
             if not goes_on:
                 coordination.note_predecessor_ended(state, self.now)
-        self.seats.append(seat)
+        self.coordinators.append(coordinator)
         self.follow_store()
 
     # Decisions, and the time of the next ones.
@@ -689,36 +696,38 @@
     def decide(self) -> list[tuple[int, ownership.Action]]:
         """Returns what all coordinators decide now, by their index."""
         decided = []
-        for index, seat in enumerate(self.seats):
-            if seat.sees_store:
-                seat.kept_at = self.now
-            if seat.is_active(self.now):
+        for index, coordinator in enumerate(self.coordinators):
+            if coordinator.sees_store:
+                coordinator.kept_at = self.now
+            if coordinator.is_active(self.now):
                 decided += [(index, action) for action in coordination.plan(
-                    seat.state, self._view(seat), self.now)]
+                    coordinator.state, self._view(coordinator), self.now)]
         return decided
 
-    def _view(self, seat: Seat) -> ownership.View:
+    def _view(self, coordinator: Coordinator) -> ownership.View:
         draining = tuple(name for name, item in self.processes.items()
                          if item.entry.draining)
-        key = (seat.known, seat.ended, seat.listed, draining)
+        key = (coordinator.known, coordinator.ended, coordinator.listed,
+               draining)
         view = _views.get(key)
         if view is None:
-            view = _views[key] = self._make_view(seat)
+            view = _views[key] = self._make_view(coordinator)
         return view
 
-    def _make_view(self, seat: Seat) -> ownership.View:
+    def _make_view(self, coordinator: Coordinator) -> ownership.View:
         entries = {
-            name: self.processes[name].entry for name in sorted(seat.known)
+            name: self.processes[name].entry
+            for name in sorted(coordinator.known)
         }
         return ownership.View(
             {
                 name: entry
                 for name, entry in entries.items()
-                if name in seat.listed and name not in seat.ended
-            }, seat.ended, {
+                if name in coordinator.listed and name not in coordinator.ended
+            }, coordinator.ended, {
                 name: entry
                 for name, entry in entries.items()
-                if name not in seat.listed
+                if name not in coordinator.listed
             }, _LOADS, {})
 
     def find_next(self, jump_ms: float) -> float:
@@ -732,11 +741,11 @@
         if self.events:
             exact.append(self.events[0].at)
         coarse = [exact[0]]
-        for seat in self.seats:
-            if seat.is_active(now):
-                coarse += _list_due(seat.state, now)
-                if seat.state.moves:
-                    exact += [item.until for item in seat.state.held]
+        for coordinator in self.coordinators:
+            if coordinator.is_active(now):
+                coarse += _list_due(coordinator.state, now)
+                if coordinator.state.moves:
+                    exact += [item.until for item in coordinator.state.held]
         due = min(time for time in coarse if time > now)
         return min(-(-due // GRID_MS) * GRID_MS,
                    *[time for time in exact if time > now])
@@ -761,8 +770,8 @@
                 for name, item in self.processes.items()),
             self.listed,
             tuple(
-                _key_seat(item, now, fences, self.revision)
-                for item in self.seats),
+                _key_coordinator(item, now, fences, self.revision)
+                for item in self.coordinators),
             tuple(self._key_event(item, fences) for item in self.events),
             self.cut,
             tuple((name, round(at - now)) for name, at in self.frozen.items()),
@@ -776,7 +785,8 @@
         if isinstance(action, ownership.Grant):
             fences.append(action.fence)
             fences.append(action.item.fence)
-            link = self.seats[event.seat].links.get(action.server.id, (None,))
+            link = self.coordinators[event.coordinator].links.get(
+                action.server.id, (None,))
             detail = (action.server.id, action.item.server, action.hold_ms,
                       event.link is not None, link[0] == event.link,
                       round(self.now - event.sent_at),
@@ -788,8 +798,8 @@
             detail = (action.server.id,)
         elif isinstance(action, ownership.Probe):
             detail = (action.server.id,)
-        return (event.kind, round(event.at - self.now), event.seat, event.name,
-                event.answers, detail)
+        return (event.kind, round(event.at - self.now), event.coordinator,
+                event.name, event.answers, detail)
 
 
 def _list_due(state: ownership.Coordination, now: float) -> list[float]:
@@ -814,9 +824,10 @@
     return new
 
 
-def _copy_seat(item: Seat) -> Seat:
-    return Seat(_copy_state(item.state), item.kept_at, item.up, item.sees_store,
-                item.known, item.ended, item.listed, dict(item.links))
+def _copy_coordinator(item: Coordinator) -> Coordinator:
+    return Coordinator(_copy_state(item.state), item.kept_at, item.up,
+                       item.sees_store, item.known, item.ended, item.listed,
+                       dict(item.links))
 
 
 def _copy_state(old: ownership.Coordination) -> ownership.Coordination:
@@ -832,8 +843,8 @@
         for item, row in old.renewals.items()
     }
     new.moves = [
-        ownership.Move(row.transfer, row.phase, row.began_at, row.token)
-        for row in old.moves
+        ownership.Move(row.transfer, row.phase, row.began_at, row.token,
+                       row.unsettled) for row in old.moves
     ]
     return new
 
@@ -859,19 +870,19 @@
             tuple(round(row.until - now, 1) for row in held))
 
 
-def _key_seat(seat: Seat, now: float, fences: list[int],
-              revision: int) -> tuple:
-    if not seat.is_active(now):
-        return (seat.up, seat.state.lost)
-    kept = 0.0 if seat.sees_store else seat.kept_at - now
-    return (kept, seat.known, seat.ended, seat.listed,
-            tuple((name, link[1]) for name, link in seat.links.items()),
-            _key_state(seat, now, fences, revision))
+def _key_coordinator(coordinator: Coordinator, now: float, fences: list[int],
+                     revision: int) -> tuple:
+    if not coordinator.is_active(now):
+        return (coordinator.up, coordinator.state.lost)
+    kept = 0.0 if coordinator.sees_store else coordinator.kept_at - now
+    return (kept, coordinator.known, coordinator.ended, coordinator.listed,
+            tuple((name, link[1]) for name, link in coordinator.links.items()),
+            _key_state(coordinator, now, fences, revision))
 
 
-def _key_state(seat: Seat, now: float, fences: list[int],
+def _key_state(coordinator: Coordinator, now: float, fences: list[int],
                revision: int) -> tuple:
-    state = seat.state
+    state = coordinator.state
     fences += [state.next_fence, state.assignment.next_fence]
     fences += [item.fence for item in state.assignment.ranges]
     held = [item for item in state.held if item.until > now]
@@ -885,11 +896,11 @@
         max(-ownership.RETURN_MS, state.since - now),
         tuple((item.server, round(item.until - now, 1), item.certain)
               for item in held),
-        tuple((_key_link(seat, item, row), max(0.0, round(row.due_at - now, 1)),
-               row.pending, row.answered)
+        tuple((_key_link(coordinator, item, row),
+               max(0.0, round(row.due_at - now, 1)), row.pending, row.answered)
               for item, row in state.renewals.items()),
         bool(state.tokens),
-        tuple((row.transfer, row.phase, bool(row.token),
+        tuple((row.transfer, row.phase, bool(row.token), row.unsettled,
                state.answered.get(row.transfer.source, now) > row.began_at)
               for row in state.moves),
         max(0.0, state.save_at - now),
@@ -905,11 +916,11 @@
     )
 
 
-def _key_link(seat: Seat, item: keyranges.KeyRange,
+def _key_link(coordinator: Coordinator, item: keyranges.KeyRange,
               row: ownership.Renewal) -> bool | None:
     if row.link is None:
         return None
-    return seat.links.get(item.server, (None,))[0] == row.link
+    return coordinator.links.get(item.server, (None,))[0] == row.link
 
 
 def read_fates(world: World, index: int,
--- a/tests/test_edge_coordination.py
+++ b/tests/test_edge_coordination.py
@@ -140,8 +140,8 @@
         grant, = coordination.plan(state, view, 0.0)
         self.assertEqual(grant.hold_ms, 1_200.0)
         coordination.note_granted(state, grant,
-                                  ownership.Granted(ownership.Answer.DONE), 0.0,
-                                  1.0)
+                                  ownership.GrantResult(ownership.Answer.DONE),
+                                  0.0, 1.0)
         self.assertLess(state.renewals[grant.item].due_at, 400.0)
 
     def test_a_server_that_answers_again_keeps_what_nobody_got_yet(self):
@@ -230,16 +230,16 @@
                                 edgeworlds.make_range(0, 4, 'a', 1), 1, 4_000,
                                 '')
         state.sent.append(grant.item)
-        coordination.note_granted(state, grant,
-                                  ownership.Granted(ownership.Answer.REFUSED),
-                                  0.0, 1.0)
+        coordination.note_granted(
+            state, grant, ownership.GrantResult(ownership.Answer.REFUSED), 0.0,
+            1.0)
         self.assertFalse(state.lost)
         grant = ownership.Grant('stock', server, assignment.ranges[0], 2, 4_000,
                                 '')
         state.sent.append(grant.item)
-        coordination.note_granted(state, grant,
-                                  ownership.Granted(ownership.Answer.REFUSED),
-                                  0.0, 1.0)
+        coordination.note_granted(
+            state, grant, ownership.GrantResult(ownership.Answer.REFUSED), 0.0,
+            1.0)
         self.assertTrue(state.lost)
 
 
@@ -424,8 +424,8 @@
         view = ownership.View({'a': server}, frozenset(), {},
                               keyloads.KeyLoads({}), {})
         grant, = coordination.plan(state, view, 0.0)
-        coordination.note_granted(state, grant, ownership.Granted(answer, 1),
-                                  0.0, now)
+        coordination.note_granted(state, grant,
+                                  ownership.GrantResult(answer, 1), 0.0, now)
         return holds.find_until(state.held, 'a', 0, 9)
 
     def test_one_that_is_answered_late_counts_from_its_answer(self):
--- a/tests/test_edge_fences.py
+++ b/tests/test_edge_fences.py
@@ -36,9 +36,9 @@
                                                           != 'a'):
                 continue
             if grant.link is not None and grant.link != link:
-                granted = ownership.Granted(_Answer.UNLINKED)
+                granted = ownership.GrantResult(_Answer.UNLINKED)
             else:
-                granted = ownership.Granted(
+                granted = ownership.GrantResult(
                     self.model.grant(grant.item.first, grant.item.last,
                                      grant.fence, grant.hold_ms, now, now),
                     link)
@@ -76,7 +76,8 @@
         view = _make_view('a', 'b')
         grant, = coordination.plan(state, view, 0.0)
         coordination.note_granted(state, grant,
-                                  ownership.Granted(_Answer.DONE, 1), 0.0, 1.0)
+                                  ownership.GrantResult(_Answer.DONE, 1), 0.0,
+                                  1.0)
         renewal = state.renewals[ranges[0]]
         ownership.change_fence(state, renewal, 1)
         renewal.due_at = 0.0
@@ -89,11 +90,11 @@
         self.assertEqual((one.fence, one.link), (two.fence, two.link))
         # Its process ended, and another one started, between the two.
         coordination.note_granted(state, one,
-                                  ownership.Granted(_Answer.DONE,
-                                                    7), 10.0, 11.0)
+                                  ownership.GrantResult(_Answer.DONE, 7), 10.0,
+                                  11.0)
         coordination.note_granted(state, two,
-                                  ownership.Granted(_Answer.DONE,
-                                                    8), 10.0, 12.0)
+                                  ownership.GrantResult(_Answer.DONE, 8), 10.0,
+                                  12.0)
         renewal.due_at = 0.0
         again = [
             x for x in coordination.plan(state, view, 20.0)
--- a/tests/test_edge_saves.py
+++ b/tests/test_edge_saves.py
@@ -51,9 +51,9 @@
             elif isinstance(action, ownership.Grant):
                 model = self.models[action.server.id]
                 if self.cut and action.server.id == 'a':
-                    granted = ownership.Granted(ownership.Answer.NOT_SENT)
+                    granted = ownership.GrantResult(ownership.Answer.NOT_SENT)
                 else:
-                    granted = ownership.Granted(
+                    granted = ownership.GrantResult(
                         model.grant(action.item.first, action.item.last,
                                     action.fence, action.hold_ms, now, now), 1)
                 coordination.note_granted(state, action, granted, now, now)
