--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -1,8 +1,10 @@
 """Runs entries as processes against the stand-ins of the users' platform."""
 
+import contextlib
 import http.client
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,14 +18,23 @@
 from standins import platform_store
 
 HOST = 'shop.example'
+_LISTENING_PORTS = (12_000, 32_000)
+_ports = random.SystemRandom()
 _BOUNDS = ('DrainMs=2000,GraceS=6,RetryRatio=0.2,RetrySlack=64,'
            'RetryWindowS=10,HoldMaxMs=10000')
 
 
 def pick_port() -> int:
-    """Returns a port of loopback that is free now."""
-    with socket.create_server(('127.0.0.1', 0)) as listening:
-        return listening.getsockname()[1]
+    """Returns a port of loopback that is free now.
+
+    Connections take theirs from a higher range: one of those could be in use
+    when a process that was told to listen there has started.
+    """
+    while True:
+        port = _ports.randrange(*_LISTENING_PORTS)
+        with contextlib.suppress(OSError):
+            with socket.create_server(('127.0.0.1', port)):
+                return port
 
 
 def make_configuration(version: int = 1, **changes) -> dict:
