--- a/lentilmoor/edge/lifetimes.py
+++ b/lentilmoor/edge/lifetimes.py
@@ -23,11 +23,13 @@
       owned: What is believed, before the list is taken in.
       everything: The list.
     """
-    known = [*owned.servers.values(), *owned.left.values()]
     new = [
         server for name, server in everything.servers.items()
         if name not in owned.servers and name not in owned.ended
     ]
+    if not new:
+        return
+    known = [*owned.servers.values(), *owned.left.values()]
     for server in new:
         others = known if server.started_at is None else known + new
         owned.ended.update(
@@ -44,10 +46,13 @@
     Returns:
       Their ids.
     """
+    ended = owned.ended & everything.servers.keys()
+    if not ended:
+        return []
     listed = collections.Counter(
         server.address for server in everything.servers.values())
     found = []
-    for name in owned.ended & everything.servers.keys():
+    for name in ended:
         server = everything.servers[name]
         if server.started_at is None and listed[server.address] == 1:
             owned.ended.discard(name)
