--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -25,6 +25,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
 from lentilmoor.edge import roles
@@ -353,6 +354,7 @@
             pools = [forwarder.pools.pop(name, None) for name in gone]
             for name in gone:
                 forwarder.states.pop(name, None)
+        ratelimits.remove_servers(forwarder.rate_limits, gone)
         for pool in filter(None, pools):
             pool.close()
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -231,6 +231,8 @@
             float(entry.follower.begun),
         'news_age_ms':
             requests.find_news_age(entry.forwarder),
+        'limited_servers':
+            float(len(entry.forwarder.rate_limits.by_server)),
         'control_late_ms':
             entry.pace.late_ms,
         'control_steps':
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -14,6 +14,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import picks
 from lentilmoor.edge import placement
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 from lentilmoor.edge import weighing
@@ -137,6 +138,8 @@
         if not picks.may_send(forwarder, run.service, server.id):
             return None
         _note_old_news(forwarder, request, server)
+        ratelimits.note_sent(forwarder.rate_limits, server.id, bool(run.sent),
+                             forwarder.clock.now(), forwarder.logger)
         headers = dict(request.headers)
         forwarder.platform.dialect.mark(headers, server.name or server.id,
                                         run.until - forwarder.clock.now())
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -248,6 +248,8 @@
       load: The server's load, if it tells.
       kept_ms: How long the server keeps the idle connection; None: unknown.
       closes: Whether the server closes the connection.
+      rate_limit: Requests per second that the server accepts from all entries
+        combined; None if the answer sets no limit.
     """
 
     request_id: str
@@ -256,6 +258,7 @@
     load: ServerLoad | None
     kept_ms: float | None
     closes: bool
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lentilmoor/edge/ratelimits.py
@@ -0,0 +1,123 @@
+"""Rate limits that backend servers set in their answers.
+
+A server can state in each answer how many requests per second it accepts from
+all entries combined. An answer without a limit clears the previous one.
+"""
+
+import dataclasses
+import threading
+
+# Minimum interval between log lines about requests to limited servers.
+LOG_INTERVAL_MS = 1_000.0
+# Maximum number of servers listed in one log line.
+MOST_NAMED = 20
+
+
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """The rate limit of one server.
+
+    Attributes:
+      rate: Requests per second from all entries combined.
+      received_at: When this entry first received a limit, ms.
+      sent: Requests sent to the server since they were last logged.
+      repeats: How many of those had already been sent to a server.
+    """
+
+    rate: float
+    received_at: float
+    sent: int = 0
+    repeats: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RateLimits:
+    """Rate limits of all servers, shared between threads.
+
+    Attributes:
+      by_server: Limits in force, by server id.
+      logged_at: When requests to limited servers were last logged, ms.
+      lock: Guards the other attributes.
+    """
+
+    by_server: dict[str, RateLimit] = dataclasses.field(default_factory=dict)
+    logged_at: float = 0.0
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+
+def note_answer(table: RateLimits, server: str, rate: float | None, now: float,
+                logger) -> None:
+    """Updates a server's limit from its answer.
+
+    Args:
+      table: The entry's limits.
+      server: Id of the server that answered.
+      rate: Its limit, requests per second; None if the answer sets no limit.
+      now: ms.
+      logger: Receives a log line when a limit starts or ends.
+    """
+    with table.lock:
+        previous = table.by_server.get(server)
+        if rate is None:
+            table.by_server.pop(server, None)
+        elif previous is None:
+            table.by_server[server] = RateLimit(rate, now)
+        else:
+            previous.rate = rate
+    if rate is not None and previous is None:
+        logger.info('server_rate_limit_started', server=server, rate=rate)
+    elif rate is None and previous is not None:
+        logger.info('server_rate_limit_ended',
+                    server=server,
+                    rate=previous.rate,
+                    lasted_ms=round(now - previous.received_at))
+
+
+def note_sent(table: RateLimits, server: str, repeat: bool, now: float,
+              logger) -> None:
+    """Counts a request that is about to be sent.
+
+    Args:
+      table: The entry's limits.
+      server: Id of the destination server.
+      repeat: Whether the request was already sent to a server.
+      now: ms.
+      logger: Receives the counts of requests to limited servers.
+    """
+    if not table.by_server:
+        return
+    with table.lock:
+        limit = table.by_server.get(server)
+        if limit is None:
+            return
+        limit.sent += 1
+        limit.repeats += repeat
+        if now - table.logged_at < LOG_INTERVAL_MS:
+            return
+        span_ms = now - table.logged_at
+        table.logged_at = now
+        counts = _collect_counts(table)
+    logger.info('requests_to_limited_servers',
+                span_ms=round(span_ms),
+                servers=len(counts),
+                counts=counts[:MOST_NAMED])
+
+
+def _collect_counts(table: RateLimits) -> list[tuple[str, float, int, int]]:
+    """Returns (id, rate, sent, repeats) per limited server and resets counts.
+
+    The caller must hold the lock.
+    """
+    counts = []
+    for server, limit in table.by_server.items():
+        if limit.sent:
+            counts.append((server, limit.rate, limit.sent, limit.repeats))
+            limit.sent = limit.repeats = 0
+    return counts
+
+
+def remove_servers(table: RateLimits, servers: list[str]) -> None:
+    """Removes the limits of servers that have left."""
+    with table.lock:
+        for server in servers:
+            table.by_server.pop(server, None)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -15,6 +15,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import tables
 
@@ -80,6 +81,7 @@
       states: What was seen of servers, by id.
       pools: Connections, by server id.
       repeats: Repeats, by service.
+      rate_limits: Rate limits that servers have set.
       samples: Requests for keys that are still to be reported.
       hurry: Set when a report should not wait: a key has moved.
       unserved: First and last keys that no server holds now, by service.
@@ -112,6 +114,8 @@
         default_factory=dict)
     pools: dict[str, connections.Pool] = dataclasses.field(default_factory=dict)
     repeats: dict[str, budgets.Budget] = dataclasses.field(default_factory=dict)
+    rate_limits: ratelimits.RateLimits = dataclasses.field(
+        default_factory=ratelimits.RateLimits)
     samples: list[Sample] = dataclasses.field(default_factory=list)
     hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
     unserved: dict[str,
--- a/lentilmoor/edge/weighing.py
+++ b/lentilmoor/edge/weighing.py
@@ -3,6 +3,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import exchange
 from lentilmoor.edge import placement
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 
@@ -47,6 +48,8 @@
     """Takes in an answer; None if another try may follow."""
     now = forwarder.clock.now()
     status, fields = reply.answer.status, reply.fields
+    ratelimits.note_answer(forwarder.rate_limits, server.id, fields.rate_limit,
+                           now, forwarder.logger)
     if fields.not_run:
         with forwarder.lock:
             placement.note_failure(state, now, status == 503)
--- a/lentilmoor/platform/dialect.py
+++ b/lentilmoor/platform/dialect.py
@@ -1,6 +1,7 @@
 """Headers that callers and backend servers exchange with an entry."""
 
 from collections.abc import Mapping
+import math
 import re
 
 from lentilmoor import headers as header_names
@@ -13,6 +14,7 @@
 _NOT_RUN = 'Lentilmoor-Not-Executed'
 _PROOF = 'Lentilmoor-Upstream-Seal'
 _LOAD = 'Lentilmoor-Upstream-Load'
+_RATE_LIMIT = 'Server-Limit'
 
 _MISDIRECTED = 421
 _KEPT = re.compile(r'timeout=(\d+)')
@@ -50,7 +52,8 @@
         proven=_PROOF in headers,
         load=_read_load(headers.get(_LOAD, '')),
         kept_ms=int(kept[1]) * _MS_PER_S if kept else None,
-        closes='close' in headers.get('Connection', '').lower())
+        closes='close' in headers.get('Connection', '').lower(),
+        rate_limit=_read_rate_limit(headers.get(_RATE_LIMIT, '')))
 
 
 def _read_load(text: str) -> ports.ServerLoad | None:
@@ -62,6 +65,14 @@
     return ports.ServerLoad(running, waiting, max(1, slots))
 
 
+def _read_rate_limit(text: str) -> float | None:
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _read_number(value: bytes | None) -> float | None:
     if not value:
         return None
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -69,6 +69,7 @@
         self.seen: list[tuple[int, int, int]] = []
         self.open: set[socket.socket] = set()
         self.faults = Faults()
+        self.rate_limit: float | None = None
         self.lock = threading.Lock()
         self.slots = threading.Semaphore(2)
         self._server = _Server(('127.0.0.1', port), _make_handler(self))
@@ -302,6 +303,8 @@
                   headers: dict | None = None,
                   length: int | None = None) -> None:
             self.send_response(status)
+            if server.rate_limit is not None:
+                self.send_header('Server-Limit', str(server.rate_limit))
             for name, value in (headers or {}).items():
                 self.send_header(name, value)
             if length != -1:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -125,6 +125,12 @@
         self.assertTrue(fields.closes and fields.proven)
         self.assertFalse(fields.not_run)
 
+    def test_an_invalid_rate_limit_is_treated_as_absent(self):
+        for text, rate in (('8.5', 8.5), ('0', 0.0), ('', None), ('few', None),
+                           ('-1', None), ('nan', None), ('inf', None)):
+            fields = self.dialect.read_answer(200, {'Server-Limit': text})
+            self.assertEqual(fields.rate_limit, rate)
+
     def test_only_421_and_the_servers_own_word_mean_not_run(self):
         read = self.dialect.read_answer
         self.assertTrue(read(421, {}).not_run)
