--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -24,6 +24,7 @@
 from lentilmoor.edge import lifetimes
 from lentilmoor.edge import matching
 from lentilmoor.edge import ownership
+from lentilmoor.edge import permits
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
@@ -355,6 +356,7 @@
             for name in gone:
                 forwarder.states.pop(name, None)
         ratelimits.remove_servers(forwarder.rate_limits, gone)
+        permits.remove_servers(forwarder.permit_table, gone)
         for pool in filter(None, pools):
             pool.close()
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -24,6 +24,7 @@
 from lentilmoor.edge import knowledge
 from lentilmoor.edge import listening
 from lentilmoor.edge import measures
+from lentilmoor.edge import permits
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -139,6 +140,8 @@
                               burst=12.0,
                               socket_options=socket_options)
     forwarder = requests.Forwarder(clock, platform, logger, rules)
+    forwarder.permit_table = permits.make_permit_table(
+        platform.settings.control, clock, logger, socket_options)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
                   measures.Measures(clock))
     owned = beliefs.Beliefs(instance)
@@ -179,6 +182,7 @@
                 reporting.PATH: functools.partial(_take_report, entry),
                 reporting.STATE_PATH: functools.partial(_show_state, entry),
                 subscriptions.PATH: functools.partial(_tell_news, entry),
+                permits.PATH: functools.partial(_issue_permit, entry),
             }, clock, functools.partial(_note_write, logger), REPLY_WRITE_MS),
         PEER_THREADS, log_error)
     entry.listeners = [callers, ready, peers]
@@ -313,6 +317,15 @@
     return 200, reports.encode_reply(reply), 'application/json'
 
 
+def _issue_permit(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
+    request = reports.decode_permit_request(body)
+    if request is None:
+        return 400, b'', 'text/plain'
+    reply = permits.issue(entry.forwarder.permit_table, request,
+                          entry.clock.now())
+    return 200, reports.encode_permit(reply), 'application/json'
+
+
 def _take_store(entry: Entry, found: ports.Everything, heard: bool) -> None:
     entry.actor.tell(control.StoreSeen(found, heard))
     if found.configuration is None:
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -104,6 +104,11 @@
                 outcomes.NotRun(_Reason.OVERLOADED,
                                 'no repeats are left for the service',
                                 picks.FULL_RETRY_MS))
+        refusal = picks.take_permit(forwarder, run, choice.server)
+        if refusal is not None:
+            if run.service.keyed:
+                return weighing.conclude(run, refusal)
+            continue
         result = _try(forwarder, run, choice)
         if result is not None:
             return result
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -8,7 +8,9 @@
 from lentilmoor import clocks
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
+from lentilmoor.edge import permits
 from lentilmoor.edge import placement
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
 from lentilmoor.edge import waiting
@@ -40,7 +42,8 @@
     servers = [
         server for server in forwarder.snapshot.servers.get(
             run.service.name, {}).values() if not server.draining and
-        server.id not in run.avoid and not _has_left(forwarder, server)
+        server.id not in run.avoid and not _has_left(forwarder, server) and
+        not ratelimits.find_wait(forwarder.rate_limits, server.id, now)
     ]
     with forwarder.lock:
         wish = placement.Wish(forwarder.platform.settings.domain,
@@ -70,6 +73,41 @@
     return not _has_left(forwarder, server)
 
 
+def take_permit(forwarder: requests.Forwarder, run: requests.Run,
+                server: tables.Server) -> outcomes.NotRun | None:
+    """Takes a permit to send a request if the server has set a rate limit.
+
+    If no permit is available, adds the server to `run.avoid`.
+
+    Returns:
+      None if the request may be sent; otherwise the refusal.
+    """
+    limit = forwarder.rate_limits.by_server.get(server.id)
+    if limit is None:
+        return None
+    clock = forwarder.clock
+    wait_ms = ratelimits.find_wait(forwarder.rate_limits, server.id,
+                                   clock.now())
+    if not wait_ms:
+        wait_ms = permits.take(forwarder.permit_table, server.id, limit.rate,
+                               forwarder.snapshot.entries.values(), clock)
+        if not wait_ms:
+            return None
+        ratelimits.note_denied(forwarder.rate_limits, server.id, wait_ms,
+                               clock.now())
+    run.avoid.add(server.id)
+    if run.service.keyed:
+        # Reports the refused request as demand, so that the coordinator can
+        # move keys to other servers.
+        forwarder.samples.append(
+            requests.Sample(run.service.name, run.request.fields.key, server.id,
+                            0.0))
+    left_ms = run.until - clock.now()
+    return outcomes.NotRun(
+        _Reason.OVERLOADED, f'{server.id} takes {limit.rate} requests a second',
+        round(waiting.find_return(max(wait_ms, left_ms * waiting.RETURN_PART))))
+
+
 def _has_left(forwarder: requests.Forwarder, server: tables.Server) -> bool:
     """Returns whether a server that leaves may be sent nothing any more."""
     if server.leaves_at is None:
--- a/lentilmoor/edge/ratelimits.py
+++ b/lentilmoor/edge/ratelimits.py
@@ -7,10 +7,17 @@
 import dataclasses
 import threading
 
+from lentilmoor import clocks
+
 # Minimum interval between log lines about requests to limited servers.
 LOG_INTERVAL_MS = 1_000.0
 # Maximum number of servers listed in one log line.
 MOST_NAMED = 20
+# Capacity of a token bucket, as time at the full rate; at least one token.
+BURST_MS = 500.0
+# Minimum rate of a token bucket, per second. With a rate of zero, no request
+# would be sent, and no answer could clear the limit.
+MIN_RATE = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,12 +27,14 @@
     Attributes:
       rate: Requests per second from all entries combined.
       received_at: When this entry first received a limit, ms.
+      blocked_until: When the next permit may be requested, ms.
       sent: Requests sent to the server since they were last logged.
       repeats: How many of those had already been sent to a server.
     """
 
     rate: float
     received_at: float
+    blocked_until: float = 0.0
     sent: int = 0
     repeats: int = 0
 
@@ -45,6 +54,53 @@
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
+@dataclasses.dataclass(slots=True)
+class TokenBucket:
+    """A token bucket.
+
+    Attributes:
+      updated_at: When `tokens` was last updated, ms.
+      tokens: Number of available tokens.
+    """
+
+    updated_at: float
+    tokens: float = 1.0
+
+
+def take_token(bucket: TokenBucket, rate: float, now: float) -> float:
+    """Takes a token; returns 0, or the time until one is available, ms.
+
+    Args:
+      bucket: The bucket.
+      rate: Tokens per second.
+      now: ms.
+    """
+    tokens_per_ms = max(MIN_RATE, rate) / clocks.MS_PER_S
+    capacity = max(1.0, tokens_per_ms * BURST_MS)
+    added = tokens_per_ms * max(0.0, now - bucket.updated_at)
+    bucket.tokens = min(capacity, bucket.tokens + added)
+    bucket.updated_at = now
+    if bucket.tokens < 1.0:
+        return (1.0 - bucket.tokens) / tokens_per_ms
+    bucket.tokens -= 1.0
+    return 0.0
+
+
+def find_wait(table: RateLimits, server: str, now: float) -> float:
+    """Returns the time until a permit may be requested for a server, ms."""
+    limit = table.by_server.get(server)
+    return 0.0 if limit is None else max(0.0, limit.blocked_until - now)
+
+
+def note_denied(table: RateLimits, server: str, wait_ms: float,
+                now: float) -> None:
+    """Records that a permit was denied and when to request the next one."""
+    with table.lock:
+        limit = table.by_server.get(server)
+        if limit is not None:
+            limit.blocked_until = now + wait_ms
+
+
 def note_answer(table: RateLimits, server: str, rate: float | None, now: float,
                 logger) -> None:
     """Updates a server's limit from its answer.
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -110,6 +110,34 @@
     held_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """A request for a permit, sent to the issuer of a server's permits.
+
+    Attributes:
+      server: Id of the server.
+      rate: Requests per second that the server accepts from all entries
+        combined.
+      substitute: Whether the receiver substitutes for an unreachable issuer.
+    """
+
+    server: str
+    rate: float
+    substitute: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReply:
+    """The reply to a permit request.
+
+    Attributes:
+      wait_ms: 0 if one request may be sent; otherwise the time until the next
+        permit is available.
+    """
+
+    wait_ms: float
+
+
 def encode_report(report: Report) -> bytes:
     """Returns a report as it travels."""
     return msgspec.json.encode(report)
@@ -145,6 +173,21 @@
     return _decode(_read_news_reply, data)
 
 
+def encode_permit(message: PermitRequest | PermitReply) -> bytes:
+    """Returns a permit request or reply encoded as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode_permit_request(data: bytes) -> PermitRequest | None:
+    """Returns a decoded permit request, or None if it is invalid."""
+    return _decode(_read_permit_request, data)
+
+
+def decode_permit_reply(data: bytes) -> PermitReply | None:
+    """Returns a decoded permit reply, or None if it is invalid."""
+    return _decode(_read_permit_reply, data)
+
+
 def _decode(read: Callable[[bytes], _T], data: bytes) -> _T | None:
     try:
         return read(data)
@@ -156,3 +199,5 @@
 _read_reply = msgspec.json.Decoder(Reply).decode
 _read_news_request = msgspec.json.Decoder(NewsRequest).decode
 _read_news_reply = msgspec.json.Decoder(NewsReply).decode
+_read_permit_request = msgspec.json.Decoder(PermitRequest).decode
+_read_permit_reply = msgspec.json.Decoder(PermitReply).decode
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -13,6 +13,7 @@
 from lentilmoor.edge import budgets
 from lentilmoor.edge import exchange
 from lentilmoor.edge import matching
+from lentilmoor.edge import permits
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
@@ -82,6 +83,7 @@
       pools: Connections, by server id.
       repeats: Repeats, by service.
       rate_limits: Rate limits that servers have set.
+      permit_table: Requests and issues permits for servers with a rate limit.
       samples: Requests for keys that are still to be reported.
       hurry: Set when a report should not wait: a key has moved.
       unserved: First and last keys that no server holds now, by service.
@@ -116,6 +118,8 @@
     repeats: dict[str, budgets.Budget] = dataclasses.field(default_factory=dict)
     rate_limits: ratelimits.RateLimits = dataclasses.field(
         default_factory=ratelimits.RateLimits)
+    permit_table: permits.PermitTable = dataclasses.field(
+        default_factory=permits.PermitTable)
     samples: list[Sample] = dataclasses.field(default_factory=list)
     hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
     unserved: dict[str,
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -63,7 +63,7 @@
         self.work_s = 0.005
         self.journal: list[Run] = []
         self.arrivals = 0
-        self.arrived: list[float] = []
+        self.arrival_times: list[float] = []
         self.cancelled = 0
         self.grants: list[dict] = []
         self.held: list[tuple[int, int, int, float]] = []
@@ -232,7 +232,7 @@
 
         def _serve(self, body: bytes) -> None:
             server.arrivals += 1
-            server.arrived.append(time.monotonic())
+            server.arrival_times.append(time.monotonic())
             expected = self.headers.get('Lentilmoor-Expect-Instance')
             text = self.headers.get('Lentilmoor-Shard-Key')
             key = int(text) if text else None
