--- a/lentilmoor/edge/hub.py
+++ b/lentilmoor/edge/hub.py
@@ -10,6 +10,8 @@
 import dataclasses
 import threading
 
+from lentilmoor.edge import reports
+
 # A report counts for so long; entries report several times as often.
 FRESH_MS = 1_200.0
 # A request whose servers broke off so often, with no answer in between, is
@@ -17,6 +19,8 @@
 MOST_CRASHES = 3
 # It is forgotten after this time.
 BLOCKED_MS = 30_000.0
+# A rate limit is dropped if no answer has confirmed it for this time.
+LIMIT_RETENTION_MS = 10_000.0
 _MOST_FINGERPRINTS = 4_096
 
 
@@ -44,6 +48,8 @@
         time with many entries.
       expired_at: When old reports were last dropped, ms.
       suspects: By fingerprint.
+      limits: By server id: the newest rate limit, None if it has ended, and
+        when the server's answer was received, ms.
       lock: Guards all of them.
     """
 
@@ -54,6 +60,8 @@
     totals: dict[str, int] = dataclasses.field(default_factory=dict)
     expired_at: float = 0.0
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    limits: dict[str, tuple[float | None,
+                            float]] = dataclasses.field(default_factory=dict)
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
@@ -123,3 +131,26 @@
     """Returns fingerprints whose next answer is to be reported."""
     with table.lock:
         return list(table.suspects)
+
+
+def note_limits(table: HubTable, limits: reports.ReportedLimits,
+                now: float) -> None:
+    """Records an entry's rate limits that are newer than the recorded ones."""
+    with table.lock:
+        for server, (rate, age_ms) in limits.items():
+            received_at = now - age_ms
+            _, previous_at = table.limits.get(server, (None, float('-inf')))
+            if received_at > previous_at:
+                table.limits[server] = (rate, received_at)
+
+
+def list_limits(table: HubTable, now: float) -> reports.ReportedLimits:
+    """Returns the newest rate limit of each server and drops expired ones."""
+    with table.lock:
+        for server, (_, received_at) in list(table.limits.items()):
+            if now - received_at > LIMIT_RETENTION_MS:
+                del table.limits[server]
+        return {
+            server: (rate, now - received_at)
+            for server, (rate, received_at) in table.limits.items()
+        }
--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -8,7 +8,9 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import math
 
+from lentilmoor import clocks
 from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import rebalancing
@@ -24,6 +26,13 @@
 SLOWEST, FASTEST = 0.25, 3.0
 # A cold server takes twice as long.
 COLD_CAPACITY = 0.6
+# Converts a count with a half-life of `HALF_MS` to requests per second.
+_RATE_PER_COUNT = math.log(2) / (HALF_MS / clocks.MS_PER_S)
+# Fraction of a server's rate limit up to which load is assigned. The rest
+# absorbs variations in load.
+LIMIT_FRACTION = 0.8
+# Minimum weight of a rate-limited server, for limits close to zero.
+MIN_WEIGHT = 1e-3
 _REFRESH_MS = 500.0
 _FORGOTTEN = 0.05
 
@@ -92,9 +101,18 @@
         """Returns the mean time of work of servers, ms (see `workmeans`)."""
         return workmeans.estimate(self.works, [server.id for server in servers])
 
-    def capacities(self, servers: Iterable[tables.Server],
-                   now: float) -> dict[str, float]:
-        """Returns the relative speed of servers, by id."""
+    def capacities(
+            self,
+            servers: Iterable[tables.Server],
+            now: float,
+            limits: Mapping[str, float] | None = None) -> dict[str, float]:
+        """Returns the relative speed of servers, by id.
+
+        Args:
+          servers: The servers.
+          now: ms.
+          limits: Rate limits by server id, requests per second.
+        """
         servers = list(servers)
         estimates = self.estimate_works(servers)
         usual = workmeans.average(self.works[server.id]
@@ -107,7 +125,11 @@
             if server.warm_at > now:
                 capacity = min(capacity, COLD_CAPACITY)
             capacities[server.id] = min(FASTEST, max(SLOWEST, capacity))
-        return capacities
+        if not limits or not capacities:
+            return capacities
+        self._fade(now)
+        rate = sum(self.counts.values()) * _RATE_PER_COUNT
+        return _apply_limits(capacities, limits, rate)
 
     def _fade(self, now: float) -> None:
         factor = 0.5**((now - self.faded_at) / HALF_MS)
@@ -119,3 +141,40 @@
             for key, count in self.counts.items()
             if count * factor > _FORGOTTEN
         }
+
+
+def _apply_limits(capacities: dict[str, float], limits: Mapping[str, float],
+                  rate: float) -> dict[str, float]:
+    """Lowers capacities so that each server's load stays below its rate limit.
+
+    Args:
+      capacities: By server id.
+      limits: Rate limits by server id, requests per second.
+      rate: Requests per second to all servers combined.
+    """
+    weights = {
+        server: capacity**rebalancing.SPEED_POWER
+        for server, capacity in capacities.items()
+    }
+    rate_per_weight = rate / sum(weights.values())
+    target_rates = {
+        server: limits[server] * LIMIT_FRACTION
+        for server in weights
+        if server in limits
+    }
+    limited = {
+        server: target_rate
+        for server, target_rate in target_rates.items()
+        if target_rate < weights[server] * rate_per_weight
+    }
+    other_weight = sum(
+        weights[server] for server in weights if server not in limited)
+    other_rate = rate - sum(limited.values())
+    if not limited or not other_weight:
+        return capacities
+    return capacities | {
+        server:
+            max(MIN_WEIGHT, other_weight * target_rate / other_rate)
+            **(1 / rebalancing.SPEED_POWER)
+        for server, target_rate in limited.items()
+    }
--- a/lentilmoor/edge/ratelimits.py
+++ b/lentilmoor/edge/ratelimits.py
@@ -18,6 +18,8 @@
 # Minimum rate of a token bucket, per second. With a rate of zero, no request
 # would be sent, and no answer could clear the limit.
 MIN_RATE = 0.1
+# The end of a limit is reported to other entries for this time.
+ENDED_RETENTION_MS = 10_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,7 +28,8 @@
 
     Attributes:
       rate: Requests per second from all entries combined.
-      received_at: When this entry first received a limit, ms.
+      received_at: When the first answer with a limit was received, ms.
+      confirmed_at: When the newest answer with a limit was received, ms.
       blocked_until: When the next permit may be requested, ms.
       sent: Requests sent to the server since they were last logged.
       repeats: How many of those had already been sent to a server.
@@ -34,6 +37,7 @@
 
     rate: float
     received_at: float
+    confirmed_at: float
     blocked_until: float = 0.0
     sent: int = 0
     repeats: int = 0
@@ -45,11 +49,14 @@
 
     Attributes:
       by_server: Limits in force, by server id.
+      ended_at: When the answer that ended a limit was received, ms, by server
+        id.
       logged_at: When requests to limited servers were last logged, ms.
       lock: Guards the other attributes.
     """
 
     by_server: dict[str, RateLimit] = dataclasses.field(default_factory=dict)
+    ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
     logged_at: float = 0.0
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
@@ -112,21 +119,78 @@
       now: ms.
       logger: Receives a log line when a limit starts or ends.
     """
+    if rate is None and server not in table.by_server:
+        return
+    with table.lock:
+        _set_rate(table, server, rate, now, logger)
+
+
+def note_reported_limit(table: RateLimits, server: str, rate: float | None,
+                        received_at: float, logger) -> None:
+    """Updates a server's limit from an answer that another entry received.
+
+    Ignored unless the answer is newer than the last known one.
+
+    Args:
+      table: The entry's limits.
+      server: Id of the server.
+      rate: Its limit, requests per second; None if the limit has ended.
+      received_at: When the answer was received, ms.
+      logger: Receives a log line when a limit starts or ends.
+    """
     with table.lock:
         previous = table.by_server.get(server)
-        if rate is None:
-            table.by_server.pop(server, None)
-        elif previous is None:
-            table.by_server[server] = RateLimit(rate, now)
-        else:
-            previous.rate = rate
-    if rate is not None and previous is None:
+        previous_at = table.ended_at.get(server, float('-inf'))
+        if previous is not None:
+            previous_at = previous.confirmed_at
+        if received_at > previous_at:
+            _set_rate(table, server, rate, received_at, logger)
+
+
+def _set_rate(table: RateLimits, server: str, rate: float | None,
+              received_at: float, logger) -> None:
+    """Sets or ends a server's limit. The caller must hold the lock."""
+    previous = table.by_server.get(server)
+    if rate is None:
+        table.ended_at[server] = received_at
+        if table.by_server.pop(server, None) is not None:
+            logger.info('server_rate_limit_ended',
+                        server=server,
+                        rate=previous.rate,
+                        lasted_ms=round(received_at - previous.received_at))
+    elif previous is None:
+        table.ended_at.pop(server, None)
+        table.by_server[server] = RateLimit(rate, received_at, received_at)
         logger.info('server_rate_limit_started', server=server, rate=rate)
-    elif rate is None and previous is not None:
-        logger.info('server_rate_limit_ended',
-                    server=server,
-                    rate=previous.rate,
-                    lasted_ms=round(now - previous.received_at))
+    else:
+        previous.rate, previous.confirmed_at = rate, received_at
+
+
+def list_limits(table: RateLimits,
+                now: float) -> dict[str, tuple[float | None, float]]:
+    """Returns limits in force and those that ended recently, with their ages.
+
+    Returns:
+      By server id: requests per second, None if the limit has ended, and how
+      long ago the server's answer was received, ms.
+    """
+    with table.lock:
+        for server, ended_at in list(table.ended_at.items()):
+            if now - ended_at > ENDED_RETENTION_MS:
+                del table.ended_at[server]
+        limits: dict[str, tuple[float | None, float]] = {
+            server: (None, now - ended_at)
+            for server, ended_at in table.ended_at.items()
+        }
+        for server, limit in table.by_server.items():
+            limits[server] = (limit.rate, now - limit.confirmed_at)
+        return limits
+
+
+def list_rates(table: RateLimits) -> dict[str, float]:
+    """Returns the limits in force, requests per second by server id."""
+    with table.lock:
+        return {server: limit.rate for server, limit in table.by_server.items()}
 
 
 def note_sent(table: RateLimits, server: str, repeat: bool, now: float,
@@ -177,3 +241,4 @@
     with table.lock:
         for server in servers:
             table.by_server.pop(server, None)
+            table.ended_at.pop(server, None)
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -16,6 +16,7 @@
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
@@ -124,13 +125,15 @@
     rows = _take_rows(reporter.forwarder)
     crashed, cleared = _take_crashes(reporter.forwarder)
     for peer, services in peers.items():
-        found = reports.Report(reporter.instance, {
-            name: rows[name] for name in services if name in rows
-        }, _count_inflight(reporter.forwarder), {
-            name: item.next_fence
-            for name, item in reporter.forwarder.snapshot.assignments.items()
-        }, crashed, cleared, reporter.forwarder.followed, wants_works)
         asked_at = reporter.forwarder.clock.now()
+        found = reports.Report(
+            reporter.instance,
+            {name: rows[name] for name in services if name in rows},
+            _count_inflight(reporter.forwarder), {
+                name: item.next_fence for name, item in
+                reporter.forwarder.snapshot.assignments.items()
+            }, crashed, cleared, reporter.forwarder.followed, wants_works,
+            ratelimits.list_limits(reporter.forwarder.rate_limits, asked_at))
         reply = _send(reporter, peer, found)
         if reply is not None:
             replies.append(Told(reply, asked_at))
@@ -156,6 +159,7 @@
     table, news = reporter.table, reporter.forwarder.news
     hub.note_inflight(table, found.entry, found.inflight, now)
     hub.note_crashes(table, found.crashed, found.cleared, now)
+    hub.note_limits(table, found.limits, now)
     if found.rows:
         reporter.tell(control.Reported(found.rows))
     assignments = {
@@ -177,7 +181,8 @@
                                  reporter.forwarder.platform.settings.link_mbps,
                                  len(reporter.forwarder.snapshot.entries))),
                          news_age_ms=min(now - news.seen_at, reports.NEVER_MS),
-                         version=_find_version(reporter.forwarder.snapshot))
+                         version=_find_version(reporter.forwarder.snapshot),
+                         limits=hub.list_limits(table, now))
 
 
 def _find_version(snapshot: tables.Snapshot) -> int:
@@ -273,6 +278,14 @@
         reply_bytes=0 if failed else len(result.body))
 
 
+def _apply_rate_limits(reporter: Reporter, told: Told) -> None:
+    """Updates the entry's rate limits from a hub's reply."""
+    forwarder = reporter.forwarder
+    for server, (rate, age_ms) in told.reply.limits.items():
+        ratelimits.note_reported_limit(forwarder.rate_limits, server, rate,
+                                       told.asked_at - age_ms, forwarder.logger)
+
+
 def _apply(reporter: Reporter, replies: list[Told]) -> None:
     """Takes in what the hubs told; what none tells any more is forgotten."""
     forwarder = reporter.forwarder
@@ -289,6 +302,7 @@
         heard = tables.News(reply.revision, told.asked_at - reply.news_age_ms,
                             reply.since, reply.changes, reply.version)
         reporter.hear(heard)
+        _apply_rate_limits(reporter, told)
         with forwarder.lock:
             for name, state in forwarder.states.items():
                 state.reported = float(reply.others.get(name, 0))
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -21,6 +21,10 @@
 Row = tuple[int, str, float]
 """Key, server id, time of work in ms; 0 if the server did not run it."""
 
+ReportedLimits = dict[str, tuple[float | None, float]]
+"""Rate limits by server id: requests per second, None if the limit has ended,
+and the age of the server's answer, ms."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
@@ -35,6 +39,7 @@
       cleared: Fingerprints of such requests that were answered since.
       revision: How far it has followed the store.
       wants_works: Whether it wants to be told servers' times of work.
+      limits: Rate limits in force, and those that ended recently.
     """
 
     entry: str
@@ -45,6 +50,7 @@
     cleared: list[str]
     revision: int = 0
     wants_works: bool = True
+    limits: ReportedLimits = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +68,7 @@
       changes: What has changed since then (see `ports.Store.tell_news`).
       news_age_ms: How long ago the hub last heard from the store.
       version: Of the configuration that the hub has in force.
+      limits: The newest rate limit of each server, from all reports.
     """
 
     others: dict[str, int]
@@ -74,6 +81,7 @@
     changes: bytes | None = None
     news_age_ms: float = NEVER_MS
     version: int = 0
+    limits: ReportedLimits = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -9,6 +9,7 @@
 from lentilmoor.edge import holds
 from lentilmoor.edge import moves
 from lentilmoor.edge import ownership
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import tables
 
@@ -34,10 +35,13 @@
         for item in owned.servers.values()
         if item.service == name and item.id not in owned.ended
     }
-    view = ownership.View(servers, frozenset(owned.ended), owned.left,
-                          role.measured.key_loads(now),
-                          role.measured.capacities(servers.values(), now),
-                          role.measured.list_works(servers.values()))
+    view = ownership.View(
+        servers, frozenset(owned.ended), owned.left,
+        role.measured.key_loads(now),
+        role.measured.capacities(
+            servers.values(), now,
+            ratelimits.list_rates(context.forwarder.rate_limits)),
+        role.measured.list_works(servers.values()))
     known = len(state.moves)
     for action in coordination.plan(state, view, now):
         _carry_out(context, state, action)
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -72,6 +72,17 @@
         self.assertEqual(found, reply)
         self.assertEqual(found.assignments['x'].addresses, {'a': 'a:1'})
 
+    def test_newest_answer_determines_rate_limit(self):
+        # A late report must not replace a limit from a newer answer.
+        table = hub.HubTable()
+        hub.note_limits(table, {'s1': (8.5, 100.0)}, 1_000.0)
+        hub.note_limits(table, {'s1': (None, 300.0)}, 1_100.0)
+        self.assertEqual(hub.list_limits(table, 1_200.0), {'s1': (8.5, 300.0)})
+        hub.note_limits(table, {'s1': (None, 50.0)}, 1_300.0)
+        self.assertEqual(hub.list_limits(table, 1_300.0), {'s1': (None, 50.0)})
+        self.assertEqual(
+            hub.list_limits(table, 1_300.0 + hub.LIMIT_RETENTION_MS), {})
+
     def test_what_is_no_report_is_refused(self):
         for data in (b'', b'[]', b'{"entry": 1}', b'\xff'):
             self.assertIsNone(reports.decode_report(data))
@@ -114,6 +125,32 @@
         self.assertLess(found['b'], 0.8)
         self.assertEqual(found['c'], 1.0)
 
+    def test_share_of_load_stays_below_rate_limit(self):
+        # A rate-limited server must not be assigned more load than it accepts.
+        table = loads.LoadTable()
+        servers = [
+            tables.Server(name, 'x', '', '', 2, False, 0.0, 0.0)
+            for name in 'abcd'
+        ]
+        # 100 requests per second until the decaying counts are stable.
+        for step in range(100):
+            rows = [(key, 'a', 50.0) for key in range(0, tables.KEYS, 3_277)]
+            table.add(rows, step * 200.0)
+        now = 20_000.0
+        unlimited = table.capacities(servers, now)
+        self.assertEqual(table.capacities(servers, now, {'a': 60.0}), unlimited)
+        for limits in ({'a': 5.0}, {'a': 5.0, 'b': 10.0}, {'a': 0.0}):
+            found = table.capacities(servers, now, limits)
+            weights = {
+                name: capacity**rebalancing.SPEED_POWER
+                for name, capacity in found.items()
+            }
+            for name, rate in limits.items():
+                share = weights[name] / sum(weights.values()) * 100.0
+                self.assertLessEqual(share, max(rate, 0.1))
+                self.assertGreaterEqual(share, rate * 0.6)
+            self.assertEqual(found['d'], unlimited['d'])
+
     def test_scraps_are_joined_when_there_are_many(self):
         ranges = []
         for number in range(40):
