--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -37,6 +37,9 @@
 # meanwhile. At most one line in the second figure, as there may be many.
 OLD_NEWS_MS = 1_500.0
 OLD_NEWS_AGAIN_MS = 100.0
+# Minimum interval between log lines about requests to draining or paused
+# servers.
+UNAVAILABLE_LOG_INTERVAL_MS = 100.0
 
 _Reason = outcomes.Reason
 
@@ -143,6 +146,7 @@
         if not picks.may_send(forwarder, run.service, server.id):
             return None
         _note_old_news(forwarder, request, server)
+        _log_if_unavailable(forwarder, run, server, state)
         ratelimits.note_sent(forwarder.rate_limits, server.id, bool(run.sent),
                              forwarder.clock.now(), forwarder.logger)
         headers = dict(request.headers)
@@ -195,6 +199,25 @@
                           age_ms=round(now - request.arrived_at))
 
 
+def _log_if_unavailable(forwarder: requests.Forwarder, run: requests.Run,
+                        server: tables.Server,
+                        state: placement.ServerState) -> None:
+    """Logs a request sent to a draining or paused server, rate-limited."""
+    now = forwarder.clock.now()
+    if state.draining_at is None and state.paused_until <= now:
+        return
+    if now - forwarder.unavailable_logged_at < UNAVAILABLE_LOG_INTERVAL_MS:
+        return
+    forwarder.unavailable_logged_at = now
+    draining_ms = 0 if state.draining_at is None else now - state.draining_at
+    forwarder.logger.info('request_to_unavailable_server',
+                          request=run.request.fields.request_id,
+                          server=server.id,
+                          draining_ms=round(draining_ms),
+                          pause_left_ms=round(max(0, state.paused_until - now)),
+                          repeat=bool(run.sent))
+
+
 def _enter(
         forwarder: requests.Forwarder, service: tables.Service,
         server: tables.Server
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -69,6 +69,9 @@
       refusals: Connections in a row that failed.
       failing: Part of the last requests that failed, 0 to 1.
       broken: Fingerprints of requests that it broke off, and when, ms.
+      draining_at: When the first answer that reported it as draining was
+        received, ms; None if there was none.
+      paused_until: When the pause that it requested ends, ms; 0 if none.
     """
 
     inflight: int = 0
@@ -83,6 +86,8 @@
     refusals: int = 0
     failing: float = 0.0
     broken: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    draining_at: float | None = None
+    paused_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,6 +281,25 @@
         state.told_at = now
 
 
+def note_draining(state: ServerState, now: float) -> bool:
+    """Records that a server is draining; returns whether this is new."""
+    if state.draining_at is not None:
+        return False
+    state.draining_at = now
+    return True
+
+
+def note_pause(state: ServerState, pause_ms: float, now: float) -> bool:
+    """Records a pause requested by a server, or extends the current one.
+
+    Returns:
+      Whether a new pause started.
+    """
+    started = state.paused_until <= now
+    state.paused_until = max(state.paused_until, now + pause_ms)
+    return started
+
+
 def note_unreached(state: ServerState, now: float) -> None:
     """Takes in that no connection could be made."""
     state.inflight -= 1
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -250,6 +250,9 @@
       closes: Whether the server closes the connection.
       rate_limit: Requests per second that the server accepts from all entries
         combined; None if the answer sets no limit.
+      draining: Whether the server is about to leave.
+      retry_after_ms: How long this entry should send the server no requests;
+        None if the answer requests no pause.
     """
 
     request_id: str
@@ -259,6 +262,8 @@
     kept_ms: float | None
     closes: bool
     rate_limit: float | None = None
+    draining: bool = False
+    retry_after_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -99,6 +99,8 @@
       heard: How far the hub has, and what changed, as it told last.
       old_news_told_at: When a line last told of a request that was sent by
         old news, ms.
+      unavailable_logged_at: When a request to a draining or paused server was
+        last logged, ms.
       lock: Guards states, pools and repeats.
     """
 
@@ -135,6 +137,7 @@
     news: tables.News = tables.News()
     heard: tables.News = tables.News()
     old_news_told_at: float = float('-inf')
+    unavailable_logged_at: float = float('-inf')
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
     generator: random.Random = dataclasses.field(default_factory=random.Random)
 
--- a/lentilmoor/edge/weighing.py
+++ b/lentilmoor/edge/weighing.py
@@ -3,6 +3,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import exchange
 from lentilmoor.edge import placement
+from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
@@ -50,6 +51,7 @@
     status, fields = reply.answer.status, reply.fields
     ratelimits.note_answer(forwarder.rate_limits, server.id, fields.rate_limit,
                            now, forwarder.logger)
+    _note_availability(forwarder, server, state, fields, now)
     if fields.not_run:
         with forwarder.lock:
             placement.note_failure(state, now, status == 503)
@@ -86,6 +88,25 @@
     return reply.answer
 
 
+def _note_availability(forwarder: requests.Forwarder, server: tables.Server,
+                       state: placement.ServerState, fields: ports.AnswerFields,
+                       now: float) -> None:
+    """Records and logs that a server is draining or requests a pause."""
+    draining_started = pause_started = False
+    with forwarder.lock:
+        if fields.draining:
+            draining_started = placement.note_draining(state, now)
+        if fields.retry_after_ms:
+            pause_started = placement.note_pause(state, fields.retry_after_ms,
+                                                 now)
+    if draining_started:
+        forwarder.logger.info('server_draining', server=server.id)
+    if pause_started:
+        forwarder.logger.info('server_pause_started',
+                              server=server.id,
+                              pause_ms=round(fields.retry_after_ms))
+
+
 def _note_work(forwarder: requests.Forwarder, run: requests.Run,
                server: tables.Server, work_ms: float) -> None:
     if run.service.keyed:
--- a/lentilmoor/platform/dialect.py
+++ b/lentilmoor/platform/dialect.py
@@ -15,8 +15,11 @@
 _PROOF = 'Lentilmoor-Upstream-Seal'
 _LOAD = 'Lentilmoor-Upstream-Load'
 _RATE_LIMIT = 'Server-Limit'
+_DRAINING = 'Server-Leaving'
+_RETRY_AFTER = 'Retry-After'
 
 _MISDIRECTED = 421
+_RETRY_AFTER_STATUSES = frozenset((429, 503))
 _KEPT = re.compile(r'timeout=(\d+)')
 _MS_PER_S = 1000.0
 
@@ -53,7 +56,16 @@
         load=_read_load(headers.get(_LOAD, '')),
         kept_ms=int(kept[1]) * _MS_PER_S if kept else None,
         closes='close' in headers.get('Connection', '').lower(),
-        rate_limit=_read_rate_limit(headers.get(_RATE_LIMIT, '')))
+        rate_limit=_read_nonnegative_number(headers.get(_RATE_LIMIT, '')),
+        draining=headers.get(_DRAINING, '').strip() not in ('', '0'),
+        retry_after_ms=_read_retry_after(status, headers))
+
+
+def _read_retry_after(status: int, headers: Mapping[str, str]) -> float | None:
+    if status not in _RETRY_AFTER_STATUSES:
+        return None
+    seconds = _read_nonnegative_number(headers.get(_RETRY_AFTER, ''))
+    return None if seconds is None else seconds * _MS_PER_S
 
 
 def _read_load(text: str) -> ports.ServerLoad | None:
@@ -65,7 +77,7 @@
     return ports.ServerLoad(running, waiting, max(1, slots))
 
 
-def _read_rate_limit(text: str) -> float | None:
+def _read_nonnegative_number(text: str) -> float | None:
     try:
         rate = float(text)
     except ValueError:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -71,6 +71,8 @@
         self.open: set[socket.socket] = set()
         self.faults = Faults()
         self.rate_limit: float | None = None
+        self.leaving = False
+        self.retry_after_s: float | None = None
         self.lock = threading.Lock()
         self.slots = threading.Semaphore(2)
         self._server = _Server(('127.0.0.1', port), _make_handler(self))
@@ -240,6 +242,13 @@
                                          not server.holds(key)):
                 self._send(421, b'', {'Lentilmoor-Not-Executed': '1'})
                 return
+            if server.retry_after_s is not None:
+                self._send(
+                    503, b'', {
+                        'Lentilmoor-Not-Executed': '1',
+                        'Retry-After': str(server.retry_after_s)
+                    })
+                return
             with server.slots:
                 began = time.monotonic()
                 if not self._work():
@@ -307,6 +316,8 @@
             self.send_response(status)
             if server.rate_limit is not None:
                 self.send_header('Server-Limit', str(server.rate_limit))
+            if server.leaving:
+                self.send_header('Server-Leaving', '1')
             for name, value in (headers or {}).items():
                 self.send_header(name, value)
             if length != -1:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -131,6 +131,21 @@
             fields = self.dialect.read_answer(200, {'Server-Limit': text})
             self.assertEqual(fields.rate_limit, rate)
 
+    def test_retry_after_is_read_from_429_and_503_only(self):
+        read = self.dialect.read_answer
+        for status, text, pause_ms in ((503, '3', 3_000.0), (429, '0.5', 500.0),
+                                       (200, '3', None), (503, '', None),
+                                       (503, '-1', None), (503, 'nan', None),
+                                       (503, 'soon', None)):
+            fields = read(status, {'Retry-After': text})
+            self.assertEqual(fields.retry_after_ms, pause_ms)
+
+    def test_draining_is_read_from_the_server_leaving_header(self):
+        read = self.dialect.read_answer
+        self.assertTrue(read(200, {'Server-Leaving': '1'}).draining)
+        self.assertFalse(read(200, {'Server-Leaving': '0'}).draining)
+        self.assertFalse(read(200, {}).draining)
+
     def test_only_421_and_the_servers_own_word_mean_not_run(self):
         read = self.dialect.read_answer
         self.assertTrue(read(421, {}).not_run)
