--- /dev/null
+++ b/tests/test_platform_availability.py
@@ -0,0 +1,65 @@
+"""Tests of entry processes with servers that leave."""
+
+import time
+import unittest
+
+from standins import platform_server
+from tests import platformhelp
+
+_KEYS = range(0, 65_536, 1_637)
+_DRAIN_S = 2.0
+
+
+class _AvailabilityTest(unittest.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.deployment = platformhelp.Deployment(entries=2)
+        self.addCleanup(self.deployment.close)
+
+    def _send_load(self, path: str, keys: list[int | None],
+                   until: float) -> list[int]:
+        """Sends requests to all entries in turn; returns the statuses."""
+        return [
+            entry.call(path, key)[0]
+            for key in _repeat(keys, until)
+            for entry in self.deployment.entries
+        ]
+
+    def _list_keys(self, server: platform_server.PlatformServer) -> list[int]:
+        return [key for key in _KEYS if server.holds(key)]
+
+
+def _repeat(keys: list[int | None], until: float):
+    while True:
+        for key in keys:
+            if time.monotonic() >= until:
+                return
+            yield key
+
+
+class LeavingServerTest(_AvailabilityTest):
+    """A server says in its answers that it leaves; its store entry doesn't."""
+
+    def _check_drained(self, path: str, keys: list[int | None],
+                       server: platform_server.PlatformServer) -> None:
+        """Checks that requests to a server stop in time and are served."""
+        server.leaving = True
+        for entry in self.deployment.entries:
+            platformhelp.wait_until(lambda entry=entry: any(
+                'Server-Leaving' in entry.call(path, key)[1] for key in keys),
+                                    5.0,
+                                    entry.read_log)
+        told_at = time.monotonic()
+        self._send_load(path, keys, told_at + _DRAIN_S)
+        statuses = self._send_load(path, keys, told_at + _DRAIN_S + 1.5)
+        late = [at for at in server.arrival_times if at > told_at + _DRAIN_S]
+        self.assertEqual(late, [])
+        self.assertEqual(set(statuses), {200})
+
+    def test_requests_go_to_other_servers(self):
+        self._check_drained('/report/x', [None], self.deployment.orders[0])
+
+    def test_keys_move_to_other_servers(self):
+        server = self.deployment.catalogs[0]
+        self._check_drained('/stock/x', self._list_keys(server), server)
