--- a/tests/test_platform_availability.py
+++ b/tests/test_platform_availability.py
@@ -1,4 +1,4 @@
-"""Tests of entry processes with servers that leave."""
+"""Tests of entry processes with servers that leave or ask for a pause."""
 
 import time
 import unittest
@@ -8,6 +8,10 @@
 
 _KEYS = range(0, 65_536, 1_637)
 _DRAIN_S = 2.0
+_PAUSE_S = 3.0
+# Requests that a server may get during a pause, from this time on.
+_SETTLE_S = 0.5
+_MAX_REQUESTS = 2
 
 
 class _AvailabilityTest(unittest.TestCase):
@@ -63,3 +67,36 @@
     def test_keys_move_to_other_servers(self):
         server = self.deployment.catalogs[0]
         self._check_drained('/stock/x', self._list_keys(server), server)
+
+
+class PausedServerTest(_AvailabilityTest):
+    """A server turns requests away and asks for a pause."""
+
+    def _check_pause(self, path: str, keys: list[int | None],
+                     server: platform_server.PlatformServer) -> list[int]:
+        """Checks how many requests a server gets during a pause."""
+        server.retry_after_s = _PAUSE_S
+        for entry in self.deployment.entries:
+            arrivals = server.arrivals
+            while server.arrivals == arrivals:
+                entry.call(path, keys[0])
+        began = time.monotonic()
+        statuses = self._send_load(path, keys, began + _PAUSE_S)
+        during = [
+            at for at in server.arrival_times
+            if began + _SETTLE_S < at < began + _PAUSE_S
+        ]
+        most = _MAX_REQUESTS * len(self.deployment.entries)
+        self.assertLessEqual(len(during), most)
+        return statuses
+
+    def test_requests_go_to_other_servers(self):
+        statuses = self._check_pause('/report/x', [None],
+                                     self.deployment.orders[0])
+        self.assertEqual(set(statuses), {200})
+
+    def test_requests_for_its_keys_are_refused(self):
+        server = self.deployment.catalogs[0]
+        statuses = self._check_pause('/stock/x', self._list_keys(server),
+                                     server)
+        self.assertLessEqual(set(statuses), {200, 503})
