--- a/lentilmoor/edge/beliefs.py
+++ b/lentilmoor/edge/beliefs.py
@@ -62,6 +62,7 @@
       lost_at: Since when the store can't be reached; 0 if it can.
       back_at: When it was last back, ms.
       servers: By id; those that left while the store was away are kept.
+      draining: When a server was first reported to be draining, ms, by id.
       missing: Servers that left the list, and when they count as gone.
       left: Servers that left, with their last entry.
       ended: Servers whose process has surely ended.
@@ -83,6 +84,7 @@
     lost_at: float = 0.0
     back_at: float = float('-inf')
     servers: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
+    draining: dict[str, float] = dataclasses.field(default_factory=dict)
     missing: dict[str, float] = dataclasses.field(default_factory=dict)
     left: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -101,6 +101,13 @@
     rows: dict[str, list[reports.Row]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainingReported:
+    """An entry reported servers whose answers say that they are draining."""
+
+    servers: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AssignmentHeard:
     """Another entry told of an assignment."""
@@ -174,6 +181,8 @@
             self._take_loss(message.reason)
         elif isinstance(message, Reported):
             self._take_rows(message.rows)
+        elif isinstance(message, DrainingReported):
+            self._note_draining(message.servers)
         elif isinstance(message, AssignmentHeard):
             self._owned.heard[message.assignment.service] = message.assignment
             self._publish()
@@ -272,7 +281,7 @@
         for name in lifetimes.take_back_ends(owned, everything):
             self._logger.info('server_up_after_all', server=name)
         for name, server in everything.servers.items():
-            owned.servers[name] = server
+            owned.servers[name] = self._mark_draining(server)
             owned.missing.pop(name, None)
         # Entries run out while a store is away that nobody has found silent
         # yet: its news come before it is known to be back.
@@ -283,6 +292,31 @@
                 owned.servers[name] = dataclasses.replace(owned.servers[name],
                                                           unlisted_at=now)
 
+    def _note_draining(self, servers: list[str]) -> None:
+        """Marks servers as draining that an entry reported as such."""
+        owned = self._owned
+        newly_draining = [
+            name for name in servers
+            if name in owned.servers and name not in owned.draining
+        ]
+        if not newly_draining:
+            return
+        for name in newly_draining:
+            owned.draining[name] = self._clock.now()
+            owned.servers[name] = self._mark_draining(owned.servers[name])
+        self._logger.info('servers_reported_draining',
+                          servers=newly_draining[:MOST_NAMED])
+        self._publish()
+
+    def _mark_draining(self, server: tables.Server) -> tables.Server:
+        """Returns the server, marked as draining if an entry reported it."""
+        draining_at = self._owned.draining.get(server.id)
+        if draining_at is None or server.draining:
+            return server
+        return dataclasses.replace(server,
+                                   draining=True,
+                                   draining_at=draining_at)
+
     def _log_servers(self, before: ports.Everything | None,
                      everything: ports.Everything, heard: bool) -> None:
         """Tells of servers that changed.
@@ -341,6 +375,7 @@
             return
         for name in gone:
             del owned.missing[name]
+            owned.draining.pop(name, None)
             owned.left[name] = owned.servers.pop(name)
         self._logger.info('servers_gone',
                           count=len(gone),
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -41,7 +41,8 @@
     now = forwarder.clock.now()
     servers = [
         server for server in forwarder.snapshot.servers.get(
-            run.service.name, {}).values() if not server.draining and
+            run.service.name, {}).values()
+        if _find_draining_at(forwarder, server) is None and
         server.id not in run.avoid and not _has_left(forwarder, server) and
         not ratelimits.find_wait(forwarder.rate_limits, server.id, now)
     ]
@@ -68,7 +69,7 @@
     server = forwarder.snapshot.servers.get(service.name, {}).get(server_id)
     if server is None:
         return False
-    if server.draining and not service.keyed:
+    if not service.keyed and _find_draining_at(forwarder, server) is not None:
         return False
     return not _has_left(forwarder, server)
 
@@ -110,13 +111,27 @@
 
 def _has_left(forwarder: requests.Forwarder, server: tables.Server) -> bool:
     """Returns whether a server that leaves may be sent nothing any more."""
-    if server.leaves_at is None:
+    times = (server.leaves_at, _find_draining_at(forwarder, server))
+    leaves_at = min((at for at in times if at is not None), default=None)
+    if leaves_at is None:
         return False
     bounds = forwarder.platform.settings.bounds
-    last = server.leaves_at + bounds.drain_ms - DRAIN_NEWS_MS
+    last = leaves_at + bounds.drain_ms - DRAIN_NEWS_MS
     return forwarder.clock.now() >= last
 
 
+def _find_draining_at(forwarder: requests.Forwarder,
+                      server: tables.Server) -> float | None:
+    """Returns when this entry learned that a server is draining, ms.
+
+    A server's answers report draining even if the store is unavailable.
+    """
+    state = forwarder.states.get(server.id)
+    if state is not None and state.draining_at is not None:
+        return state.draining_at
+    return server.draining_at if server.draining else None
+
+
 def _check_time(run: requests.Run, choice: placement.Choice,
                 now: float) -> placement.Choice | outcomes.NotRun:
     """Refuses at once what can't be served in time."""
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -133,7 +133,8 @@
                 name: item.next_fence for name, item in
                 reporter.forwarder.snapshot.assignments.items()
             }, crashed, cleared, reporter.forwarder.followed, wants_works,
-            ratelimits.list_limits(reporter.forwarder.rate_limits, asked_at))
+            ratelimits.list_limits(reporter.forwarder.rate_limits, asked_at),
+            _list_draining(reporter.forwarder))
         reply = _send(reporter, peer, found)
         if reply is not None:
             replies.append(Told(reply, asked_at))
@@ -160,6 +161,8 @@
     hub.note_inflight(table, found.entry, found.inflight, now)
     hub.note_crashes(table, found.crashed, found.cleared, now)
     hub.note_limits(table, found.limits, now)
+    if found.draining:
+        reporter.tell(control.DrainingReported(found.draining))
     if found.rows:
         reporter.tell(control.Reported(found.rows))
     assignments = {
@@ -342,6 +345,15 @@
     return crashed, cleared
 
 
+def _list_draining(forwarder: requests.Forwarder) -> list[str]:
+    """Returns the ids of servers whose answers reported draining."""
+    with forwarder.lock:
+        return [
+            name for name, state in forwarder.states.items()
+            if state.draining_at is not None
+        ]
+
+
 def _count_inflight(forwarder: requests.Forwarder) -> dict[str, int]:
     with forwarder.lock:
         return {
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -40,6 +40,7 @@
       revision: How far it has followed the store.
       wants_works: Whether it wants to be told servers' times of work.
       limits: Rate limits in force, and those that ended recently.
+      draining: Ids of servers whose answers reported draining.
     """
 
     entry: str
@@ -51,6 +52,7 @@
     revision: int = 0
     wants_works: bool = True
     limits: ReportedLimits = dataclasses.field(default_factory=dict)
+    draining: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -180,6 +180,15 @@
             self._forward()
             self.assertEqual(self.before.arrivals > known, sent)
 
+    def test_an_owner_whose_answers_report_draining_gets_no_late_requests(self):
+        for ago_ms, sent in ((500.0, True), (1_001.0, False)):
+            self.forwarder.states[self.before.id] = placement.ServerState(
+                draining_at=self.forwarder.clock.now() - ago_ms)
+            earlier_arrivals = self.before.arrivals
+            outcome = self._forward()
+            self.assertEqual(self.before.arrivals > earlier_arrivals, sent)
+        self.assertEqual(outcome.reason, outcomes.Reason.NO_OWNER)
+
     def test_news_that_come_while_a_connection_is_opened_are_heeded(self):
         # One that took 0.5 s carried an order to a server that had left.
         rules = dataclasses.replace(_RULES, opens_per_s=5.0, burst=0.0)
--- a/tests/test_platform_availability.py
+++ b/tests/test_platform_availability.py
@@ -1,4 +1,4 @@
-"""Tests of entry processes with servers that leave or ask for a pause."""
+"""Tests of entry processes with draining and paused servers."""
 
 import time
 import unittest
@@ -7,6 +7,7 @@
 from tests import platformhelp
 
 _KEYS = range(0, 65_536, 1_637)
+# Time after which a draining server must get no more requests.
 _DRAIN_S = 2.0
 _PAUSE_S = 3.0
 # Requests that a server may get during a pause, from this time on.
@@ -23,10 +24,10 @@
 
     def _send_load(self, path: str, keys: list[int | None],
                    until: float) -> list[int]:
-        """Sends requests to all entries in turn; returns the statuses."""
+        """Sends each request to every entry; returns the response statuses."""
         return [
             entry.call(path, key)[0]
-            for key in _repeat(keys, until)
+            for key in _cycle_keys(keys, until)
             for entry in self.deployment.entries
         ]
 
@@ -34,7 +35,7 @@
         return [key for key in _KEYS if server.holds(key)]
 
 
-def _repeat(keys: list[int | None], until: float):
+def _cycle_keys(keys: list[int | None], until: float):
     while True:
         for key in keys:
             if time.monotonic() >= until:
@@ -43,22 +44,24 @@
 
 
 class LeavingServerTest(_AvailabilityTest):
-    """A server says in its answers that it leaves; its store entry doesn't."""
+    """A server reports draining in its answers but not in the store."""
 
     def _check_drained(self, path: str, keys: list[int | None],
                        server: platform_server.PlatformServer) -> None:
-        """Checks that requests to a server stop in time and are served."""
+        """Checks that a draining server gets no late request and none fails."""
         server.leaving = True
         for entry in self.deployment.entries:
             platformhelp.wait_until(lambda entry=entry: any(
                 'Server-Leaving' in entry.call(path, key)[1] for key in keys),
                                     5.0,
                                     entry.read_log)
-        told_at = time.monotonic()
-        self._send_load(path, keys, told_at + _DRAIN_S)
-        statuses = self._send_load(path, keys, told_at + _DRAIN_S + 1.5)
-        late = [at for at in server.arrival_times if at > told_at + _DRAIN_S]
-        self.assertEqual(late, [])
+        reported_at = time.monotonic()
+        self._send_load(path, keys, reported_at + _DRAIN_S)
+        statuses = self._send_load(path, keys, reported_at + _DRAIN_S + 1.5)
+        late_arrivals = [
+            at for at in server.arrival_times if at > reported_at + _DRAIN_S
+        ]
+        self.assertEqual(late_arrivals, [])
         self.assertEqual(set(statuses), {200})
 
     def test_requests_go_to_other_servers(self):
