--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -39,19 +39,26 @@
     if run.service.keyed:
         return _pick_owner(forwarder, run)
     now = forwarder.clock.now()
-    servers = [
+    candidates = [
         server for server in forwarder.snapshot.servers.get(
             run.service.name, {}).values()
         if _find_draining_at(forwarder, server) is None and
-        server.id not in run.avoid and not _has_left(forwarder, server) and
-        not ratelimits.find_wait(forwarder.rate_limits, server.id, now)
+        server.id not in run.avoid and not _has_left(forwarder, server)
     ]
+    waits_ms = {
+        server.id: _find_wait(forwarder, server, now) for server in candidates
+    }
+    servers = [server for server in candidates if not waits_ms[server.id]]
     with forwarder.lock:
         wish = placement.Wish(forwarder.platform.settings.domain,
                               run.route.large,
                               placement.mean_work(servers, forwarder.states))
         choice = placement.choose(servers, forwarder.states, wish, now,
                                   forwarder.generator.random)
+    if choice is None and not servers and waits_ms:
+        return outcomes.NotRun(
+            _Reason.OVERLOADED, 'no server takes requests',
+            round(waiting.find_return(min(waits_ms.values()))))
     if choice is None:
         return outcomes.NotRun(_Reason.NO_SERVER, 'no server is up',
                                FULL_RETRY_MS)
@@ -67,7 +74,7 @@
     move them.
     """
     server = forwarder.snapshot.servers.get(service.name, {}).get(server_id)
-    if server is None:
+    if server is None or _find_pause(forwarder, server, forwarder.clock.now()):
         return False
     if not service.keyed and _find_draining_at(forwarder, server) is not None:
         return False
@@ -98,11 +105,7 @@
                                clock.now())
     run.avoid.add(server.id)
     if run.service.keyed:
-        # Reports the refused request as demand, so that the coordinator can
-        # move keys to other servers.
-        forwarder.samples.append(
-            requests.Sample(run.service.name, run.request.fields.key, server.id,
-                            0.0))
+        _note_refused_demand(forwarder, run, server)
     left_ms = run.until - clock.now()
     return outcomes.NotRun(
         _Reason.OVERLOADED, f'{server.id} takes {limit.rate} requests a second',
@@ -132,6 +135,20 @@
     return server.draining_at if server.draining else None
 
 
+def _find_wait(forwarder: requests.Forwarder, server: tables.Server,
+               now: float) -> float:
+    """Returns the time until a pause or a rate limit allows requests, ms."""
+    return max(_find_pause(forwarder, server, now),
+               ratelimits.find_wait(forwarder.rate_limits, server.id, now))
+
+
+def _find_pause(forwarder: requests.Forwarder, server: tables.Server,
+                now: float) -> float:
+    """Returns the time left of the pause that a server requested, ms."""
+    state = forwarder.states.get(server.id)
+    return 0.0 if state is None else max(0.0, state.paused_until - now)
+
+
 def _check_time(run: requests.Run, choice: placement.Choice,
                 now: float) -> placement.Choice | outcomes.NotRun:
     """Refuses at once what can't be served in time."""
@@ -159,6 +176,13 @@
         snapshot = forwarder.snapshot
         server = _find_owner(snapshot, run.service.name, key)
         now = forwarder.clock.now()
+        pause_left_ms = _find_pause(forwarder, server, now) if server else 0.0
+        if pause_left_ms:
+            _note_refused_demand(forwarder, run, server)
+            return outcomes.NotRun(
+                _Reason.OVERLOADED,
+                f'{server.id} takes no requests for {pause_left_ms:.0f} ms',
+                round(waiting.find_return(pause_left_ms)))
         if server is not None and not may_send(forwarder, run.service,
                                                server.id):
             server = None
@@ -188,11 +212,21 @@
                                   placement.find_mean(state, work_ms))
     checked = _check_time(run, choice, now)
     if isinstance(checked, outcomes.NotRun):
-        forwarder.samples.append(
-            requests.Sample(run.service.name, key, server.id, 0.0))
+        _note_refused_demand(forwarder, run, server)
     return checked
 
 
+def _note_refused_demand(forwarder: requests.Forwarder, run: requests.Run,
+                         server: tables.Server) -> None:
+    """Reports a refused request as demand.
+
+    The coordinator can then move its key to another server.
+    """
+    forwarder.samples.append(
+        requests.Sample(run.service.name, run.request.fields.key, server.id,
+                        0.0))
+
+
 def _find_look(forwarder: requests.Forwarder, server: tables.Server) -> float:
     """Returns how long to look for another owner of a key, ms."""
     state = forwarder.states.get(server.id)
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -189,6 +189,34 @@
             self.assertEqual(self.before.arrivals > earlier_arrivals, sent)
         self.assertEqual(outcome.reason, outcomes.Reason.NO_OWNER)
 
+    def test_a_paused_owner_gets_no_requests_until_the_pause_ends(self):
+        # A request for a key must be refused at once, not held and retried.
+        state = placement.ServerState(paused_until=self.forwarder.clock.now() +
+                                      300.0)
+        self.forwarder.states[self.before.id] = state
+        started_at = self.forwarder.clock.now()
+        outcome = self._forward()
+        self.assertIsInstance(outcome, outcomes.NotRun)
+        self.assertLess(self.forwarder.clock.now() - started_at, 100.0)
+        self.assertEqual(self.before.arrivals, 0)
+        self.assertEqual(len(self.forwarder.samples), 1)
+        time.sleep(0.31)
+        self._forward()
+        self.assertGreater(self.before.arrivals, 0)
+
+    def test_a_pause_that_starts_while_a_connection_opens_is_respected(self):
+        # A request for which the server was already selected must not be sent.
+        rules = dataclasses.replace(_RULES, opens_per_s=5.0, burst=0.0)
+        self.forwarder.pools[self.before.id] = connections.Pool(
+            self.before.address, rules, self.forwarder.clock)
+        state = placement.ServerState()
+        self.forwarder.states[self.before.id] = state
+        threading.Timer(0.1, placement.note_pause,
+                        (state, 5_000.0, self.forwarder.clock.now())).start()
+        outcome = self._forward()
+        self.assertIsInstance(outcome, outcomes.NotRun)
+        self.assertEqual(self.before.arrivals, 0)
+
     def test_news_that_come_while_a_connection_is_opened_are_heeded(self):
         # One that took 0.5 s carried an order to a server that had left.
         rules = dataclasses.replace(_RULES, opens_per_s=5.0, burst=0.0)
--- a/tests/test_platform_availability.py
+++ b/tests/test_platform_availability.py
@@ -9,9 +9,11 @@
 _KEYS = range(0, 65_536, 1_637)
 # Time after which a draining server must get no more requests.
 _DRAIN_S = 2.0
+# Value of Retry-After in the responses of a paused server.
 _PAUSE_S = 3.0
-# Requests that a server may get during a pause, from this time on.
+# Time at the start of a pause in which requests aren't counted.
 _SETTLE_S = 0.5
+# Maximum number of requests per entry in the rest of a pause.
 _MAX_REQUESTS = 2
 
 
@@ -73,24 +75,24 @@
 
 
 class PausedServerTest(_AvailabilityTest):
-    """A server turns requests away and asks for a pause."""
+    """A server rejects requests with status 503 and Retry-After."""
 
     def _check_pause(self, path: str, keys: list[int | None],
                      server: platform_server.PlatformServer) -> list[int]:
-        """Checks how many requests a server gets during a pause."""
+        """Checks that a paused server gets few requests; returns statuses."""
         server.retry_after_s = _PAUSE_S
         for entry in self.deployment.entries:
-            arrivals = server.arrivals
-            while server.arrivals == arrivals:
+            earlier_arrivals = server.arrivals
+            while server.arrivals == earlier_arrivals:
                 entry.call(path, keys[0])
-        began = time.monotonic()
-        statuses = self._send_load(path, keys, began + _PAUSE_S)
-        during = [
+        paused_at = time.monotonic()
+        statuses = self._send_load(path, keys, paused_at + _PAUSE_S)
+        arrivals_in_pause = [
             at for at in server.arrival_times
-            if began + _SETTLE_S < at < began + _PAUSE_S
+            if paused_at + _SETTLE_S < at < paused_at + _PAUSE_S
         ]
-        most = _MAX_REQUESTS * len(self.deployment.entries)
-        self.assertLessEqual(len(during), most)
+        max_arrivals = _MAX_REQUESTS * len(self.deployment.entries)
+        self.assertLessEqual(len(arrivals_in_pause), max_arrivals)
         return statuses
 
     def test_requests_go_to_other_servers(self):
