--- a/lentilmoor/edge/rebalancing.py
+++ b/lentilmoor/edge/rebalancing.py
@@ -37,6 +37,10 @@
 # A key heavier than its owner's share moves to a server this many times as
 # fast: it is unserved while it moves, for as long as work on it still runs.
 FASTER = 1.25
+# Minimum load of a heavy key, as a fraction of the share of a server with
+# capacity 1. Without it, even light keys of a server with a low rate limit
+# would each be moved to a different one of the fastest servers.
+MIN_HEAVY_SHARE = 0.125
 # A key is kept apart from what makes up a run once it is this many times the
 # load that is to move: moving it would move the trouble.
 HEAVY_FACTOR = 1.6
@@ -158,19 +162,23 @@
     """Moves keys heavier than a share to the fastest servers; sets goals."""
     share = sum(plan.held.values()) / sum(plan.capacities.values())
     heavy = []
-    least = share * min(plan.capacities.values())
-    for key, load in plan.loads.list_heavy(least):
+    thresholds = {
+        name: share * max(MIN_HEAVY_SHARE, capacity)
+        for name, capacity in plan.capacities.items()
+    }
+    for key, load in plan.loads.list_heavy(min(thresholds.values())):
         item = keyranges.find_range(plan.owned, key)
         sure = load - SURPLUS_DEVIATIONS * load**0.5
-        if (item is not None and item.server in plan.capacities and
-                sure > share * plan.capacities[item.server]):
+        if (item is not None and item.server in thresholds and
+                sure > thresholds[item.server]):
             heavy.append((key, load, item.server))
     fastest = sorted(speeds, key=speeds.__getitem__, reverse=True)
     transfers = []
     homes: dict[str, float] = {}
     for key, load, owner in heavy:
         target = next((name for name in fastest if name not in homes), owner)
-        if (owner in homes or speeds[target] >= FASTER * speeds[owner]):
+        if target != owner and (owner in homes or
+                                speeds[target] >= FASTER * speeds[owner]):
             transfer = Transfer(key, key, owner, target)
             transfers.append(transfer)
             _apply(plan, transfer)
--- a/tests/test_edge_rebalancing.py
+++ b/tests/test_edge_rebalancing.py
@@ -33,6 +33,29 @@
     ])
 
 
+class LowCapacityTest(unittest.TestCase):
+    """One server, such as a rate-limited one, has a very low capacity."""
+
+    def setUp(self):
+        super().setUp()
+        self.capacities = {'low': 0.05, 'a': 1.0, 'b': 1.0, 'c': 1.0}
+        self.ranges = keyranges.divide_evenly(self.capacities, {}, 1)
+        self.loads = keyloads.KeyLoads(
+            {key: 5.0 for key in range(0, tables.KEYS, 1_024)})
+
+    def test_keys_move_in_runs(self):
+        # Guards against moving each key separately or to its current owner.
+        transfers = rebalancing.plan_transfers(self.ranges, self.loads,
+                                               self.capacities)
+        self.assertTrue(all(item.source != item.target for item in transfers))
+        outgoing = [item for item in transfers if item.source == 'low']
+        moved = sum(
+            self.loads.measure(item.first, item.last) for item in outgoing)
+        self.assertGreater(moved, self.loads.total / 4 * 0.8)
+        self.assertLessEqual(len(outgoing), 2 * len(self.capacities))
+        self.assertNotIn('low', {item.target for item in transfers})
+
+
 class HeavyKeyTest(unittest.TestCase):
     """One key takes more than any server's share; it can't be split."""
 
