--- a/lentilmoor/edge/loads.py
+++ b/lentilmoor/edge/loads.py
@@ -31,12 +31,34 @@
 # Fraction of a server's rate limit up to which load is assigned. The rest
 # absorbs variations in load.
 LIMIT_FRACTION = 0.8
+# A server is assigned almost no load once at least this many requests for its
+# keys in a row were refused, the first of them at least this long ago.
+MIN_REFUSED_REQUESTS = 5
+MIN_REFUSED_MS = 1_000.0
+# Refusals are dropped if no further one is reported for this time. Without
+# keys, a server gets no requests that could show that it has recovered.
+REFUSAL_RETENTION_MS = 5_000.0
 # Minimum weight of a rate-limited server, for limits close to zero.
 MIN_WEIGHT = 1e-3
 _REFRESH_MS = 500.0
 _FORGOTTEN = 0.05
 
 
+@dataclasses.dataclass(slots=True)
+class RefusalStreak:
+    """Consecutive refused requests for a server's keys.
+
+    Attributes:
+      first_at: When the first refusal was reported, ms.
+      last_at: When the last refusal was reported, ms.
+      count: Number of refused requests.
+    """
+
+    first_at: float
+    last_at: float = 0.0
+    count: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class LoadTable:
     """Requests by key and times of work by server, of one service.
@@ -45,6 +67,8 @@
       counts: By key, faded up to `faded_at`.
       faded_at: ms.
       works: By server id.
+      refusal_streaks: Refusals since the server last ran a request, by server
+        id.
       cached: Loads as last handed out.
       cached_at: When that was, ms.
     """
@@ -53,6 +77,8 @@
     faded_at: float = 0.0
     works: dict[str,
                 workmeans.WorkMean] = dataclasses.field(default_factory=dict)
+    refusal_streaks: dict[str, RefusalStreak] = dataclasses.field(
+        default_factory=dict)
     cached: keyloads.KeyLoads = dataclasses.field(
         default_factory=lambda: keyloads.KeyLoads({}))
     cached_at: float = float('-inf')
@@ -62,7 +88,13 @@
         self._fade(now)
         for key, server, work_ms in rows:
             self.counts[key] = self.counts.get(key, 0.0) + 1.0
-            if work_ms > 0:
+            if work_ms <= 0:
+                streak = self.refusal_streaks.setdefault(
+                    server, RefusalStreak(now))
+                streak.count += 1
+                streak.last_at = now
+            else:
+                self.refusal_streaks.pop(server, None)
                 workmeans.add(
                     self.works.setdefault(server, workmeans.WorkMean()),
                     work_ms)
@@ -125,12 +157,28 @@
             if server.warm_at > now:
                 capacity = min(capacity, COLD_CAPACITY)
             capacities[server.id] = min(FASTEST, max(SLOWEST, capacity))
+        zero_limits = dict.fromkeys(self._list_refusing_servers(now), 0.0)
+        limits = {**(limits or {}), **zero_limits}
         if not limits or not capacities:
             return capacities
         self._fade(now)
         rate = sum(self.counts.values()) * _RATE_PER_COUNT
         return _apply_limits(capacities, limits, rate)
 
+    def _list_refusing_servers(self, now: float) -> list[str]:
+        """Returns the ids of servers that run no requests for their keys.
+
+        Drops expired refusals.
+        """
+        for server, streak in list(self.refusal_streaks.items()):
+            if now - streak.last_at > REFUSAL_RETENTION_MS:
+                del self.refusal_streaks[server]
+        return [
+            server for server, streak in self.refusal_streaks.items()
+            if streak.count >= MIN_REFUSED_REQUESTS and now -
+            streak.first_at >= MIN_REFUSED_MS
+        ]
+
     def _fade(self, now: float) -> None:
         factor = 0.5**((now - self.faded_at) / HALF_MS)
         if factor > 0.98:
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -151,6 +151,42 @@
                 self.assertGreaterEqual(share, rate * 0.6)
             self.assertEqual(found['d'], unlimited['d'])
 
+    def test_keys_move_off_server_that_runs_no_requests(self):
+        # Keys must not stay at a server that refuses all requests for them.
+        table = loads.LoadTable()
+        servers = [
+            tables.Server(name, 'x', '', '', 2, False, 0.0, 0.0)
+            for name in 'abcd'
+        ]
+        ranges = keyranges.divide_evenly('abcd', {}, 1)
+        for step in range(10):
+            rows = []
+            for key in range(0, tables.KEYS, 700):
+                owner = keyranges.find_range(ranges, key).server
+                rows.append((key, owner, 0.0 if owner == 'a' else 50.0))
+            table.add(rows, step * 250.0)
+            moved = table.plan_transfers(ranges, servers, step * 250.0)
+            is_refusing = step * 250.0 >= loads.MIN_REFUSED_MS
+            self.assertEqual({item.source for item in moved},
+                             {'a'} if is_refusing else set())
+        self.assertNotIn('a', {item.target for item in moved})
+        table.add([(0, 'a', 50.0)], 2_500.0)
+        self.assertEqual(table.plan_transfers(ranges, servers, 2_500.0), [])
+
+    def test_capacity_is_restored_when_refusals_expire(self):
+        # A server without keys gets no requests that could end the refusals.
+        table = loads.LoadTable()
+        servers = [
+            tables.Server(name, 'x', '', '', 2, False, 0.0, 0.0)
+            for name in 'ab'
+        ]
+        for now in (0.0, loads.MIN_REFUSED_MS):
+            rows = [(0, 'a', 0.0)] * loads.MIN_REFUSED_REQUESTS
+            table.add([*rows, (1, 'b', 50.0)], now)
+        self.assertLess(table.capacities(servers, now)['a'], 0.1)
+        expired_at = now + loads.REFUSAL_RETENTION_MS + 1.0
+        self.assertEqual(table.capacities(servers, expired_at)['a'], 1.0)
+
     def test_scraps_are_joined_when_there_are_many(self):
         ranges = []
         for number in range(40):
--- a/tests/test_platform_availability.py
+++ b/tests/test_platform_availability.py
@@ -100,6 +100,19 @@
                                      self.deployment.orders[0])
         self.assertEqual(set(statuses), {200})
 
+    def test_keys_move_to_other_servers(self):
+        # Requests must not be refused for as long as the server is paused.
+        server = self.deployment.catalogs[0]
+        server.retry_after_s = _PAUSE_S
+        keys = self._list_keys(server)
+        total = len(keys) * len(self.deployment.entries)
+        platformhelp.wait_until(
+            lambda: sum(
+                entry.call('/stock/x', key)[0] == 200
+                for key in keys
+                for entry in self.deployment.entries) >= 0.9 * total, 10.0,
+            self.deployment.entries[0].read_log)
+
     def test_requests_for_its_keys_are_refused(self):
         server = self.deployment.catalogs[0]
         statuses = self._check_pause('/stock/x', self._list_keys(server),
