--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -195,6 +195,7 @@
         role.state = coordination.begin(
             assignment, result, context.clock.now(), predecessor,
             context.platform.settings.bounds.hold_max_ms)
+        role.state.predecessor_save_revision = revision
         context.publish()
 
     context.call(lambda: context.platform.store.save(assignment, revision),
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -207,6 +207,8 @@
       saving: Whether a save is under way.
       save_at: No save is tried before, ms.
       predecessor: Instance id of the coordinator before; empty if none.
+      predecessor_save_revision: Store revision of the assignment that the
+        predecessor saved last; 0 if none.
       balanced_at: When load was last evened out, ms.
       sent: Grants under way; what they grant is not in `held` yet.
       proven: Servers that answered their last call.
@@ -236,6 +238,7 @@
     saving: bool = False
     save_at: float = 0.0
     predecessor: str = ''
+    predecessor_save_revision: int = 0
     balanced_at: float = 0.0
     sent: list[keyranges.KeyRange] = dataclasses.field(default_factory=list)
     proven: set[str] = dataclasses.field(default_factory=set)
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -83,12 +83,15 @@
       address: host:port for the other entries.
       small: Whether its machine is too small to coordinate many entries.
       domain: Its failure domain; '' if it doesn't say.
+      registration_revision: Store revision of its registration; 0 if
+        unknown.
     """
 
     instance: str
     address: str
     small: bool = False
     domain: str = ''
+    registration_revision: int = dataclasses.field(default=0, compare=False)
 
 
 def make_peer(instance: str, settings: Settings) -> Peer:
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -28,7 +28,8 @@
         elections.resign(context, name, role,
                          'the lease was not renewed for too long')
         return
-    if _is_replaced(context, state.predecessor):
+    if _is_replaced(context, state.predecessor,
+                    state.predecessor_save_revision):
         coordination.note_predecessor_ended(state, now)
     servers = {
         item.id: item
@@ -63,12 +64,29 @@
                         **dataclasses.asdict(found))
 
 
-def _is_replaced(context: beliefs.Context, instance: str) -> bool:
-    """Returns whether another process runs where an entry once ran."""
+def _is_replaced(context: beliefs.Context,
+                 instance: str,
+                 after_revision: int = 0) -> bool:
+    """Returns whether a later process runs in an instance's place.
+
+    Processes that registered before the given instance don't count: they stay
+    listed until their leases expire.
+
+    Args:
+      context: The control actor's context.
+      instance: Instance id of the process in question; empty if none.
+      after_revision: Store revision at which the instance was still running.
+        Registrations up to this revision are ignored.
+    """
     place = instance.rpartition('.')[0]
+    entries = context.owned.everything.entries
+    if instance in entries:
+        after_revision = max(after_revision,
+                             entries[instance].registration_revision)
     return bool(place) and any(
-        other.rpartition('.')[0] == place and other != instance
-        for other in context.owned.everything.entries)
+        other.rpartition('.')[0] == place and
+        peer.registration_revision > after_revision
+        for other, peer in entries.items())
 
 
 def _carry_out(context: beliefs.Context, state: ownership.Coordination,
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -245,7 +245,8 @@
                       make_reader(item))
             return everything
         elif item.key.startswith(ENTRIES):
-            self._put(everything.entries, item, ENTRIES, documents.read_peer)
+            self._put(everything.entries, item, ENTRIES,
+                      make_entry_reader(item))
         self._note_news(item)
         return dataclasses.replace(everything,
                                    news=max(everything.news, item.revision))
@@ -384,3 +385,9 @@
                                      item.revision)
 
     return read
+
+
+def make_entry_reader(item: Item) -> Callable[[bytes], ports.Peer]:
+    """Returns a parser of a registered entry that also sets its revision."""
+    return lambda data: dataclasses.replace(documents.read_peer(data),
+                                            registration_revision=item.revision)
--- a/tests/test_edge_elections.py
+++ b/tests/test_edge_elections.py
@@ -73,6 +73,39 @@
         # pylint: disable-next=protected-access
         self.assertFalse(roles._is_replaced(context, 'e1.b'))
 
+    def test_only_a_later_registration_replaces_an_entry(self):
+        # A process that registered earlier must not shorten the wait, whether
+        # or not the predecessor is still listed.
+        owned = beliefs.Beliefs('e2.c')
+        context = mock.Mock(owned=owned)
+        for registrations, save_revision, expected in (({
+                'e1.a': 3,
+                'e1.b': 5
+        }, 4, False), ({
+                'e1.a': 3
+        }, 5, False), ({
+                'e1.b': 5,
+                'e1.d': 8
+        }, 7, True), ({
+                'e1.d': 8
+        }, 7, True), ({
+                'e1.d': 8
+        }, 9, False), ({
+                'e3.d': 8
+        }, 7, False)):
+            with self.subTest(registrations=registrations,
+                              save_revision=save_revision):
+                entries = {
+                    name:
+                        ports.Peer(name, 'a:1', registration_revision=revision)
+                    for name, revision in registrations.items()
+                }
+                owned.everything = ports.Everything(None, {}, {}, {}, entries,
+                                                    1)
+                # pylint: disable-next=protected-access
+                found = roles._is_replaced(context, 'e1.b', save_revision)
+                self.assertEqual(found, expected)
+
 
 if __name__ == '__main__':
     unittest.main()
