--- a/lentilmoor/edge/permits.py
+++ b/lentilmoor/edge/permits.py
@@ -110,8 +110,7 @@
       0 if the request may be sent; otherwise the delay before the next permit
       request, ms.
     """
-    issuers = rank_issuers(server, entries) or [table.address]
-    for rank, address in enumerate(issuers):
+    for rank, address in enumerate(rank_issuers(server, entries)):
         request = reports.PermitRequest(server, rate, rank > 0)
         if address == table.address:
             return issue(table, request, clock.now()).wait_ms
--- a/tests/test_edge_permits.py
+++ b/tests/test_edge_permits.py
@@ -106,6 +106,12 @@
         del self.tables[second]
         self.assertEqual(self._count_permits(2), 0)
 
+    def test_no_permits_are_issued_while_no_entry_is_registered(self):
+        # After all leases expire, entries must not each issue the full limit.
+        table = self.tables[self.peers[0].address]
+        self.assertGreater(permits.take(table, 's1', _RATE, [], self.clock),
+                           0.0)
+
     def test_an_unreachable_issuer_is_not_asked_for_each_request(self):
         self.unreachable = set(self.tables)
         table = self.tables[self.peers[0].address]
