--- a/lentilmoor/edge/weighing.py
+++ b/lentilmoor/edge/weighing.py
@@ -92,6 +92,8 @@
                        state: placement.ServerState, fields: ports.AnswerFields,
                        now: float) -> None:
     """Records and logs that a server is draining or requests a pause."""
+    if not (fields.draining or fields.retry_after_ms):
+        return
     draining_started = pause_started = False
     with forwarder.lock:
         if fields.draining:
