--- a/lentilmoor/edge/ratelimits.py
+++ b/lentilmoor/edge/ratelimits.py
@@ -160,6 +160,8 @@
                         lasted_ms=round(received_at - previous.received_at))
     elif previous is None:
         table.ended_at.pop(server, None)
+        if not table.by_server:
+            table.logged_at = received_at
         table.by_server[server] = RateLimit(rate, received_at, received_at)
         logger.info('server_rate_limit_started', server=server, rate=rate)
     else:
