Log the store's era and reads of an older state of the store

An entry that reads the store successfully wrote no line, and store_regained names the revision that the entry knows, so that the logs of an incident didn't tell whether the store had come back as an earlier one or the entry waited for news.

store_restored tells that the era in the store's answers has risen, and store_behind that a whole read names a lower revision than is known. No decision depends on them yet. tests.test_platform_entry and tests.test_platform_documents pass (52 tests).

--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -7,6 +7,7 @@
 import json
 import secrets
 import socket
+import threading
 import urllib.parse
 
 from lentilmoor import clocks
@@ -55,6 +56,8 @@
     'kv-lease-end': 'end_lease',
 }
 _STALE = 'read_stale_page'
+# Rises by one each time that the store comes back from an older copy.
+_ERA_HEADER = 'Store-Era'
 
 _Reason = outcomes.Reason
 _REASONS = {
@@ -68,8 +71,12 @@
 class _Client:
     """Calls to one store."""
 
-    def __init__(self, address: str, clock: clocks.Clock):
+    def __init__(self, address: str, clock: clocks.Clock, logger: logs.Logger):
         self._address = address
+        self._logger = logger
+        self._lock = threading.Lock()
+        # The store's era; None before its first answer.
+        self.era: int | None = None
         # A waiting watch must not keep other calls from their connection.
         self._caller = httpcalls.Caller(clock, 4, KEEPALIVE)
         self._watcher = httpcalls.Caller(clock, 1, KEEPALIVE)
@@ -93,6 +100,7 @@
                               {'Content-Type': 'application/json'}), timeout_ms)
         if isinstance(reply, outcomes.Failed):
             return reply
+        self._note_era(reply)
         if reply.status == 200:
             try:
                 return json.loads(reply.body or b'{}')
@@ -101,6 +109,17 @@
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
         return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
 
+    def _note_era(self, reply: httpcalls.Reply) -> None:
+        """Takes in the era of an answer; one without a header has era 0."""
+        era = _read_era(reply)
+        with self._lock:
+            before = self.era
+            if before is not None and era <= before:
+                return
+            self.era = era
+        if before is not None:
+            self._logger.warning('store_restored', era=era, before=before)
+
     def swap(self, key: str, value: bytes, revision: int,
              lease: int) -> int | outcomes.Failed:
         """Writes a key if it is at a revision; returns the new revision.
@@ -134,6 +153,11 @@
         return unanswered
 
 
+def _read_era(reply: httpcalls.Reply) -> int:
+    text = reply.headers.get(_ERA_HEADER, '')
+    return int(text) if text.isdecimal() else 0
+
+
 def _find_kind(target: str) -> str:
     path, _, query = target.partition('?')
     kind = _KINDS[path.split('/')[2]]
@@ -175,7 +199,7 @@
       clock: This process's time.
       logger: Takes lines on entries that don't parse.
     """
-    client = _Client(address, clock)
+    client = _Client(address, clock, logger)
     view = views.View(clock, logger)
 
     def load() -> ports.Everything | outcomes.Failed:
@@ -184,6 +208,9 @@
         if isinstance(found, outcomes.Failed):
             return found
         rows, revision = found
+        known = view.find_revision()
+        if revision < known:
+            logger.warning('store_behind', revision=revision, known=known)
         return view.replace([views.read_item(row) for row in rows], revision)
 
     def load_configuration() -> ports.Everything | outcomes.Failed:
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -90,6 +90,11 @@
         self._told: dict[tuple[int, float], bytes] = {}
         self._lock = threading.RLock()
 
+    def find_revision(self) -> int:
+        """Returns the revision up to which all changes are known."""
+        with self._lock:
+            return self._everything.revision
+
     def replace(self, items: Iterable[Item], revision: int) -> ports.Everything:
         """Takes in all that the store holds.
 
