Known red: a store that comes back from an older copy

The stand-in of the store can be copied and go back to a copy: its era rises, revisions go back, a watch from a revision that it doesn't have gets 410, leases of the copy run on, and what the operator and the servers wrote is written again.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,7 +2,7 @@
 
 Keeps items with revisions, leases, a history for watches, and can misbehave:
 be away, turn some callers away, lose answers, carry writes out late, forget
-its history.
+its history, come back from an older copy.
 """
 
 import base64
@@ -16,6 +16,8 @@
 import urllib.parse
 
 _MS_PER_S = 1000.0
+# Keys that the operator and backend servers write.
+_OUTSIDE_PREFIXES = ('op/', 'servers/')
 
 
 @dataclasses.dataclass
@@ -35,6 +37,25 @@
     late_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """The store's state at a time.
+
+    Attributes:
+      items: By key.
+      events: The history that watches are answered from.
+      leases: Time left and time to live of each lease, s.
+      revision: The revision of the last change.
+      forgotten: The revision up to which the history was dropped.
+    """
+
+    items: dict[str, dict]
+    events: list[dict]
+    leases: dict[int, tuple[float, float]]
+    revision: int
+    forgotten: int
+
+
 class PlatformStore:
     """The store's state; `address` is where it listens."""
 
@@ -43,6 +64,7 @@
         self.events: list[dict] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 1
+        self.era = 1
         self.forgotten = 0
         self.calls = 0
         self.paths: collections.Counter[str] = collections.Counter()
@@ -84,6 +106,45 @@
             self.events.clear()
             self.changed.notify_all()
 
+    def copy(self) -> Copy:
+        """Returns a copy of the state as it is now."""
+        with self.changed:
+            now = time.monotonic()
+            leases = {
+                number: (until - now, ttl_s)
+                for number, (until, ttl_s) in self.leases.items()
+            }
+            return Copy(dict(self.items), list(self.events), leases,
+                        self.revision, self.forgotten)
+
+    def restore(self, copy: Copy) -> None:
+        """Goes back to a copy; its leases run on from now.
+
+        What the operator and backend servers wrote since is written again.
+        """
+        with self.changed:
+            now = time.monotonic()
+            lost = self.items
+            self.items, self.events = dict(copy.items), list(copy.events)
+            self.leases = {
+                number: (now + left_s, ttl_s)
+                for number, (left_s, ttl_s) in copy.leases.items()
+            }
+            self.revision, self.forgotten = copy.revision, copy.forgotten
+            self.era += 1
+            self._write_again(lost)
+            self.changed.notify_all()
+
+    def _write_again(self, lost: dict[str, dict]) -> None:
+        for key in lost.keys() | self.items.keys():
+            if not key.startswith(_OUTSIDE_PREFIXES):
+                continue
+            before, after = lost.get(key), self.items.get(key)
+            if before is None:
+                self._delete(key)
+            elif after is None or after['Value'] != before['Value']:
+                self._write(key, before['Value'], 0)
+
     def answer(self, method: str, path: str, query: dict,
                body: dict) -> tuple[int, dict]:
         """Answers a call."""
@@ -143,7 +204,7 @@
         after, prefix = int(query['after']), query.get('Prefix', '')
         until = time.monotonic() + int(query['WaitMs']) / _MS_PER_S
         while True:
-            if after < self.forgotten:
+            if not self.forgotten <= after <= self.revision:
                 return 410, {}
             events = [
                 item for item in self.events
@@ -245,6 +306,7 @@
             data = json.dumps(fields).encode()
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
+            self.send_header('Store-Era', str(store.era))
             self.send_header('Content-Length', str(len(data)))
             with contextlib.suppress(OSError):  # The caller may be gone.
                 self.end_headers()
