Order what is known of the store across its restores

Callers were answered with 404 for a route whose addition had been confirmed over 2 s before, were sent to a service from which a route had been moved, and were sent to servers that had written over 2 s before that they leave.

Cause: entries order all that they know of the store by its revisions. When the store comes back from an older copy its revisions go back and are given out again, so that each change after that counted as known until the store had passed the old number, and the changes before it were lost to the entry for good.

A revision now holds the era that the store tells in each answer above the number that it gave, so that whatever is read after a restore is newer than all before, in whole reads, watches, tombstones, news and dumps between entries and registrations. A rise of the era starts a whole read. A watch and a conditional write are not sent from a revision of an earlier era, as its number may mean something else by now, and answers, pages and news of an earlier era are left out. News don't reach across a restore: who asks from before it reads the store, or all that another entry knows.

Two tests that compared revisions with the store's plain numbers compare whole revisions.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -29,6 +29,7 @@
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import revisions
 from lentilmoor.edge import roles
 from lentilmoor.edge import tables
 
@@ -255,7 +256,7 @@
         if owned.lost_at and not heard:
             self._logger.info('store_regained',
                               away_ms=round(now - owned.lost_at),
-                              revision=everything.revision)
+                              revision=revisions.show(everything.revision))
             owned.lost_at, owned.back_at = 0.0, now
         before = owned.everything
         everything = self._leave_out_unconfigured(
@@ -268,7 +269,7 @@
                                           is not configuration):
             self._logger.info('configuration_applied',
                               version=configuration.version,
-                              revision=everything.revision)
+                              revision=revisions.show(everything.revision))
             self._forwarder.index = matching.make_index(configuration.routes)
             for name in configuration.list_keyed():
                 owned.roles.setdefault(name, beliefs.Role())
@@ -332,14 +333,14 @@
         if not before:
             self._logger.info('servers_known',
                               servers=len(changed),
-                              revision=everything.revision)
+                              revision=revisions.show(everything.revision))
         elif heard and changed:
             self._logger.info(
                 'servers_heard',
                 servers=len(changed),
                 draining=_name_some(item for item in changed if item.draining),
                 ready=_name_some(item for item in changed if not item.draining),
-                revision=everything.revision)
+                revision=revisions.show(everything.revision))
         else:
             for server in changed:
                 self._logger.info('server_seen',
@@ -347,7 +348,7 @@
                                   service=server.service,
                                   address=server.address,
                                   draining=server.draining,
-                                  revision=everything.revision)
+                                  revision=revisions.show(everything.revision))
 
     def _leave_out_unconfigured(self,
                                 found: ports.Everything) -> ports.Everything:
--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -5,6 +5,7 @@
 from lentilmoor.edge import coordination
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
+from lentilmoor.edge import revisions
 
 KEEP_MS = 450.0
 # Longest pause before an entry stands for coordinator: the first to do so
@@ -189,7 +190,7 @@
         context.logger.info('coordination_begun',
                             service=name,
                             term=assignment.term,
-                            revision=result,
+                            revision=revisions.show(result),
                             ranges=len(assignment.ranges))
         role.measured.seed_works(assignment.works)
         role.state = coordination.begin(
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -161,6 +161,8 @@
         ports.make_peer(instance, platform.settings), entry.reporter,
         platform.store, clock, logger, functools.partial(_take_store, entry),
         lambda reason: entry.actor.tell(control.StoreLost(reason)))
+    platform.store.on_restore(
+        functools.partial(following.read_anew, entry.follower))
     entry.reporter.hear = functools.partial(knowledge.take_news, entry.follower)
     log_error = listening.make_error_log(logger)
     callers = listening.make_listener(
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -12,6 +12,7 @@
 from lentilmoor.edge import knowledge
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 
 # Pause before a store that can't be reached is tried again.
@@ -74,6 +75,12 @@
         _begin(follower, reads=False)
 
 
+def read_anew(follower: knowledge.Follower) -> None:
+    """Begins with a whole read, as the store was restored."""
+    follower.whole = True
+    _begin(follower)
+
+
 def _hangs(follower: knowledge.Follower) -> bool:
     """Returns whether a watch may have been sent to a silent store."""
     what, since = follower.doing
@@ -165,7 +172,7 @@
             if learned is not None and learned.configuration is not None:
                 follower.logger.info('store_learned',
                                      peer=peer.instance,
-                                     revision=learned.revision)
+                                     revision=revisions.show(learned.revision))
                 follower.whole = False
                 knowledge.take(follower, learned, True)
                 return True
@@ -235,12 +242,13 @@
     failed = isinstance(found, outcomes.Failed)
     if not failed and took_ms < SLOW_READ_MS:
         return
-    follower.logger.info('store_read',
-                         what=what,
-                         outcome=found.reason.value if failed else 'done',
-                         took_ms=round(took_ms),
-                         since=seen.revision if seen else 0,
-                         revision=0 if failed else found.revision)
+    follower.logger.info(
+        'store_read',
+        what=what,
+        outcome=found.reason.value if failed else 'done',
+        took_ms=round(took_ms),
+        since=revisions.show(seen.revision if seen else 0),
+        revision=revisions.show(0 if failed else found.revision))
 
 
 def _note_doing(follower: knowledge.Follower, what: str) -> tuple[str, float]:
@@ -300,7 +308,7 @@
     if heard is not None:
         follower.whole = False
         follower.logger.info('store_heard_from_peer',
-                             revision=heard.revision,
+                             revision=revisions.show(heard.revision),
                              whole=whole)
         knowledge.take(follower, heard, True)
     clocks.pause(STORE_AGAIN_MS)
--- a/lentilmoor/edge/knowledge.py
+++ b/lentilmoor/edge/knowledge.py
@@ -10,6 +10,7 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 
 # Requests for news that wait for a change at a time; more are answered at once.
@@ -142,7 +143,7 @@
         follower.logger.warning('behind_the_hub',
                                 version=version,
                                 hub=heard.version,
-                                revision=seen.revision)
+                                revision=revisions.show(seen.revision))
         follower.wanted = heard.version
         follower.wanted_at = follower.clock.now()
 
@@ -163,8 +164,8 @@
         _note_seen(follower, merged)
         return merged
     follower.logger.info('news_heard',
-                         revision=merged.revision,
-                         news=merged.news,
+                         revision=revisions.show(merged.revision),
+                         news=revisions.show(merged.news),
                          age_ms=round(follower.clock.now() - heard.seen_at))
     take(follower, merged, True)
     return merged
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -117,7 +117,7 @@
       coordinators: By service.
       assignments: By service.
       entries: Entries that registered, by instance id.
-      revision: Where to go on watching.
+      revision: Where to go on watching (see `revisions`).
       news: Revision of the last change that entries must not miss: of anything
         but assignments, which the hub tells by itself, and heartbeats.
     """
@@ -173,6 +173,8 @@
         later than what is known.
       save: (assignment, revision or 0 if there is none, service) -> revision,
         CONFLICT, or another failure after which it may be done.
+      on_restore: (callable) sets what is called when the store turns out to
+        have been restored from an older copy; until then it does nothing.
       count_calls: How many calls were made, by kind.
     """
 
@@ -191,6 +193,7 @@
     dump: Callable[[int], bytes]
     restore: Callable[[bytes], Everything | None]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
+    on_restore: Callable[[Callable[[], None]], None]
     count_calls: Callable[[], dict[str, int]]
 
 
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -11,6 +11,7 @@
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import rebalancing
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 
 
@@ -169,7 +170,7 @@
         coordination.note_saved(state, save, result)
         context.logger.info('assignment_saved',
                             service=save.service,
-                            revision=result,
+                            revision=revisions.show(result),
                             ranges=len(save.assignment.ranges))
         context.publish()
         return
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections
+from collections.abc import Callable
 from collections.abc import Mapping
 import functools
 import json
@@ -16,6 +17,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
+from lentilmoor.edge import revisions
 from lentilmoor.platform import documents
 from lentilmoor.platform import pages
 from lentilmoor.platform import views
@@ -56,7 +58,7 @@
     'kv-lease-end': 'end_lease',
 }
 _STALE = 'read_stale_page'
-# Rises by one each time that the store comes back from an older copy.
+# Rises each time that the store comes back from an older copy.
 _ERA_HEADER = 'Store-Era'
 
 _Reason = outcomes.Reason
@@ -69,14 +71,20 @@
 
 
 class _Client:
-    """Calls to one store."""
+    """Calls to one store.
+
+    Attributes:
+      era: The newest era that an answer told; None before the first.
+      counts: Calls by kind.
+      restored: Called when the era has risen.
+    """
 
     def __init__(self, address: str, clock: clocks.Clock, logger: logs.Logger):
         self._address = address
         self._logger = logger
         self._lock = threading.Lock()
-        # The store's era; None before its first answer.
         self.era: int | None = None
+        self.restored: Callable[[], None] = lambda: None
         # A waiting watch must not keep other calls from their connection.
         self._caller = httpcalls.Caller(clock, 4, KEEPALIVE)
         self._watcher = httpcalls.Caller(clock, 1, KEEPALIVE)
@@ -86,8 +94,8 @@
              method: str,
              target: str,
              body: Mapping | None = None,
-             timeout_ms: float = CALL_MS) -> dict | outcomes.Failed:
-        """Makes a call; returns the fields of a successful answer.
+             timeout_ms: float = CALL_MS) -> pages.Answer | outcomes.Failed:
+        """Makes a call; returns a successful answer.
 
         For CONFLICT the detail is the answer's body.
         """
@@ -100,18 +108,20 @@
                               {'Content-Type': 'application/json'}), timeout_ms)
         if isinstance(reply, outcomes.Failed):
             return reply
-        self._note_era(reply)
+        era = _read_era(reply)
+        if era is None:
+            return outcomes.Failed(_Reason.INVALID, f'bad {_ERA_HEADER}')
+        self._note_era(era)
         if reply.status == 200:
             try:
-                return json.loads(reply.body or b'{}')
+                return pages.Answer(era, json.loads(reply.body or b'{}'))
             except ValueError:
                 return outcomes.Failed(_Reason.CONNECTION_LOST, 'not JSON')
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
         return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
 
-    def _note_era(self, reply: httpcalls.Reply) -> None:
-        """Takes in the era of an answer; one without a header has era 0."""
-        era = _read_era(reply)
+    def _note_era(self, era: int) -> None:
+        """Takes in the era of an answer."""
         with self._lock:
             before = self.era
             if before is not None and era <= before:
@@ -119,6 +129,14 @@
             self.era = era
         if before is not None:
             self._logger.warning('store_restored', era=era, before=before)
+            self.restored()
+
+    def is_outdated(self, revision: int) -> bool:
+        """Returns whether the store was restored since it told a revision.
+
+        It may have given the number out again.
+        """
+        return self.era is not None and revisions.find_era(revision) < self.era
 
     def swap(self, key: str, value: bytes, revision: int,
              lease: int) -> int | outcomes.Failed:
@@ -126,6 +144,12 @@
 
         A call without an answer may be carried out later; it is repeated
         until the outcome is certain, or TIMED_OUT is returned.
+
+        Args:
+          key: The key.
+          value: Its new value.
+          revision: The revision that it must be at; 0 if it must not exist.
+          lease: The lease that it is to end with; 0: none.
         """
         write = {'Key': key, 'Value': base64.b64encode(value).decode()}
         if lease:
@@ -133,29 +157,34 @@
         body = {
             'ExpectRev': [{
                 'Key': key,
-                'Rev': revision
+                'Rev': revisions.find_number(revision)
             }],
             'Writes': [write],
             'Delete': [],
         }
         unanswered: outcomes.Failed | None = None
         for _ in range(TRIES):
-            fields = self.call('POST', '/-/kv-txn', body)
-            if not isinstance(fields, outcomes.Failed):
-                return fields['Rev']
-            if fields.reason is _Reason.CONFLICT:
-                return _read_conflict(fields, value)
-            if fields.reason not in (_Reason.TIMED_OUT,
+            if revision and self.is_outdated(revision):
+                return outcomes.Failed(_Reason.CONFLICT, 'store restored')
+            answer = self.call('POST', '/-/kv-txn', body)
+            if not isinstance(answer, outcomes.Failed):
+                return revisions.combine(answer.era, answer.fields['Rev'])
+            if answer.reason is _Reason.CONFLICT:
+                return _read_conflict(answer, value, self.era)
+            if answer.reason not in (_Reason.TIMED_OUT,
                                      _Reason.CONNECTION_LOST):
                 # A refusal says nothing of an earlier try without an answer.
-                return unanswered or fields
-            unanswered = fields
+                return unanswered or answer
+            unanswered = answer
         return unanswered
 
 
-def _read_era(reply: httpcalls.Reply) -> int:
-    text = reply.headers.get(_ERA_HEADER, '')
-    return int(text) if text.isdecimal() else 0
+def _read_era(reply: httpcalls.Reply) -> int | None:
+    """Returns the era of an answer, 0 if it names none; None if it is bad."""
+    text = reply.headers.get(_ERA_HEADER, '0')
+    if not text.isdecimal() or int(text) > revisions.MOST_ERA:
+        return None
+    return int(text)
 
 
 def _find_kind(target: str) -> str:
@@ -165,15 +194,15 @@
     return _STALE if stale else kind
 
 
-def _read_conflict(failed: outcomes.Failed,
-                   value: bytes) -> int | outcomes.Failed:
+def _read_conflict(failed: outcomes.Failed, value: bytes,
+                   era: int) -> int | outcomes.Failed:
     """Tells our own earlier write, whose answer was lost, from a rival's."""
     try:
         items = json.loads(failed.detail)['items']
     except (ValueError, KeyError):
         return failed
     for row in items:
-        item = views.read_item(row) if row.get('Rev') else None
+        item = views.read_item(row, era) if row.get('Rev') else None
         if item is not None and item.value == value:
             return item.revision
     return outcomes.Failed(_Reason.CONFLICT, 'another write came first')
@@ -187,7 +216,7 @@
         stale=True)
     if isinstance(found, outcomes.Failed):
         return found
-    return view.read_peers(map(views.read_item, found[0]))
+    return view.read_peers(found.items)
 
 
 def connect_store(address: str, clock: clocks.Clock,
@@ -207,46 +236,53 @@
             lambda target: client.call('GET', target, timeout_ms=PAGE_MS))
         if isinstance(found, outcomes.Failed):
             return found
-        rows, revision = found
         known = view.find_revision()
-        if revision < known:
-            logger.warning('store_behind', revision=revision, known=known)
-        return view.replace([views.read_item(row) for row in rows], revision)
+        if found.revision < known:
+            logger.warning('store_behind',
+                           revision=revisions.show(found.revision),
+                           known=revisions.show(known))
+        return view.replace(found.items, found.revision)
 
     def load_configuration() -> ports.Everything | outcomes.Failed:
         query = urllib.parse.urlencode({'Key': views.CONFIGURATION})
-        fields = client.call('GET', f'/-/kv-key?{query}', timeout_ms=PAGE_MS)
-        if isinstance(fields, outcomes.Failed):
-            return fields
-        return view.apply([views.read_item(fields)], 0)
+        answer = client.call('GET', f'/-/kv-key?{query}', timeout_ms=PAGE_MS)
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        return view.apply([views.read_item(answer.fields, answer.era)], 0)
 
     def watch(before: ports.Everything) -> ports.Everything | outcomes.Failed:
+        if client.is_outdated(before.revision):
+            return outcomes.Failed(_Reason.NOT_FOUND, 'store restored')
         query = urllib.parse.urlencode({
             'Prefix': '',
-            'after': before.revision,
+            'after': revisions.find_number(before.revision),
             'WaitMs': int(WATCH_MS)
         })
-        fields = client.call('GET',
+        answer = client.call('GET',
                              f'/-/kv-watch?{query}',
                              timeout_ms=WATCH_MS + WATCH_SLACK_MS)
-        if isinstance(fields, outcomes.Failed):
-            return fields
-        items = [views.read_item(row) for row in fields['events']]
-        return view.apply(items, fields['CurrentRev'])
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        if answer.era != revisions.find_era(before.revision):
+            return outcomes.Failed(_Reason.NOT_FOUND, 'store restored')
+        fields = answer.fields
+        items = [views.read_item(row, answer.era) for row in fields['events']]
+        return view.apply(items,
+                          revisions.combine(answer.era, fields['CurrentRev']))
 
     def open_lease(ttl_ms: float) -> ports.Lease | outcomes.Failed:
-        fields = client.call('POST', '/-/kv-lease', {'TtlMs': int(ttl_ms)})
-        if isinstance(fields, outcomes.Failed):
-            return fields
-        return ports.Lease(fields['Lease'], fields['TtlMs'])
+        answer = client.call('POST', '/-/kv-lease', {'TtlMs': int(ttl_ms)})
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        return ports.Lease(answer.fields['Lease'], answer.fields['TtlMs'])
 
     def keep_lease(lease: ports.Lease) -> outcomes.Failed | None:
-        fields = client.call('POST', f'/-/kv-keep/{lease.id}')
-        return fields if isinstance(fields, outcomes.Failed) else None
+        answer = client.call('POST', f'/-/kv-keep/{lease.id}')
+        return answer if isinstance(answer, outcomes.Failed) else None
 
     def end_lease(lease: ports.Lease) -> outcomes.Failed | None:
-        fields = client.call('DELETE', f'/-/kv-lease-end/{lease.id}')
-        return fields if isinstance(fields, outcomes.Failed) else None
+        answer = client.call('DELETE', f'/-/kv-lease-end/{lease.id}')
+        return answer if isinstance(answer, outcomes.Failed) else None
 
     def take_role(service: str, coordinator: ports.Peer,
                   lease: ports.Lease) -> outcomes.Failed | None:
@@ -269,13 +305,16 @@
     def load_assignment(
             service: str) -> ports.SavedAssignment | None | outcomes.Failed:
         query = urllib.parse.urlencode({'Key': views.ASSIGNMENTS + service})
-        fields = client.call('GET', f'/-/kv-key?{query}')
-        if isinstance(fields, outcomes.Failed):
-            missing = fields.reason is _Reason.NOT_FOUND
-            return None if missing else fields
-        item = views.read_item(fields)
+        answer = client.call('GET', f'/-/kv-key?{query}')
+        if isinstance(answer, outcomes.Failed):
+            missing = answer.reason is _Reason.NOT_FOUND
+            return None if missing else answer
+        item = views.read_item(answer.fields, answer.era)
         return views.make_reader(item)(item.value)
 
+    def on_restore(restored: Callable[[], None]) -> None:
+        client.restored = restored
+
     return ports.Store(load=load,
                        load_configuration=load_configuration,
                        list_entries=functools.partial(_read_entries, client,
@@ -292,4 +331,5 @@
                        dump=view.dump,
                        restore=view.restore,
                        save=save,
+                       on_restore=on_restore,
                        count_calls=lambda: dict(client.counts))
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -2,6 +2,8 @@
 
 Whole reads, watches and other entries' news may overlap. Each item carries the
 revision of its last change, so that what is older never replaces what is newer.
+After a restore of the store everything is read anew: what was known before is
+replaced as a whole, and isn't told to others any more.
 """
 
 import base64
@@ -17,6 +19,7 @@
 from lentilmoor import clocks
 from lentilmoor import logs
 from lentilmoor.edge import ports
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 from lentilmoor.platform import documents
 
@@ -56,16 +59,22 @@
     revision: int
 
 
-def read_item(row: Mapping) -> Item:
-    """Reads an item or an event of the store."""
+def read_item(row: Mapping, era: int = 0) -> Item:
+    """Reads an item or an event.
+
+    Args:
+      row: The item, as the store or another entry wrote it.
+      era: The store's era. Other entries write whole revisions, which need
+        none.
+    """
     value = None
     if not row.get('Tombstone'):
         value = base64.b64decode(row.get('Value', ''))
-    return Item(row['Key'], value, row['Rev'])
+    return Item(row['Key'], value, revisions.combine(era, row['Rev']))
 
 
 def write_item(item: Item) -> dict[str, object]:
-    """Returns an item in the store's own form."""
+    """Returns an item in the store's own form, with its whole revision."""
     row: dict[str, object] = {'Key': item.key, 'Rev': item.revision}
     if item.value is None:
         return row | {'Tombstone': True}
@@ -104,7 +113,10 @@
         """
         items = list(items)
         with self._lock:
-            if not self._items:
+            restored = (revisions.find_era(revision)
+                        > revisions.find_era(self._everything.revision))
+            if restored or not self._items:
+                self._news.clear()
                 self._news_since = revision
             found = {item.key for item in items}
             # Nobody deletes an assignment; news don't tell of a new one.
@@ -112,7 +124,7 @@
                 Item(key, None, revision)
                 for key, item in self._items.items()
                 if key not in found and item.revision <= revision and
-                not key.startswith(ASSIGNMENTS)
+                (restored or not key.startswith(ASSIGNMENTS))
             ]
             items = sorted(gone + items, key=lambda item: item.revision)
             return self.apply(items, revision)
@@ -121,11 +133,13 @@
         """Takes in changes; returns what is known then.
 
         Args:
-          items: New, changed and deleted items, in order.
+          items: New, changed and deleted items, in order. Those of an earlier
+            era are left out.
           revision: The store's revision up to which there are no others.
         """
         with self._lock:
             before = self._everything
+            era = revisions.find_era(before.revision)
             changed = dataclasses.replace(
                 before,
                 servers=dict(before.servers),
@@ -134,7 +148,8 @@
                 entries=dict(before.entries),
                 revision=max(before.revision, revision))
             for item in items:
-                if self._is_known(item):
+                if (revisions.find_era(item.revision) < era or
+                        self._is_known(item)):
                     continue
                 self._keep(item)
                 changed = self._take(changed, item)
@@ -271,7 +286,7 @@
         found = documents.parse_configuration(item.value)
         if isinstance(found, str):
             self._logger.error('configuration_refused',
-                               revision=item.revision,
+                               revision=revisions.show(item.revision),
                                reason=found)
             return before
         if before is not None and found.version < before.version:
@@ -296,7 +311,7 @@
         except ValueError as error:
             self._logger.error('entry_refused',
                                key=item.key,
-                               revision=item.revision,
+                               revision=revisions.show(item.revision),
                                reason=str(error))
 
     def _put_server(self, servers: dict[str, tables.Server],
@@ -342,7 +357,7 @@
     def _refuse_server(self, name: str, item: Item, reason: str) -> None:
         self._logger.error('server_entry_refused',
                            server=name,
-                           revision=item.revision,
+                           revision=revisions.show(item.revision),
                            reason=reason)
 
 
--- a/tests/test_edge_hub.py
+++ b/tests/test_edge_hub.py
@@ -21,6 +21,7 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 from tests import platformhelp
 
@@ -165,7 +166,7 @@
 
     def test_they_hold_up_no_other(self):
         store = self.deployment.store
-        known = store.revision
+        known = revisions.combine(store.era, store.revision)
         route = platformhelp.make_configuration()['Routes']['report']
         # Large enough for buffers between processes of one machine, which take
         # what a link between machines would not.
@@ -189,7 +190,7 @@
                    clocks.MS_PER_S)
         for _ in range(4):
             began = time.monotonic()
-            self._post(store.revision, 3.0)
+            self._post(revisions.combine(store.era, store.revision), 3.0)
             self.assertLess(time.monotonic() - began, bound_s)
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -9,6 +9,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 from lentilmoor.platform import dialect
 from lentilmoor.platform import documents
@@ -174,7 +175,9 @@
         self.standin.faults.lose_answers = 1
         revision = self.store.save(self.assignment, 0)
         self.assertIsInstance(revision, int)
-        self.assertEqual(revision, self.standin.revision)
+        self.assertEqual(
+            revision, revisions.combine(self.standin.era,
+                                        self.standin.revision))
         rival = self.store.save(self.assignment, 0)
         self.assertEqual(rival.reason, outcomes.Reason.CONFLICT)
 
