--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -76,7 +76,6 @@
     Attributes:
       era: The newest era that an answer told; None before the first.
       counts: Calls by kind.
-      restored: Called when the era has risen.
     """
 
     def __init__(self, address: str, clock: clocks.Clock, logger: logs.Logger):
@@ -84,7 +83,7 @@
         self._logger = logger
         self._lock = threading.Lock()
         self.era: int | None = None
-        self.restored: Callable[[], None] = lambda: None
+        self._restored: Callable[[], None] = lambda: None
         # A waiting watch must not keep other calls from their connection.
         self._caller = httpcalls.Caller(clock, 4, KEEPALIVE)
         self._watcher = httpcalls.Caller(clock, 1, KEEPALIVE)
@@ -129,7 +128,11 @@
             self.era = era
         if before is not None:
             self._logger.warning('store_restored', era=era, before=before)
-            self.restored()
+            self._restored()
+
+    def on_restore(self, restored: Callable[[], None]) -> None:
+        """Sets what is called when the era has risen."""
+        self._restored = restored
 
     def is_outdated(self, revision: int) -> bool:
         """Returns whether the store was restored since it told a revision.
@@ -312,9 +315,6 @@
         item = views.read_item(answer.fields, answer.era)
         return views.make_reader(item)(item.value)
 
-    def on_restore(restored: Callable[[], None]) -> None:
-        client.restored = restored
-
     return ports.Store(load=load,
                        load_configuration=load_configuration,
                        list_entries=functools.partial(_read_entries, client,
@@ -331,5 +331,5 @@
                        dump=view.dump,
                        restore=view.restore,
                        save=save,
-                       on_restore=on_restore,
+                       on_restore=client.on_restore,
                        count_calls=lambda: dict(client.counts))
