Keep owners, fences and the coordinator across a restore of the store

Two servers held the same keys after the store had come back from an older copy, and keys were granted under fences that other servers had had.

Cause: a coordinator knew owners and fences by what the store held. When the last saves are lost its next save is refused, so that it resigned and began again from the older assignment, or its successor did: keys that had moved since were granted to their earlier owners while the later ones held them, under fences counted from the older number. An election that was lost made the living coordinator resign in favour of the one before.

An assignment names the era of the store in which it was saved, and is ordered by era, term and next fence. A coordinator that is up goes on with what it knows after a restore and saves that again over the older one; an election that it had succeeded counts no more, and its role is taken again at that revision. Fences of an era begin above all that earlier eras can have used, so that they rise though nobody is left who knows the last ones. A successor begins from the newest assignment that the store or any entry has told it, and where moves may be unknown to it, it grants nothing until all holds of others have run out. Registrations that a copy brings back don't prove any more that a process was replaced.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -262,6 +262,8 @@
         everything = self._leave_out_unconfigured(
             _keep_newer(before, everything))
         owned.everything = everything
+        if before is not None and _is_restored(before, everything):
+            self._take_restore(before)
         self._take_servers(everything, now)
         self._log_servers(before, everything, heard)
         configuration = everything.configuration
@@ -276,6 +278,10 @@
         elections.follow_rivals(self._context)
         self._publish()
 
+    def _take_restore(self, before: ports.Everything) -> None:
+        """Keeps what a restored store may have lost."""
+        elections.keep_assignments(self._owned, before)
+
     def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
         lifetimes.end_predecessors(owned, everything)
@@ -435,6 +441,12 @@
                 role.measured.add(rows, self._clock.now())
 
 
+def _is_restored(before: ports.Everything, found: ports.Everything) -> bool:
+    """Returns whether the store was restored between two reads."""
+    return (revisions.find_era(found.revision)
+            > revisions.find_era(before.revision))
+
+
 def _name_some(servers: Iterable[tables.Server]) -> list[str]:
     return [server.id for server in itertools.islice(servers, MOST_NAMED)]
 
--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -24,42 +24,59 @@
 from lentilmoor.edge import moves
 from lentilmoor.edge import ownership
 from lentilmoor.edge import renewals
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 
+# Stands for whichever servers may hold keys by grants that aren't known.
+_UNKNOWN_SERVER = ''
+
 
 def make_first(service: str,
                servers: Mapping[str, tables.Server],
-               author: str = '') -> keyranges.Assignment:
+               author: str = '',
+               era: int = 0) -> keyranges.Assignment:
     """Returns the assignment of a service that never had one."""
     ready = [item.id for item in servers.values() if not item.draining]
+    fence = keyranges.find_first_fence(era)
     return keyranges.Assignment(
         service,
         1,
-        2,
-        keyranges.divide_evenly(ready, {}, 1),
+        fence + 1,
+        keyranges.divide_evenly(ready, {}, fence),
         addresses={name: servers[name].address for name in ready},
-        author=author)
+        author=author,
+        era=era)
 
 
 def make_next(before: keyranges.Assignment,
-              author: str = '') -> keyranges.Assignment:
-    """Returns the assignment that a new coordinator begins with."""
+              author: str = '',
+              era: int = 0) -> keyranges.Assignment:
+    """Returns the assignment that a new coordinator begins with.
+
+    Args:
+      before: The newest one that is known.
+      author: Instance id of the new coordinator.
+      era: The store's era.
+    """
     # Its author may have used fences that were not saved.
-    fence = before.next_fence + ownership.FENCES_AHEAD
+    fence = max(before.next_fence + ownership.FENCES_AHEAD,
+                keyranges.find_first_fence(era))
     ranges = keyranges.merge(
         structs.replace(item, fence=fence) for item in before.ranges)
     return dataclasses.replace(before,
                                term=before.term + 1,
                                next_fence=fence + 1,
                                ranges=ranges,
-                               author=author)
+                               author=author,
+                               era=max(before.era, era))
 
 
 def begin(assignment: keyranges.Assignment,
           revision: int,
           now: float,
           predecessor: str | None,
-          longest_ms: float = ownership.HOLD_MS) -> ownership.Coordination:
+          longest_ms: float = ownership.HOLD_MS,
+          may_lack_moves: bool = False) -> ownership.Coordination:
     """Returns the state of a coordinator whose assignment was saved.
 
     Args:
@@ -69,10 +86,15 @@
       predecessor: Instance id of the coordinator before; None if the service
         never had an assignment.
       longest_ms: Longest hold that the operator allows.
+      may_lack_moves: Whether keys may have moved since, unknown to this
+        coordinator. It waits until nobody can hold them any more.
     """
-    state = ownership.Coordination(assignment, revision, now,
+    state = ownership.Coordination(assignment,
+                                   revision,
+                                   now,
                                    assignment.next_fence,
-                                   min(ownership.HOLD_MS, longest_ms))
+                                   min(ownership.HOLD_MS, longest_ms),
+                                   era=assignment.era)
     if predecessor is not None:
         state.predecessor = predecessor
         latest = (now + ownership.TENURE_MS + ownership.GRANT_WAIT_MS +
@@ -83,9 +105,46 @@
             holds.Hold(item.first, item.last, item.server, item.fence - 1,
                        until, False) for item in assignment.ranges
         ]
+    if may_lack_moves:
+        _await_holds(state, now)
     return state
 
 
+def _await_holds(state: ownership.Coordination, now: float) -> None:
+    """Has no key granted until all grants of others have surely ended.
+
+    An earlier coordinator that is up sees within a lease that it is replaced.
+    """
+    latest = (now + ownership.LEASE_MS + ownership.GRANT_WAIT_MS +
+              ownership.GRANT_MS)
+    until = holds.find_end(latest, state.hold_ms)
+    state.held.append(
+        holds.Hold(0, tables.KEYS - 1, _UNKNOWN_SERVER, 0, until, False))
+    for item in state.assignment.ranges:
+        state.renewals[item] = ownership.Renewal(item.fence, due_at=until)
+
+
+def note_restored(state: ownership.Coordination, revision: int,
+                  saved_revision: int) -> None:
+    """Takes in that the store was restored from an older copy.
+
+    What this coordinator saved last may be lost. It goes on with what it knows
+    and saves that again, under fences that the store can't have given out.
+
+    Args:
+      state: The coordinator.
+      revision: The store's revision when it was read after the restore.
+      saved_revision: The revision of the assignment there; 0 if there is none.
+    """
+    state.era = revisions.find_era(revision)
+    state.restored_revision = revision
+    state.revision = saved_revision
+    state.next_fence = max(state.next_fence,
+                           keyranges.find_first_fence(state.era))
+    if state.predecessor:
+        state.predecessor_save_revision = revision
+
+
 def note_predecessor_ended(state: ownership.Coordination, now: float) -> None:
     """Takes in that the coordinator before can't renew anything any more."""
     if not state.predecessor:
@@ -257,7 +316,9 @@
     """Takes in that an assignment was saved."""
     state.saving = False
     before = set(state.assignment.ranges)
-    state.assignment, state.revision = save.assignment, revision
+    state.assignment = save.assignment
+    if revisions.find_era(revision) >= state.era:
+        state.revision = revision
     saved = [
         move for move in state.moves if move.phase is ownership.Phase.SAVING
     ]
--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -3,6 +3,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import coordination
+from lentilmoor.edge import keyranges
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 from lentilmoor.edge import revisions
@@ -30,10 +31,14 @@
     coordinator = owned.everything.coordinators.get(name)
     if owned.leaving or role.busy or owned.lost_at:
         return
+    replaced = 0
     if coordinator is not None and coordinator.instance != owned.instance:
-        role.stand_at = 0.0
-        return
-    if coordinator is not None and role.state is not None:
+        if not _is_succeeded(role, coordinator):
+            role.stand_at = 0.0
+            return
+        replaced = coordinator.registration_revision
+    elif (coordinator is not None and role.state is not None and
+          owned.lease is not None):
         return
     # Pauses begin here, or all would have passed when the service may begin.
     if not _may_begin(context, name, now):
@@ -47,7 +52,7 @@
         return
     role.stand_at = now + STAND_AGAIN_MS
     role.busy = True
-    context.call(lambda: _take_role(context, name),
+    context.call(lambda: _take_role(context, name, replaced),
                  lambda result, sent: _role_taken(context, name, role, result))
 
 
@@ -78,18 +83,45 @@
 def follow_rivals(context: beliefs.Context) -> None:
     """Gives up roles that another entry has taken."""
     for name, role in context.owned.roles.items():
-        coordinator = context.owned.everything.coordinators.get(name)
-        mine = (coordinator is not None and
-                coordinator.instance == context.owned.instance)
         if role.state is None:
             continue
+        follow_restore(context, name, role.state)
+        coordinator = context.owned.everything.coordinators.get(name)
+        rival = (coordinator is not None and
+                 coordinator.instance != context.owned.instance and
+                 not _is_succeeded(role, coordinator))
         saved = context.owned.everything.assignments.get(name)
-        if coordinator is not None and not mine:
+        if rival:
             resign(context, name, role, 'another entry coordinates')
-        elif saved and saved.assignment.term > role.state.assignment.term:
+        elif saved and keyranges.is_later_term(saved.assignment,
+                                               role.state.assignment):
             resign(context, name, role, 'another entry has coordinated')
 
 
+def follow_restore(context: beliefs.Context, name: str,
+                   state: ownership.Coordination) -> None:
+    """Has a coordinator take in that the store was restored, if it was."""
+    everything = context.owned.everything
+    if revisions.find_era(everything.revision) <= state.era:
+        return
+    saved = everything.assignments.get(name)
+    coordination.note_restored(state, everything.revision,
+                               saved.revision if saved else 0)
+    context.logger.info('coordination_continued',
+                        service=name,
+                        revision=revisions.show(everything.revision),
+                        saved_revision=revisions.show(state.revision))
+
+
+def _is_succeeded(role: beliefs.Role, coordinator: ports.Peer) -> bool:
+    """Returns whether this entry has taken over from a listed coordinator.
+
+    A restore of the store may bring back the election that came before.
+    """
+    return role.state is not None and (0 < coordinator.registration_revision <=
+                                       role.state.restored_revision)
+
+
 def resign(context: beliefs.Context, name: str, role: beliefs.Role,
            reason: str) -> None:
     """Gives up coordinating a service.
@@ -101,6 +133,7 @@
       reason: Why, for the log.
     """
     context.logger.info('coordination_ended', service=name, reason=reason)
+    _keep_newest(context.owned, name, role.state.assignment)
     role.state = None
     context.forwarder.coordinated = {
         service: told
@@ -109,6 +142,23 @@
     }
 
 
+def _keep_newest(owned: beliefs.Beliefs, name: str,
+                 assignment: keyranges.Assignment) -> None:
+    owned.heard[name] = keyranges.find_newest(
+        [owned.heard.get(name), assignment])
+
+
+def keep_assignments(owned: beliefs.Beliefs, before: ports.Everything) -> None:
+    """Keeps what was known of assignments, as a restored store may lack it.
+
+    Args:
+      owned: What is believed.
+      before: What the store held before the restore.
+    """
+    for name, saved in before.assignments.items():
+        _keep_newest(owned, name, saved.assignment)
+
+
 def _may_begin(context: beliefs.Context, name: str, now: float) -> bool:
     servers = [
         item for item in context.owned.servers.values()
@@ -120,8 +170,14 @@
                               >= SETTLE_MS)
 
 
-def _take_role(context: beliefs.Context, name: str) -> object:
-    """Takes the role in the store; run by a thread."""
+def _take_role(context: beliefs.Context, name: str, replaced: int) -> object:
+    """Takes the role in the store; run by a thread.
+
+    Args:
+      context: The actor's.
+      name: The service.
+      replaced: Revision of the election that is overwritten; 0 if none.
+    """
     owned, store = context.owned, context.platform.store
     lease = owned.lease
     sent_at = context.clock.now()
@@ -129,7 +185,7 @@
         lease = store.open_lease(ownership.LEASE_MS)
         if isinstance(lease, outcomes.Failed):
             return lease
-    taken = store.take_role(name, context.peer, lease)
+    taken = store.take_role(name, context.peer, lease, replaced)
     if isinstance(taken, outcomes.Failed):
         return taken
     return lease, sent_at
@@ -168,19 +224,26 @@
 def _save_first(context: beliefs.Context, name: str, role: beliefs.Role,
                 saved: ports.SavedAssignment | None) -> None:
     """Saves the assignment that this coordinator begins with."""
-    if saved is None:
+    owned = context.owned
+    revision = saved.revision if saved else 0
+    before = keyranges.find_newest([
+        saved.assignment if saved else None,
+        context.forwarder.snapshot.assignments.get(name)
+    ])
+    era = revisions.find_era(max(revision, owned.everything.revision))
+    if before is None:
         servers = {
             item.id: item
-            for item in context.owned.servers.values()
+            for item in owned.servers.values()
             if item.service == name
         }
-        assignment, revision = coordination.make_first(
-            name, servers, context.owned.instance), 0
+        assignment = coordination.make_first(name, servers, owned.instance, era)
     else:
-        assignment = coordination.make_next(saved.assignment,
-                                            context.owned.instance)
-        revision = saved.revision
-    predecessor = saved.assignment.author if saved else None
+        assignment = coordination.make_next(before, owned.instance, era)
+    predecessor = before.author if before else None
+    # Only its author knows all that followed what was saved before a restore.
+    may_lack_moves = (before is not None and before.era < era and
+                      before.author != owned.instance)
 
     def take(result, unused_sent_at) -> None:
         if isinstance(result, outcomes.Failed):
@@ -190,12 +253,13 @@
         context.logger.info('coordination_begun',
                             service=name,
                             term=assignment.term,
+                            waits=may_lack_moves,
                             revision=revisions.show(result),
                             ranges=len(assignment.ranges))
         role.measured.seed_works(assignment.works)
         role.state = coordination.begin(
             assignment, result, context.clock.now(), predecessor,
-            context.platform.settings.bounds.hold_max_ms)
+            context.platform.settings.bounds.hold_max_ms, may_lack_moves)
         role.state.predecessor_save_revision = revision
         context.publish()
 
--- a/lentilmoor/edge/keyranges.py
+++ b/lentilmoor/edge/keyranges.py
@@ -16,6 +16,8 @@
 
 from lentilmoor.edge import tables
 
+_FENCES_PER_ERA = 1 << 32
+
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True):
     """A range of keys and its owner.
@@ -50,6 +52,8 @@
       addresses: Addresses of owners, by server id: one may leave the list while
         it still holds keys.
       author: Instance id of the coordinator that made it.
+      era: The store's era in which it was saved (see `revisions`). What was
+        saved after it in an earlier era may be lost.
     """
 
     service: str
@@ -61,6 +65,7 @@
     addresses: Mapping[str, str] = dataclasses.field(default_factory=dict,
                                                      compare=False)
     author: str = dataclasses.field(default='', compare=False)
+    era: int = 0
 
 
 def find_owner(assignment: Assignment, key: int) -> KeyRange | None:
@@ -79,7 +84,31 @@
 
 def is_newer(one: Assignment, other: Assignment) -> bool:
     """Returns whether an assignment follows another of the same service."""
-    return (one.term, one.next_fence) > (other.term, other.next_fence)
+    return _find_order(one) > _find_order(other)
+
+
+def is_later_term(one: Assignment, other: Assignment) -> bool:
+    """Returns whether another coordinator made an assignment, later."""
+    return (one.era, one.term) > (other.era, other.term)
+
+
+def find_newest(assignments: Iterable[Assignment | None]) -> Assignment | None:
+    """Returns the newest of a service's assignments; None if there is none."""
+    known = [item for item in assignments if item is not None]
+    return max(known, key=_find_order, default=None)
+
+
+def find_first_fence(era: int) -> int:
+    """Returns the first fence of an era of the store.
+
+    What was saved last in an earlier era may be lost, and with it which fences
+    were used; those of a new era are above them all.
+    """
+    return era * _FENCES_PER_ERA + 1
+
+
+def _find_order(assignment: Assignment) -> tuple[int, int, int]:
+    return assignment.era, assignment.term, assignment.next_fence
 
 
 def divide_evenly(servers: Iterable[str], weights: dict[str, float],
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -198,7 +198,8 @@
     laid += _take_loose(state)
     assignment = state.assignment
     unsaved = state.next_fence - assignment.next_fence
-    if not laid and unsaved < ownership.FENCES_AHEAD / 2:
+    if (not laid and unsaved < ownership.FENCES_AHEAD / 2 and
+            assignment.era == state.era):
         return []
     changed = [
         keyranges.KeyRange(first, last, server, state.next_fence + number)
@@ -212,6 +213,7 @@
     following = dataclasses.replace(assignment,
                                     next_fence=state.next_fence,
                                     ranges=ranges,
+                                    era=state.era,
                                     works=view.works,
                                     addresses=_list_addresses(
                                         state, view, ranges))
--- a/lentilmoor/edge/ownership.py
+++ b/lentilmoor/edge/ownership.py
@@ -222,6 +222,9 @@
         be applied after a release. Their owner is granted them once more under
         a higher fence: from its answer on it refuses the lower one.
       lost: Whether another coordinator was seen.
+      era: The store's era that it has taken in.
+      restored_revision: The store's revision when it was first read in that
+        era; 0 if it was not restored while this entry coordinated.
     """
 
     assignment: keyranges.Assignment
@@ -248,6 +251,8 @@
     probed: set[str] = dataclasses.field(default_factory=set)
     loose: list[rebalancing.Transfer] = dataclasses.field(default_factory=list)
     lost: bool = False
+    era: int = 0
+    restored_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -83,8 +83,8 @@
       address: host:port for the other entries.
       small: Whether its machine is too small to coordinate many entries.
       domain: Its failure domain; '' if it doesn't say.
-      registration_revision: Store revision of its registration; 0 if
-        unknown.
+      registration_revision: Store revision of its registration, or of its
+        election if it is a coordinator; 0 if unknown.
     """
 
     instance: str
@@ -158,7 +158,8 @@
       open_lease: (ttl_ms) -> a lease.
       keep_lease: (lease) -> None, or NOT_FOUND if it has ended.
       end_lease: Ends a lease.
-      take_role: (service, peer, lease) -> None, or CONFLICT.
+      take_role: (service, peer, lease, revision of the coordinator that is
+        replaced, 0 if there is none) -> None, or CONFLICT.
       register: (peer, lease) -> None: makes an entry known.
       load_assignment: (service) -> the saved assignment as it is now, or None
         if there never was one.
@@ -173,6 +174,7 @@
         later than what is known.
       save: (assignment, revision or 0 if there is none, service) -> revision,
         CONFLICT, or another failure after which it may be done.
+      find_era: The newest era that the store has told; 0 before the first.
       on_restore: (callable) sets what is called when the store turns out to
         have been restored from an older copy; until then it does nothing.
       count_calls: How many calls were made, by kind.
@@ -185,7 +187,7 @@
     open_lease: Callable[[float], Lease | outcomes.Failed]
     keep_lease: Callable[[Lease], None | outcomes.Failed]
     end_lease: Callable[[Lease], None | outcomes.Failed]
-    take_role: Callable[[str, Peer, Lease], None | outcomes.Failed]
+    take_role: Callable[[str, Peer, Lease, int], None | outcomes.Failed]
     register: Callable[[Peer, Lease], None | outcomes.Failed]
     load_assignment: Callable[[str], SavedAssignment | None | outcomes.Failed]
     tell_news: Callable[[int, float], bytes | None]
@@ -193,6 +195,7 @@
     dump: Callable[[int], bytes]
     restore: Callable[[bytes], Everything | None]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
+    find_era: Callable[[], int]
     on_restore: Callable[[Callable[[], None]], None]
     count_calls: Callable[[], dict[str, int]]
 
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -21,6 +21,7 @@
     state, owned = role.state, context.owned
     if state is None:
         return
+    elections.follow_restore(context, name, state)
     if state.lost:
         elections.resign(context, name, role,
                          'a server has seen a higher fence')
@@ -174,7 +175,9 @@
                             ranges=len(save.assignment.ranges))
         context.publish()
         return
-    if result.reason is outcomes.Reason.CONFLICT:
+    # After a restore the store holds an older assignment than was replaced.
+    restored = save.assignment.era < context.platform.store.find_era()
+    if result.reason is outcomes.Reason.CONFLICT and not restored:
         state.lost = True
     refused = result.reason not in (outcomes.Reason.TIMED_OUT,
                                     outcomes.Reason.CONNECTION_LOST)
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -287,10 +287,11 @@
         answer = client.call('DELETE', f'/-/kv-lease-end/{lease.id}')
         return answer if isinstance(answer, outcomes.Failed) else None
 
-    def take_role(service: str, coordinator: ports.Peer,
-                  lease: ports.Lease) -> outcomes.Failed | None:
+    def take_role(service: str, coordinator: ports.Peer, lease: ports.Lease,
+                  replaced: int) -> outcomes.Failed | None:
         done = client.swap(views.COORDINATORS + service,
-                           documents.write_peer(coordinator), 0, lease.id)
+                           documents.write_peer(coordinator), replaced,
+                           lease.id)
         return done if isinstance(done, outcomes.Failed) else None
 
     def register(peer: ports.Peer,
@@ -331,5 +332,6 @@
                        dump=view.dump,
                        restore=view.restore,
                        save=save,
+                       find_era=lambda: client.era or 0,
                        on_restore=client.on_restore,
                        count_calls=lambda: dict(client.counts))
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -259,7 +259,7 @@
                 return everything
         elif item.key.startswith(COORDINATORS):
             self._put(everything.coordinators, item, COORDINATORS,
-                      documents.read_peer)
+                      make_entry_reader(item))
         elif item.key.startswith(ASSIGNMENTS):
             self._put(everything.assignments, item, ASSIGNMENTS,
                       make_reader(item))
@@ -408,6 +408,6 @@
 
 
 def make_entry_reader(item: Item) -> Callable[[bytes], ports.Peer]:
-    """Returns a parser of a registered entry that also sets its revision."""
+    """Returns a parser of an entry or coordinator that sets its revision."""
     return lambda data: dataclasses.replace(documents.read_peer(data),
                                             registration_revision=item.revision)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -66,6 +66,8 @@
         self.arrival_times: list[float] = []
         self.cancelled = 0
         self.grants: list[dict] = []
+        # Those that it took, and when.
+        self.taken: list[tuple[float, dict]] = []
         self.held: list[tuple[int, int, int, float]] = []
         self.seen: list[tuple[int, int, int]] = []
         self.open: set[socket.socket] = set()
@@ -151,6 +153,7 @@
                    for f, t, fence in self.seen):
                 return 409
             self.seen.append((first, last, fields['fence']))
+            self.taken.append((time.monotonic(), fields))
             self._cut(first, last)
             until = arrived + fields['HoldMs'] / _MS_PER_S
             self.held.append((first, last, fields['fence'], until))
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -191,6 +191,32 @@
             used.close()
 
 
+def find_shared(servers: list[platform_server.PlatformServer],
+                keys: range) -> list[tuple[int, list[str]]]:
+    """Returns keys that more than one server holds now, and which do."""
+    shared = []
+    for key in keys:
+        owners = [server.id for server in servers if server.holds(key)]
+        if len(owners) > 1:
+            shared.append((key, owners))
+    return shared
+
+
+def find_low_fences(
+        servers: list[platform_server.PlatformServer]) -> list[dict]:
+    """Returns grants that a server took below or at another's fence."""
+    taken = sorted(((at, server.id, fields)
+                    for server in servers
+                    for at, fields in server.taken),
+                   key=lambda row: row[0])
+    return [
+        fields for number, (_, name, fields) in enumerate(taken)
+        if any(other != name and before['From'] <= fields['To'] and before['To']
+               >= fields['From'] and before['fence'] >= fields['fence']
+               for _, other, before in taken[:number])
+    ]
+
+
 def wait_until(check, seconds: float, explain=lambda: '') -> None:
     """Waits until a check holds."""
     until = time.monotonic() + seconds
--- a/tests/test_platform_ownership.py
+++ b/tests/test_platform_ownership.py
@@ -10,18 +10,6 @@
 _PROBED_KEYS = range(0, 65_536, 1_021)
 
 
-def _find_shared(
-    servers: list[platform_server.PlatformServer]
-) -> list[tuple[int, list[str]]]:
-    """Returns keys that more than one server holds now, and which do."""
-    shared = []
-    for key in _PROBED_KEYS:
-        owners = [server.id for server in servers if server.holds(key)]
-        if len(owners) > 1:
-            shared.append((key, owners))
-    return shared
-
-
 class _DeploymentTest(unittest.TestCase):
 
     servers_tell_start = True
@@ -37,7 +25,9 @@
     def _watch_owners(self, seconds: float) -> None:
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            self.assertEqual(_find_shared(self.deployment.catalogs), [])
+            self.assertEqual(
+                platformhelp.find_shared(self.deployment.catalogs,
+                                         _PROBED_KEYS), [])
             time.sleep(0.01)
 
 
--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -1,5 +1,6 @@
 """Tests of entry processes whose store comes back from an older copy."""
 
+import json
 import time
 import unittest
 
@@ -12,13 +13,16 @@
 _APPLY_S = 2.0
 # Time after which a draining server must get no more requests.
 _DRAIN_S = 2.0
+_PROBED_KEYS = range(0, 65_536, 1_021)
+# Time in which a takeover, moves of keys and a recovery must be done.
+_SETTLE_S = 15.0
 
 
 class _RestoreTest(unittest.TestCase):
 
     def setUp(self):
         super().setUp()
-        self.deployment = platformhelp.Deployment(entries=2)
+        self.deployment = platformhelp.Deployment(catalogs=3, entries=2)
         self.addCleanup(self.deployment.close)
         self.store = self.deployment.store
 
@@ -64,3 +68,95 @@
         self._lose_writes()
         server = self.deployment.orders[1]
         self.assertEqual(self._count_late_arrivals(server), 0)
+
+
+class OwnershipAfterRestoreTest(_RestoreTest):
+    """Keys move, or the coordinator changes, in the part that is lost."""
+
+    def _read_logs(self) -> str:
+        return '\n'.join(entry.read_log() for entry in self.deployment.entries)
+
+    def _find_coordinator(self) -> platformhelp.Entry | None:
+        """Returns the entry that stands in the store, if it is up."""
+        data = self.store.read('lentilmoor/coordinator/catalog')
+        if data is None:
+            return None
+        address = json.loads(data)[1]
+        return next(
+            (item for item in self.deployment.entries
+             if item.control == address and item.process.poll() is None), None)
+
+    def _end(self, entry: platformhelp.Entry) -> None:
+        entry.process.kill()
+        entry.process.wait()
+
+    def _await_owners(self) -> None:
+        """Waits until all keys are held, by servers that stay."""
+        platformhelp.wait_until(
+            lambda: all(
+                any(server.holds(key)
+                    for server in self.deployment.catalogs)
+                for key in _PROBED_KEYS), _SETTLE_S, self._read_logs)
+
+    def _move_keys(self) -> None:
+        """Has a server leave, so that its keys move."""
+        server = self.deployment.catalogs[0]
+        server.register('draining')
+        platformhelp.wait_until(
+            lambda: not any(server.holds(key) for key in _PROBED_KEYS),
+            _SETTLE_S, self._read_logs)
+        self._await_owners()
+
+    def _watch_owners(self, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            shared = platformhelp.find_shared(self.deployment.catalogs,
+                                              _PROBED_KEYS)
+            self.assertEqual(shared, [], self._read_logs()[-3000:])
+            time.sleep(0.01)
+
+    def _check_fences(self) -> None:
+        self.assertEqual(platformhelp.find_low_fences(self.deployment.catalogs),
+                         [])
+
+    def test_moved_keys_have_one_owner(self):
+        copy = self.store.copy()
+        self._move_keys()
+        self.store.restore(copy)
+        self._watch_owners(4.0)
+        self._await_owners()
+        self._check_fences()
+
+    def test_fences_rise_when_the_coordinator_changed(self):
+        copy = self.store.copy()
+        self._end(self._find_coordinator())
+        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
+                                _SETTLE_S, self._read_logs)
+        self._move_keys()
+        self.store.restore(copy)
+        self._watch_owners(4.0)
+        self._await_owners()
+        self._check_fences()
+
+    def test_fences_rise_when_every_entry_is_replaced(self):
+        copy = self.store.copy()
+        self._end(self._find_coordinator())
+        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
+                                _SETTLE_S, self._read_logs)
+        self._move_keys()
+        self.store.restore(copy)
+        for entry in self.deployment.entries:
+            self._end(entry)
+        self.deployment.add_entry().await_ready()
+        self._watch_owners(4.0)
+        self._await_owners()
+        self._check_fences()
+
+    def test_living_coordinator_stands_in_the_store_again(self):
+        copy = self.store.copy()
+        self._end(self._find_coordinator())
+        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
+                                _SETTLE_S, self._read_logs)
+        self.store.restore(copy)
+        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
+                                2.0, self._read_logs)
