Register again what a restored store has lost

An entry that had registered in the part that a restore of the store loses stayed unregistered: in the new test for over 2 s, and for good where its lease was part of the copy and its registration not. The others didn't count it, so that its share of limits and its requests under way were missing everywhere.

Cause: an entry registers only when its lease has ended. The copy may hold the lease without the registration. It may also hold the registration, or a role, under an earlier lease, and writing it again under the new one was taken for a repeat of that write, so that it ended with the earlier lease.

An entry that isn't listed after a restore opens a new lease and registers at once, and a write that is found under another lease is repeated over it. test_entry_is_registered_again failed before and passes.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -279,8 +279,10 @@
         self._publish()
 
     def _take_restore(self, before: ports.Everything) -> None:
-        """Keeps what a restored store may have lost."""
-        elections.keep_assignments(self._owned, before)
+        """Keeps or writes again what a restored store may have lost."""
+        owned = self._owned
+        elections.keep_assignments(owned, before)
+        leases.register_again(owned)
 
     def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -26,7 +26,7 @@
         owned.entry_keeping = True
         lease = owned.entry_lease
         context.call(lambda: context.platform.store.keep_lease(lease),
-                     lambda result, sent: _entry_kept(context, result))
+                     lambda result, sent: _entry_kept(context, lease, result))
     if owned.lease is not None and owned.keep_at <= now:
         owned.keep_at = now + elections.KEEP_MS
         lease = owned.lease
@@ -34,6 +34,13 @@
                      lambda result, sent: _kept(context, result, sent))
 
 
+def register_again(owned: beliefs.Beliefs) -> None:
+    """Has the entry register anew if a restored store lists it no more."""
+    if owned.instance not in owned.everything.entries:
+        owned.entry_lease = None
+        owned.entry_keep_at = 0.0
+
+
 def _open_entry_lease(context: beliefs.Context, now: float) -> None:
     owned = context.owned
     if owned.entry_keep_at > now or owned.entry_keeping or owned.leaving:
@@ -57,16 +64,16 @@
     context.call(register, take)
 
 
-def _entry_kept(context: beliefs.Context, result) -> None:
+def _entry_kept(context: beliefs.Context, lease: ports.Lease, result) -> None:
     """Takes in a renewal; the store may have been away unnoticed.
 
     A watch that waited meanwhile may never be answered.
     """
     owned = context.owned
     owned.entry_keeping = False
-    if beliefs.is_ended(result):
+    if beliefs.is_ended(result) and owned.entry_lease is lease:
         context.logger.warning('entry_lease_lapsed',
-                               lease=owned.entry_lease.id,
+                               lease=lease.id,
                                detail=result.detail)
         owned.entry_lease = None
     _note_store(context, result is None or beliefs.is_ended(result))
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -173,13 +173,21 @@
             if not isinstance(answer, outcomes.Failed):
                 return revisions.combine(answer.era, answer.fields['Rev'])
             if answer.reason is _Reason.CONFLICT:
-                return _read_conflict(answer, value, self.era)
+                own = _find_own(answer, value)
+                if own is None:
+                    return outcomes.Failed(_Reason.CONFLICT,
+                                           'another write came first')
+                if own.get('Lease', 0) == lease:
+                    return revisions.combine(self.era, own['Rev'])
+                # A restored store may hold it under a lease that has ended.
+                body['ExpectRev'][0]['Rev'] = own['Rev']
+                continue
             if answer.reason not in (_Reason.TIMED_OUT,
                                      _Reason.CONNECTION_LOST):
                 # A refusal says nothing of an earlier try without an answer.
                 return unanswered or answer
             unanswered = answer
-        return unanswered
+        return unanswered or outcomes.Failed(_Reason.CONFLICT, 'no agreement')
 
 
 def _read_era(reply: httpcalls.Reply) -> int | None:
@@ -197,18 +205,20 @@
     return _STALE if stale else kind
 
 
-def _read_conflict(failed: outcomes.Failed, value: bytes,
-                   era: int) -> int | outcomes.Failed:
-    """Tells our own earlier write, whose answer was lost, from a rival's."""
+def _find_own(failed: outcomes.Failed, value: bytes) -> dict | None:
+    """Returns our own earlier write, whose answer was lost; None if a rival's.
+
+    Args:
+      failed: The conflict.
+      value: What was to be written.
+    """
     try:
         items = json.loads(failed.detail)['items']
     except (ValueError, KeyError):
-        return failed
-    for row in items:
-        item = views.read_item(row, era) if row.get('Rev') else None
-        if item is not None and item.value == value:
-            return item.revision
-    return outcomes.Failed(_Reason.CONFLICT, 'another write came first')
+        return None
+    return next((row for row in items
+                 if row.get('Rev') and views.read_item(row).value == value),
+                None)
 
 
 def _read_entries(client: _Client,
--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -160,3 +160,21 @@
         self.store.restore(copy)
         platformhelp.wait_until(lambda: self._find_coordinator() is not None,
                                 2.0, self._read_logs)
+
+
+class RegistrationAfterRestoreTest(_RestoreTest):
+    """An entry registers in the part that is lost."""
+
+    def test_entry_is_registered_again(self):
+        copy = self.store.copy()
+        entry = self.deployment.add_entry()
+        entry.await_ready()
+        platformhelp.wait_until(self._is_registered, 5.0, entry.read_log)
+        self.store.restore(copy)
+        platformhelp.wait_until(self._is_registered, 2.0, entry.read_log)
+
+    def _is_registered(self) -> bool:
+        with self.store.changed:
+            return any(
+                key.startswith('lentilmoor/entry/edge-3.')
+                for key in self.store.items)
