Leave servers alone that had left before a restore of the store

Requests reached a server over 2 s after its draining had been acknowledged (56 in 3 s in the new test), and a server whose entry had been removed (52), where a restore of the store had lost that and the server had not written it again yet.

Cause: an entry believed whatever the store listed last about a server. An older copy lists it as ready, or lists it again.

A server process that has reported draining counts as draining from then on, whatever older entry follows. A server that had left and is listed again right after a restore counts as gone until its entry has outlived the time after which entries of silent servers run out; then it is used again. test_draining_that_the_store_has_lost_is_kept and test_server_that_has_left_gets_no_requests failed before and pass; test_server_that_stays_listed_gets_requests_again holds the other side.

--- a/lentilmoor/edge/beliefs.py
+++ b/lentilmoor/edge/beliefs.py
@@ -65,6 +65,8 @@
       draining: When a server was first reported to be draining, ms, by id.
       missing: Servers that left the list, and when they count as gone.
       left: Servers that left, with their last entry.
+      unproven: Servers that had left before a restore of the store and that it
+        lists again, and when they count as up if it still does, ms.
       ended: Servers whose process has surely ended.
       heard: Assignments that other entries told of, by service.
       roles: By keyed service.
@@ -87,6 +89,7 @@
     draining: dict[str, float] = dataclasses.field(default_factory=dict)
     missing: dict[str, float] = dataclasses.field(default_factory=dict)
     left: dict[str, tables.Server] = dataclasses.field(default_factory=dict)
+    unproven: dict[str, float] = dataclasses.field(default_factory=dict)
     ended: set[str] = dataclasses.field(default_factory=set)
     heard: dict[str,
                 keyranges.Assignment] = dataclasses.field(default_factory=dict)
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -151,6 +151,8 @@
         super().__init__()
         self._wake = wake
         self._stepped_at = float('-inf')
+        # What the store lists, with servers that are left out for now.
+        self._listed: ports.Everything | None = None
         self._owned = owned
         self._forwarder = forwarder
         self._logger = logger
@@ -227,6 +229,7 @@
         pace.step_ms += self._clock.now() - now
 
     def _work_at(self, now: float) -> None:
+        self._take_proven(now)
         self._expire_servers(now)
         leases.keep(self._context, now)
         for name, role in self._owned.roles.items():
@@ -259,10 +262,13 @@
                               revision=revisions.show(everything.revision))
             owned.lost_at, owned.back_at = 0.0, now
         before = owned.everything
-        everything = self._leave_out_unconfigured(
-            _keep_newer(before, everything))
-        owned.everything = everything
-        if before is not None and _is_restored(before, everything):
+        listed = self._leave_out_unconfigured(_keep_newer(before, everything))
+        restored = before is not None and _is_restored(before, listed)
+        if restored:
+            lifetimes.doubt_returned(owned, listed, now)
+        everything = lifetimes.leave_out_unproven(owned, listed)
+        self._listed, owned.everything = listed, everything
+        if restored:
             self._take_restore(before)
         self._take_servers(everything, now)
         self._log_servers(before, everything, heard)
@@ -377,6 +383,13 @@
                                           service=server.service)
         return dataclasses.replace(found, servers=kept)
 
+    def _take_proven(self, now: float) -> None:
+        """Takes in servers that a restored store has listed long enough."""
+        proven = lifetimes.prove_returned(self._owned, now)
+        if proven:
+            self._logger.info('servers_returned', servers=proven[:MOST_NAMED])
+            self._take_store(self._listed, True)
+
     def _expire_servers(self, now: float) -> None:
         owned = self._owned
         gone = [name for name, at in owned.missing.items() if at <= now]
--- a/lentilmoor/edge/lifetimes.py
+++ b/lentilmoor/edge/lifetimes.py
@@ -1,15 +1,20 @@
 """Which servers' processes have ended, as far as the list of servers tells.
 
 Entries may be written late, by processes that ended long ago or that nobody
-here ever knew; not all servers tell when they started.
+here ever knew; not all servers tell when they started. A restore of the store
+brings back entries of servers that have left.
 """
 
 import collections
+import dataclasses
 
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import ports
 from lentilmoor.edge import tables
 
+# Entries of servers that are silent have run out by then.
+UNPROVEN_MS = 4_000.0
+
 
 def end_predecessors(owned: beliefs.Beliefs,
                      everything: ports.Everything) -> None:
@@ -58,3 +63,41 @@
             owned.ended.discard(name)
             found.append(name)
     return found
+
+
+def doubt_returned(owned: beliefs.Beliefs, everything: ports.Everything,
+                   now: float) -> None:
+    """Notes which servers had left and are listed again by a restored store.
+
+    Args:
+      owned: What is believed, before the list is taken in.
+      everything: The list after the restore.
+      now: ms.
+    """
+    for name in everything.servers:
+        if name in owned.left or name in owned.missing or name in owned.ended:
+            owned.unproven[name] = now + UNPROVEN_MS
+
+
+def leave_out_unproven(owned: beliefs.Beliefs,
+                       everything: ports.Everything) -> ports.Everything:
+    """Leaves out servers whose entry may be that of a process that has left."""
+    if not owned.unproven:
+        return everything
+    for name in owned.unproven.keys() - everything.servers.keys():
+        del owned.unproven[name]
+    return dataclasses.replace(
+        everything,
+        servers={
+            name: server
+            for name, server in everything.servers.items()
+            if name not in owned.unproven
+        })
+
+
+def prove_returned(owned: beliefs.Beliefs, now: float) -> list[str]:
+    """Returns servers that are still listed and count as up from now on."""
+    proven = [name for name, at in owned.unproven.items() if at <= now]
+    for name in proven:
+        del owned.unproven[name]
+    return proven
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -327,9 +327,11 @@
             self._refuse_server(name, item, found)
             return known is not None and servers.pop(known.id, None) is not None
         if known is not None and known.id == found.id:
+            # A restored store may have lost that it is draining.
             found = dataclasses.replace(
                 found,
                 seen_at=known.seen_at,
+                draining=known.draining or found.draining,
                 draining_at=(known.draining_at
                              if known.draining else found.draining_at))
             if _is_heartbeat(known, found, now):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -117,10 +117,13 @@
             return Copy(dict(self.items), list(self.events), leases,
                         self.revision, self.forgotten)
 
-    def restore(self, copy: Copy) -> None:
+    def restore(self, copy: Copy, writes_again: bool = True) -> None:
         """Goes back to a copy; its leases run on from now.
 
-        What the operator and backend servers wrote since is written again.
+        Args:
+          copy: The copy.
+          writes_again: Whether the operator and backend servers write again at
+            once what they wrote since.
         """
         with self.changed:
             now = time.monotonic()
@@ -132,7 +135,8 @@
             }
             self.revision, self.forgotten = copy.revision, copy.forgotten
             self.era += 1
-            self._write_again(lost)
+            if writes_again:
+                self._write_again(lost)
             self.changed.notify_all()
 
     def _write_again(self, lost: dict[str, dict]) -> None:
--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -64,6 +64,41 @@
                 entry.call('/report/x')
         return sum(at > until for at in server.arrival_times)
 
+    def _count_arrivals(self, server: platform_server.PlatformServer,
+                        seconds: float) -> int:
+        """Sends requests for a time; returns how many reach a server."""
+        server.arrival_times.clear()
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for entry in self.deployment.entries:
+                entry.call('/report/x')
+        return len(server.arrival_times)
+
+    def test_draining_that_the_store_has_lost_is_kept(self):
+        server = self.deployment.orders[1]
+        copy = self.store.copy()
+        server.register('draining')
+        time.sleep(_DRAIN_S)
+        self.store.restore(copy, writes_again=False)
+        self.assertEqual(self._count_arrivals(server, 3.0), 0)
+
+    def test_server_that_has_left_gets_no_requests(self):
+        server = self.deployment.orders[1]
+        copy = self.store.copy()
+        self.store.delete(f'servers/{server.id}')
+        time.sleep(_DRAIN_S)
+        self.store.restore(copy, writes_again=False)
+        self.assertEqual(self._count_arrivals(server, 3.0), 0)
+
+    def test_server_that_stays_listed_gets_requests_again(self):
+        server = self.deployment.orders[1]
+        copy = self.store.copy()
+        self.store.delete(f'servers/{server.id}')
+        time.sleep(_DRAIN_S)
+        self.store.restore(copy, writes_again=False)
+        time.sleep(5.0)
+        self.assertGreater(self._count_arrivals(server, 1.0), 0)
+
     def test_draining_server_gets_no_late_requests(self):
         self._lose_writes()
         server = self.deployment.orders[1]
