Order configurations by version across a restore of the store

An entry that started after the store had come back from an older copy answered 404 for a route that the other entries served and whose addition had been confirmed, until the operator wrote it again.

Cause: it read the older configuration from the copy. It heard from the hub that a newer one was in force, and read the store again, which held the older one; nobody asked another entry. An entry asked would have told the copy's, as it kept the store's item beside the configuration in force.

The version decides which configuration is newer, and the revision doesn't. An entry keeps the item of the configuration in force and tells that to others, and one that finds the store behind what others have in force asks one of them. test_lost_version_stays_in_force_for_entries_that_start failed before (404 from the new entry) and passes.

--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -218,6 +218,9 @@
         follower.reporter.forwarder.news = tables.News(found.revision,
                                                        follower.clock.now())
     knowledge.take(follower, found, False)
+    if what == 'configuration' and knowledge.is_behind(follower):
+        # A restored store may hold an older one than others have in force.
+        _ask_others(follower, whole=True)
     return True
 
 
@@ -303,7 +306,12 @@
         return
     follower.lose(failed.reason)
     _note_doing(follower, 'ask')
-    whole = follower.whole or knowledge.is_behind(follower)
+    _ask_others(follower, follower.whole or knowledge.is_behind(follower))
+    clocks.pause(STORE_AGAIN_MS)
+
+
+def _ask_others(follower: knowledge.Follower, whole: bool) -> None:
+    """Asks another entry what the store holds."""
     heard = reporting.ask_peers(follower.reporter, whole)
     if heard is not None:
         follower.whole = False
@@ -311,4 +319,3 @@
                              revision=revisions.show(heard.revision),
                              whole=whole)
         knowledge.take(follower, heard, True)
-    clocks.pause(STORE_AGAIN_MS)
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -151,6 +151,9 @@
                 if (revisions.find_era(item.revision) < era or
                         self._is_known(item)):
                     continue
+                if item.key == CONFIGURATION:
+                    changed = self._take_configuration(changed, item)
+                    continue
                 self._keep(item)
                 changed = self._take(changed, item)
             self._everything = changed
@@ -233,6 +236,9 @@
 
     def _is_known(self, item: Item) -> bool:
         known = self._items.get(item.key)
+        if item.key == CONFIGURATION:
+            return known is not None and (known.revision == item.revision and
+                                          known.value == item.value)
         revision = known.revision if known else self._deleted.get(item.key, 0)
         return item.revision <= revision
 
@@ -249,12 +255,7 @@
     def _take(self, everything: ports.Everything,
               item: Item) -> ports.Everything:
         """Takes one item in; the dictionaries are this call's own."""
-        if item.key == CONFIGURATION:
-            everything = dataclasses.replace(
-                everything,
-                configuration=self._read_configuration(
-                    item, everything.configuration))
-        elif item.key.startswith(SERVERS):
+        if item.key.startswith(SERVERS):
             if not self._put_server(everything.servers, item):
                 return everything
         elif item.key.startswith(COORDINATORS):
@@ -278,11 +279,32 @@
             dropped = self._news.popleft()
             self._news_since = max(self._news_since, dropped.revision)
 
+    def _take_configuration(self, everything: ports.Everything,
+                            item: Item) -> ports.Everything:
+        """Takes in the configuration if its version is newer.
+
+        Its revision doesn't tell, as a restored store may hold an older one.
+        What is in force counts as the store's then, for those who ask.
+        """
+        known, before = self._items.get(CONFIGURATION), everything.configuration
+        found = before
+        if item.value is not None and (known is None or
+                                       item.value != known.value):
+            found = self._read_configuration(item, before)
+        if found is before:
+            if known is not None and known.revision < item.revision:
+                self._keep(dataclasses.replace(known, revision=item.revision))
+            return everything
+        self._keep(item)
+        self._note_news(item)
+        return dataclasses.replace(everything,
+                                   configuration=found,
+                                   news=max(everything.news, item.revision))
+
     def _read_configuration(
             self, item: Item,
             before: tables.Configuration | None) -> tables.Configuration | None:
-        if item.value is None:
-            return before
+        """Returns an item's configuration, or the one before if it is newer."""
         found = documents.parse_configuration(item.value)
         if isinstance(found, str):
             self._logger.error('configuration_refused',
--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -50,6 +50,20 @@
         self.assertEqual(statuses, [200, 200],
                          self.deployment.entries[0].read_log()[-3000:])
 
+    def test_lost_version_stays_in_force_for_entries_that_start(self):
+        copy = self.store.copy()
+        self.deployment.add_route(2, '/old/')
+        time.sleep(1.0)
+        self.store.restore(copy, writes_again=False)
+        time.sleep(0.5)
+        entry = self.deployment.add_entry()
+        entry.await_ready()
+        time.sleep(_APPLY_S)
+        statuses = [
+            entry.call('/old/x')[0] for entry in self.deployment.entries
+        ]
+        self.assertEqual(statuses, [200, 200, 200])
+
 
 class DrainingAfterRestoreTest(_RestoreTest):
     """A server reports draining in the store after the return."""
