Drop a coordinator's lease that a restored store doesn't know

A lease number may be given out again after a restore of the store. An entry whose election was lost kept renewing its number, and would have taken another entry's lease for its own, and its role again under it.

Found by reading what else is known from the store by a number. A lease is dropped now if the restored store lists nothing that it could hold, as was done for an entry's own; the role is taken again under a new one.

--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -288,7 +288,7 @@
         """Keeps or writes again what a restored store may have lost."""
         owned = self._owned
         elections.keep_assignments(owned, before)
-        leases.register_again(owned)
+        leases.drop_lost(owned)
 
     def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -34,11 +34,18 @@
                      lambda result, sent: _kept(context, result, sent))
 
 
-def register_again(owned: beliefs.Beliefs) -> None:
-    """Has the entry register anew if a restored store lists it no more."""
-    if owned.instance not in owned.everything.entries:
+def drop_lost(owned: beliefs.Beliefs) -> None:
+    """Drops leases of what a restored store lacks, which is written anew.
+
+    Such a lease may be gone, or have been given to another entry since.
+    """
+    everything = owned.everything
+    if owned.instance not in everything.entries:
         owned.entry_lease = None
         owned.entry_keep_at = 0.0
+    if all(peer.instance != owned.instance
+           for peer in everything.coordinators.values()):
+        owned.lease = None
 
 
 def _open_entry_lease(context: beliefs.Context, now: float) -> None:
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -13,6 +13,10 @@
 import time
 import uuid
 
+from lentilmoor import clocks
+from lentilmoor import logs
+from lentilmoor.edge import ports
+from lentilmoor.platform import store
 from standins import held_path
 from standins import platform_server
 from standins import platform_store
@@ -97,11 +101,17 @@
     }
 
 
+def connect_store(standin: platform_store.PlatformStore) -> ports.Store:
+    """Returns a client of a store's stand-in."""
+    return store.connect_store(standin.address, clocks.make_suspend_clock(),
+                               logs.make_logger('test'))
+
+
 class Entry:
     """An entry's process."""
 
     def __init__(self,
-                 store,
+                 standin: platform_store.PlatformStore,
                  number: int = 1,
                  seeds: str = '',
                  link_mbps: float = 1_000.0):
@@ -115,7 +125,7 @@
             'Listen.Ready=' + self._at(1), 'Listen.Control=' + self._at(2),
             'Limits.CpuShare=0.86', 'Limits.Cores=1',
             f'Limits.LinkMbps={link_mbps}', f'Seeds={seeds}',
-            f'Bounds={_BOUNDS}', f'Platform.Addr={store.address}'
+            f'Bounds={_BOUNDS}', f'Platform.Addr={standin.address}'
         ]
         path.write_text('\n'.join(lines), encoding='utf-8')
         self.log = pathlib.Path(self.folder.name) / 'log'
