Have the successor of a waiting coordinator wait too

A coordinator that begins after a restore of the store without knowing all moves waits until all holds of others have run out. It saved its first assignment in the new era at once, so that its own successor, if it was lost while it waited, took that for complete and granted keys at once.

The first assignment keeps the earlier era now and is saved in the new one when the wait is over.

--- a/lentilmoor/edge/coordination.py
+++ b/lentilmoor/edge/coordination.py
@@ -106,8 +106,11 @@
                           False)
     # Only its author knows all that followed what was saved before a restore.
     may_lack_moves = before.era < era and before.author != author
-    return Succession(make_next(before, author, era), before.author,
-                      may_lack_moves)
+    following = make_next(before, author, era)
+    if may_lack_moves:
+        # Its own successor may lack them too, until it has waited.
+        following = dataclasses.replace(following, era=before.era)
+    return Succession(following, before.author, may_lack_moves)
 
 
 def begin(assignment: keyranges.Assignment,
@@ -133,7 +136,8 @@
                                    now,
                                    assignment.next_fence,
                                    min(ownership.HOLD_MS, longest_ms),
-                                   era=assignment.era)
+                                   era=max(assignment.era,
+                                           revisions.find_era(revision)))
     if predecessor is not None:
         state.predecessor = predecessor
         latest = (now + ownership.TENURE_MS + ownership.GRANT_WAIT_MS +
--- a/lentilmoor/edge/moves.py
+++ b/lentilmoor/edge/moves.py
@@ -197,9 +197,11 @@
             for move in ready]
     laid += _take_loose(state)
     assignment = state.assignment
+    # Until it may grant keys, moves of an earlier era may be unknown to it.
+    era = state.era if now >= state.since else assignment.era
     unsaved = state.next_fence - assignment.next_fence
     if (not laid and unsaved < ownership.FENCES_AHEAD / 2 and
-            assignment.era == state.era):
+            assignment.era == era):
         return []
     changed = [
         keyranges.KeyRange(first, last, server, state.next_fence + number)
@@ -213,7 +215,7 @@
     following = dataclasses.replace(assignment,
                                     next_fence=state.next_fence,
                                     ranges=ranges,
-                                    era=state.era,
+                                    era=era,
                                     works=view.works,
                                     addresses=_list_addresses(
                                         state, view, ranges))
--- a/tests/test_edge_restore.py
+++ b/tests/test_edge_restore.py
@@ -106,6 +106,17 @@
             self.assertEqual(world.breaches[:2], [], seed)
             self.assertTrue(_is_served(world), seed)
 
+    def test_successor_of_one_that_waits_waits_too(self):
+        world = restoreworlds.World(1)
+        world.run(3_000)
+        _restore_without_leader(world)
+        world.end_leader()
+        world.take_over()
+        self.assertGreater(world.leader.state.since, world.now)
+        world.run(8_000)
+        self.assertTrue(_is_served(world))
+        self.assertEqual(world.saved.era, world.era)
+
 
 class SafeguardTest(unittest.TestCase):
     """Without a safeguard some history gives a key two owners."""
