Soak: entry processes under faults, with restores of the store

Kills and freezes entries, takes the store away, restores it from copies of the last seconds, replaces servers and adds routes, at random and overlapping, while callers, servers and the store are checked: one owner a key, fences that rise, orders that run once and not at all if refused, servers left alone 2 s after they leave, routes served 2 s after they are added and from then on, and everything served and registered at the end.

--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -265,6 +265,7 @@
             platform_server.PlatformServer(self.store, 'orders')
             for _ in range(orders)
         ]
+        self.ended: list[Entry] = []
         self.entries = [
             Entry(self.store, n + 1, link_mbps=link_mbps)
             for n in range(entries)
@@ -286,14 +287,23 @@
 
     def add_route(self, version: int, prefix: str) -> None:
         """Writes a configuration with one more route, like that of reports."""
-        new = make_configuration()['Routes']['report']
+        self.put_routes(version, [prefix])
+
+    def put_routes(self, version: int, prefixes: list[str]) -> None:
+        """Writes a configuration with more routes, like that of reports."""
+        route = make_configuration()['Routes']['report']
         self.store.put(
             'op/config',
-            make_configuration(version, new=new | {'Prefix': prefix}))
+            make_configuration(
+                version, **{
+                    f'new-{number}': route | {
+                        'Prefix': prefix
+                    } for number, prefix in enumerate(prefixes)
+                }))
 
     def close(self) -> None:
         """Ends everything that was started."""
-        for entry in self.entries:
+        for entry in [*self.entries, *self.ended]:
             entry.close()
         for server in [*self.catalogs, *self.orders]:
             server.close()
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,344 @@
+"""Random faults against real processes, while what callers see is checked.
+
+`python -m tests.soak --seed=1 --seconds=60`. Entries are killed and frozen, the
+store is away or comes back from an older copy, servers leave and come, and the
+configuration changes, one soon after the other. Prints what was broken.
+"""
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import http.client
+import random
+import signal
+import sys
+import threading
+import time
+import uuid
+
+from absl import app
+from absl import flags
+
+from standins import platform_server
+from standins import platform_store
+from tests import platformhelp
+
+_SEED = flags.DEFINE_integer('seed', 1, 'Of all that is drawn.')
+_SECONDS = flags.DEFINE_float('seconds', 60.0, 'How long faults come.')
+_ENTRIES = flags.DEFINE_integer('entries', 3, 'Entry processes.')
+
+KEYS = range(0, 65_536, 1_021)
+# Bounds of the platform: changes apply, and draining servers are left alone.
+APPLY_S = 2.0
+DRAIN_S = 2.0
+# An entry or the store that was disturbed so recently is bound by neither.
+STABLE_S = 3.0
+# All is to be well so long after the last fault.
+RECOVER_S = 15.0
+_COPY_S = 0.5
+_MOST_COPIES = 12
+_CALLERS = 3
+
+
+@dataclasses.dataclass
+class Sent:
+    """An order, and what its caller was told.
+
+    Attributes:
+      request_id: Its id.
+      status: Of the answer; 0 if there was none.
+    """
+
+    request_id: str
+    status: int = 0
+
+
+@dataclasses.dataclass
+class Route:
+    """A route that was added.
+
+    Attributes:
+      path: A path on it.
+      due_at: When all entries must serve it, s.
+    """
+
+    path: str
+    due_at: float
+
+
+class Soak:
+    """A deployment under faults; `breaches` tells what was broken."""
+
+    def __init__(self, seed: int, entries: int):
+        self._random = random.Random(seed)
+        self._deployment = platformhelp.Deployment(catalogs=4,
+                                                   orders=3,
+                                                   entries=entries)
+        self._store = self._deployment.store
+        self._copies: list[platform_store.Copy] = []
+        self._store_calm_at = time.monotonic() + STABLE_S
+        # When each entry is bound again, s.
+        self._calm_at = [self._store_calm_at for _ in range(entries)]
+        self._left: list[tuple[platform_server.PlatformServer, float]] = []
+        self._routes: list[Route] = []
+        self._version = 1
+        self._ends_at = 0.0
+        self.orders: list[Sent] = []
+        self.breaches: list[str] = []
+        self.events: list[str] = []
+
+    def run(self, seconds: float) -> None:
+        """Lets faults come, then checks that all is well again."""
+        began = time.monotonic()
+        self._ends_at = began + seconds
+        threads = [
+            threading.Thread(target=self._call, args=(number,))
+            for number in range(_CALLERS)
+        ]
+        threads += [
+            threading.Thread(target=work)
+            for work in (self._copy, self._watch_owners, self._watch_routes)
+        ]
+        for thread in threads:
+            thread.start()
+        while time.monotonic() < self._ends_at:
+            name, fault = self._random.choice(self._list_faults())
+            self.events.append(f'{time.monotonic() - began:.2f} s {name}')
+            fault()
+            time.sleep(self._random.uniform(0.2, 3.0))
+        for thread in threads:
+            thread.join()
+        self._check_recovered()
+        self._check_history()
+
+    def close(self) -> None:
+        """Ends all processes and servers."""
+        self._deployment.close()
+
+    def _list_faults(self) -> list[tuple[str, Callable[[], None]]]:
+        return [
+            ('restore', self._restore),
+            ('restore', self._restore),
+            ('store away', self._take_store_away),
+            ('kill', self._kill),
+            ('freeze', self._freeze),
+            ('replace server', self._replace_server),
+            ('add route', self._add_route),
+            ('add route', self._add_route),
+        ]
+
+    def _disturb_store(self, seconds: float) -> None:
+        self._store_calm_at = time.monotonic() + seconds + STABLE_S
+
+    def _take_store_away(self) -> None:
+        seconds = self._random.uniform(0.3, 4.0)
+        self._disturb_store(seconds)
+        self._store.faults.away = self._random.choice(('busy', 'silent'))
+        time.sleep(seconds)
+        self._store.faults.away = ''
+        self._disturb_store(0.0)
+
+    def _restore(self) -> None:
+        copy = self._random.choice(self._copies)
+        self._disturb_store(10.0)
+        if self._random.random() < 0.7:
+            self._store.faults.away = self._random.choice(('busy', 'silent'))
+            time.sleep(self._random.uniform(0.2, 3.0))
+        self._store.restore(copy)
+        self._store.faults.away = ''
+        self._copies = [copy]
+        self._disturb_store(0.0)
+
+    def _pick_entry(self) -> int:
+        index = self._random.randrange(len(self._calm_at))
+        self._calm_at[index] = time.monotonic() + 60.0
+        return index
+
+    def _kill(self) -> None:
+        index = self._pick_entry()
+        old = self._deployment.entries[index]
+        old.process.kill()
+        old.process.wait()
+        new = platformhelp.Entry(self._store, index + 1)
+        self._deployment.entries[index] = new
+        self._deployment.ended.append(old)
+        # Ready within the time in which an entry starts on a busy machine.
+        self._calm_at[index] = time.monotonic() + 5.0 + STABLE_S
+
+    def _freeze(self) -> None:
+        index = self._pick_entry()
+        process = self._deployment.entries[index].process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(self._random.uniform(0.3, 5.0))
+        process.send_signal(signal.SIGCONT)
+        self._calm_at[index] = time.monotonic() + STABLE_S
+
+    def _replace_server(self) -> None:
+        """Has a server leave, and another one of its service come."""
+        staying = [
+            server for server in (*self._deployment.catalogs,
+                                  *self._deployment.orders)
+            if all(server is not left for left, _ in self._left)
+        ]
+        server = self._random.choice(staying)
+        group = (self._deployment.catalogs
+                 if server.keyed else self._deployment.orders)
+        group.append(
+            platform_server.PlatformServer(self._store, server.service,
+                                           server.keyed))
+        calm = time.monotonic() >= self._store_calm_at
+        server.register('draining')
+        told_at = time.monotonic() if calm else float('inf')
+        self._left.append((server, told_at))
+        if calm:
+            # The bound is given while the store is stable.
+            time.sleep(DRAIN_S)
+
+    def _add_route(self) -> None:
+        """Adds a route; all earlier ones stay."""
+        self._version += self._random.randrange(1, 4)
+        path = f'/added-{self._version}/'
+        calm = time.monotonic() >= self._store_calm_at
+        self._routes.append(
+            Route(path,
+                  time.monotonic() + APPLY_S if calm else float('inf')))
+        self._deployment.put_routes(self._version,
+                                    [route.path for route in self._routes])
+        if calm:
+            time.sleep(APPLY_S)
+
+    def _copy(self) -> None:
+        while time.monotonic() < self._ends_at:
+            if not self._store.faults.away:
+                self._copies = [
+                    *self._copies[-_MOST_COPIES:],
+                    self._store.copy()
+                ]
+            time.sleep(_COPY_S)
+
+    def _call(self, number: int) -> None:
+        """Calls entries, as some callers do."""
+        drawn = random.Random(number)
+        while time.monotonic() < self._ends_at:
+            entry = drawn.choice(self._deployment.entries)
+            kind = drawn.choice(('stock', 'stock', 'report', 'order'))
+            key = drawn.choice(KEYS) if kind == 'stock' else None
+            sent = Sent(uuid.uuid4().hex[:16])
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                sent.status = entry.call(f'/{kind}/x',
+                                         key,
+                                         request_id=sent.request_id)[0]
+            if kind == 'order':
+                self.orders.append(sent)
+            time.sleep(0.005)
+
+    def _watch_owners(self) -> None:
+        while time.monotonic() < self._ends_at:
+            shared = platformhelp.find_shared(list(self._deployment.catalogs),
+                                              KEYS)
+            if shared:
+                self._note(f'two owners of {len(shared)} keys: {shared[0]}')
+            time.sleep(0.02)
+
+    def _watch_routes(self) -> None:
+        while time.monotonic() < self._ends_at:
+            for index, entry in enumerate(list(self._deployment.entries)):
+                self._check_routes(index, entry)
+            time.sleep(0.1)
+
+    def _check_routes(self, index: int, entry: platformhelp.Entry) -> None:
+        now = time.monotonic()
+        if now < max(self._calm_at[index], self._store_calm_at):
+            return
+        for route in self._routes[-3:]:
+            if now <= route.due_at:
+                continue
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                status = entry.call(route.path + 'x')[0]
+                if status == 404 and now >= self._calm_at[index]:
+                    self._note(f'{route.path} is not served by entry {index}')
+
+    def _check_recovered(self) -> None:
+        """Checks that all entries serve all keys and routes again."""
+        until = time.monotonic() + RECOVER_S
+        missing = self._list_missing()
+        while missing and time.monotonic() < until:
+            time.sleep(0.5)
+            missing = self._list_missing()
+        if missing:
+            self._note(f'{RECOVER_S} s after the last fault: {missing[:5]}')
+
+    def _list_missing(self) -> list[str]:
+        paths = [('/stock/x', key) for key in KEYS[::8]]
+        paths += [(route.path + 'x', None) for route in self._routes]
+        missing = []
+        for index, entry in enumerate(self._deployment.entries):
+            for path, key in paths:
+                status = 0
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    status = entry.call(path, key)[0]
+                if status != 200:
+                    missing.append(f'{status} of entry {index} for {path}')
+        with self._store.changed:
+            listed = [
+                key for key in self._store.items
+                if key.startswith('lentilmoor/entry/')
+            ]
+        for index in range(len(self._deployment.entries)):
+            prefix = f'lentilmoor/entry/edge-{index + 1}.'
+            if not any(key.startswith(prefix) for key in listed):
+                missing.append(f'entry {index} is not registered')
+        return missing
+
+    def _check_history(self) -> None:
+        """Checks grants, orders and requests to servers that left."""
+        for fields in platformhelp.find_low_fences(self._deployment.catalogs):
+            self._note(f'a fence went back: {fields}')
+        runs: dict[str, int] = {}
+        for server in self._deployment.orders:
+            for run in server.journal:
+                runs[run.request_id] = runs.get(run.request_id, 0) + 1
+        for sent in self.orders:
+            count = runs.get(sent.request_id, 0)
+            if count > 1:
+                self._note(f'order {sent.request_id} ran {count} times')
+            if count and sent.status in (408, 421, 429, 503):
+                self._note(f'order {sent.request_id} ran, '
+                           f'and was answered {sent.status}')
+        for server, told_at in self._left:
+            late = [
+                at - told_at
+                for at in server.arrival_times
+                if at > told_at + DRAIN_S
+            ]
+            if late:
+                self._note(f'{len(late)} requests to {server.id} up to '
+                           f'{max(late):.2f} s after it said that it leaves')
+
+    def _note(self, text: str) -> None:
+        self.breaches.append(f'{text} (after {self.events[-1:]})')
+
+
+def play(seed: int, seconds: float, entries: int) -> Soak:
+    """Runs a soak and returns it, with all processes ended."""
+    soak = Soak(seed, entries)
+    try:
+        soak.run(seconds)
+    finally:
+        soak.close()
+    return soak
+
+
+def _main(unused_argv) -> None:
+    soak = play(_SEED.value, _SECONDS.value, _ENTRIES.value)
+    print('\n'.join(soak.events))
+    for breach in soak.breaches[:20]:
+        print('BROKEN:', breach)
+    answered = sum(sent.status == 200 for sent in soak.orders)
+    print(f'seed {_SEED.value}: {len(soak.orders)} orders, {answered} answered,'
+          f' {len(soak.breaches)} broken')
+    sys.exit(1 if soak.breaches else 0)
+
+
+if __name__ == '__main__':
+    app.run(_main)
