--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -235,6 +235,8 @@
             float(sum(len(rows) for rows in entry.forwarder.unserved.values())),
         'store_watches':
             float(entry.follower.begun),
+        'store_era':
+            float(entry.platform.store.find_era()),
         'news_age_ms':
             requests.find_news_age(entry.forwarder),
         'limited_servers':
