--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -164,7 +164,15 @@
             self.assertEqual(shared, [], self._read_logs()[-3000:])
             time.sleep(0.01)
 
-    def _check_fences(self) -> None:
+    def _change_coordinator(self) -> None:
+        self._end(self._find_coordinator())
+        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
+                                _SETTLE_S, self._read_logs)
+
+    def _check_owners(self) -> None:
+        """Checks that keys have one owner each, now and in the end."""
+        self._watch_owners(4.0)
+        self._await_owners()
         self.assertEqual(platformhelp.find_low_fences(self.deployment.catalogs),
                          [])
 
@@ -172,40 +180,28 @@
         copy = self.store.copy()
         self._move_keys()
         self.store.restore(copy)
-        self._watch_owners(4.0)
-        self._await_owners()
-        self._check_fences()
+        self._check_owners()
 
     def test_fences_rise_when_the_coordinator_changed(self):
         copy = self.store.copy()
-        self._end(self._find_coordinator())
-        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
-                                _SETTLE_S, self._read_logs)
+        self._change_coordinator()
         self._move_keys()
         self.store.restore(copy)
-        self._watch_owners(4.0)
-        self._await_owners()
-        self._check_fences()
+        self._check_owners()
 
     def test_fences_rise_when_every_entry_is_replaced(self):
         copy = self.store.copy()
-        self._end(self._find_coordinator())
-        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
-                                _SETTLE_S, self._read_logs)
+        self._change_coordinator()
         self._move_keys()
         self.store.restore(copy)
         for entry in self.deployment.entries:
             self._end(entry)
         self.deployment.add_entry().await_ready()
-        self._watch_owners(4.0)
-        self._await_owners()
-        self._check_fences()
+        self._check_owners()
 
     def test_living_coordinator_stands_in_the_store_again(self):
         copy = self.store.copy()
-        self._end(self._find_coordinator())
-        platformhelp.wait_until(lambda: self._find_coordinator() is not None,
-                                _SETTLE_S, self._read_logs)
+        self._change_coordinator()
         self.store.restore(copy)
         platformhelp.wait_until(lambda: self._find_coordinator() is not None,
                                 2.0, self._read_logs)
