Take an answer without an era for one of the known era

An answer that names no era counted as one of era 0, so that a watch or a page with such an answer was taken for one from before a restore and led to a whole read each time, and the first answer with an era for a restore. Found by reading; the platform names the era in all its answers, a proxy or an earlier release may not. Tests with a store that tells none, at all or from some time on.

--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -107,10 +107,9 @@
                               {'Content-Type': 'application/json'}), timeout_ms)
         if isinstance(reply, outcomes.Failed):
             return reply
-        era = _read_era(reply)
+        era = self._read_era(reply)
         if era is None:
             return outcomes.Failed(_Reason.INVALID, f'bad {_ERA_HEADER}')
-        self._note_era(era)
         if reply.status == 200:
             try:
                 return pages.Answer(era, json.loads(reply.body or b'{}'))
@@ -119,8 +118,20 @@
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
         return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
 
+    def _read_era(self, reply: httpcalls.Reply) -> int | None:
+        """Takes in the era of an answer and returns it; None if it is bad.
+
+        An answer without one is of the era that is known.
+        """
+        text = reply.headers.get(_ERA_HEADER)
+        if text is None:
+            return self.era or 0
+        if not text.isdecimal() or int(text) > revisions.MOST_ERA:
+            return None
+        self._note_era(int(text))
+        return int(text)
+
     def _note_era(self, era: int) -> None:
-        """Takes in the era of an answer."""
         with self._lock:
             before = self.era
             if before is not None and era <= before:
@@ -178,7 +189,7 @@
                     return outcomes.Failed(_Reason.CONFLICT,
                                            'another write came first')
                 if own.get('Lease', 0) == lease:
-                    return revisions.combine(self.era, own['Rev'])
+                    return revisions.combine(self.era or 0, own['Rev'])
                 # A restored store may hold it under a lease that has ended.
                 body['ExpectRev'][0]['Rev'] = own['Rev']
                 continue
@@ -190,14 +201,6 @@
         return unanswered or outcomes.Failed(_Reason.CONFLICT, 'no agreement')
 
 
-def _read_era(reply: httpcalls.Reply) -> int | None:
-    """Returns the era of an answer, 0 if it names none; None if it is bad."""
-    text = reply.headers.get(_ERA_HEADER, '0')
-    if not text.isdecimal() or int(text) > revisions.MOST_ERA:
-        return None
-    return int(text)
-
-
 def _find_kind(target: str) -> str:
     path, _, query = target.partition('?')
     kind = _KINDS[path.split('/')[2]]
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -310,7 +310,8 @@
             data = json.dumps(fields).encode()
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
-            self.send_header('Store-Era', str(store.era))
+            if store.era:  # A store of an earlier release tells none.
+                self.send_header('Store-Era', str(store.era))
             self.send_header('Content-Length', str(len(data)))
             with contextlib.suppress(OSError):  # The caller may be gone.
                 self.end_headers()
--- a/tests/test_platform_revisions.py
+++ b/tests/test_platform_revisions.py
@@ -104,6 +104,23 @@
         self.store.load()
         self.assertEqual(told, [2])
 
+    def test_store_without_eras_is_followed(self):
+        self.standin.era = 0
+        before = self.store.load()
+        self.assertEqual(before.revision, self.standin.revision)
+        self._configure(2)
+        found = self.store.watch(before)
+        self.assertEqual(found.configuration.version, 2)
+        self.standin.faults.lose_answers = 1
+        self.assertEqual(self.store.save(_ASSIGNMENT, 0), self.standin.revision)
+
+    def test_answer_without_era_is_no_restore(self):
+        before = self.store.load()
+        self.standin.era = 0
+        self._configure(2)
+        found = self.store.watch(before)
+        self.assertEqual(found.configuration.version, 2)
+
     def test_bad_era_fails_the_call(self):
         for era in ('x', '-1', '99999999'):
             self.standin.era = era
