--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,8 +1,9 @@
 """Random faults against real processes, while what callers see is checked.
 
-`python -m tests.soak --seed=1 --seconds=60`. Entries are killed and frozen, the
-store is away or comes back from an older copy, servers leave and come, and the
-configuration changes, one soon after the other. Prints what was broken.
+`python -m tests.soak --soak_seed=1 --soak_seconds=60`. Entries are killed and
+frozen, the store is away or comes back from an older copy, servers leave and
+come, and the configuration changes, one soon after the other. Prints what was
+broken.
 """
 
 from collections.abc import Callable
@@ -23,9 +24,9 @@
 from standins import platform_store
 from tests import platformhelp
 
-_SEED = flags.DEFINE_integer('seed', 1, 'Of all that is drawn.')
-_SECONDS = flags.DEFINE_float('seconds', 60.0, 'How long faults come.')
-_ENTRIES = flags.DEFINE_integer('entries', 3, 'Entry processes.')
+_SEED = flags.DEFINE_integer('soak_seed', 1, 'Of all that is drawn.')
+_SECONDS = flags.DEFINE_float('soak_seconds', 60.0, 'How long faults come.')
+_ENTRIES = flags.DEFINE_integer('soak_entries', 3, 'Entry processes.')
 
 KEYS = range(0, 65_536, 1_021)
 # Bounds of the platform: changes apply, and draining servers are left alone.
