--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
+import math
 
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
@@ -30,6 +31,8 @@
       retry_slack: Repeats beyond that, by all entries together.
       retry_window_ms: Span over which repeats are counted.
       hold_max_ms: Longest grant.
+      config_apply_ms: A configuration is in force everywhere by then; no limit
+        if the operator names none.
     """
 
     drain_ms: float
@@ -38,6 +41,7 @@
     retry_slack: float
     retry_window_ms: float
     hold_max_ms: float
+    config_apply_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -4,6 +4,8 @@
 known are ignored, since new ones may come.
 """
 
+import math
+
 from lentilmoor import exceptions
 from lentilmoor.edge import ports
 from lentilmoor.platform import fields as fields_module
@@ -53,12 +55,15 @@
     def take(name: str) -> float:
         return _take_number(values, name, f'Bounds: {name}')
 
-    return ports.Bounds(drain_ms=take('DrainMs'),
-                        grace_ms=take('GraceS') * _MS_PER_S,
-                        retry_ratio=take('RetryRatio'),
-                        retry_slack=take('RetrySlack'),
-                        retry_window_ms=take('RetryWindowS') * _MS_PER_S,
-                        hold_max_ms=take('HoldMaxMs'))
+    return ports.Bounds(
+        drain_ms=take('DrainMs'),
+        grace_ms=take('GraceS') * _MS_PER_S,
+        retry_ratio=take('RetryRatio'),
+        retry_slack=take('RetrySlack'),
+        retry_window_ms=take('RetryWindowS') * _MS_PER_S,
+        hold_max_ms=take('HoldMaxMs'),
+        config_apply_ms=(take('ConfigApplyMs')
+                         if 'ConfigApplyMs' in values else math.inf))
 
 
 def _take(fields: dict[str, str], name: str) -> str:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,6 +1,7 @@
 """Tests of what the adapter reads: settings, documents, headers, the store."""
 
 import json
+import math
 import unittest
 
 from lentilmoor import clocks
@@ -62,9 +63,15 @@
         self.assertEqual(address, '10.9.9.9:84')
         self.assertEqual(found.callers, '10.0.0.1:80')
         self.assertEqual(found.bounds.grace_ms, 6_000.0)
+        self.assertEqual(found.bounds.config_apply_ms, math.inf)
         self.assertEqual((found.cores, found.link_mbps), (1.72, 1_000.0))
         self.assertEqual(found.seeds, ('10.0.0.1:82', '10.0.0.2:82'))
 
+    def test_the_bound_on_configurations_is_read(self):
+        found, _ = settings.parse_settings(
+            _SETTINGS.replace('New=1', 'ConfigApplyMs=2500'))
+        self.assertEqual(found.bounds.config_apply_ms, 2_500.0)
+
     def test_a_message_names_the_field_that_is_wrong(self):
         for before, after, named in (
             ('Zone=a', '', 'Zone: missing'),
