--- /dev/null
+++ b/tests/copyfleets.py
@@ -0,0 +1,297 @@
+"""Entries in one process that follow a stand-in of the store.
+
+Everything that follows, spreads and applies changes is the product's; calls
+between entries are function calls. Each hop of the path from the store to a
+decision can be cut, hung, slowed or frozen.
+"""
+
+import dataclasses
+import functools
+import itertools
+import threading
+import time
+from unittest import mock
+
+from lentilmoor import clocks
+from lentilmoor import httpcalls
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor.edge import beliefs
+from lentilmoor.edge import control
+from lentilmoor.edge import following
+from lentilmoor.edge import forwarding
+from lentilmoor.edge import knowledge
+from lentilmoor.edge import picks
+from lentilmoor.edge import ports
+from lentilmoor.edge import reporting
+from lentilmoor.edge import reports
+from lentilmoor.edge import requests
+from lentilmoor.edge import subscriptions
+from lentilmoor.edge import tables
+from lentilmoor.platform import store
+from standins import held_path
+from standins import platform_store
+from tests import platformhelp
+
+BOUND_MS = 2_000.0
+BOUNDS = ports.Bounds(drain_ms=BOUND_MS,
+                      grace_ms=6_000.0,
+                      retry_ratio=0.2,
+                      retry_slack=64.0,
+                      retry_window_ms=10_000.0,
+                      hold_max_ms=10_000.0,
+                      config_apply_ms=BOUND_MS)
+SERVER = 's-1'
+STEADY = 's-2'
+NEW_PREFIX = '/new/'
+_SERVICE = tables.Service('orders', False, 100, 0.0)
+_HEARTBEAT_S = 0.1
+_TICK_S = 0.1
+
+
+@dataclasses.dataclass
+class Faults:
+    """What is wrong with an entry.
+
+    Attributes:
+      frozen: Whether it answers no entry and follows nothing.
+      slow_s: How much later it answers other entries.
+      unread: Whether reads of the configuration alone hang.
+      stuck: Held while its control actor is to take no message.
+    """
+
+    frozen: bool = False
+    slow_s: float = 0.0
+    unread: bool = False
+    stuck: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+
+class Member:
+    """One entry of a fleet."""
+
+    def __init__(self, fleet: 'Fleet', number: int, domain: str):
+        self.faults = Faults()
+        self.domain = domain
+        self.address = f'e{number:02}:1'
+        self._fleet = fleet
+        clock, logger = clocks.make_suspend_clock(), logs.make_logger('test')
+        settings = ports.Settings(f'e{number:02}', domain, 'a:1', 'a:2',
+                                  self.address, 'a:3', (), 1.0, 1_000.0, BOUNDS)
+        self.path = held_path.HeldPath(fleet.standin.address)
+        connected = self._make_store(
+            store.connect_store(self.path.address, clock, logger))
+        platform = ports.Platform(settings, connected, mock.Mock(), mock.Mock())
+        self.forwarder = requests.Forwarder(clock, platform, logger, None)
+        self.actor = control.Control.start(
+            beliefs.Beliefs(settings.instance), self.forwarder, platform,
+            logger, lambda: following.follow_again(self.follower))
+        reporter = reporting.Reporter(settings.instance, self.forwarder, self,
+                                      self.actor.tell)
+        self.follower = knowledge.Follower(
+            ports.make_peer(settings.instance, settings), reporter, connected,
+            clock, logger, self._take,
+            lambda reason: self.actor.tell(control.StoreLost(reason)))
+        reporter.hear = functools.partial(knowledge.take_news, self.follower)
+        self._pages = {
+            subscriptions.PATH: self._tell_news,
+            reporting.PATH: self._take_report,
+            reporting.STATE_PATH: self._tell_state,
+        }
+
+    def start(self) -> None:
+        """Begins to follow."""
+        following.follow_again(self.follower)
+        avoided: dict[str, float] = {}
+
+        def listen():
+            self.follower.place = subscriptions._find_place(self.follower)
+            pause_ms = subscriptions.exchange(self.follower, avoided)
+            time.sleep(pause_ms / clocks.MS_PER_S)
+
+        def tick():
+            time.sleep(_TICK_S)
+            self.actor.tell(control.Tick(self.follower.clock.now()))
+            following.check(self.follower)
+
+        def report():
+            time.sleep(0.25)
+            reporting.exchange(self.follower.reporter)
+
+        for work in (listen, tick, report):
+            self._fleet.start(functools.partial(self._run, work))
+
+    def _run(self, work) -> None:
+        while not self._fleet.ended.is_set():
+            if self.faults.frozen:
+                time.sleep(_TICK_S)
+            else:
+                work()
+
+    def stop(self) -> None:
+        """Ends it; calls that hang are left to their time-outs."""
+        self.follower.begun = 1_000_000
+        self.actor.stop(block=False)
+        self.path.close()
+
+    def _take(self, found: ports.Everything, heard: bool) -> None:
+        if not self._fleet.ended.is_set():
+            self.actor.tell(control.Returned(self._wait_if_stuck))
+            self.actor.tell(control.StoreSeen(found, heard))
+
+    def _wait_if_stuck(self) -> None:
+        with self.faults.stuck:
+            pass
+
+    def _make_store(self, connected: ports.Store) -> ports.Store:
+
+        def load_configuration():
+            if self.faults.unread:
+                time.sleep(store.PAGE_MS / clocks.MS_PER_S)
+                return outcomes.Failed(outcomes.Reason.TIMED_OUT)
+            return connected.load_configuration()
+
+        return dataclasses.replace(connected,
+                                   load_configuration=load_configuration)
+
+    def call(self, address, request, timeout_ms, unused_connect_ms=None):
+        """Calls another entry, as `httpcalls.Caller` does."""
+        other = self._fleet.by_address[address]
+        wait_s = other.faults.slow_s
+        if other.faults.frozen or wait_s * clocks.MS_PER_S >= timeout_ms:
+            time.sleep(timeout_ms / clocks.MS_PER_S)
+            return outcomes.Failed(outcomes.Reason.TIMED_OUT)
+        time.sleep(wait_s)
+        status, body = other.answer(request.target, request.body)
+        return httpcalls.Reply(status, {}, body)
+
+    def answer(self, target: str, body: bytes) -> tuple[int, bytes]:
+        """Answers another entry."""
+        return self._pages[target](body)
+
+    def _tell_news(self, body: bytes) -> tuple[int, bytes]:
+        reply = subscriptions.answer(self.follower,
+                                     reports.decode_news_request(body))
+        return (200, reports.encode_news(reply)) if reply else (503, b'')
+
+    def _take_report(self, body: bytes) -> tuple[int, bytes]:
+        reply = reporting.answer(self.follower.reporter,
+                                 reports.decode_report(body))
+        return 200, reports.encode_reply(reply)
+
+    def _tell_state(self, body: bytes) -> tuple[int, bytes]:
+        return 200, self.follower.store.dump(int(body))
+
+    def would_send(self, server: str = SERVER) -> bool:
+        """Returns whether it would send a server a request now."""
+        return picks.may_send(self.forwarder, _SERVICE, server)
+
+    def would_deny(self) -> bool:
+        """Returns whether it answers 404 for the route that was added."""
+        request = requests.Request(ports.CallerFields('r', 100.0, None), 'GET',
+                                   platformhelp.HOST, NEW_PREFIX + 'x',
+                                   NEW_PREFIX + 'x', {}, b'', mock.Mock(),
+                                   self.forwarder.clock.now())
+        outcome = forwarding.forward(self.forwarder, request)
+        return (isinstance(outcome, outcomes.NotRun) and
+                outcome.reason is outcomes.Reason.UNKNOWN_SERVICE)
+
+
+class Fleet:
+    """Three failure domains of four entries, and their store."""
+
+    def __init__(self):
+        self.standin = platform_store.PlatformStore()
+        self.ended = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self.standin.put('op/config', platformhelp.make_configuration(1))
+        self._states = {SERVER: 'ready', STEADY: 'ready'}
+        self._beat()
+        self.members = [
+            Member(self, number, domain) for number, (
+                domain,
+                _) in enumerate(itertools.product(('d0', 'd1', 'd2'), range(4)))
+        ]
+        self.by_address = {member.address: member for member in self.members}
+        self.start(self._beat_on)
+        for member in self.members:
+            member.start()
+        platformhelp.wait_until(self._is_settled, 10.0)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused_error):
+        self.ended.set()
+        for thread in self._threads:
+            thread.join(5.0)
+        for member in self.members:
+            member.stop()
+        self.standin.close()
+
+    def start(self, work) -> None:
+        """Runs work in a thread; it ends soon after the fleet."""
+        thread = threading.Thread(target=work, daemon=True)
+        thread.start()
+        self._threads.append(thread)
+
+    def _beat_on(self) -> None:
+        while not self.ended.wait(_HEARTBEAT_S):
+            self._beat()
+
+    def _beat(self) -> None:
+        for name, state in self._states.items():
+            self.standin.put(
+                f'servers/{name}', {
+                    'Service': 'orders',
+                    'Addr': f'127.0.0.1:{hash(name) % 900 + 100}',
+                    'Zone': 'd0',
+                    'Version': 'v1',
+                    'Slots': 2,
+                    'State': state,
+                    'WarmupLeftMs': 0,
+                    'Seq': self.standin.revision
+                })
+
+    def _is_settled(self) -> bool:
+        places = [member.follower.place for member in self.members]
+        return places.count(None) == 1 and all(
+            len(member.forwarder.snapshot.entries) == len(self.members) and
+            member.would_send(STEADY) for member in self.members)
+
+    def find_hub(self) -> Member:
+        """Returns the hub, as the first entry knows it."""
+        peer, = reporting.find_hubs(self.members[0].follower.reporter)
+        return self.by_address[peer.address]
+
+    def find_relay(self) -> Member:
+        """Returns an entry that tells others of its domain."""
+        hub = self.find_hub()
+        return next(member for member in self.members
+                    if member.follower.place and member.follower.place.relay and
+                    member.domain != hub.domain)
+
+    def change(self) -> float:
+        """Has a server leave and adds a route; returns when that was acked."""
+        self._states[SERVER] = 'draining'
+        self._beat()
+        route = platformhelp.make_configuration()['Routes']['report']
+        self.standin.put(
+            'op/config',
+            platformhelp.make_configuration(2,
+                                            new=route | {'Prefix': NEW_PREFIX}))
+        return time.monotonic()
+
+    def list_late(self, acked_at: float, until: float) -> list[str]:
+        """Returns decisions by what was replaced over the bound ago."""
+        late = []
+        while (now := time.monotonic()) < until:
+            if now - acked_at > BOUND_MS / clocks.MS_PER_S:
+                late += [
+                    f'{member.address} {what} {now - acked_at:.2f} s after'
+                    for member in self.members if not member.faults.frozen
+                    for what, decides in (('sends', member.would_send),
+                                          ('denies', member.would_deny))
+                    if decides()
+                ]
+            time.sleep(0.05)
+        return late
