Apply what is read of the store while news without changes come

News with a later revision and no changes that came in between adopted the view's state without handing it to the control actor; the read was then dropped as older. The entry no longer counted as behind, and requests went on by the old version until the next change.

News without changes now hand over what else has changed.

--- a/lentilmoor/edge/knowledge.py
+++ b/lentilmoor/edge/knowledge.py
@@ -160,7 +160,8 @@
     merged = follower.store.merge_news(heard.changes, heard.revision)
     if merged is None:
         return None
-    if not heard.changes:
+    if not heard.changes and merged == dataclasses.replace(
+            seen, revision=merged.revision):
         _note_seen(follower, merged)
         return merged
     follower.logger.info('news_heard',
--- /dev/null
+++ b/tests/test_edge_lost_takes.py
@@ -0,0 +1,98 @@
+"""What was read of the store beside news without changes is in force."""
+
+import dataclasses
+import threading
+import time
+import unittest
+from unittest import mock
+
+from lentilmoor import clocks
+from lentilmoor import logs
+from lentilmoor.edge import following
+from lentilmoor.edge import knowledge
+from lentilmoor.edge import ports
+from lentilmoor.edge import reporting
+from lentilmoor.edge import requests
+from lentilmoor.edge import tables
+from lentilmoor.platform import documents
+from lentilmoor.platform import store
+from standins import platform_store
+from tests import platformhelp
+
+
+class LostTakeTest(unittest.TestCase):
+    """News that bring no change come while a read is being taken in."""
+
+    def setUp(self):
+        super().setUp()
+        clock, logger = clocks.make_suspend_clock(), logs.make_logger('test')
+        self.standin = platform_store.PlatformStore()
+        self.addCleanup(self.standin.close)
+        self.store = store.connect_store(self.standin.address, clock, logger)
+        self.taken: list[ports.Everything] = []
+        self.follower = knowledge.Follower(
+            ports.Peer('e1', 'a:1'),
+            reporting.Reporter('e1',
+                               requests.Forwarder(clock, None, logger, None),
+                               None, None), self.store, clock, logger,
+            lambda found, heard: self.taken.append(found), mock.Mock())
+        self.standin.put('op/config', platformhelp.make_configuration(3))
+        knowledge.take(self.follower, self.store.load(), False)
+        self.follower.whole, self.follower.begun = False, 1
+        self.standin.put('op/config', platformhelp.make_configuration(4))
+        # The hub has version 4, which is too large for news.
+        self._hear(self.follower.seen.revision + 1)
+        self.assertEqual(self.follower.wanted, 4)
+
+    def _hear(self, revision: int) -> None:
+        """Takes in news in which nothing but the revision rose."""
+        knowledge.take_news(
+            self.follower,
+            tables.News(revision, self.follower.clock.now(),
+                        self.follower.seen.revision, b'', 4))
+
+    def _check(self) -> None:
+        self.assertEqual(self.follower.seen.configuration.version, 4)
+        self.assertEqual(self.taken[-1].configuration.version, 4,
+                         'known, and never given to the control actor')
+
+    def test_news_between_reading_and_taking(self):
+        load = self.store.load_configuration
+
+        def load_beside_news():
+            found = load()
+            self._hear(self.follower.seen.revision + 1)
+            return found
+
+        self.follower.store = dataclasses.replace(
+            self.store, load_configuration=load_beside_news)
+        following._read(self.follower, 1)
+        self._check()
+
+    def test_news_while_it_is_parsed(self):
+        # Without any luck: the news wait for the view's lock and hold the
+        # follower's, for which the read has to wait then.
+        parse = documents.parse_configuration
+        threads = []
+
+        def parse_slowly(data):
+            thread = threading.Thread(target=self._hear,
+                                      args=(self.follower.seen.revision + 1,))
+            thread.start()
+            threads.append(thread)
+            time.sleep(0.1)
+            return parse(data)
+
+        with mock.patch.object(documents, 'parse_configuration', parse_slowly):
+            following._read(self.follower, 1)
+        for thread in threads:
+            thread.join(3.0)
+        self._check()
+
+    def test_without_news_beside_it(self):
+        following._read(self.follower, 1)
+        self._check()
+
+
+if __name__ == '__main__':
+    unittest.main()
