--- a/benchmarks/edge_hub.py
+++ b/benchmarks/edge_hub.py
@@ -11,6 +11,7 @@
 import heapq
 import io
 import itertools
+import math
 import random
 import time
 from unittest import mock
@@ -25,6 +26,7 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 SERVICE = 'stock'
@@ -104,7 +106,8 @@
                 'take_role.return_value': None,
                 'load_assignment.return_value': None,
                 'save.side_effect': self._save,
-                'tell_news.return_value': b''
+                'tell_news.return_value': b'',
+                'find_silence.return_value': 0.0
             })
         settings = ports.Settings('e0', 'd', '', '', 'h:1', '', (), 2.0, 200.0,
                                   _BOUNDS)
@@ -112,6 +115,7 @@
         logger = logs.make_logger(_HUB, io.StringIO())
         platform = ports.Platform(settings, store, servers, None)
         forwarder = requests.Forwarder(clock, platform, logger, None)
+        staleness.note_known(forwarder.freshness, math.inf, math.inf)
         return forwarder, control.Control(self.owned,
                                           forwarder,
                                           platform,
--- a/benchmarks/edge_spread.py
+++ b/benchmarks/edge_spread.py
@@ -20,15 +20,15 @@
 
 from benchmarks import bounds
 from lentilmoor import clocks
-from lentilmoor.edge import following
 from lentilmoor.edge import ports
 from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
-from lentilmoor.edge import subscriptions
+from lentilmoor.edge import staleness
 
 SEEDS = 5
 SHARE = 0.99
 _BOUNDS = pathlib.Path(__file__).with_name('bounds_edge_spread.yaml')
+LIMITS = staleness.make_limits(2_500.0, 2_500.0)
 
 # Delays one way, ms: within a failure domain, and between two.
 NEAR_MS = 0.2
@@ -166,11 +166,11 @@
     """Has each entry watch the store by itself."""
     known = {
         address:
-            fleet.random.uniform(0, following.WATCH_PAUSE_MS) + FAR_MS +
+            fleet.random.uniform(0, LIMITS.follow_pause_ms) + FAR_MS +
             SMALL_WORK_MS for address in fleet.alive
     }
     heartbeats = _kbps(ENTRY_BYTES * _find_servers(fleet), HEARTBEAT_MS)
-    return known, _make_result(known, 1_000.0 / following.WATCH_PAUSE_MS, 0.0,
+    return known, _make_result(known, 1_000.0 / LIMITS.follow_pause_ms, 0.0,
                                heartbeats)
 
 
@@ -223,7 +223,7 @@
                 0, reporting.REPORT_MS)
             known[address] = fleet.carry(fleet.hub, address, asked, size)
     _tell_children(fleet, places, known, size)
-    reply = _kbps(EMPTY_BYTES, subscriptions.HOLD_MS)
+    reply = _kbps(EMPTY_BYTES, LIMITS.hold_ms)
     direct = sum(place is None or place.relay for place in places.values())
     most = max(relays.FANOUT if any(places.values()) else 0,
                direct * fleet.scene.domains / SHOWN_DOMAINS)
@@ -275,18 +275,18 @@
 
 def _draw_waste(fleet: Fleet, lost: int) -> float:
     """Returns how long lost parents hold up an entry that asks them, ms."""
-    limit_ms = subscriptions.HOLD_MS + subscriptions.REPLY_MS
+    limit_ms = LIMITS.hold_ms + LIMITS.ask_ms
     if not lost:
         return 0.0
     return lost * limit_ms - fleet.random.uniform(0, limit_ms)
 
 
 def _find_look(fleet: Fleet) -> float:
-    return fleet.random.uniform(0, following.COORDINATOR_PAUSE_MS) + FAR_MS
+    return fleet.random.uniform(0, LIMITS.lead_pause_ms) + FAR_MS
 
 
 def _find_hub_calls(fleet: Fleet) -> float:
-    return 1_000.0 / following.COORDINATOR_PAUSE_MS / len(fleet.peers)
+    return 1_000.0 / LIMITS.lead_pause_ms / len(fleet.peers)
 
 
 def _make_result(known: dict[str, float], calls: float, sent: float,
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -31,6 +31,7 @@
 from lentilmoor.edge import requests
 from lentilmoor.edge import revisions
 from lentilmoor.edge import roles
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 TICK_MS = 100.0
@@ -60,10 +61,12 @@
     Attributes:
       everything: What it holds.
       heard: Whether another entry told it.
+      number: Of the change (see `staleness.hand_over`).
     """
 
     everything: ports.Everything
     heard: bool = False
+    number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +119,11 @@
     assignment: keyranges.Assignment
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """The entry's lease is to be renewed now, to learn if the store answers."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave:
     """This entry is about to end."""
@@ -180,6 +188,7 @@
             message.take()
         elif isinstance(message, StoreSeen):
             self._take_store(message.everything, message.heard)
+            staleness.note_applied(self._forwarder.freshness, message.number)
         elif isinstance(message, StoreLost):
             self._take_loss(message.reason)
         elif isinstance(message, Reported):
@@ -189,6 +198,8 @@
         elif isinstance(message, AssignmentHeard):
             self._owned.heard[message.assignment.service] = message.assignment
             self._publish()
+        elif isinstance(message, Probe):
+            self._owned.entry_keep_at = 0.0
         elif isinstance(message, Leave):
             leases.end(self._context, message.done)
         elif isinstance(message, Tick):
@@ -295,8 +306,10 @@
         lifetimes.end_predecessors(owned, everything)
         for name in lifetimes.take_back_ends(owned, everything):
             self._logger.info('server_up_after_all', server=name)
+        known_at = self._find_known_at(now)
         for name, server in everything.servers.items():
-            owned.servers[name] = self._mark_draining(server)
+            owned.servers[name] = self._mark_draining(
+                date_draining(server, owned.servers.get(name), known_at))
             owned.missing.pop(name, None)
         # Entries run out while a store is away that nobody has found silent
         # yet: its news come before it is known to be back.
@@ -305,7 +318,18 @@
             if name not in everything.servers and name not in owned.missing:
                 owned.missing[name] = max(now, back_at + ownership.RETURN_MS)
                 owned.servers[name] = dataclasses.replace(owned.servers[name],
-                                                          unlisted_at=now)
+                                                          unlisted_at=known_at)
+
+    def _find_known_at(self, now: float) -> float:
+        """Returns when what is taken in now may first have been acknowledged.
+
+        That isn't while the store was away from everybody.
+        """
+        forwarder = self._forwarder
+        freshness = forwarder.freshness
+        if now - freshness.away_at <= forwarder.limits.seek_ms:
+            return now
+        return staleness.find_applied(freshness).servers_at
 
     def _note_draining(self, servers: list[str]) -> None:
         """Marks servers as draining that an entry reported as such."""
@@ -316,8 +340,9 @@
         ]
         if not newly_draining:
             return
+        known_at = self._find_known_at(self._clock.now())
         for name in newly_draining:
-            owned.draining[name] = self._clock.now()
+            owned.draining[name] = known_at
             owned.servers[name] = self._mark_draining(owned.servers[name])
         self._logger.info('servers_reported_draining',
                           servers=newly_draining[:MOST_NAMED])
@@ -456,6 +481,22 @@
                 role.measured.add(rows, self._clock.now())
 
 
+def date_draining(server: tables.Server, known: tables.Server | None,
+                  known_at: float) -> tables.Server:
+    """Returns a server with the time from which on it may be draining.
+
+    Args:
+      server: As the store lists it.
+      known: As it was known before; None if it wasn't.
+      known_at: Up to when it was known whether it is.
+    """
+    if not server.draining:
+        return server
+    if known is not None and known.draining:
+        known_at = min(known.draining_at, known_at)
+    return dataclasses.replace(server, draining_at=known_at)
+
+
 def _is_restored(before: ports.Everything, found: ports.Everything) -> bool:
     """Returns whether the store was restored between two reads."""
     return (revisions.find_era(found.revision)
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -29,6 +29,7 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import subscriptions
 from lentilmoor.edge import tables
 
@@ -140,6 +141,7 @@
                               burst=12.0,
                               socket_options=socket_options)
     forwarder = requests.Forwarder(clock, platform, logger, rules)
+    forwarder.limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
@@ -161,6 +163,7 @@
         ports.make_peer(instance, platform.settings), entry.reporter,
         platform.store, clock, logger, functools.partial(_take_store, entry),
         lambda reason: entry.actor.tell(control.StoreLost(reason)))
+    entry.follower.probe = lambda: entry.actor.tell(control.Probe())
     platform.store.on_restore(
         functools.partial(following.read_anew, entry.follower))
     entry.reporter.hear = functools.partial(knowledge.take_news, entry.follower)
@@ -239,6 +242,11 @@
             float(entry.platform.store.find_era()),
         'news_age_ms':
             requests.find_news_age(entry.forwarder),
+        'configuration_age_ms':
+            requests.find_age(entry.forwarder,
+                              entry.forwarder.freshness.known.configuration_at),
+        'unapplied_changes':
+            float(len(entry.forwarder.freshness.handed)),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
         'control_late_ms':
@@ -290,6 +298,8 @@
     snapshot = entry.forwarder.snapshot
     ready = (snapshot.configuration is not None and
              not entry.leaving.is_set() and
+             requests.is_recent(entry.forwarder) and
+             requests.is_configuration_recent(entry.forwarder) and
              all(name in snapshot.assignments
                  for name in snapshot.configuration.list_keyed()))
     return (200 if ready else 503), b'', 'text/plain'
@@ -331,7 +341,8 @@
 
 
 def _take_store(entry: Entry, found: ports.Everything, heard: bool) -> None:
-    entry.actor.tell(control.StoreSeen(found, heard))
+    number = staleness.hand_over(entry.forwarder.freshness)
+    entry.actor.tell(control.StoreSeen(found, heard, number))
     if found.configuration is None:
         return
     limits = found.configuration.limits
@@ -348,6 +359,7 @@
             entry.hurry.clear()
         entry.actor.tell(control.Tick(entry.clock.now()))
         following.check(entry.follower)
+        subscriptions.seek(entry.follower)
 
 
 def _finish(entry: Entry) -> None:
--- a/lentilmoor/edge/following.py
+++ b/lentilmoor/edge/following.py
@@ -5,6 +5,7 @@
 store themselves when they are told nothing.
 """
 
+import math
 import threading
 
 from lentilmoor import clocks
@@ -13,30 +14,21 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import revisions
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 # Pause before a store that can't be reached is tried again.
 STORE_AGAIN_MS = 300.0
-# Changes that come in quick succession are taken in together: each watch is a
-# call. What the store tells is due within 2 s; the coordinator, which has to
-# act on it first, looks sooner.
-WATCH_PAUSE_MS = 850.0
-COORDINATOR_PAUSE_MS = 350.0
 # While the hub tells what has changed, the others look for themselves only this
 # often: each look brings the heartbeats of all servers since the last one,
 # which fill a slow link.
 TOLD_PAUSE_MS = 6_000.0
 # Relays and those that they tell don't look while they are told.
 NEVER_MS = float('inf')
-# What the hub told counts for so long: it reports a few times as often, and a
-# hub that can't reach the store itself must not keep others from it.
-NEWS_FRESH_MS = 1_200.0
 NEWS_LOOK_MS = 50.0
-# An entry that relays tell looks at the store once none of them has answered
-# for the first figure, or none knew anything newer for the second: the store
-# is away then, and the relays try it more often.
-ALONE_MS = 2_500.0
-OUTDATED_MS = 5_000.0
+# Entries that relays tell and that look at the store at a time, on the mean,
+# once nobody tells anything recent.
+LOOKERS = 1.0
 # A start on a small machine asks larger ones for what the store holds, which
 # costs the store a call for each page, for so long, with such pauses.
 LEARN_MS = 1_500.0
@@ -46,9 +38,6 @@
 # A configuration that others have in force is read from the store unless it
 # comes by news meanwhile.
 BEHIND_MS = 200.0
-# An entry that heard from nobody for so long begins to follow anew, whatever it
-# waits for: a call may hang while its leases are kept.
-SILENT_MS = 4_000.0
 # A hub that fell silent may have ended: whoever takes its place is to know soon
 # after its lease has run out, or grants run out before they are renewed.
 LOST_HUB_MS = 4_000.0
@@ -69,7 +58,8 @@
     """
     hangs = _hangs(follower)
     silence_ms = _find_silence(follower, counts_relays=not hangs)
-    if not follower.begun or silence_ms >= NEWS_FRESH_MS:
+    limits = follower.reporter.forwarder.limits
+    if not follower.begun or silence_ms >= limits.seek_ms:
         _begin(follower)
     elif hangs:
         _begin(follower, reads=False)
@@ -88,11 +78,14 @@
 
 
 def check(follower: knowledge.Follower) -> None:
-    """Begins to follow anew if nobody has told anything for too long."""
+    """Begins to follow anew if nobody has told anything for too long.
+
+    A call may hang while the entry's leases are kept.
+    """
     now = follower.clock.now()
     silence_ms = min(_find_silence(follower, counts_relays=True),
                      now - follower.began_at)
-    if silence_ms < SILENT_MS:
+    if silence_ms < follower.reporter.forwarder.limits.silent_ms:
         return
     what, since = follower.doing
     follower.logger.warning('following_silent',
@@ -145,7 +138,10 @@
     known = not reads or (follower.seen is None and follower.own.small and
                           _learn(follower))
     while number == follower.begun:
-        if not known and not _read(follower, number):
+        # Relays and the hub try a store again that didn't answer; the others,
+        # of which there may be many, leave that to them.
+        if (not known and not read(follower, number) and
+            (follower.whole or not _is_leaf(follower))):
             continue
         known = False
         _note_doing(follower, 'wait')
@@ -193,11 +189,13 @@
     return larger[:LEARN_PEERS]
 
 
-def _read(follower: knowledge.Follower, number: int) -> bool:
+def read(follower: knowledge.Follower, number: int) -> bool:
     """Reads the store; returns whether what it holds was taken in."""
     seen, store = follower.seen, follower.store
     what = _find_read(follower)
+    newest = seen is not None and knowledge.is_newest(follower)
     doing = _note_doing(follower, what)
+    _, asked_at = doing
     if what == 'load':
         found = store.load()
     elif what == 'configuration':
@@ -214,11 +212,22 @@
         follower.whole = False
     if not follower.whole:
         follower.hurried.clear()
+    forwarder = follower.reporter.forwarder
     if what != 'configuration':
-        follower.reporter.forwarder.news = tables.News(found.revision,
-                                                       follower.clock.now())
+        forwarder.news = tables.News(found.revision, asked_at)
     knowledge.take(follower, found, False)
-    if what == 'configuration' and knowledge.is_behind(follower):
+    behind = knowledge.is_behind(follower)
+    if what == 'load' or what == 'watch' and newest:
+        knowledge.note_newest(follower, found.revision)
+    elif what == 'configuration' and not behind:
+        knowledge.note_newest(follower, seen.revision)
+    # When the store answered isn't known, only that it was after it was asked.
+    staleness.note_known(
+        forwarder.freshness,
+        servers_at=-math.inf if what == 'configuration' else asked_at,
+        configuration_at=(asked_at if not behind and
+                          (newest or what != 'watch') else -math.inf))
+    if what == 'configuration' and behind:
         # A restored store may hold an older one than others have in force.
         _ask_others(follower, whole=True)
     return True
@@ -228,9 +237,7 @@
     """Returns what to read of the store next."""
     if follower.seen is None or follower.whole:
         return 'load'
-    if knowledge.is_behind(follower):
-        return 'configuration'
-    return 'watch'
+    return 'watch' if knowledge.is_newest(follower) else 'configuration'
 
 
 def _note_read(follower: knowledge.Follower, doing: tuple[str, float],
@@ -277,19 +284,22 @@
 def find_pause(follower: knowledge.Follower) -> float:
     """Returns the pause until the store is to be looked at again, ms."""
     forwarder, place = follower.reporter.forwarder, follower.place
-    now = follower.clock.now()
-    heard_ms = now - forwarder.heard.seen_at
+    limits = forwarder.limits
+    heard_ms = follower.clock.now() - min(
+        forwarder.heard.seen_at, forwarder.freshness.known.configuration_at)
     leads = any(peer.address == follower.own.address
                 for peer in reporting.find_hubs(follower.reporter))
     if leads or place is None and not _is_settled(forwarder.snapshot):
-        return COORDINATOR_PAUSE_MS
+        return limits.lead_pause_ms
     if _is_leaf(follower):
-        if now - follower.told_at >= ALONE_MS:
-            return WATCH_PAUSE_MS
-        return NEVER_MS if heard_ms < OUTDATED_MS else OUTDATED_MS
-    if heard_ms < NEWS_FRESH_MS:
+        chosen = forwarder.generator.random() * len(
+            forwarder.snapshot.entries) < LOOKERS
+        return 0.0 if heard_ms >= limits.look_ms and chosen else NEVER_MS
+    if heard_ms < limits.seek_ms:
         return TOLD_PAUSE_MS if place is None else NEVER_MS
-    return COORDINATOR_PAUSE_MS if heard_ms < LOST_HUB_MS else WATCH_PAUSE_MS
+    if heard_ms < LOST_HUB_MS:
+        return limits.lead_pause_ms
+    return limits.follow_pause_ms
 
 
 def _is_settled(snapshot: tables.Snapshot) -> bool:
@@ -305,8 +315,10 @@
         follower.whole = True
         return
     follower.lose(failed.reason)
-    _note_doing(follower, 'ask')
-    _ask_others(follower, follower.whole or knowledge.is_behind(follower))
+    # What has changed since is asked for by `subscriptions.seek`.
+    if follower.whole or knowledge.is_behind(follower):
+        _note_doing(follower, 'ask')
+        _ask_others(follower, True)
     clocks.pause(STORE_AGAIN_MS)
 
 
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -5,6 +5,7 @@
 did not run. What is given up on is answered at once.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 from lentilmoor import connections
@@ -16,6 +17,7 @@
 from lentilmoor.edge import placement
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 from lentilmoor.edge import weighing
 
@@ -29,14 +31,19 @@
 # Times to come back, ms: while an entry starts, which takes some 0.5 s, and to
 # a request that crashes its servers, which is blocked for so long.
 START_RETRY_MS = 300
-# Part of its time that a request waits at most for the configuration: it leaves
-# the caller time to come back elsewhere.
+# Part of its time that a request waits at most for the configuration, or for
+# newer knowledge: it leaves the caller time to come back elsewhere.
 START_WAIT_PART = 0.15
+# Knowledge turns recent without a notice if others answer that they know
+# nothing newer.
+AWAIT_MS = 50.0
 BLOCKED_RETRY_MS = 30_000
-# A request that is sent by older news is told: a server may have left
-# meanwhile. At most one line in the second figure, as there may be many.
-OLD_NEWS_MS = 1_500.0
-OLD_NEWS_AGAIN_MS = 100.0
+# Time to come back after a request that this entry knows too little for: others
+# may know more.
+OUTDATED_RETRY_MS = 60
+# Minimum interval between log lines about requests that are refused or sent by
+# an old copy of the store.
+OUTDATED_LOG_INTERVAL_MS = 100.0
 # Minimum interval between log lines about requests to draining or paused
 # servers.
 UNAVAILABLE_LOG_INTERVAL_MS = 100.0
@@ -51,14 +58,15 @@
     if snapshot.configuration is None:
         return outcomes.NotRun(_Reason.STARTING, 'no configuration yet',
                                START_RETRY_MS)
-    route = matching.find_route(forwarder.index, request.host, request.path)
-    if route is None:
-        return outcomes.NotRun(_Reason.UNKNOWN_SERVICE, 'no such route')
+    route = _find_route(forwarder, request)
+    if isinstance(route, outcomes.NotRun):
+        return route
     if forwarder.blocked and requests.fingerprint(request) in forwarder.blocked:
         return outcomes.NotRun(_Reason.QUARANTINED,
                                'this request crashes its servers',
                                BLOCKED_RETRY_MS)
     name = matching.pick_part(route, forwarder.generator.random())
+    snapshot = forwarder.snapshot
     service = snapshot.configuration.services.get(name)
     if service is None:
         return outcomes.NotRun(_Reason.NO_SERVER, 'no such service',
@@ -84,8 +92,7 @@
     refused meanwhile has spent its only repeat.
     """
     snapshot = forwarder.snapshot
-    patience_ms = request.fields.patience_ms or PATIENCE_MS
-    until = request.arrived_at + START_WAIT_PART * patience_ms
+    until = _find_wait_end(request)
     while snapshot.configuration is None:
         left_ms = until - forwarder.clock.now()
         if left_ms <= 0:
@@ -95,9 +102,53 @@
     return snapshot
 
 
+def _find_route(forwarder: requests.Forwarder,
+                request: requests.Request) -> tables.Route | outcomes.NotRun:
+    """Returns a request's route by a recent configuration, or a refusal."""
+    if not _await(forwarder, request, requests.is_configuration_recent):
+        return _refuse_outdated(forwarder, request)
+    route = matching.find_route(forwarder.index, request.host, request.path)
+    if route is not None:
+        return route
+    if not _await(forwarder, request, requests.may_deny):
+        return _refuse_outdated(forwarder, request)
+    # It may have come while this waited.
+    route = matching.find_route(forwarder.index, request.host, request.path)
+    return route or outcomes.NotRun(_Reason.UNKNOWN_SERVICE, 'no such route')
+
+
+def _find_wait_end(request: requests.Request) -> float:
+    patience_ms = request.fields.patience_ms or PATIENCE_MS
+    return request.arrived_at + START_WAIT_PART * patience_ms
+
+
+def _await(forwarder: requests.Forwarder, request: requests.Request,
+           is_recent: Callable[[requests.Forwarder], bool]) -> bool:
+    """Waits a little for newer knowledge; returns whether it is recent."""
+    until = _find_wait_end(request)
+    while not is_recent(forwarder):
+        left_ms = until - forwarder.clock.now()
+        if left_ms <= 0:
+            return False
+        staleness.await_change(forwarder.freshness, min(left_ms, AWAIT_MS))
+    return True
+
+
+def _refuse_outdated(forwarder: requests.Forwarder,
+                     request: requests.Request) -> outcomes.NotRun:
+    """Refuses a request that this entry knows too little for."""
+    _log_outdated(forwarder, request, 'refused_by_old_copy')
+    return outcomes.NotRun(_Reason.OUTDATED,
+                           'what is known of the store is too old',
+                           OUTDATED_RETRY_MS)
+
+
 def _carry(forwarder: requests.Forwarder,
            run: requests.Run) -> requests.Outcome:
     for _ in range(MOST_PICKS):
+        if not _await(forwarder, run.request, requests.is_recent):
+            return weighing.conclude(run,
+                                     _refuse_outdated(forwarder, run.request))
         choice = picks.pick(forwarder, run)
         if not isinstance(choice, placement.Choice):
             return weighing.conclude(run, choice)
@@ -145,7 +196,8 @@
         # A connection may take 0.5 s on a small machine, in which news come.
         if not picks.may_send(forwarder, run.service, server.id):
             return None
-        _note_old_news(forwarder, request, server)
+        if requests.find_news_age(forwarder) > forwarder.limits.send_ms:
+            _log_outdated(forwarder, request, 'sent_by_old_copy')
         _log_if_unavailable(forwarder, run, server, state)
         ratelimits.note_sent(forwarder.rate_limits, server.id, bool(run.sent),
                              forwarder.clock.now(), forwarder.logger)
@@ -184,18 +236,23 @@
                                  now - sent_at)
 
 
-def _note_old_news(forwarder: requests.Forwarder, request: requests.Request,
-                   server: tables.Server) -> None:
-    """Tells of a request that is sent by news that may be too old."""
-    age_ms, now = requests.find_news_age(forwarder), forwarder.clock.now()
-    if (age_ms < OLD_NEWS_MS or
-            now - forwarder.old_news_told_at < OLD_NEWS_AGAIN_MS):
+def _log_outdated(forwarder: requests.Forwarder, request: requests.Request,
+                  event: str) -> None:
+    """Logs what became of a request by an old copy, rate-limited."""
+    now = forwarder.clock.now()
+    if now - forwarder.outdated_logged_at < OUTDATED_LOG_INTERVAL_MS:
         return
-    forwarder.old_news_told_at = now
-    forwarder.logger.info('sent_by_old_news',
+    forwarder.outdated_logged_at = now
+    applied = staleness.find_applied(forwarder.freshness)
+    forwarder.logger.info(event,
                           request=request.fields.request_id,
-                          server=server.id,
-                          news_age_ms=round(age_ms),
+                          servers_age_ms=round(
+                              requests.find_age(forwarder, applied.servers_at)),
+                          configuration_age_ms=round(
+                              requests.find_age(forwarder,
+                                                applied.configuration_at)),
+                          unapplied=len(forwarder.freshness.handed),
+                          replies=len(forwarder.freshness.replies),
                           age_ms=round(now - request.arrived_at))
 
 
--- a/lentilmoor/edge/knowledge.py
+++ b/lentilmoor/edge/knowledge.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import threading
 
 from lentilmoor import clocks
@@ -11,10 +12,13 @@
 from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
 from lentilmoor.edge import revisions
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 # Requests for news that wait for a change at a time; more are answered at once.
 MOST_HELD = 24
+# Questions to others at random that are under way at a time.
+MOST_SOUGHT = 9
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,9 +40,16 @@
       whole: Whether the store is to be read as a whole.
       wanted: Version of the configuration that others have in force.
       wanted_at: When that was heard, ms.
+      logged: The last such version that was logged.
       hurried: Whether to look at the store now.
       place: This entry's place among the relays, if they tell it.
       told_at: When one of them last answered, ms.
+      probed_at: When the store was last asked for a sign of life, ms.
+      probe: Asks the store for a sign of life; returns at once.
+      learning: Held while all that another entry knows is asked for.
+      sought_at: When others were last asked at random, ms.
+      outdated: Whether what is known is so old that they are.
+      seeking: Counts such questions under way.
       lock: Guards `seen`: what is known is taken in by one thread at a time.
       changed: Notified when something was taken in.
       held: Counts requests for news that wait for that.
@@ -58,10 +69,18 @@
     whole: bool = True
     wanted: int = 0
     wanted_at: float = float('-inf')
+    logged: int = 0
     hurried: threading.Event = dataclasses.field(
         default_factory=threading.Event)
     place: relays.Place | None = None
     told_at: float = float('-inf')
+    probed_at: float = float('-inf')
+    probe: Callable[[], object] = lambda: None
+    learning: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+    sought_at: float = float('-inf')
+    outdated: bool = False
+    seeking: threading.Semaphore = dataclasses.field(
+        default_factory=lambda: threading.Semaphore(MOST_SOUGHT))
     lock: threading.RLock = dataclasses.field(default_factory=threading.RLock)
     changed: threading.Condition = dataclasses.field(
         default_factory=threading.Condition)
@@ -89,8 +108,10 @@
       heard: Whether another entry told it.
     """
     with follower.lock:
-        if follower.seen is not None and (found.revision
-                                          < follower.seen.revision):
+        seen = follower.seen
+        if seen is not None and (found.revision,
+                                 find_version(found)) < (seen.revision,
+                                                         find_version(seen)):
             return
         _note_seen(follower, found)
         follower.take(found, heard)
@@ -116,36 +137,84 @@
 
 def _note_seen(follower: Follower, found: ports.Everything) -> None:
     follower.seen = found
-    follower.reporter.forwarder.followed = found.revision
+    forwarder = follower.reporter.forwarder
+    forwarder.followed = found.revision
+    forwarder.version = find_version(found)
+    forwarder.newest_version = max(forwarder.version, follower.wanted)
 
 
-def take_news(follower: Follower, heard: tables.News) -> None:
+def take_news(follower: Follower, heard: tables.News) -> bool:
     """Takes in what another told; looks at the store if that can't be used.
 
-    It never waits for a watch: one that is not answered holds nothing up for
-    the 3.3 s after which it counts as lost.
+    It never waits for a watch that is under way.
+
+    Returns:
+      Whether it could be used.
     """
     with follower.lock:
         seen = follower.seen
         if seen is None:
-            return
-        if heard.revision > seen.revision:
+            return False
+        if heard.version > max(find_version(seen), follower.wanted):
+            # Known before the revision is, or the configuration would count as
+            # the newest of that revision.
+            follower.wanted = heard.version
+            follower.wanted_at = follower.clock.now()
+            follower.reporter.forwarder.newest_version = heard.version
+        behind = is_behind(follower)
+        if (heard.revision > seen.revision or
+                heard.version > find_version(seen) and heard.changes):
             seen = merge_news(follower, seen, heard)
             if seen is None:
                 follower.hurried.set()
-                return
+                return False
     forwarder = follower.reporter.forwarder
     forwarder.heard = max(forwarder.heard, heard, key=lambda item: item.seen_at)
+    _note_times(follower, seen, heard)
     # One that is too large to tell is read: by a watch each of the versions
     # since would come.
-    version = find_version(seen)
-    if heard.version > max(version, follower.wanted):
+    if behind and is_behind(follower) and follower.logged < heard.version:
+        follower.logged = heard.version
         follower.logger.warning('behind_the_hub',
-                                version=version,
+                                version=find_version(seen),
                                 hub=heard.version,
                                 revision=revisions.show(seen.revision))
-        follower.wanted = heard.version
-        follower.wanted_at = follower.clock.now()
+    return True
+
+
+def _note_times(follower: Follower, seen: ports.Everything,
+                heard: tables.News) -> None:
+    """Notes up to when what is known is complete, as another told.
+
+    Nothing that was known before a restore of the store is complete after it.
+    """
+    if revisions.find_era(heard.revision) < revisions.find_era(seen.revision):
+        return
+    newest = find_version(seen) >= max(heard.version, follower.wanted)
+    forwarder = follower.reporter.forwarder
+    if newest:
+        note_newest(follower, heard.configuration_revision)
+    staleness.note_known(
+        forwarder.freshness,
+        heard.seen_at,
+        configuration_at=heard.configuration_at if newest else -math.inf)
+
+
+def note_newest(follower: Follower, revision: int) -> None:
+    """Notes that no configuration is newer up to a revision of the store."""
+    forwarder = follower.reporter.forwarder
+    forwarder.configuration_revision = max(forwarder.configuration_revision,
+                                           revision)
+
+
+def is_newest(follower: Follower) -> bool:
+    """Returns whether no configuration is newer up to what is known.
+
+    What another entry tells may leave it out.
+    """
+    return (not is_behind(follower) and
+            follower.reporter.forwarder.configuration_revision
+            >= follower.seen.revision)
 
 
 def merge_news(follower: Follower, seen: ports.Everything,
--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -10,8 +10,6 @@
 # An entry's own lease, by which the others count it.
 ENTRY_LEASE_MS = 9_000.0
 ENTRY_KEEP_MS = 1_000.0
-# What others tell is what the store holds now if they knew it so recently.
-HEARD_MS = 1_200.0
 # A lease that could not be kept for so long: the store may be away.
 STORE_DOUBT_MS = 1_300.0
 
@@ -106,7 +104,7 @@
     """
     owned, now = context.owned, context.clock.now()
     heard_ms = now - context.forwarder.heard.seen_at
-    if not owned.lost_at or heard_ms >= HEARD_MS:
+    if not owned.lost_at or heard_ms >= context.forwarder.limits.seek_ms:
         return
     context.logger.info('store_regained',
                         away_ms=round(now - owned.lost_at),
--- a/lentilmoor/edge/picks.py
+++ b/lentilmoor/edge/picks.py
@@ -22,9 +22,6 @@
 # isn't, if no other owner is known yet. Keys are released when the work that
 # runs on them has ended, so it is the server's time of work where that is more.
 OWNER_LOOK_MS = 60.0
-# How old the news that a server leaves may be when they come to an entry on a
-# slow link.
-DRAIN_NEWS_MS = 1_000.0
 # Times to come back, ms: after a service was full, and after a key had no
 # owner.
 FULL_RETRY_MS = 120
@@ -69,10 +66,12 @@
              server_id: str) -> bool:
     """Returns whether a server may be sent a request now.
 
-    Not one that has left; one that leaves, only what it alone may run, and only
-    for a while: its keys may stay with it for longer, if the coordinator can't
-    move them.
+    Nothing is sent by knowledge that is too old. Not one that has left; one
+    that leaves, only what it alone may run, and only for a while: its keys may
+    stay with it for longer, if the coordinator can't move them.
     """
+    if not requests.is_recent(forwarder):
+        return False
     server = forwarder.snapshot.servers.get(service.name, {}).get(server_id)
     if server is None or _find_pause(forwarder, server, forwarder.clock.now()):
         return False
@@ -119,7 +118,7 @@
     if leaves_at is None:
         return False
     bounds = forwarder.platform.settings.bounds
-    last = leaves_at + bounds.drain_ms - DRAIN_NEWS_MS
+    last = leaves_at + bounds.drain_ms - forwarder.limits.leave_ms
     return forwarder.clock.now() >= last
 
 
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -12,6 +12,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ownership
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 # Below these a machine is small: on its link grants would wait behind replies
@@ -77,6 +78,12 @@
         """Whether the machine is too small to coordinate many entries."""
         return self.link_mbps < SMALL_MBPS or self.cores < SMALL_CORES
 
+    @property
+    def limits(self) -> staleness.Limits:
+        """How old what is known of the store may be."""
+        return staleness.make_limits(self.bounds.drain_ms,
+                                     self.bounds.config_apply_ms)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
@@ -167,9 +174,10 @@
       register: (peer, lease) -> None: makes an entry known.
       load_assignment: (service) -> the saved assignment as it is now, or None
         if there never was one.
-      tell_news: (revision, bytes) -> what has changed since, but for
-        assignments, heartbeats and what has more than so many bytes, empty if
-        nothing; None if that is too long ago to tell.
+      tell_news: (revision, bytes, version or None) -> what has changed since,
+        but for assignments, heartbeats and what has more than so many bytes
+        when it is compressed, empty if nothing; None if that is too long ago
+        to tell. The configuration is told to whoever names an older version.
       merge_news: (what `tell_news` of another entry returned, its revision) ->
         a newer everything, or None if it doesn't parse.
       dump: (revision) -> what has changed since, or all that is known, for an
@@ -178,6 +186,8 @@
         later than what is known.
       save: (assignment, revision or 0 if there is none, service) -> revision,
         CONFLICT, or another failure after which it may be done.
+      find_silence: For how long the store has answered nothing, ms; 0 if it
+        answered the last call.
       find_era: The newest era that the store has told; 0 before the first.
       on_restore: (callable) sets what is called when the store turns out to
         have been restored from an older copy; until then it does nothing.
@@ -194,11 +204,12 @@
     take_role: Callable[[str, Peer, Lease, int], None | outcomes.Failed]
     register: Callable[[Peer, Lease], None | outcomes.Failed]
     load_assignment: Callable[[str], SavedAssignment | None | outcomes.Failed]
-    tell_news: Callable[[int, float], bytes | None]
+    tell_news: Callable[[int, float, int | None], bytes | None]
     merge_news: Callable[[bytes, int], Everything | None]
     dump: Callable[[int], bytes]
     restore: Callable[[bytes], Everything | None]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
+    find_silence: Callable[[], float]
     find_era: Callable[[], int]
     on_restore: Callable[[Callable[[], None]], None]
     count_calls: Callable[[], dict[str, int]]
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -73,7 +73,7 @@
     tell: Callable[[object], None]
     table: hub.HubTable = dataclasses.field(default_factory=hub.HubTable)
     works_at: float = float('-inf')
-    hear: Callable[[tables.News], None] = lambda unused_news: None
+    hear: Callable[[tables.News], object] = lambda unused_news: None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,7 +138,7 @@
         reply = _send(reporter, peer, found)
         if reply is not None:
             replies.append(Told(reply, asked_at))
-    _apply(reporter, replies)
+    apply(reporter, replies)
 
 
 def find_hubs(reporter: Reporter) -> dict[ports.Peer, set[str]]:
@@ -156,8 +156,12 @@
 
 def answer(reporter: Reporter, found: reports.Report) -> reports.Reply:
     """Takes in an entry's report and returns what follows from all."""
-    now = reporter.forwarder.clock.now()
-    table, news = reporter.table, reporter.forwarder.news
+    forwarder = reporter.forwarder
+    now, table = forwarder.clock.now(), reporter.table
+    # What is told is at least as new as these say.
+    known = forwarder.freshness.known
+    configuration_revision = forwarder.configuration_revision
+    revision, version = forwarder.followed, forwarder.newest_version
     hub.note_inflight(table, found.entry, found.inflight, now)
     hub.note_crashes(table, found.crashed, found.cleared, now)
     hub.note_limits(table, found.limits, now)
@@ -167,29 +171,27 @@
         reporter.tell(control.Reported(found.rows))
     assignments = {
         name: item
-        for name, item in reporter.forwarder.snapshot.assignments.items()
+        for name, item in forwarder.snapshot.assignments.items()
         if item.next_fence > found.known.get(name, 0)
     }
-    return reports.Reply(others=hub.count_others(table, found.entry, now),
-                         assignments=assignments,
-                         coordinated=_tell_coordinated(reporter,
-                                                       found.wants_works),
-                         watched=hub.list_suspects(table),
-                         blocked=hub.list_blocked(table, now),
-                         revision=news.revision,
-                         since=found.revision,
-                         changes=reporter.forwarder.platform.store.tell_news(
-                             found.revision,
-                             find_room(
-                                 reporter.forwarder.platform.settings.link_mbps,
-                                 len(reporter.forwarder.snapshot.entries))),
-                         news_age_ms=min(now - news.seen_at, reports.NEVER_MS),
-                         version=_find_version(reporter.forwarder.snapshot),
-                         limits=hub.list_limits(table, now))
-
-
-def _find_version(snapshot: tables.Snapshot) -> int:
-    return snapshot.configuration.version if snapshot.configuration else 0
+    return reports.Reply(
+        others=hub.count_others(table, found.entry, now),
+        assignments=assignments,
+        coordinated=_tell_coordinated(reporter, found.wants_works),
+        watched=hub.list_suspects(table),
+        blocked=hub.list_blocked(table, now),
+        revision=revision,
+        since=found.revision,
+        changes=forwarder.platform.store.tell_news(
+            found.revision,
+            find_room(forwarder.platform.settings.link_mbps,
+                      len(forwarder.snapshot.entries)), None),
+        news_age_ms=requests.find_age(forwarder, known.servers_at),
+        version=version,
+        configuration_age_ms=requests.find_age(forwarder,
+                                               known.configuration_at),
+        configuration_revision=configuration_revision,
+        limits=hub.list_limits(table, now))
 
 
 def _tell_coordinated(reporter: Reporter,
@@ -215,10 +217,7 @@
       Everything, if another entry knows more than this one.
     """
     forwarder = reporter.forwarder
-    settings = forwarder.platform.settings
-    known = {peer.address for peer in forwarder.snapshot.entries.values()
-            } | set(settings.seeds)
-    known.discard(settings.control)
+    known = requests.list_others(forwarder)
     if not known:
         return None
     address = forwarder.generator.choice(sorted(known))
@@ -289,7 +288,7 @@
                                        told.asked_at - age_ms, forwarder.logger)
 
 
-def _apply(reporter: Reporter, replies: list[Told]) -> None:
+def apply(reporter: Reporter, replies: list[Told]) -> None:
     """Takes in what the hubs told; what none tells any more is forgotten."""
     forwarder = reporter.forwarder
     now = forwarder.clock.now()
@@ -303,7 +302,9 @@
         blocked.update(reply.blocked)
         _hear_assignments(reporter, reply)
         heard = tables.News(reply.revision, told.asked_at - reply.news_age_ms,
-                            reply.since, reply.changes, reply.version)
+                            reply.since, reply.changes, reply.version,
+                            told.asked_at - reply.configuration_age_ms,
+                            reply.configuration_revision)
         reporter.hear(heard)
         _apply_rate_limits(reporter, told)
         with forwarder.lock:
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -69,7 +69,10 @@
       since: The revision that the report named.
       changes: What has changed since then (see `ports.Store.tell_news`).
       news_age_ms: How long ago the hub last heard from the store.
-      version: Of the configuration that the hub has in force.
+      version: Of the newest configuration that the hub knows to be in force.
+      configuration_age_ms: How long ago it knew that there was no newer one
+        than it has.
+      configuration_revision: Up to which revision it knows that.
       limits: The newest rate limit of each server, from all reports.
     """
 
@@ -83,6 +86,8 @@
     changes: bytes | None = None
     news_age_ms: float = NEVER_MS
     version: int = 0
+    configuration_age_ms: float = NEVER_MS
+    configuration_revision: int = 0
     limits: ReportedLimits = dataclasses.field(default_factory=dict)
 
 
@@ -93,10 +98,14 @@
     Attributes:
       entry: Its instance id.
       revision: How far it has followed the store.
+      version: Of the configuration that it knows; None if it doesn't say.
+      waits: Whether to wait for a change if there is none.
     """
 
     entry: str
     revision: int
+    version: int | None = None
+    waits: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,8 +117,12 @@
       since: The revision that the request named.
       changes: What has changed since then (see `ports.Store.tell_news`).
       news_age_ms: How long ago all that the store held was known.
-      version: Of the configuration that it has in force.
+      version: Of the newest configuration that it knows to be in force.
       held_ms: How long it waited for a change.
+      configuration_age_ms: How long ago it knew that there was no newer one
+        than it has.
+      configuration_revision: Up to which revision it knows that.
+      unanswered_ms: For how long the store has answered it nothing.
     """
 
     revision: int
@@ -118,6 +131,9 @@
     news_age_ms: float
     version: int
     held_ms: float
+    configuration_age_ms: float = NEVER_MS
+    configuration_revision: int = 0
+    unanswered_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -18,6 +18,7 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 
@@ -93,12 +94,18 @@
       blocked: Fingerprints of requests that do.
       crashed: Of those suspected since the last report.
       cleared: Of those answered since the last report.
+      limits: How old what is known may be.
+      freshness: Up to when what is known of the store is complete.
       followed: How far this entry has followed the store, by itself or by the
         hub.
+      version: Of the configuration that it knows.
+      configuration_revision: Up to which revision of the store no configuration
+        is newer.
+      newest_version: Of the newest configuration that it knows to be in force.
       news: How far it has by itself.
       heard: How far the hub has, and what changed, as it told last.
-      old_news_told_at: When a line last told of a request that was sent by
-        old news, ms.
+      outdated_logged_at: When a request that was refused or sent by an old
+        copy of the store was last logged, ms.
       unavailable_logged_at: When a request to a draining or paused server was
         last logged, ms.
       lock: Guards states, pools and repeats.
@@ -133,10 +140,17 @@
     blocked: frozenset[str] = frozenset()
     crashed: list[str] = dataclasses.field(default_factory=list)
     cleared: list[str] = dataclasses.field(default_factory=list)
+    limits: staleness.Limits = dataclasses.field(
+        default_factory=staleness.make_limits)
+    freshness: staleness.Freshness = dataclasses.field(
+        default_factory=staleness.Freshness)
     followed: int = 0
+    version: int = 0
+    configuration_revision: int = 0
+    newest_version: int = 0
     news: tables.News = tables.News()
     heard: tables.News = tables.News()
-    old_news_told_at: float = float('-inf')
+    outdated_logged_at: float = float('-inf')
     unavailable_logged_at: float = float('-inf')
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
     generator: random.Random = dataclasses.field(default_factory=random.Random)
@@ -177,10 +191,52 @@
 
 def find_news_age(forwarder: Forwarder) -> float:
     """Returns how long ago an entry knew all that the store held, ms."""
-    known_at = max(forwarder.news.seen_at, forwarder.heard.seen_at)
+    return find_age(forwarder, forwarder.freshness.known.servers_at)
+
+
+def find_age(forwarder: Forwarder, known_at: float) -> float:
+    """Returns how long ago a time was, ms."""
     return min(forwarder.clock.now() - known_at, reports.NEVER_MS)
 
 
+def list_others(forwarder: Forwarder) -> set[str]:
+    """Returns the addresses of the other entries."""
+    settings = forwarder.platform.settings
+    known = {peer.address for peer in forwarder.snapshot.entries.values()
+            } | set(settings.seeds)
+    known.discard(settings.control)
+    return known
+
+
+def is_recent(forwarder: Forwarder) -> bool:
+    """Returns whether requests may be sent by what is known of servers."""
+    known_at = staleness.find_applied(forwarder.freshness).servers_at
+    return _is_usable(forwarder, known_at, forwarder.limits.send_ms)
+
+
+def is_configuration_recent(forwarder: Forwarder) -> bool:
+    """Returns whether requests may be routed by the configuration."""
+    known_at = staleness.find_applied(forwarder.freshness).configuration_at
+    return _is_usable(forwarder, known_at, forwarder.limits.route_ms)
+
+
+def may_deny(forwarder: Forwarder) -> bool:
+    """Returns whether a route that isn't known certainly doesn't exist."""
+    known_at = staleness.find_applied(forwarder.freshness).configuration_at
+    return find_age(forwarder, known_at) <= forwarder.limits.deny_ms
+
+
+def _is_usable(forwarder: Forwarder, known_at: float, limit_ms: float) -> bool:
+    return find_age(forwarder, known_at) <= limit_ms or is_store_away(forwarder)
+
+
+def is_store_away(forwarder: Forwarder) -> bool:
+    """Returns whether the store seems to be away from everybody."""
+    return staleness.is_store_away(forwarder.freshness, list_others(forwarder),
+                                   forwarder.platform.store.find_silence(),
+                                   forwarder.clock.now(), forwarder.limits)
+
+
 def fingerprint(request: Request) -> str:
     """Returns what tells a request from others, whoever sends it again."""
     digest = hashlib.blake2b(digest_size=8)
--- a/lentilmoor/edge/subscriptions.py
+++ b/lentilmoor/edge/subscriptions.py
@@ -1,10 +1,16 @@
-"""Has another entry tell an entry of changes, as they come.
+"""Has other entries tell an entry of changes, as they come.
 
 A request for news waits at the entry that is asked, the parent in the tree of
 `relays`, until there is a change or its time is over. So changes spread at
 once, nothing is sent twice, and a parent that fell silent is noticed soon.
+
+That an entry answers doesn't make what it knows recent. An entry whose copy of
+the store grows old asks a few others at random, again and again: whoever is
+told by the store or by somebody else tells the rest within a few rounds.
 """
 
+import threading
+
 from lentilmoor import clocks
 from lentilmoor import httpcalls
 from lentilmoor import outcomes
@@ -13,31 +19,22 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 
 PATH = '/news'
-# How long a request waits for a change. Knowledge is as old as this for each
-# step from the hub at most.
-HOLD_MS = 250.0
 # Changes that come in quick succession are told together.
 PAUSE_MS = 30.0
-# What a reply may take beyond the time for which it is held, on a full link.
-REPLY_MS = 350.0
 CONNECT_MS = 300.0
-# One that doesn't answer isn't asked again for so long: if it was lost, each
-# try keeps the entry from asking others.
-AVOID_MS = 5_000.0
-# Who knows nothing newer than the first figure isn't asked for the second, as
-# others may know more.
-STALE_MS = 1_500.0
-AVOID_STALE_MS = 1_500.0
+# Entries that are asked at a time by one whose copy of the store is old.
+SEEK_PEERS = 3
 
 
 def listen(follower: knowledge.Follower) -> None:
     """Asks for news for as long as the process lives."""
     avoided: dict[str, float] = {}
     while True:
-        follower.place = _find_place(follower)
+        follower.place = find_place(follower)
         clocks.pause(exchange(follower, avoided))
 
 
@@ -51,22 +48,97 @@
     Returns:
       The pause until the next time, ms.
     """
+    limits = follower.reporter.forwarder.limits
     if follower.place is None or follower.seen is None:
-        return HOLD_MS
+        return limits.hold_ms
     began = follower.clock.now()
     address = choose(follower.place, avoided, began)
-    heard = _ask(follower, address)
+    heard = _ask(follower, address, True)
     now = follower.clock.now()
     if heard is not None:
         follower.told_at = now
         knowledge.take_news(follower, heard)
-    if heard is None:
-        avoided[address] = now + AVOID_MS
-    elif began - heard.seen_at > STALE_MS:
-        avoided[address] = now + AVOID_STALE_MS
+    # One that doesn't answer or knows nothing recent keeps this entry from
+    # asking others.
+    if heard is None or began - heard.seen_at > limits.seek_ms:
+        avoided[address] = now + limits.seek_ms
     if heard is not None and heard.changes:
         return PAUSE_MS
-    return max(PAUSE_MS, HOLD_MS - (now - began))
+    return max(PAUSE_MS, limits.hold_ms - (now - began))
+
+
+def seek(follower: knowledge.Follower) -> None:
+    """Asks others at random if what is known is old; returns at once."""
+    forwarder, now = follower.reporter.forwarder, follower.clock.now()
+    limits, known = forwarder.limits, forwarder.freshness.known
+    known_at = min(known.servers_at, known.configuration_at)
+    if follower.seen is None or now - known_at < limits.seek_ms:
+        _note_sought(follower, now, False)
+        return
+    pause_ms = limits.seek_pause_ms
+    if now - known_at > limits.silent_ms:
+        pause_ms *= staleness.SLOW_SEEK
+    if now - follower.sought_at < pause_ms:
+        return
+    _note_sought(follower, now, True)
+    if requests.is_store_away(forwarder):
+        forwarder.freshness.away_at = now
+    if now - follower.probed_at >= limits.read_ms:
+        # Whether the store answers tells what the others' silence means.
+        follower.probed_at = now
+        follower.probe()
+    others = sorted(requests.list_others(forwarder))
+    chosen = forwarder.generator.sample(others, min(SEEK_PEERS, len(others)))
+    for position, address in enumerate(chosen):
+        if follower.seeking.acquire(blocking=False):
+            # One of them tells the configuration: it may be large.
+            threading.Thread(target=_ask_any,
+                             args=(follower, address, position == 0),
+                             daemon=True).start()
+
+
+def _note_sought(follower: knowledge.Follower, now: float, old: bool) -> None:
+    """Logs when what is known turns old, and when it is recent again."""
+    if old == follower.outdated:
+        follower.sought_at = now if old else follower.sought_at
+        return
+    follower.outdated, follower.sought_at = old, now
+    known = follower.reporter.forwarder.freshness.known
+    forwarder = follower.reporter.forwarder
+    follower.logger.info('copy_outdated' if old else 'copy_recent',
+                         age_ms=round(
+                             requests.find_age(forwarder, known.servers_at)),
+                         configuration_age_ms=round(
+                             requests.find_age(forwarder,
+                                               known.configuration_at)))
+
+
+def _ask_any(follower: knowledge.Follower, address: str, lacks: bool) -> None:
+    """Asks an entry what it knows, and for everything if that leaves a gap.
+
+    Args:
+      follower: Who asks.
+      address: The other entry's.
+      lacks: Whether it is to tell the configuration if that is newer.
+    """
+    try:
+        heard = _ask(follower, address, False, lacks)
+        if heard is not None and not knowledge.take_news(follower, heard):
+            _learn(follower, address)
+    finally:
+        follower.seeking.release()
+
+
+def _learn(follower: knowledge.Follower, address: str) -> None:
+    """Learns all that another entry knows, unless this is under way."""
+    if not follower.learning.acquire(blocking=False):
+        return
+    try:
+        found = reporting.ask_state(follower.reporter, address, 0)
+        if found is not None:
+            knowledge.take(follower, found, True)
+    finally:
+        follower.learning.release()
 
 
 def choose(place: relays.Place, avoided: dict[str, float], now: float) -> str:
@@ -76,22 +148,36 @@
                                        avoided.get(address, 0.0) - now))
 
 
-def _find_place(follower: knowledge.Follower) -> relays.Place | None:
+def find_place(follower: knowledge.Follower) -> relays.Place | None:
+    """Returns an entry's place among the relays; None if the hub tells it."""
     reporter = follower.reporter
     hubs = {peer.address for peer in reporting.find_hubs(reporter)}
     return relays.find_place(follower.own, reporter.forwarder.snapshot.entries,
                              hubs)
 
 
-def _ask(follower: knowledge.Follower, address: str) -> tables.News | None:
-    """Asks an entry for news; None if it doesn't answer."""
+def _ask(follower: knowledge.Follower,
+         address: str,
+         waits: bool,
+         lacks: bool = True) -> tables.News | None:
+    """Asks an entry for news; None if it doesn't answer.
+
+    Args:
+      follower: Who asks.
+      address: The other entry's.
+      waits: Whether the other is to wait for a change.
+      lacks: Whether it is to tell the configuration if that is newer.
+    """
     reporter = follower.reporter
+    forwarder = reporter.forwarder
     data = reports.encode_news(
-        reports.NewsRequest(reporter.instance, reporter.forwarder.followed))
+        reports.NewsRequest(reporter.instance, forwarder.followed,
+                            forwarder.version if lacks else None, waits))
     asked_at = follower.clock.now()
+    wait_ms = forwarder.limits.hold_ms if waits else 0.0
     result = reporter.caller.call(address,
                                   httpcalls.Request('POST', PATH, data),
-                                  HOLD_MS + REPLY_MS, CONNECT_MS)
+                                  wait_ms + forwarder.limits.ask_ms, CONNECT_MS)
     failed = isinstance(result, outcomes.Failed)
     reply = None
     if not failed and result.status == 200:
@@ -105,9 +191,15 @@
         return None
     # What is known is as old as it was when the reply was written, and its way
     # may have taken all the time for which it wasn't held.
-    seen_at = asked_at + reply.held_ms - reply.news_age_ms
-    return tables.News(reply.revision, seen_at, reply.since, reply.changes,
-                       reply.version)
+    replied_at = asked_at + reply.held_ms
+    staleness.note_copy(forwarder.freshness, replied_at - reply.news_age_ms)
+    if reply.unanswered_ms >= forwarder.limits.unanswered_ms:
+        staleness.note_unreached(forwarder.freshness, address,
+                                 follower.clock.now())
+    return tables.News(reply.revision, replied_at - reply.news_age_ms,
+                       reply.since, reply.changes, reply.version,
+                       replied_at - reply.configuration_age_ms,
+                       reply.configuration_revision)
 
 
 def answer(follower: knowledge.Follower,
@@ -118,17 +210,29 @@
       follower: Knows what has changed.
       asked: Who asks, and how far it has followed.
     """
+    forwarder = follower.reporter.forwarder
     began = follower.clock.now()
-    knowledge.await_change(follower, asked.revision, HOLD_MS)
+    lacks = asked.version is not None and asked.version < forwarder.version
+    if asked.waits and not lacks:
+        knowledge.await_change(follower, asked.revision,
+                               forwarder.limits.hold_ms)
+    # What is told is at least as new as these say.
+    known = forwarder.freshness.known
+    known_at = follower.clock.now()
+    configuration_revision = forwarder.configuration_revision
     seen = follower.seen
     if seen is None:
         return None
-    forwarder = follower.reporter.forwarder
     store, settings = forwarder.platform.store, forwarder.platform.settings
-    age_ms = requests.find_news_age(forwarder)
     room = reporting.find_room(settings.link_mbps, relays.FANOUT)
-    version = seen.configuration.version if seen.configuration else 0
-    return reports.NewsReply(seen.revision, asked.revision,
-                             store.tell_news(asked.revision, room), age_ms,
-                             version,
-                             follower.clock.now() - began)
+    return reports.NewsReply(
+        revision=seen.revision,
+        since=asked.revision,
+        changes=store.tell_news(asked.revision, room, asked.version),
+        news_age_ms=min(known_at - known.servers_at, reports.NEVER_MS),
+        version=forwarder.newest_version,
+        held_ms=known_at - began,
+        configuration_age_ms=min(known_at - known.configuration_at,
+                                 reports.NEVER_MS),
+        configuration_revision=configuration_revision,
+        unanswered_ms=store.find_silence())
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -180,6 +180,8 @@
       changes: What has changed since then, in the adapter's own form; None if
         that is too long ago to tell.
       version: Of the configuration that another entry has in force.
+      configuration_at: When that was the newest, ms.
+      configuration_revision: Up to which revision it was.
     """
 
     revision: int = 0
@@ -187,6 +189,8 @@
     since: int = 0
     changes: bytes | None = None
     version: int = 0
+    configuration_at: float = float('-inf')
+    configuration_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/outcomes.py
+++ b/lentilmoor/outcomes.py
@@ -19,6 +19,7 @@
     DEADLINE_PASSED = 'deadline-passed'
     NOT_AUTHORIZED = 'not-authorized'
     STARTING = 'starting'
+    OUTDATED = 'outdated'
     # Routing and ownership.
     NO_OWNER = 'no-owner'
     NO_LEASE = 'no-lease'
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -39,10 +39,10 @@
     instance = f'{settings.instance}.{secrets.token_hex(4)}'
     lines = linequeue.LineQueue(sys.stdout, clock)
     logger = logs.make_logger(instance, lines)
-    platform = ports.Platform(settings,
-                              store.connect_store(address, clock, logger),
-                              servers.connect_servers(clock),
-                              dialect.make_dialect())
+    times = store.make_watch_times(settings.limits, settings.link_mbps)
+    platform = ports.Platform(
+        settings, store.connect_store(address, clock, logger, times),
+        servers.connect_servers(clock), dialect.make_dialect())
     entry.run(platform, instance, clock, logger, store.KEEPALIVE, callers)
     lines.close()
     # Threads that wait for outside calls must not hold the process.
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -8,6 +8,7 @@
 
 from lentilmoor import exceptions
 from lentilmoor.edge import ports
+from lentilmoor.edge import staleness
 from lentilmoor.platform import fields as fields_module
 
 # Where the deploy file says that metrics are.
@@ -25,7 +26,8 @@
       The settings, and the store's host:port.
 
     Raises:
-      SettingsError: A field is missing or not as expected; names the field.
+      SettingsError: A field is missing or not as expected, or a bound is too
+        short to be kept; names the field.
     """
     fields = fields_module.split_fields(text)
     bounds = _read_bounds(_take(fields, 'Bounds'))
@@ -42,6 +44,7 @@
                _take_number(fields, 'Limits.Cores')),
         link_mbps=_take_number(fields, 'Limits.LinkMbps'),
         bounds=bounds)
+    staleness.make_limits(bounds.drain_ms, bounds.config_apply_ms)
     return settings, _take_address(fields, 'Platform.Addr')
 
 
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 import functools
 import json
 import secrets
@@ -18,6 +19,7 @@
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
 from lentilmoor.edge import revisions
+from lentilmoor.edge import staleness
 from lentilmoor.platform import documents
 from lentilmoor.platform import pages
 from lentilmoor.platform import views
@@ -27,12 +29,8 @@
 # A page of a whole read: one with a large configuration takes long over a slow
 # link that others use too.
 PAGE_MS = 3_000.0
-# A watch without events is answered after this. Servers write each 870 ms, so
-# that one without events tells that the store is silent; a longer wait would
-# let an outage pass unnoticed.
-WATCH_MS = 2_500.0
-# Beyond it, a watch counts as lost.
-WATCH_SLACK_MS = 800.0
+# The largest value that the store takes, as text, in Mbit.
+_VALUE_MBITS = 11.2
 # Times that a conditional write without an answer is sent again.
 TRIES = 4
 
@@ -75,6 +73,8 @@
 
     Attributes:
       era: The newest era that an answer told; None before the first.
+      unanswered_at: When the first call that the store hasn't answered since
+        its last answer was sent, ms; None if there is none.
       counts: Calls by kind.
     """
 
@@ -83,6 +83,8 @@
         self._logger = logger
         self._lock = threading.Lock()
         self.era: int | None = None
+        self.unanswered_at: float | None = None
+        self._clock = clock
         self._restored: Callable[[], None] = lambda: None
         # A waiting watch must not keep other calls from their connection.
         self._caller = httpcalls.Caller(clock, 4, KEEPALIVE)
@@ -101,12 +103,18 @@
         self.counts[_find_kind(target)] += 1
         data = None if body is None else json.dumps(body).encode()
         caller = self._caller if timeout_ms == CALL_MS else self._watcher
+        # One that waits for a change says nothing before it is over.
+        if timeout_ms == CALL_MS:
+            self._note_unanswered(self._clock.now())
         reply = caller.call(
             self._address,
             httpcalls.Request(method, target, data,
                               {'Content-Type': 'application/json'}), timeout_ms)
         if isinstance(reply, outcomes.Failed):
+            self._note_unanswered(self._clock.now())
             return reply
+        if reply.status not in (429, 503):
+            self.unanswered_at = None
         era = self._read_era(reply)
         if era is None:
             return outcomes.Failed(_Reason.INVALID, f'bad {_ERA_HEADER}')
@@ -118,6 +126,17 @@
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
         return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
 
+    def _note_unanswered(self, sent_at: float) -> None:
+        with self._lock:
+            if self.unanswered_at is None:
+                self.unanswered_at = sent_at
+
+    def find_silence(self) -> float:
+        """Returns for how long the store has answered nothing, ms."""
+        unanswered_at = self.unanswered_at
+        return (0.0 if unanswered_at is None else self._clock.now() -
+                unanswered_at)
+
     def _read_era(self, reply: httpcalls.Reply) -> int | None:
         """Takes in the era of an answer and returns it; None if it is bad.
 
@@ -235,14 +254,73 @@
     return view.read_peers(found.items)
 
 
-def connect_store(address: str, clock: clocks.Clock,
-                  logger: logs.Logger) -> ports.Store:
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchTimes:
+    """Times of watches, ms.
+
+    Attributes:
+      wait_ms: How long one waits for a change.
+      timeout_ms: When it counts as lost.
+    """
+
+    wait_ms: float
+    timeout_ms: float
+
+
+def make_watch_times(limits: staleness.Limits, link_mbps: float) -> WatchTimes:
+    """Returns the times of watches.
+
+    Args:
+      limits: How old what is known may be.
+      link_mbps: Speed of this machine's link, Mbit/s: an answer may hold a
+        value that takes long over it.
+    """
+    transfer_ms = _VALUE_MBITS / link_mbps * clocks.MS_PER_S
+    return WatchTimes(limits.watch_ms,
+                      limits.watch_ms + limits.read_ms + transfer_ms)
+
+
+def _make_watch(
+    client: _Client, view: views.View, times: WatchTimes
+) -> Callable[[ports.Everything], ports.Everything | outcomes.Failed]:
+
+    def watch(before: ports.Everything) -> ports.Everything | outcomes.Failed:
+        if client.is_outdated(before.revision):
+            return outcomes.Failed(_Reason.NOT_FOUND, 'store restored')
+        query = urllib.parse.urlencode({
+            'Prefix': '',
+            'after': revisions.find_number(before.revision),
+            'WaitMs': int(times.wait_ms)
+        })
+        answer = client.call('GET',
+                             f'/-/kv-watch?{query}',
+                             timeout_ms=times.timeout_ms)
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        if answer.era != revisions.find_era(before.revision):
+            return outcomes.Failed(_Reason.NOT_FOUND, 'store restored')
+        fields = answer.fields
+        items = [views.read_item(row, answer.era) for row in fields['events']]
+        return view.apply(items,
+                          revisions.combine(answer.era, fields['CurrentRev']))
+
+    return watch
+
+
+_USUAL_TIMES = make_watch_times(staleness.make_limits(), 1_000.0)
+
+
+def connect_store(address: str,
+                  clock: clocks.Clock,
+                  logger: logs.Logger,
+                  times: WatchTimes | None = None) -> ports.Store:
     """Returns the store at an address.
 
     Args:
       address: host:port.
       clock: This process's time.
       logger: Takes lines on entries that don't parse.
+      times: Of watches.
     """
     client = _Client(address, clock, logger)
     view = views.View(clock, logger)
@@ -266,26 +344,6 @@
             return answer
         return view.apply([views.read_item(answer.fields, answer.era)], 0)
 
-    def watch(before: ports.Everything) -> ports.Everything | outcomes.Failed:
-        if client.is_outdated(before.revision):
-            return outcomes.Failed(_Reason.NOT_FOUND, 'store restored')
-        query = urllib.parse.urlencode({
-            'Prefix': '',
-            'after': revisions.find_number(before.revision),
-            'WaitMs': int(WATCH_MS)
-        })
-        answer = client.call('GET',
-                             f'/-/kv-watch?{query}',
-                             timeout_ms=WATCH_MS + WATCH_SLACK_MS)
-        if isinstance(answer, outcomes.Failed):
-            return answer
-        if answer.era != revisions.find_era(before.revision):
-            return outcomes.Failed(_Reason.NOT_FOUND, 'store restored')
-        fields = answer.fields
-        items = [views.read_item(row, answer.era) for row in fields['events']]
-        return view.apply(items,
-                          revisions.combine(answer.era, fields['CurrentRev']))
-
     def open_lease(ttl_ms: float) -> ports.Lease | outcomes.Failed:
         answer = client.call('POST', '/-/kv-lease', {'TtlMs': int(ttl_ms)})
         if isinstance(answer, outcomes.Failed):
@@ -333,7 +391,7 @@
                        load_configuration=load_configuration,
                        list_entries=functools.partial(_read_entries, client,
                                                       view),
-                       watch=watch,
+                       watch=_make_watch(client, view, times or _USUAL_TIMES),
                        open_lease=open_lease,
                        keep_lease=keep_lease,
                        end_lease=end_lease,
@@ -345,6 +403,7 @@
                        dump=view.dump,
                        restore=view.restore,
                        save=save,
+                       find_silence=client.find_silence,
                        find_era=lambda: client.era or 0,
                        on_restore=client.on_restore,
                        count_calls=lambda: dict(client.counts))
--- a/tests/copyfleets.py
+++ b/tests/copyfleets.py
@@ -26,6 +26,7 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import subscriptions
 from lentilmoor.edge import tables
 from lentilmoor.platform import store
@@ -55,13 +56,15 @@
 
     Attributes:
       frozen: Whether it answers no entry and follows nothing.
-      slow_s: How much later it answers other entries.
+      slow_s: How much later questions of other entries reach it.
+      slow_back_s: How much later its answers reach them.
       unread: Whether reads of the configuration alone hang.
       stuck: Held while its control actor is to take no message.
     """
 
     frozen: bool = False
     slow_s: float = 0.0
+    slow_back_s: float = 0.0
     unread: bool = False
     stuck: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
@@ -82,6 +85,7 @@
             store.connect_store(self.path.address, clock, logger))
         platform = ports.Platform(settings, connected, mock.Mock(), mock.Mock())
         self.forwarder = requests.Forwarder(clock, platform, logger, None)
+        self.forwarder.limits = settings.limits
         self.actor = control.Control.start(
             beliefs.Beliefs(settings.instance), self.forwarder, platform,
             logger, lambda: following.follow_again(self.follower))
@@ -91,6 +95,7 @@
             ports.make_peer(settings.instance, settings), reporter, connected,
             clock, logger, self._take,
             lambda reason: self.actor.tell(control.StoreLost(reason)))
+        self.follower.probe = lambda: self.actor.tell(control.Probe())
         reporter.hear = functools.partial(knowledge.take_news, self.follower)
         self._pages = {
             subscriptions.PATH: self._tell_news,
@@ -104,7 +109,7 @@
         avoided: dict[str, float] = {}
 
         def listen():
-            self.follower.place = subscriptions._find_place(self.follower)
+            self.follower.place = subscriptions.find_place(self.follower)
             pause_ms = subscriptions.exchange(self.follower, avoided)
             time.sleep(pause_ms / clocks.MS_PER_S)
 
@@ -112,6 +117,7 @@
             time.sleep(_TICK_S)
             self.actor.tell(control.Tick(self.follower.clock.now()))
             following.check(self.follower)
+            subscriptions.seek(self.follower)
 
         def report():
             time.sleep(0.25)
@@ -136,7 +142,8 @@
     def _take(self, found: ports.Everything, heard: bool) -> None:
         if not self._fleet.ended.is_set():
             self.actor.tell(control.Returned(self._wait_if_stuck))
-            self.actor.tell(control.StoreSeen(found, heard))
+            number = staleness.hand_over(self.forwarder.freshness)
+            self.actor.tell(control.StoreSeen(found, heard, number))
 
     def _wait_if_stuck(self) -> None:
         with self.faults.stuck:
@@ -157,11 +164,14 @@
         """Calls another entry, as `httpcalls.Caller` does."""
         other = self._fleet.by_address[address]
         wait_s = other.faults.slow_s
-        if other.faults.frozen or wait_s * clocks.MS_PER_S >= timeout_ms:
+        if other.faults.frozen or self.faults.frozen:
             time.sleep(timeout_ms / clocks.MS_PER_S)
             return outcomes.Failed(outcomes.Reason.TIMED_OUT)
         time.sleep(wait_s)
         status, body = other.answer(request.target, request.body)
+        time.sleep(other.faults.slow_back_s)
+        if (wait_s + other.faults.slow_back_s) * clocks.MS_PER_S >= timeout_ms:
+            return outcomes.Failed(outcomes.Reason.TIMED_OUT)
         return httpcalls.Reply(status, {}, body)
 
     def answer(self, target: str, body: bytes) -> tuple[int, bytes]:
@@ -260,7 +270,8 @@
 
     def find_hub(self) -> Member:
         """Returns the hub, as the first entry knows it."""
-        peer, = reporting.find_hubs(self.members[0].follower.reporter)
+        peer = next(iter(reporting.find_hubs(
+            self.members[0].follower.reporter)))
         return self.by_address[peer.address]
 
     def find_relay(self) -> Member:
--- a/tests/test_edge_following.py
+++ b/tests/test_edge_following.py
@@ -20,6 +20,7 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import reporting
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 from lentilmoor.platform import store
 from lentilmoor.platform import views
@@ -347,10 +348,11 @@
     def test_who_hears_from_nobody_begins_anew(self):
         now = self.follower.clock.now()
         self.follower.begun, self.follower.began_at = 1, now - 60_000.0
-        self.forwarder.heard = tables.News(5, now - following.SILENT_MS / 2)
+        silent_ms = self.forwarder.limits.silent_ms
+        self.forwarder.heard = tables.News(5, now - silent_ms / 2)
         following.check(self.follower)
         self.assertEqual(self.follower.begun, 1)
-        self.forwarder.heard = tables.News(5, now - following.SILENT_MS - 1.0)
+        self.forwarder.heard = tables.News(5, now - silent_ms - 1.0)
         following.check(self.follower)
         self.assertEqual(self.follower.begun, 2)
         following.check(self.follower)
@@ -395,6 +397,7 @@
             1, {}, {'x': tables.Service('x', False, 100, 0.0)},
             tables.CallerLimits())
         server = tables.Server('i-1', 'x', 'a:1', 'd', 2, False, 0.0, 0.0)
+        staleness.note_known(forwarder.freshness, forwarder.clock.now())
         listed, missing = (ports.Everything(configuration, servers, {}, {}, {},
                                             revision)
                            for revision, servers in ((10, {
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -1,6 +1,7 @@
 """One request on its way, against stand-ins of the users' servers."""
 
 import dataclasses
+import math
 import socket
 import threading
 import time
@@ -18,6 +19,7 @@
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 from lentilmoor.platform import dialect
 from standins import platform_server
@@ -63,6 +65,7 @@
         platform = ports.Platform(settings, None, None, dialect.make_dialect())
         self.forwarder = requests.Forwarder(clock, platform,
                                             logs.make_logger('test'), _RULES)
+        staleness.note_known(self.forwarder.freshness, math.inf, math.inf)
         self.addCleanup(self._close_pools)
         self._publish(self.before.id)
 
--- /dev/null
+++ b/tests/test_edge_knowledge.py
@@ -0,0 +1,182 @@
+"""Orders of events in which an old copy must not count as recent."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+from lentilmoor import clocks
+from lentilmoor import exceptions
+from lentilmoor import logs
+from lentilmoor.edge import control
+from lentilmoor.edge import following
+from lentilmoor.edge import knowledge
+from lentilmoor.edge import ports
+from lentilmoor.edge import reporting
+from lentilmoor.edge import reports
+from lentilmoor.edge import requests
+from lentilmoor.edge import revisions
+from lentilmoor.edge import staleness
+from lentilmoor.edge import tables
+from lentilmoor.platform import store
+from standins import platform_store
+from tests import copyfleets
+from tests import platformhelp
+
+
+class OrderTest(unittest.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.make_suspend_clock()
+        logger = logs.make_logger('test')
+        self.standin = platform_store.PlatformStore()
+        self.addCleanup(self.standin.close)
+        self.store = store.connect_store(self.standin.address, self.clock,
+                                         logger)
+        settings = ports.Settings('e1', 'd0', 'a:1', 'a:2', 'a:1', 'a:3', (),
+                                  1.0, 1_000.0, copyfleets.BOUNDS)
+        platform = ports.Platform(settings, self.store, mock.Mock(),
+                                  mock.Mock())
+        self.forwarder = requests.Forwarder(self.clock, platform, logger, None)
+        self.forwarder.limits = settings.limits
+        self.handed: list[ports.Everything] = []
+        self.reporter = reporting.Reporter('e1', self.forwarder, mock.Mock(),
+                                           mock.Mock())
+        self.follower = knowledge.Follower(ports.Peer('e1', 'a:1'),
+                                           self.reporter, self.store,
+                                           self.clock, logger, self._take,
+                                           mock.Mock())
+        self.reporter.hear = lambda heard: knowledge.take_news(
+            self.follower, heard)
+        self.standin.put('op/config', platformhelp.make_configuration(1))
+        self.assertTrue(following.read(self.follower, 0))
+
+    def _take(self, found, unused_heard):
+        freshness = self.forwarder.freshness
+        self.handed.append(found)  # The actor applies at once.
+        staleness.note_applied(freshness, staleness.hand_over(freshness))
+
+    def _learn_without_the_newest(self):
+        """Learns all from one that is further on, but lacks a configuration."""
+        other = store.connect_store(self.standin.address, self.clock,
+                                    logs.make_logger('other'))
+        other.load()
+        self.standin.put('op/config', platformhelp.make_configuration(2))
+        acked_at = self.clock.now()
+        self.standin.put('lentilmoor/entry/e', b'["e", "a:9", false]')
+        revision = revisions.combine(
+            revisions.find_era(self.forwarder.followed), self.standin.revision)
+        other.merge_news(b'', revision)
+        knowledge.take(self.follower, self.store.restore(other.dump(0)), True)
+        self.assertEqual(self.forwarder.followed, revision)
+        return acked_at
+
+    def _check_newest_is_read(self, acked_at):
+        self.standin.put('lentilmoor/entry/f', b'["f", "a:8", false]')
+        self.assertLess(self.forwarder.freshness.known.configuration_at,
+                        acked_at)
+        following.read(self.follower, 0)
+        self.assertEqual(self.forwarder.version, 2)
+
+    def test_a_hub_that_hears_itself_learns_nothing(self):
+        acked_at = self._learn_without_the_newest()
+        own = reports.Report('e1', {}, {}, {}, [], [], self.forwarder.followed)
+        told = reporting.Told(reporting.answer(self.reporter, own),
+                              self.clock.now())
+        reporting.apply(self.reporter, [told])
+        self._check_newest_is_read(acked_at)
+
+    def test_one_that_knows_less_proves_no_newest_configuration(self):
+        before = self.follower.seen.revision
+        heard = tables.News(before, self.clock.now(), before, b'', 1,
+                            self.clock.now(), before)
+        acked_at = self._learn_without_the_newest()
+        knowledge.take_news(self.follower, heard)
+        self._check_newest_is_read(acked_at)
+
+    def test_a_watch_that_comes_late_brings_no_older_configuration(self):
+        before = self.follower.seen
+        self.standin.put('lentilmoor/entry/e', b'["e", "a:9", false]')
+        found = self.store.watch(before)
+        other = store.connect_store(self.standin.address, self.clock,
+                                    logs.make_logger('other'))
+        known = other.load()
+        self.standin.put('op/config', platformhelp.make_configuration(2))
+        other.watch(known)
+        now = self.clock.now()
+        knowledge.take_news(
+            self.follower,
+            tables.News(found.revision, now, before.revision,
+                        other.tell_news(found.revision, 2**20, 1), 2, now,
+                        found.revision))
+        self.assertEqual(self.forwarder.version, 2)
+        knowledge.take(self.follower, found, False)
+        self.assertEqual(self.forwarder.newest_version, 2)
+        self.assertEqual(self.forwarder.version, 2)
+
+
+class DrainingTest(unittest.TestCase):
+
+    def test_the_store_may_date_draining_before_the_report_of_it(self):
+        ready = tables.Server('s', 'orders', 'a:1', 'd0', 2, False, 0.0, 0.0)
+        reported = dataclasses.replace(ready,
+                                       draining=True,
+                                       draining_at=1_200.0)
+        listed = dataclasses.replace(ready, draining=True)
+        self.assertEqual(
+            control.date_draining(listed, reported, 0.0).draining_at, 0.0)
+
+
+class LimitsTest(unittest.TestCase):
+
+    def test_the_longest_way_from_the_store_fits_the_bound(self):
+        for bound in (2_000.0, 2_500.0, 3_000.0):
+            limits = staleness.make_limits(bound, bound)
+            usual = limits.lead_pause_ms + 2 * limits.hold_ms
+            self.assertLess(usual, limits.seek_ms)
+            # A question to one that hangs, then one to any other.
+            self.assertLessEqual(limits.seek_ms + limits.ask_ms, limits.send_ms)
+            self.assertLess(limits.send_ms, bound)
+            self.assertLess(limits.watch_ms + limits.read_ms, limits.seek_ms)
+
+    def test_a_bound_that_can_not_be_kept_is_refused(self):
+        for bounds in ((400.0, 2_000.0), (2_000.0, 400.0)):
+            with self.assertRaisesRegex(exceptions.SettingsError, '400 ms'):
+                staleness.make_limits(*bounds)
+
+
+class AwayTest(unittest.TestCase):
+    """Whether the store is taken to be away from everybody."""
+
+    def setUp(self):
+        super().setUp()
+        self.freshness = staleness.Freshness()
+        self.limits = staleness.make_limits(2_000.0, 2_000.0)
+
+    def _is_away(self, others, now, unanswered_ms=60_000.0):
+        return staleness.is_store_away(self.freshness, others, unanswered_ms,
+                                       now, self.limits)
+
+    def test_half_of_the_others_have_to_say_so(self):
+        for name in 'abc':
+            staleness.note_unreached(self.freshness, name, 5_000.0)
+        self.assertTrue(self._is_away('abcdef', 5_100.0))
+        self.assertFalse(self._is_away('abcdefg', 5_100.0))
+        self.assertFalse(self._is_away('abcdef', 9_001.0))
+
+    def test_who_reaches_the_store_does_not_take_it_for_away(self):
+        staleness.note_unreached(self.freshness, 'a', 5_000.0)
+        self.assertFalse(self._is_away('a', 5_100.0, 100.0))
+        self.assertFalse(self._is_away((), 5_100.0, 100.0))
+
+    def test_a_recent_copy_of_anybody_says_that_it_is_not(self):
+        for name in 'abc':
+            staleness.note_unreached(self.freshness, name, 5_000.0)
+        staleness.note_copy(self.freshness, 4_900.0)
+        self.assertFalse(self._is_away('abc', 5_100.0))
+        staleness.note_copy(self.freshness, 5_001.0)
+        self.assertFalse(self._is_away('abc', 6_500.0))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_edge_subscriptions.py
+++ b/tests/test_edge_subscriptions.py
@@ -17,6 +17,7 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import staleness
 from lentilmoor.edge import subscriptions
 from lentilmoor.edge import tables
 from lentilmoor.platform import store
@@ -188,9 +189,13 @@
         """Changes the configuration; the hub learns of it by its watch."""
         self.standin.put('op/config', platformhelp.make_configuration(version))
         found = self.hub.store.watch(self.hub.seen)
-        self.hub.reporter.forwarder.news = tables.News(found.revision,
-                                                       self.hub.clock.now())
         knowledge.take(self.hub, found, False)
+        self._note_known(self.hub, 0.0)
+
+    def _note_known(self, follower, age_ms):
+        known_at = follower.clock.now() - age_ms
+        staleness.note_known(follower.reporter.forwarder.freshness, known_at,
+                             known_at)
 
     def _await_version(self, follower, version, seconds):
         platformhelp.wait_until(
@@ -211,9 +216,7 @@
             self.assertEqual(self.standin.calls, calls + 1)
 
     def test_ages_add_up_on_the_way(self):
-        self.hub.reporter.forwarder.news = tables.News(
-            self.hub.seen.revision,
-            self.hub.clock.now() - 900.0)
+        self._note_known(self.hub, 900.0)
         self._listen(self.relay, 'e0:1')
         self._listen(self.entry, 'e1:1')
         time.sleep(0.8)
@@ -278,6 +281,8 @@
         self.follower.place = relays.Place(relay, ('b:1',))
         self.follower.told_at = now - told_ms
         self.forwarder.heard = tables.News(1, now - heard_ms)
+        self.forwarder.freshness = staleness.Freshness(
+            staleness.Times(now - heard_ms, now - heard_ms))
         return following.find_pause(self.follower)
 
     def test_nobody_looks_who_is_told(self):
@@ -286,17 +291,22 @@
 
     def test_relays_look_when_the_hub_knows_nothing_new(self):
         self.assertEqual(self._find_pause(True, 1_300.0),
-                         following.COORDINATOR_PAUSE_MS)
+                         self.forwarder.limits.lead_pause_ms)
 
     def test_the_others_leave_that_to_the_relays(self):
         # 195 entries that looked for themselves while the hub couldn't reach
         # the store made 15 calls each.
-        self.assertEqual(self._find_pause(False, 1_300.0), following.NEVER_MS)
-        self.assertGreaterEqual(self._find_pause(False, 9_000.0), 5_000.0)
-
-    def test_an_entry_that_no_relay_answers_looks(self):
-        self.assertEqual(self._find_pause(False, 900.0, 2_600.0),
-                         following.WATCH_PAUSE_MS)
+        self.assertEqual(self._find_pause(False, 1_200.0), following.NEVER_MS)
+        self.forwarder.snapshot = mock.Mock(entries=dict.fromkeys(
+            range(195), ports.Peer('e1', 'a:1')),
+                                            coordinators={})
+        looks = [self._find_pause(False, 9_000.0) for _ in range(10_000)]
+        # Each asks itself 20 times a second.
+        self.assertTrue(20 < looks.count(0.0) < 100)
+
+    def test_an_entry_that_is_told_nothing_recent_looks_though_relays_answer(
+            self):
+        self.assertEqual(self._find_pause(False, 1_301.0), 0.0)
 
     def test_an_old_store_that_answers_again_is_left_to_the_relays(self):
         self._find_pause(False, 9_000.0)
@@ -387,6 +397,9 @@
         platformhelp.wait_until(lambda: follower.doing[0] == 'watch', 3.0)
         # What is known grows old; its relay answers, and knows no more.
         time.sleep(1.3)
+        platformhelp.wait_until(
+            lambda: follower.doing[0] == 'watch' and clock.now() - follower.
+            doing[1] > following.HUNG_MS, 3.0)
         standin.faults.away = ''
         standin.put('op/config', platformhelp.make_configuration(6))
         follower.told_at = clock.now()
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -72,6 +72,11 @@
             _SETTINGS.replace('New=1', 'ConfigApplyMs=2500'))
         self.assertEqual(found.bounds.config_apply_ms, 2_500.0)
 
+    def test_a_bound_that_can_not_be_kept_is_refused(self):
+        with self.assertRaisesRegex(exceptions.SettingsError, 'bounds: 300 ms'):
+            settings.parse_settings(
+                _SETTINGS.replace('New=1', 'ConfigApplyMs=300'))
+
     def test_a_message_names_the_field_that_is_wrong(self):
         for before, after, named in (
             ('Zone=a', '', 'Zone: missing'),
