Refuse requests that come when the entry is about to end

Cause of what the test shows: until the listener is closed, and on connections that are read just then, requests were carried as at any time, though a server may need longer than the entry has left.

Requests that arrive later than 3 s after SIGTERM are refused with 503 and Connection: close; they have not run, and another entry can take them.

Evidence: LateRequestTest fails before (504 after the entry had sent it on).

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -47,6 +47,8 @@
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
+# Requests that arrive later than this are refused: they may not end in time.
+LAST_REQUEST_MS = 3_000.0
 # What is left of the time until SIGKILL when this process ends by itself.
 LAST_MS = 400.0
 READY_PATH = '/-/readyz'
@@ -373,6 +375,7 @@
     callers = entry.listeners[0]
     while entry.clock.now() - began < NOTICE_MS:
         clocks.pause(_LOOK_MS)
+        entry.count.refusing = entry.clock.now() - began >= LAST_REQUEST_MS
     left_ms = grace_ms - (entry.clock.now() - began)
     callers.shutdown_timeout = left_ms / clocks.MS_PER_S
     # Takes no new connections, closes idle ones and waits for the others.
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -1,5 +1,6 @@
 """Tests of entries as processes, against stand-ins of the users' platform."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -309,6 +310,25 @@
         self.assertIn('entry_stopped', self.entry.read_log())
 
 
+class LateRequestTest(unittest.TestCase):
+
+    def test_a_request_that_can_not_end_before_the_entry_is_not_sent_on(self):
+        # One that came 3.2 s after SIGTERM was cut when the entry ended.
+        deployment = platformhelp.Deployment(catalogs=1, orders=1)
+        self.addCleanup(deployment.close)
+        entry, (server,) = deployment.entries[0], deployment.orders
+        server.work_s = 3.0
+        entry.stop()
+        time.sleep(3.06)
+        known, began = server.arrivals, time.monotonic()
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            status, headers, _ = entry.call('/report/x', patience_ms=5_000)
+            self.assertEqual(status, 503)
+            self.assertEqual(headers['Connection'], 'close')
+        self.assertLess(time.monotonic() - began, 1.0)
+        self.assertEqual(server.arrivals, known)
+
+
 class PeersTest(unittest.TestCase):
 
     def test_a_coordinator_that_is_killed_is_replaced_without_a_gap(self):
