Take a conflict's era from its own answer

A conditional write whose answer was lost is found again by the conflict that its repetition gets. Its revision was labelled with the newest era that any call had told, which another thread may have raised since: a number of the older copy could count as one of the restored store. Found by reading.

Evidence: test_own_write_is_of_the_era_in_which_it_was_found fails before (era 2 for a write of era 1).

--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -68,6 +68,17 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Conflict(outcomes.Failed):
+    """A conditional write that came too late; the detail is the answer's body.
+
+    Attributes:
+      era: The store's, as the answer told it.
+    """
+
+    era: int = 0
+
+
 class _Client:
     """Calls to one store.
 
@@ -96,10 +107,7 @@
              target: str,
              body: Mapping | None = None,
              timeout_ms: float = CALL_MS) -> pages.Answer | outcomes.Failed:
-        """Makes a call; returns a successful answer.
-
-        For CONFLICT the detail is the answer's body.
-        """
+        """Makes a call; returns a successful answer."""
         self.counts[_find_kind(target)] += 1
         data = None if body is None else json.dumps(body).encode()
         caller = self._caller if timeout_ms == CALL_MS else self._watcher
@@ -124,6 +132,8 @@
             except ValueError:
                 return outcomes.Failed(_Reason.CONNECTION_LOST, 'not JSON')
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
+        if reason is _Reason.CONFLICT:
+            return _Conflict(reason, reply.body.decode('utf-8', 'replace'), era)
         return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
 
     def _note_unanswered(self, sent_at: float) -> None:
@@ -202,13 +212,13 @@
             answer = self.call('POST', '/-/kv-txn', body)
             if not isinstance(answer, outcomes.Failed):
                 return revisions.combine(answer.era, answer.fields['Rev'])
-            if answer.reason is _Reason.CONFLICT:
+            if isinstance(answer, _Conflict):
                 own = _find_own(answer, value)
                 if own is None:
                     return outcomes.Failed(_Reason.CONFLICT,
                                            'another write came first')
                 if own.get('Lease', 0) == lease:
-                    return revisions.combine(self.era or 0, own['Rev'])
+                    return revisions.combine(answer.era, own['Rev'])
                 # A restored store may hold it under a lease that has ended.
                 body['ExpectRev'][0]['Rev'] = own['Rev']
                 continue
--- a/tests/test_platform_revisions.py
+++ b/tests/test_platform_revisions.py
@@ -1,10 +1,13 @@
 """Tests of the store's client across a restore from an older copy."""
 
 import unittest
+from unittest import mock
 
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
+from lentilmoor.edge import revisions
+from lentilmoor.platform import store as store_module
 from standins import platform_store
 from tests import platformhelp
 
@@ -56,6 +59,21 @@
         self.assertIs(found.reason, outcomes.Reason.CONFLICT)
         self.assertEqual(self.store.load_assignment('x').assignment, rival)
 
+    def test_own_write_is_of_the_era_in_which_it_was_found(self):
+        find_own = store_module._find_own  # pylint: disable=protected-access
+
+        def find_beside_a_restore(*args):
+            self.standin.restore(self.copy)
+            self.store.list_entries()
+            return find_own(*args)
+
+        self.standin.faults.lose_answers = 1
+        with mock.patch.object(store_module, '_find_own',
+                               find_beside_a_restore):
+            revision = self.store.save(_ASSIGNMENT, 0)
+        self.assertEqual(self.store.find_era(), 2)
+        self.assertEqual(revisions.find_era(revision), 1)
+
     def test_role_under_an_earlier_lease_is_written_again(self):
         first = self.store.open_lease(5_000.0)
         self.assertIsNone(self.store.take_role('x', _PEER, first, 0))
