--- a/lentilmoor/edge/staleness.py
+++ b/lentilmoor/edge/staleness.py
@@ -163,8 +163,8 @@
       last: Number of the last change.
       replies: When others last said that they can't reach the store, ms, by
         address.
-      away_at: When the store last seemed to be away from everybody, ms.
       recent_at: Up to when the most recent copy of another is complete, ms.
+      away_at: When the store last seemed to be away from everybody, ms.
       changed: Notified when a time has advanced.
     """
 
--- a/lentilmoor/edge/subscriptions.py
+++ b/lentilmoor/edge/subscriptions.py
@@ -103,8 +103,8 @@
         follower.sought_at = now if old else follower.sought_at
         return
     follower.outdated, follower.sought_at = old, now
-    known = follower.reporter.forwarder.freshness.known
     forwarder = follower.reporter.forwarder
+    known = forwarder.freshness.known
     follower.logger.info('copy_outdated' if old else 'copy_recent',
                          age_ms=round(
                              requests.find_age(forwarder, known.servers_at)),
