Log requests that are interrupted when an entry ends

Callers of entries that end saw connections closed without an answer, and the log didn't tell which of their requests these were: whether they waited for a server or a server worked on them, for how long, and with how much time left.

An entry writes a line for each when it ends.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -382,4 +382,20 @@
     stopping = threading.Thread(target=callers.stop, daemon=True)
     stopping.start()
     stopping.join(left_ms / clocks.MS_PER_S)
+    _log_interrupted(entry)
     entry.logger.info('entry_finished', inside=entry.count.inside)
+
+
+def _log_interrupted(entry: Entry) -> None:
+    """Writes a line for each request that the end of this process cuts."""
+    now = entry.clock.now()
+    for run in list(entry.forwarder.running):
+        worked_ms = round(now - run.sent_at) if run.server else 0
+        entry.logger.warning('request_interrupted',
+                             request=run.request.fields.request_id,
+                             path=run.request.path,
+                             service=run.service.name,
+                             server=run.server,
+                             worked_ms=worked_ms,
+                             age_ms=round(now - run.request.arrived_at),
+                             left_ms=round(run.until - now))
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -81,7 +81,11 @@
         budgets.note_request(_budget_of(forwarder, name),
                              forwarder.platform.settings.bounds,
                              request.arrived_at)
-    return _carry(forwarder, run)
+    forwarder.running.add(run)
+    try:
+        return _carry(forwarder, run)
+    finally:
+        forwarder.running.discard(run)
 
 
 def _await_configuration(forwarder: requests.Forwarder,
@@ -202,8 +206,9 @@
         ratelimits.note_sent(forwarder.rate_limits, server.id, bool(run.sent),
                              forwarder.clock.now(), forwarder.logger)
         headers = dict(request.headers)
+        run.server, run.sent_at = server.id, forwarder.clock.now()
         forwarder.platform.dialect.mark(headers, server.name or server.id,
-                                        run.until - forwarder.clock.now())
+                                        run.until - run.sent_at)
         return headers
 
     order = exchange.Order(request.fields.request_id, request.method,
@@ -213,6 +218,7 @@
                            forwarder.platform.dialect.read_answer,
                            forwarder.clock)
     now = forwarder.clock.now()
+    run.server = ''
     if isinstance(result, exchange.Gone):
         with forwarder.lock:
             placement.note_left(state)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -83,6 +83,7 @@
       states: What was seen of servers, by id.
       pools: Connections, by server id.
       repeats: Repeats, by service.
+      running: Requests on their way.
       rate_limits: Rate limits that servers have set.
       permit_table: Requests and issues permits for servers with a rate limit.
       samples: Requests for keys that are still to be reported.
@@ -125,6 +126,7 @@
         default_factory=dict)
     pools: dict[str, connections.Pool] = dataclasses.field(default_factory=dict)
     repeats: dict[str, budgets.Budget] = dataclasses.field(default_factory=dict)
+    running: set['Run'] = dataclasses.field(default_factory=set)
     rate_limits: ratelimits.RateLimits = dataclasses.field(
         default_factory=ratelimits.RateLimits)
     permit_table: permits.PermitTable = dataclasses.field(
@@ -159,7 +161,7 @@
 Outcome = tries.Answer | outcomes.NotRun | outcomes.Unknown | exchange.Gone
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Run:
     """A request on its way.
 
@@ -168,6 +170,8 @@
       route: Its route.
       service: The service that runs it.
       until: When it is given up, ms.
+      server: Id of the server that works on it; '' while it waits.
+      sent_at: When it was sent there, ms.
       sent: Servers that it was sent to.
       avoid: Servers that are not to be tried again.
       may_have_run: Whether a try ended without a certain outcome.
@@ -178,6 +182,8 @@
     route: tables.Route
     service: tables.Service
     until: float
+    server: str = ''
+    sent_at: float = 0.0
     sent: set[str] = dataclasses.field(default_factory=set)
     avoid: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
