Send only what can be answered before the entry ends

Cause: what arrived within 3 s was carried as at any time, though a route may allow 5 s and the process has 5.6 s from SIGTERM on. A constant fits no class of requests.

From SIGTERM on the end is a time. Each send, repeat, and send after a wait checks it when it takes effect: sent is what is given up before the end, and what may be repeated if three times its expected time fits. All else is refused at once and has not run. Late arrivals are judged by their own time, in place of a flag that a loop sets. Servers get no later deadline than the end. cheroot waits without a time-out, as it would measure that by the time of day.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -18,6 +18,7 @@
 from lentilmoor import tries
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import control
+from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
 from lentilmoor.edge import following
 from lentilmoor.edge import forwarding
@@ -47,10 +48,8 @@
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
-# Requests that arrive later than this are refused: they may not end in time.
-LAST_REQUEST_MS = 3_000.0
-# What is left of the time until SIGKILL when this process ends by itself.
-LAST_MS = 400.0
+# For the answers to requests that are given up as this process ends.
+LAST_ANSWERS_MS = 150.0
 READY_PATH = '/-/readyz'
 METRICS_PATH = '/metrics'
 # A page that took longer to write held a thread: who asked doesn't read.
@@ -112,7 +111,7 @@
     logs.quiet_libraries()
     entry = _make_entry(platform, instance, clock, logger, socket_options)
     entry.listeners[0].opened = callers
-    signal.signal(signal.SIGTERM, lambda *_: entry.leaving.set())
+    signal.signal(signal.SIGTERM, lambda *_: _begin_departure(entry))
     signal.signal(signal.SIGHUP, lambda *_: logger.info('reload_asked'))
     for listener in entry.listeners:
         listener.prepare()
@@ -129,6 +128,14 @@
     logger.info('entry_stopped')
 
 
+def _begin_departure(entry: Entry) -> None:
+    if not entry.leaving.is_set():
+        departures.begin(entry.forwarder.departure,
+                         entry.platform.settings.bounds.grace_ms,
+                         entry.clock.now())
+        entry.leaving.set()
+
+
 def _start(work: Callable[[], object]) -> None:
     threading.Thread(target=work, daemon=True).start()
 
@@ -367,35 +374,41 @@
 def _finish(entry: Entry) -> None:
     """Ends without interrupting a request."""
     began = entry.clock.now()
-    grace_ms = entry.platform.settings.bounds.grace_ms - LAST_MS
-    entry.logger.info('entry_leaving', inside=entry.count.inside)
+    entry.logger.info('entry_leaving',
+                      inside=entry.count.inside,
+                      left_ms=round(_find_left(entry)))
     resigned = threading.Event()
     entry.actor.tell(control.Leave(resigned))
     entry.count.closing = True
-    callers = entry.listeners[0]
     while entry.clock.now() - began < NOTICE_MS:
         clocks.pause(_LOOK_MS)
-        entry.count.refusing = entry.clock.now() - began >= LAST_REQUEST_MS
-    left_ms = grace_ms - (entry.clock.now() - began)
-    callers.shutdown_timeout = left_ms / clocks.MS_PER_S
-    # Takes no new connections, closes idle ones and waits for the others.
+    # Takes no new connections, closes idle ones and waits for the others. The
+    # library would measure a time-out by the time of day, which may jump.
+    callers = entry.listeners[0]
+    callers.shutdown_timeout = None
     stopping = threading.Thread(target=callers.stop, daemon=True)
     stopping.start()
-    stopping.join(left_ms / clocks.MS_PER_S)
+    stopping.join(_find_left(entry) / clocks.MS_PER_S)
     _log_interrupted(entry)
     entry.logger.info('entry_finished', inside=entry.count.inside)
 
 
+def _find_left(entry: Entry) -> float:
+    """Returns the time until this process ends, ms."""
+    ends_at = entry.forwarder.departure.ends_at + LAST_ANSWERS_MS
+    return max(0.0, ends_at - entry.clock.now())
+
+
 def _log_interrupted(entry: Entry) -> None:
     """Writes a line for each request that the end of this process cuts."""
     now = entry.clock.now()
-    for run in list(entry.forwarder.running):
-        worked_ms = round(now - run.sent_at) if run.server else 0
+    for cut in list(entry.forwarder.running):
+        worked_ms = round(now - cut.sent_at) if cut.server else 0
         entry.logger.warning('request_interrupted',
-                             request=run.request.fields.request_id,
-                             path=run.request.path,
-                             service=run.service.name,
-                             server=run.server,
+                             request=cut.request.fields.request_id,
+                             path=cut.request.path,
+                             service=cut.service.name,
+                             server=cut.server,
                              worked_ms=worked_ms,
-                             age_ms=round(now - run.request.arrived_at),
-                             left_ms=round(run.until - now))
+                             age_ms=round(now - cut.request.arrived_at),
+                             left_ms=round(cut.until - now))
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -11,6 +11,7 @@
 from lentilmoor import connections
 from lentilmoor import outcomes
 from lentilmoor.edge import budgets
+from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
 from lentilmoor.edge import matching
 from lentilmoor.edge import picks
@@ -54,6 +55,13 @@
 def forward(forwarder: requests.Forwarder,
             request: requests.Request) -> requests.Outcome:
     """Carries a request to its outcome."""
+    return (departures.check_arrival(forwarder.departure, request.arrived_at) or
+            _route(forwarder, request))
+
+
+def _route(forwarder: requests.Forwarder,
+           request: requests.Request) -> requests.Outcome:
+    """Finds the service of a request and carries it there."""
     snapshot = _await_configuration(forwarder, request)
     if snapshot.configuration is None:
         return outcomes.NotRun(_Reason.STARTING, 'no configuration yet',
@@ -156,12 +164,10 @@
         choice = picks.pick(forwarder, run)
         if not isinstance(choice, placement.Choice):
             return weighing.conclude(run, choice)
-        if run.sent and not _may_repeat(forwarder, run, choice):
-            return weighing.conclude(
-                run,
-                outcomes.NotRun(_Reason.OVERLOADED,
-                                'no repeats are left for the service',
-                                picks.FULL_RETRY_MS))
+        refusal = (_check_departure(forwarder, run, choice) or
+                   _check_repeat(forwarder, run, choice))
+        if refusal is not None:
+            return weighing.conclude(run, refusal)
         refusal = picks.take_permit(forwarder, run, choice.server)
         if refusal is not None:
             if run.service.keyed:
@@ -176,6 +182,23 @@
                         picks.FULL_RETRY_MS))
 
 
+def _check_departure(forwarder: requests.Forwarder, run: requests.Run,
+                     choice: placement.Choice) -> outcomes.NotRun | None:
+    """Returns the refusal of a request that can't end before this process."""
+    return departures.check_send(forwarder.departure, run.until, run.repeatable,
+                                 choice.expected_ms, forwarder.clock.now())
+
+
+def _check_repeat(forwarder: requests.Forwarder, run: requests.Run,
+                  choice: placement.Choice) -> outcomes.NotRun | None:
+    """Returns the refusal of a try for which no repeat is left."""
+    if not run.sent or _may_repeat(forwarder, run, choice):
+        return None
+    return outcomes.NotRun(_Reason.OVERLOADED,
+                           'no repeats are left for the service',
+                           picks.FULL_RETRY_MS)
+
+
 def _may_repeat(forwarder: requests.Forwarder, run: requests.Run,
                 choice: placement.Choice) -> bool:
     # The new owner of a moving key may have turned the request away before it
@@ -195,10 +218,12 @@
     request, server = run.request, choice.server
     state, pool = _enter(forwarder, run.service, server)
     sent_at = forwarder.clock.now()
+    until = min(run.until, forwarder.departure.ends_at)
 
     def make_headers() -> dict[str, str] | None:
         # A connection may take 0.5 s on a small machine, in which news come.
-        if not picks.may_send(forwarder, run.service, server.id):
+        if (not picks.may_send(forwarder, run.service, server.id) or
+                _check_departure(forwarder, run, choice) is not None):
             return None
         if requests.find_news_age(forwarder) > forwarder.limits.send_ms:
             _log_outdated(forwarder, request, 'sent_by_old_copy')
@@ -208,12 +233,12 @@
         headers = dict(request.headers)
         run.server, run.sent_at = server.id, forwarder.clock.now()
         forwarder.platform.dialect.mark(headers, server.name or server.id,
-                                        run.until - run.sent_at)
+                                        until - run.sent_at)
         return headers
 
     order = exchange.Order(request.fields.request_id, request.method,
                            request.target, make_headers, request.body,
-                           run.repeatable, run.until)
+                           run.repeatable, until)
     result = exchange.send(pool, order, request.watch,
                            forwarder.platform.dialect.read_answer,
                            forwarder.clock)
@@ -227,7 +252,8 @@
         with forwarder.lock:
             placement.note_left(state)
         run.avoid.add(server.id)
-        return None
+        late = _check_departure(forwarder, run, choice)
+        return None if late is None else weighing.conclude(run, late)
     if isinstance(result, exchange.NotSent):
         with forwarder.lock:
             placement.note_unreached(state, now)
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -30,10 +30,6 @@
 # Started beyond what is lacking: where all are busy, more requests come.
 SPARE_THREADS = 4
 
-# Time to come back to another entry, ms.
-_SHUTTING_DOWN = outcomes.NotRun(_Reason.SHUTTING_DOWN,
-                                 'this entry is about to end', 60)
-
 Forward = Callable[[requests.Request], requests.Outcome]
 Note = Callable[[requests.Request, requests.Outcome], None]
 Page = Callable[[bytes], tuple[int, bytes, str]]
@@ -145,8 +141,6 @@
             count.enter()
             try:
                 request = _read_request(self.req, dialect, limit(), clock)
-                if count.refusing:
-                    request = _SHUTTING_DOWN
                 if isinstance(request, outcomes.NotRun):
                     self.req.close_connection = True
                     _refuse(self.req, request)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -11,6 +11,7 @@
 from lentilmoor import outcomes
 from lentilmoor import tries
 from lentilmoor.edge import budgets
+from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
 from lentilmoor.edge import matching
 from lentilmoor.edge import permits
@@ -95,6 +96,7 @@
       blocked: Fingerprints of requests that do.
       crashed: Of those suspected since the last report.
       cleared: Of those answered since the last report.
+      departure: When this process ends.
       limits: How old what is known may be.
       freshness: Up to when what is known of the store is complete.
       followed: How far this entry has followed the store, by itself or by the
@@ -142,6 +144,8 @@
     blocked: frozenset[str] = frozenset()
     crashed: list[str] = dataclasses.field(default_factory=list)
     cleared: list[str] = dataclasses.field(default_factory=list)
+    departure: departures.Departure = dataclasses.field(
+        default_factory=departures.Departure)
     limits: staleness.Limits = dataclasses.field(
         default_factory=staleness.make_limits)
     freshness: staleness.Freshness = dataclasses.field(
--- a/lentilmoor/shutdowns.py
+++ b/lentilmoor/shutdowns.py
@@ -26,14 +26,12 @@
     Attributes:
       inside: How many.
       closing: Whether connections are closed after their request.
-      refusing: Whether requests that arrive are refused.
       arrived: How many have arrived since the start.
       lock: Guards the counts.
     """
 
     inside: int = 0
     closing: bool = False
-    refusing: bool = False
     arrived: int = 0
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -40,8 +40,8 @@
                        hold_max_ms=9_000.0)
 
 
-class MovingKeyTest(unittest.TestCase):
-    """The key moves from one server to another while a request arrives."""
+class KeyCase(unittest.TestCase):
+    """A forwarder and two servers, of which one holds all keys."""
 
     def setUp(self):
         super().setUp()
@@ -107,6 +107,10 @@
                                    self.forwarder.clock.now())
         return forwarding.forward(self.forwarder, request)
 
+
+class MovingKeyTest(KeyCase):
+    """The key moves from one server to another while a request arrives."""
+
     def test_the_new_owner_may_be_asked_again_before_it_has_the_key(self):
         # It is known once it is saved, some ms before it is granted the key. A
         # request that both servers had turned away had no tries left then.
