Keep a coordinator's role until the store has ended its lease

Cause: SIGTERM had the coordinator resign if its lease had been kept within the last 1.3 s. That says nothing of a store that fell silent since, and without the store nobody can take the role, while grants run for 3 s.

The lease is ended first; the role goes when the store has acknowledged that. Until then grants are renewed over connections that have carried them, and no others. The end waits for grants over new connections that are under way. The process stays for it until shortly before the kill. Entries on small machines that make way had the same fault and take the same way; leases that are being opened and roles that are being taken when SIGTERM comes are ended too.

--- a/lentilmoor/edge/beliefs.py
+++ b/lentilmoor/edge/beliefs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
+import threading
 
 from lentilmoor import clocks
 from lentilmoor import logs
@@ -72,12 +73,15 @@
       roles: By keyed service.
       lease: The coordinator's lease.
       lease_sent_at: When it was last kept, as of sending, ms.
-      keep_at: When to keep it again, ms.
+      keep_at: When to keep or end it again, ms.
+      handing_over: Why it is being ended; '' if it isn't.
+      unlinked_grants: Grants under way that may go over a new connection.
       entry_lease: The entry's own lease.
       entry_keep_at: When to keep it again, ms.
       entry_keeping: Whether a call for it is under way.
       doubted: Whether the store didn't answer the last renewal.
       leaving: Whether the entry is about to end.
+      handed_over: Set when it is and no coordinator's lease is left to end.
       pace: Whether the actor keeps up.
     """
 
@@ -97,11 +101,15 @@
     lease: ports.Lease | None = None
     lease_sent_at: float = 0.0
     keep_at: float = 0.0
+    handing_over: str = ''
+    unlinked_grants: int = 0
     entry_lease: ports.Lease | None = None
     entry_keep_at: float = 0.0
     entry_keeping: bool = False
     doubted: bool = False
     leaving: bool = False
+    handed_over: threading.Event = dataclasses.field(
+        default_factory=threading.Event)
     pace: Pace = dataclasses.field(default_factory=Pace)
 
 
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -126,7 +126,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave:
-    """This entry is about to end."""
+    """This entry is about to end.
+
+    Attributes:
+      done: Set when others can take over.
+    """
 
     done: threading.Event
 
@@ -201,7 +205,7 @@
         elif isinstance(message, Probe):
             self._owned.entry_keep_at = 0.0
         elif isinstance(message, Leave):
-            leases.end(self._context, message.done)
+            leases.leave(self._context, message.done)
         elif isinstance(message, Tick):
             self._note_late(message)
         self._work()
--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -29,7 +29,7 @@
     """Stands for coordinator if there is none."""
     owned = context.owned
     coordinator = owned.everything.coordinators.get(name)
-    if owned.leaving or role.busy or owned.lost_at:
+    if owned.handing_over or role.busy or owned.lost_at:
         return
     replaced = 0
     if coordinator is not None and coordinator.instance != owned.instance:
@@ -59,19 +59,26 @@
 def make_way(context: beliefs.Context, now: float) -> None:
     """Has an entry on a small machine leave its roles to a larger one."""
     owned = context.owned
+    if owned.handing_over:
+        if owned.lease is None and not owned.leaving:
+            _note_handed_over(owned, now)
+        return
     if not context.peer.small or owned.lost_at or owned.lease is None:
         return
-    held = {name: role for name, role in owned.roles.items() if role.state}
+    held = [role for role in owned.roles.values() if role.state]
     if not held or not _find_larger(context):
         return
-    if now - max(role.state.since for role in held.values()) < MAKE_WAY_MS:
+    if now - max(role.state.since for role in held) < MAKE_WAY_MS:
         return
-    for name, role in held.items():
-        resign(context, name, role, 'an entry on a larger machine is there')
+    owned.handing_over = 'an entry on a larger machine is there'
+    owned.keep_at = 0.0
+
+
+def _note_handed_over(owned: beliefs.Beliefs, now: float) -> None:
+    """Leaves others time to take the roles."""
+    owned.handing_over = ''
+    for role in owned.roles.values():
         role.stand_at = now + LARGER_MS
-    lease, owned.lease = owned.lease, None
-    context.call(lambda: context.platform.store.end_lease(lease),
-                 lambda result, sent: None)
 
 
 def _find_larger(context: beliefs.Context) -> bool:
@@ -203,6 +210,9 @@
     if owned.lease is None or owned.lease.id != lease.id:
         owned.lease, owned.lease_sent_at = lease, sent_at
         owned.keep_at = context.clock.now() + KEEP_MS
+    if owned.handing_over:
+        role.busy, owned.keep_at = False, 0.0
+        return
     if role.state is not None and not role.state.lost:
         role.busy = False
         return
@@ -243,6 +253,8 @@
             _note_not_begun(context, name, role, result)
             return
         role.busy = False
+        if owned.handing_over:
+            return
         context.logger.info('coordination_begun',
                             service=name,
                             term=assignment.term,
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -377,8 +377,8 @@
     entry.logger.info('entry_leaving',
                       inside=entry.count.inside,
                       left_ms=round(_find_left(entry)))
-    resigned = threading.Event()
-    entry.actor.tell(control.Leave(resigned))
+    handed_over = threading.Event()
+    entry.actor.tell(control.Leave(handed_over))
     entry.count.closing = True
     while entry.clock.now() - began < NOTICE_MS:
         clocks.pause(_LOOK_MS)
@@ -389,6 +389,8 @@
     stopping = threading.Thread(target=callers.stop, daemon=True)
     stopping.start()
     stopping.join(_find_left(entry) / clocks.MS_PER_S)
+    # While the store is away nobody else can renew the servers' grants.
+    handed_over.wait(_find_left(entry) / clocks.MS_PER_S)
     _log_interrupted(entry)
     entry.logger.info('entry_finished', inside=entry.count.inside)
 
--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -1,5 +1,6 @@
 """Leases that an entry keeps: its own, and the coordinator's."""
 
+from collections.abc import Callable
 import threading
 
 from lentilmoor import outcomes
@@ -10,26 +11,42 @@
 # An entry's own lease, by which the others count it.
 ENTRY_LEASE_MS = 9_000.0
 ENTRY_KEEP_MS = 1_000.0
-# A lease that could not be kept for so long: the store may be away.
-STORE_DOUBT_MS = 1_300.0
 
 
 def keep(context: beliefs.Context, now: float) -> None:
-    """Opens the entry's lease if there is none, and renews what is due."""
+    """Opens the entry's lease if there is none; renews or ends what is due."""
     owned = context.owned
     if owned.entry_lease is None:
         _open_entry_lease(context, now)
     elif owned.entry_keep_at <= now and not owned.entry_keeping:
         owned.entry_keep_at = now + ENTRY_KEEP_MS
         owned.entry_keeping = True
-        lease = owned.entry_lease
-        context.call(lambda: context.platform.store.keep_lease(lease),
-                     lambda result, sent: _entry_kept(context, lease, result))
-    if owned.lease is not None and owned.keep_at <= now:
+        _call(context, owned.entry_lease, owned.leaving, _entry_kept)
+    # A grant that may still arrive must not meet a successor's.
+    held_up = bool(owned.handing_over) and owned.unlinked_grants > 0
+    if owned.lease is not None and owned.keep_at <= now and not held_up:
         owned.keep_at = now + elections.KEEP_MS
-        lease = owned.lease
-        context.call(lambda: context.platform.store.keep_lease(lease),
-                     lambda result, sent: _kept(context, result, sent))
+        _call(context, owned.lease, bool(owned.handing_over), _kept)
+    if owned.leaving and owned.lease is None:
+        owned.handed_over.set()
+
+
+def _call(context: beliefs.Context, lease: ports.Lease, ends: bool,
+          take: Callable[..., None]) -> None:
+    """Has a lease renewed or ended.
+
+    Args:
+      context: The actor's.
+      lease: The lease.
+      ends: Whether it is to be ended.
+      take: (context, lease, whether it was to be ended, result, time of
+        sending) takes in what came of it.
+    """
+    store = context.platform.store
+    work = store.end_lease if ends else store.keep_lease
+    context.call(
+        lambda: work(lease),
+        lambda result, sent_at: take(context, lease, ends, result, sent_at))
 
 
 def drop_lost(owned: beliefs.Beliefs) -> None:
@@ -69,18 +86,21 @@
     context.call(register, take)
 
 
-def _entry_kept(context: beliefs.Context, lease: ports.Lease, result) -> None:
-    """Takes in a renewal; the store may have been away unnoticed.
+def _entry_kept(context: beliefs.Context, lease: ports.Lease, ends: bool,
+                result, unused_sent_at: float) -> None:
+    """Takes in a renewal or an end; the store may have been away unnoticed.
 
     A watch that waited meanwhile may never be answered.
     """
     owned = context.owned
     owned.entry_keeping = False
-    if beliefs.is_ended(result) and owned.entry_lease is lease:
-        context.logger.warning('entry_lease_lapsed',
-                               lease=lease.id,
-                               detail=result.detail)
-        owned.entry_lease = None
+    if owned.entry_lease is lease:
+        if beliefs.is_ended(result) and not ends:
+            context.logger.warning('entry_lease_lapsed',
+                                   lease=lease.id,
+                                   detail=result.detail)
+        if beliefs.is_ended(result) or ends and result is None:
+            owned.entry_lease = None
     _note_store(context, result is None or beliefs.is_ended(result))
 
 
@@ -112,36 +132,38 @@
     owned.lost_at, owned.back_at = 0.0, now
 
 
-def _kept(context: beliefs.Context, result, sent_at: float) -> None:
+def _kept(context: beliefs.Context, lease: ports.Lease, ends: bool, result,
+          sent_at: float) -> None:
+    """Takes in a renewal or an end of the coordinator's lease."""
     owned = context.owned
-    if result is None:
-        owned.lease_sent_at = max(owned.lease_sent_at, sent_at)
+    if owned.lease is not lease:
+        return
+    if ends:
+        context.states.note('coordinator_lease_end',
+                            str(lease.id),
+                            'ended' if result is None else result.reason,
+                            reason=owned.handing_over)
     elif beliefs.is_ended(result):
         context.logger.warning('coordinator_lease_lapsed')
+    if beliefs.is_ended(result) or ends and result is None:
         owned.lease = None
+    elif result is None:
+        owned.lease_sent_at = max(owned.lease_sent_at, sent_at)
+
 
+def leave(context: beliefs.Context, done: threading.Event) -> None:
+    """Begins to give up all leases, as this process is about to end.
 
-def end(context: beliefs.Context, done: threading.Event) -> None:
-    """Gives up all roles and leases, as this process is about to end.
+    Roles are kept until the store has acknowledged the end of their lease:
+    nobody can take them before.
 
     Args:
       context: The actor's.
       done: Set when others can take over.
     """
     owned = context.owned
-    owned.leaving = True
-    if context.clock.now() - owned.lease_sent_at > STORE_DOUBT_MS:
-        # Nobody can follow now; go on until the process ends.
+    owned.leaving, owned.handed_over = True, done
+    owned.handing_over = 'this entry is about to end'
+    owned.keep_at = owned.entry_keep_at = 0.0
+    if owned.lease is None:
         done.set()
-        return
-    for name, role in owned.roles.items():
-        if role.state is not None:
-            elections.resign(context, name, role, 'this entry is about to end')
-    held = [lease for lease in (owned.lease, owned.entry_lease) if lease]
-    owned.lease = owned.entry_lease = None
-
-    def end_all() -> None:
-        for lease in held:
-            context.platform.store.end_lease(lease)
-
-    context.call(end_all, lambda result, sent: done.set())
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -26,6 +26,9 @@
         elections.resign(context, name, role,
                          'a server has seen a higher fence')
         return
+    if owned.handing_over and owned.lease is None:
+        elections.resign(context, name, role, owned.handing_over)
+        return
     if now - owned.lease_sent_at > ownership.TENURE_MS:
         elections.resign(context, name, role,
                          'the lease was not renewed for too long')
@@ -94,6 +97,7 @@
 def _carry_out(context: beliefs.Context, state: ownership.Coordination,
                action: ownership.Action) -> None:
     if isinstance(action, ownership.Grant):
+        context.owned.unlinked_grants += action.link is None
         context.call(
             lambda: _send_grant(context, action),
             lambda result, sent: _granted(context, state, action, result, sent),
@@ -120,6 +124,7 @@
              grant: ownership.Grant, granted: ownership.GrantResult,
              sent_at: float) -> None:
     now = context.clock.now()
+    context.owned.unlinked_grants -= grant.link is None
     coordination.note_granted(state, grant, granted, sent_at, now)
     if granted.answer is ownership.Answer.UNKNOWN:
         in_force_ms = holds.find_end(now, grant.hold_ms) - now
@@ -160,7 +165,8 @@
     now, kept_at = context.clock.now(), context.owned.lease_sent_at
     if (now - kept_at > ownership.TENURE_MS or
             now - grant.planned_at > ownership.STALE_MS or
-            grant.link is None and not ownership.may_link(kept_at, now)):
+            grant.link is None and
+        (context.owned.handing_over or not ownership.may_link(kept_at, now))):
         return ownership.GrantResult(ownership.Answer.NOT_SENT)
     return context.platform.servers.grant(grant)
 
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -1,10 +1,38 @@
 """Entries that are asked to end, as processes against the stand-ins."""
 
+import json
 import time
 import unittest
 
 from tests import platformhelp
 
+_KEYS = (0, 20_000, 40_000, 65_535)
+
+
+class LeaderOutageTest(unittest.TestCase):
+    """A coordinator resigned while the store was away, so nobody followed."""
+
+    def test_keys_stay_served_if_the_store_falls_silent_before_sigterm(self):
+        for phase_s in (0.1, 0.6, 1.2):
+            with self.subTest(phase_s=phase_s):
+                self._check(phase_s)
+
+    def _check(self, phase_s: float) -> None:
+        deployment = platformhelp.Deployment(entries=2)
+        try:
+            leader, other = _find_leader(deployment)
+            deployment.store.faults.away = 'silent'
+            time.sleep(phase_s)
+            leader.stop()
+            refused = _count_refused(other, 5.0)
+            deployment.store.faults.away = ''
+            self.assertEqual(leader.process.wait(3.0), 0)
+            refused += _count_refused(other, 5.0)
+            self.assertEqual(refused, 0, other.read_log()[-3000:])
+            self.assertIn('coordination_begun', other.read_log())
+        finally:
+            deployment.close()
+
 
 class InterruptedRequestTest(unittest.TestCase):
     """An entry that ended cut requests that it had sent on after SIGTERM."""
@@ -48,5 +76,25 @@
         self.assertEqual(self._order(2_000)[0], 200, self.entry.read_log())
 
 
+def _find_leader(
+    deployment: platformhelp.Deployment
+) -> tuple[platformhelp.Entry, platformhelp.Entry]:
+    instance, *_ = json.loads(
+        deployment.store.read('lentilmoor/coordinator/catalog'))
+    first, second = deployment.entries
+    return (first, second) if instance.startswith('edge-1.') else (second,
+                                                                   first)
+
+
+def _count_refused(entry: platformhelp.Entry, seconds: float) -> int:
+    refused = 0
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for key in _KEYS:
+            refused += entry.call('/stock/lot', key)[0] != 200
+        time.sleep(0.05)
+    return refused
+
+
 if __name__ == '__main__':
     unittest.main()
