Wait for signals by a queue that handlers may use

A process that gets SIGTERM at the wrong moment would hang until SIGKILL and cut all that it was answering.

Cause: the handlers set an event or wrote a log line, which take locks. A handler runs in the main thread between any two of its steps, also while that holds the lock of the event that it waits for.

Handlers put the signal's number into a SimpleQueue, which allows that; the main thread takes it from there. It looks each 0.2 s, in place of each second, as a signal that another thread receives doesn't wake it: that stays below what is kept free before SIGKILL. Both kinds of entries use this.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -15,6 +15,7 @@
 from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor import shutdowns
+from lentilmoor import signals
 from lentilmoor import tries
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import control
@@ -74,7 +75,7 @@
       follower: Follows the store.
       pace: Whether the control actor keeps up.
       hurry: Set when the control actor wants a tick soon.
-      leaving: Set when the process is to end.
+      leaving: Whether the process is to end.
     """
 
     platform: ports.Platform
@@ -90,8 +91,7 @@
     follower: knowledge.Follower | None = None
     pace: beliefs.Pace | None = None
     hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
-    leaving: threading.Event = dataclasses.field(
-        default_factory=threading.Event)
+    leaving: bool = False
 
 
 def run(platform: ports.Platform, instance: str, clock: clocks.Clock,
@@ -111,8 +111,7 @@
     logs.quiet_libraries()
     entry = _make_entry(platform, instance, clock, logger, socket_options)
     entry.listeners[0].opened = callers
-    signal.signal(signal.SIGTERM, lambda *_: _begin_departure(entry))
-    signal.signal(signal.SIGHUP, lambda *_: logger.info('reload_asked'))
+    arrived = signals.watch(signal.SIGTERM, signal.SIGHUP)
     for listener in entry.listeners:
         listener.prepare()
         _start(listener.serve)
@@ -122,20 +121,12 @@
     _start(functools.partial(reporting.report, entry.reporter))
     _start(functools.partial(subscriptions.listen, entry.follower))
     logger.info('entry_started', callers=platform.settings.callers)
-    while not entry.leaving.wait(1.0):
-        pass
+    while signals.receive(arrived) != signal.SIGTERM:
+        logger.info('reload_asked')
     _finish(entry)
     logger.info('entry_stopped')
 
 
-def _begin_departure(entry: Entry) -> None:
-    if not entry.leaving.is_set():
-        departures.begin(entry.forwarder.departure,
-                         entry.platform.settings.bounds.grace_ms,
-                         entry.clock.now())
-        entry.leaving.set()
-
-
 def _start(work: Callable[[], object]) -> None:
     threading.Thread(target=work, daemon=True).start()
 
@@ -305,8 +296,7 @@
 
 def _show_ready(entry: Entry, unused_body: bytes) -> tuple[int, bytes, str]:
     snapshot = entry.forwarder.snapshot
-    ready = (snapshot.configuration is not None and
-             not entry.leaving.is_set() and
+    ready = (snapshot.configuration is not None and not entry.leaving and
              requests.is_recent(entry.forwarder) and
              requests.is_configuration_recent(entry.forwarder) and
              all(name in snapshot.assignments
@@ -374,6 +364,9 @@
 def _finish(entry: Entry) -> None:
     """Ends without interrupting a request."""
     began = entry.clock.now()
+    departures.begin(entry.forwarder.departure,
+                     entry.platform.settings.bounds.grace_ms, began)
+    entry.leaving = True
     entry.logger.info('entry_leaving',
                       inside=entry.count.inside,
                       left_ms=round(_find_left(entry)))
--- a/lentilmoor/entries.py
+++ b/lentilmoor/entries.py
@@ -39,6 +39,7 @@
 from lentilmoor import servers
 from lentilmoor import shardstates
 from lentilmoor import shutdowns
+from lentilmoor import signals
 from lentilmoor import stores
 from lentilmoor import tables
 from lentilmoor import traces
@@ -182,11 +183,9 @@
     """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
     logs.quiet_libraries()
     entry = start_entry(settings)
-    asked = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: asked.set())
-    while not asked.is_set() and not entry.base.failed.is_set():
-        asked.wait(_FAILED_LOOK_MS / clocks.MS_PER_S)
+    arrived = signals.watch(signal.SIGTERM, signal.SIGINT)
+    while arrived.empty() and not entry.base.failed.is_set():
+        clocks.pause(_FAILED_LOOK_MS)
     if entry.base.failed.is_set():
         entry.base.logger.error('invariant_broken')
         # Nothing of this process is to be trusted, its own clean-up included.
