Tests: show what was answered when the test of SIGTERM fails

What is checked stays as it was; each assertion shows the answers of all calls.

What makes it fail, by runs: its route allows 1,000 ms and its servers work for 800 ms. An answer that is 0.2 s late is a 504 in the second call; one that is as late in the first call, which isn't checked, has the entry expect 1,002 ms and refuse the second with 503. Whether an answer was late in the run that failed isn't known.

--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -291,22 +291,23 @@
         results = []
         connection = http.client.HTTPConnection('127.0.0.1',
                                                 self.entry.ports[0], 10)
-        self.entry.call('/report/x', connection=connection)
+        first = self.entry.call('/report/x', connection=connection)
 
         def call():
-            results.append(
-                self.entry.call('/report/x', connection=connection)[:2])
+            results.append(self.entry.call('/report/x', connection=connection))
 
         thread = threading.Thread(target=call)
         thread.start()
         time.sleep(0.2)
         self.entry.stop()
         thread.join()
-        self.assertEqual(results[0][0], 200)
-        self.assertEqual(results[0][1]['Connection'], 'close')
-        self.assertFalse(self.entry.is_ready())
-        self.assertEqual(self.entry.call('/report/x')[0], 200)
-        self.assertEqual(self.entry.process.wait(7.0), 0)
+        seen = f'first {first}, under SIGTERM {results}'
+        self.assertEqual(results[0][0], 200, seen)
+        self.assertEqual(results[0][1]['Connection'], 'close', seen)
+        self.assertFalse(self.entry.is_ready(), seen)
+        last = self.entry.call('/report/x')
+        self.assertEqual(last[0], 200, f'{seen}, later {last}')
+        self.assertEqual(self.entry.process.wait(7.0), 0, seen)
         self.assertIn('entry_stopped', self.entry.read_log())
 
 
