--- a/tests/test_edge_departures.py
+++ b/tests/test_edge_departures.py
@@ -56,6 +56,12 @@
                          left_ms + departures.MARGIN_MS,
                          self.forwarder.clock.now())
 
+    def _leave_before_the_key_moves(self) -> None:
+        for timer in (threading.Timer(0.02, self._leave, (400.0,)),
+                      threading.Timer(0.05, self._publish, (self.after.id,))):
+            timer.start()
+            self.addCleanup(timer.join)
+
     def _assert_refused(self, outcome: requests.Outcome) -> None:
         self.assertIsInstance(outcome, outcomes.NotRun)
         self.assertIs(outcome.reason, outcomes.Reason.SHUTTING_DOWN)
@@ -63,14 +69,8 @@
     def test_one_that_waits_for_its_owner_is_not_sent(self):
         self.forwarder.states[self.after.id] = placement.ServerState(
             shared_ms=220.0)
-        timers = [
-            threading.Timer(0.02, self._leave, (400.0,)),
-            threading.Timer(0.05, self._publish, (self.after.id,))
-        ]
         self._publish('nobody')
-        for timer in timers:
-            timer.start()
-            self.addCleanup(timer.join)
+        self._leave_before_the_key_moves()
         self._assert_refused(self._forward())
         self.assertEqual(self.after.arrivals, 0)
 
@@ -95,13 +95,7 @@
     def test_one_that_was_turned_away_is_not_sent_again(self):
         self.forwarder.states[self.after.id] = placement.ServerState(
             shared_ms=220.0)
-        timers = [
-            threading.Timer(0.02, self._leave, (400.0,)),
-            threading.Timer(0.05, self._publish, (self.after.id,))
-        ]
-        for timer in timers:
-            timer.start()
-            self.addCleanup(timer.join)
+        self._leave_before_the_key_moves()
         self._assert_refused(self._forward())
         self.assertEqual(self.before.arrivals, 1)
         self.assertEqual(self.after.arrivals, 0)
