End a lease only while it is surely this entry's

An entry that leaves asks a silent store again and again to end its lease. If the store came back from an older copy, the number may have been given to another entry by then: that one would lose its registration or its role.

A lease is ended while the store's last call was answered, in the era that the entry knows. Otherwise it is renewed first, and ended as soon as that is answered; what a restored store lacks is dropped, as before.

Evidence: RestoreTest failed before (the other entry's lease was ended).

--- a/lentilmoor/edge/leases.py
+++ b/lentilmoor/edge/leases.py
@@ -7,6 +7,7 @@
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import elections
 from lentilmoor.edge import ports
+from lentilmoor.edge import revisions
 
 # An entry's own lease, by which the others count it.
 ENTRY_LEASE_MS = 9_000.0
@@ -16,21 +17,41 @@
 def keep(context: beliefs.Context, now: float) -> None:
     """Opens the entry's lease if there is none; renews or ends what is due."""
     owned = context.owned
+    _keep_role_lease(context, now)
     if owned.entry_lease is None:
         _open_entry_lease(context, now)
     elif owned.entry_keep_at <= now and not owned.entry_keeping:
         owned.entry_keep_at = now + ENTRY_KEEP_MS
         owned.entry_keeping = True
-        _call(context, owned.entry_lease, owned.leaving, _entry_kept)
-    # A grant that may still arrive must not meet a successor's.
-    held_up = bool(owned.handing_over) and owned.unlinked_grants > 0
-    if owned.lease is not None and owned.keep_at <= now and not held_up:
-        owned.keep_at = now + elections.KEEP_MS
-        _call(context, owned.lease, bool(owned.handing_over), _kept)
+        _call(context, owned.entry_lease, owned.leaving and
+              _is_certain(context), _entry_kept)
     if owned.leaving and owned.lease is None:
         owned.handed_over.set()
 
 
+def _keep_role_lease(context: beliefs.Context, now: float) -> None:
+    owned = context.owned
+    if owned.lease is None or owned.keep_at > now:
+        return
+    # A grant that may still arrive must not meet a successor's.
+    if owned.handing_over and owned.unlinked_grants:
+        return
+    owned.keep_at = now + elections.KEEP_MS
+    _call(context, owned.lease,
+          bool(owned.handing_over) and _is_certain(context), _kept)
+
+
+def _is_certain(context: beliefs.Context) -> bool:
+    """Returns whether this entry's leases are surely still its own.
+
+    A store that was away may have come back from an older copy, and have given
+    their numbers to others.
+    """
+    store = context.platform.store
+    known_era = revisions.find_era(context.owned.everything.revision)
+    return store.find_silence() == 0.0 and store.find_era() <= known_era
+
+
 def _call(context: beliefs.Context, lease: ports.Lease, ends: bool,
           take: Callable[..., None]) -> None:
     """Has a lease renewed or ended.
@@ -101,6 +122,8 @@
                                    detail=result.detail)
         if beliefs.is_ended(result) or ends and result is None:
             owned.entry_lease = None
+        elif owned.leaving and result is None:
+            owned.entry_keep_at = 0.0
     _note_store(context, result is None or beliefs.is_ended(result))
 
 
@@ -149,6 +172,8 @@
         owned.lease = None
     elif result is None:
         owned.lease_sent_at = max(owned.lease_sent_at, sent_at)
+        if owned.handing_over:
+            owned.keep_at = 0.0
 
 
 def leave(context: beliefs.Context, done: threading.Event) -> None:
--- a/tests/test_edge_handover.py
+++ b/tests/test_edge_handover.py
@@ -18,6 +18,7 @@
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 from lentilmoor.edge import requests
+from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 from tests import copyfleets
 
@@ -35,6 +36,9 @@
     def __init__(self, small: bool = False):
         self.time = clocks.ManualTime(50_000.0)
         self.silent = False
+        self.deaf = False
+        self.era = self.known_era = 0
+        self.unanswered_at: float | None = None
         self.grant_ms = _ANSWER_MS
         self.leases: set[int] = set()
         self.coordinator: int | None = None
@@ -94,8 +98,8 @@
 
     def _tell(self) -> None:
         """Has the entry see what the store holds, if it is not silent."""
-        state = (self.coordinator, tuple(self.peers))
-        if self.silent or self._seen == state:
+        state = (self.coordinator, tuple(self.peers), self.era)
+        if self.silent or self.deaf or self._seen == state:
             return
         self._seen = state
         servers = {
@@ -111,8 +115,9 @@
         }
         self.actor.on_receive(
             control.StoreSeen(
-                ports.Everything(configuration, servers, coordinators, {},
-                                 dict(self.peers), next(self._numbers))))
+                ports.Everything(
+                    configuration, servers, coordinators, {}, dict(self.peers),
+                    revisions.combine(self.era, next(self._numbers)))))
 
     def _call(self, work, take, unused_pool=None) -> None:
         sent_at, self._delay_ms = self.time.at, 0.0
@@ -125,10 +130,17 @@
         """Returns the store's answer, or none in time."""
         if self.silent:
             self._delay_ms += _TIMEOUT_MS
+            if self.unanswered_at is None:
+                self.unanswered_at = self.time.at
             return outcomes.Failed(outcomes.Reason.TIMED_OUT)
         self._delay_ms += _ANSWER_MS
+        self.unanswered_at, self.known_era = None, self.era
         return make()
 
+    def _find_silence(self) -> float:
+        return (0.0 if self.unanswered_at is None else self.time.at -
+                self.unanswered_at)
+
     def _make_store(self) -> mock.Mock:
 
         def open_lease(ttl_ms):
@@ -162,8 +174,8 @@
             register=lambda *unused_args: self._answer(lambda: None),
             load_assignment=lambda unused: self._answer(lambda: None),
             save=lambda *unused_args: self._answer(lambda: next(self._numbers)),
-            find_silence=lambda: 0.0,
-            find_era=lambda: 0)
+            find_silence=self._find_silence,
+            find_era=lambda: self.known_era)
 
     def _grant(self, grant: ownership.Grant) -> ownership.GrantResult:
         self._delay_ms += self.grant_ms
@@ -257,6 +269,27 @@
         self.assertGreaterEqual(world.ended_at[lease] - began, 250.0)
 
 
+class RestoreTest(unittest.TestCase):
+    """An entry that left ended the lease of another after a restore."""
+
+    def test_a_lease_that_may_be_anothers_is_not_ended(self):
+        world = _make_world()
+        world.silent = True
+        world.run(100.0)
+        done = world.leave()
+        world.run(2_000.0)
+        # Another entry has taken the role, under the same number.
+        world.silent, world.deaf, world.era = False, True, 1
+        world.run(600.0)
+        self.assertEqual(world.ended_at, {})
+        self.assertIsNotNone(world.role.state)
+        world.deaf, world.coordinator = False, None
+        world.run(100.0)
+        self.assertEqual(world.ended_at, {})
+        self.assertIsNone(world.role.state)
+        self.assertTrue(done.is_set())
+
+
 class MakeWayTest(unittest.TestCase):
     """A small entry resigned for a larger one, though the store was away."""
 
