--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -252,5 +252,23 @@
         self.assertFalse(self.before.journal)
 
 
+class SlowOnceTest(KeyCase):
+    """A service whose mean time of work was above a route's limit once.
+
+    All requests of the route are refused, so nothing tells that it is well.
+    """
+
+    def test_it_is_tried_again(self):
+        self._publish(self.after.id)
+        self.forwarder.states[self.after.id] = placement.ServerState(
+            work_ms=4_000.0, answers=100)
+        until = time.monotonic() + 3.0
+        while time.monotonic() < until:
+            if isinstance(self._forward(), tries.Answer):
+                return
+            time.sleep(0.05)
+        self.fail('refused for 3 s, though the server answers in 5 ms')
+
+
 if __name__ == '__main__':
     unittest.main()
