Tests: have the end of a limit seen by one server alone

Cause, by eight runs beside each other: nothing has the entry choose the limited server of two that are idle. In one of the eight all 31 requests went to the other, which looked faster, so nobody could learn that the limit had ended; in the other seven 4 to 31 reached it, and all entries knew.

The test has one such server now, and checks that requests reach it; what it checks of the entries is the same.

--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -23,8 +23,8 @@
         super().setUp()
         self.deployment: platformhelp.Deployment | None = None
 
-    def _deploy(self, catalogs: int = 2) -> None:
-        self.deployment = platformhelp.Deployment(catalogs, entries=3)
+    def _deploy(self, catalogs: int = 2, orders: int = 2) -> None:
+        self.deployment = platformhelp.Deployment(catalogs, orders, entries=3)
         self.addCleanup(self.deployment.close)
 
     def _send_load(self,
@@ -122,12 +122,13 @@
 
     def test_end_of_a_limit_reaches_all_entries(self):
         # An entry that sends a server no requests must not enforce a limit that
-        # has ended.
-        self._deploy()
+        # has ended. A single server, so that the first entry sends it some.
+        self._deploy(orders=1)
         limited = self.deployment.orders[0]
         self._set_rate_limit(limited, '/report/x', None)
         limited.rate_limit = None
         self._send_load('/report/x', None, self.deployment.entries[:1], 1.5)
+        self.assertGreater(len(limited.arrival_times), 0)
         for entry in self.deployment.entries:
             lines = self._list_limit_lines(entry, limited)
             self.assertIn('server_rate_limit_ended', lines[-1])
