Grant nothing over new connections once a role is being handed over

The end of a coordinator's lease waits until no grant over a new connection is under way. Grants that are planned after that were counted too until a thread had turned them away, so that the end could wait again and again where many keys have no connection, as with a coordinator that has just begun. They aren't started any more.

--- a/lentilmoor/edge/departures.py
+++ b/lentilmoor/edge/departures.py
@@ -13,7 +13,7 @@
 # The balancer needs so long to send new callers elsewhere. Requests that arrive
 # later are refused.
 LAST_ARRIVAL_MS = 3_000.0
-# What is left of the time until SIGKILL when this process ends by itself.
+# Requests under way are given up so long before SIGKILL.
 MARGIN_MS = 400.0
 # Times of work vary as much as their mean: one in twenty takes so many times as
 # long as expected.
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -49,7 +49,7 @@
 # After SIGTERM: the balancer asks once a second and needs two misses, so new
 # connections may come for so long.
 NOTICE_MS = 3_100.0
-# For the answers to requests that are given up as this process ends.
+# For the answers to requests that are given up because this process ends.
 LAST_ANSWERS_MS = 150.0
 READY_PATH = '/-/readyz'
 METRICS_PATH = '/metrics'
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -97,11 +97,7 @@
 def _carry_out(context: beliefs.Context, state: ownership.Coordination,
                action: ownership.Action) -> None:
     if isinstance(action, ownership.Grant):
-        context.owned.unlinked_grants += action.link is None
-        context.call(
-            lambda: _send_grant(context, action),
-            lambda result, sent: _granted(context, state, action, result, sent),
-            context.server_calls)
+        _start_grant(context, state, action)
     elif isinstance(action, ownership.Release):
         context.call(
             lambda: context.platform.servers.release(action),
@@ -120,11 +116,30 @@
             lambda result, sent: _saved(context, state, action, result))
 
 
+def _start_grant(context: beliefs.Context, state: ownership.Coordination,
+                 grant: ownership.Grant) -> None:
+    owned = context.owned
+    unlinked = grant.link is None
+    if unlinked and owned.handing_over:
+        # It could arrive after a successor has taken the role.
+        _granted(context, state, grant,
+                 ownership.GrantResult(ownership.Answer.NOT_SENT),
+                 context.clock.now())
+        return
+    owned.unlinked_grants += unlinked
+
+    def take(result: ownership.GrantResult, sent_at: float) -> None:
+        owned.unlinked_grants -= unlinked
+        _granted(context, state, grant, result, sent_at)
+
+    context.call(lambda: _send_grant(context, grant), take,
+                 context.server_calls)
+
+
 def _granted(context: beliefs.Context, state: ownership.Coordination,
              grant: ownership.Grant, granted: ownership.GrantResult,
              sent_at: float) -> None:
     now = context.clock.now()
-    context.owned.unlinked_grants -= grant.link is None
     coordination.note_granted(state, grant, granted, sent_at, now)
     if granted.answer is ownership.Answer.UNKNOWN:
         in_force_ms = holds.find_end(now, grant.hold_ms) - now
@@ -165,8 +180,7 @@
     now, kept_at = context.clock.now(), context.owned.lease_sent_at
     if (now - kept_at > ownership.TENURE_MS or
             now - grant.planned_at > ownership.STALE_MS or
-            grant.link is None and
-        (context.owned.handing_over or not ownership.may_link(kept_at, now))):
+            grant.link is None and not ownership.may_link(kept_at, now)):
         return ownership.GrantResult(ownership.Answer.NOT_SENT)
     return context.platform.servers.grant(grant)
 
