--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import json
 import os
 import pathlib
 import random
@@ -285,21 +286,21 @@
         self.entries.append(entry)
         return entry
 
+    def find_leader(self) -> Entry:
+        """Returns the entry that coordinates the keyed service."""
+        instance, *_ = json.loads(
+            self.store.read('lentilmoor/coordinator/catalog'))
+        return next(entry for number, entry in enumerate(self.entries, 1)
+                    if instance.startswith(f'edge-{number}.'))
+
     def add_route(self, version: int, prefix: str) -> None:
         """Writes a configuration with one more route, like that of reports."""
-        self.put_routes(version, [prefix])
-
-    def put_routes(self, version: int, prefixes: list[str]) -> None:
-        """Writes a configuration with more routes, like that of reports."""
         route = make_configuration()['Routes']['report']
         self.store.put(
             'op/config',
-            make_configuration(
-                version, **{
-                    f'new-{number}': route | {
-                        'Prefix': prefix
-                    } for number, prefix in enumerate(prefixes)
-                }))
+            make_configuration(version, **{'new-0': route | {
+                'Prefix': prefix
+            }}))
 
     def close(self) -> None:
         """Ends everything that was started."""
--- a/tests/test_edge_handover.py
+++ b/tests/test_edge_handover.py
@@ -15,6 +15,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import beliefs
 from lentilmoor.edge import control
+from lentilmoor.edge import elections
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 from lentilmoor.edge import requests
@@ -198,7 +199,7 @@
         for phase_ms in range(0, 2_001, 100):
             with self.subTest(phase_ms=phase_ms):
                 world = _make_world()
-                world.run(phase_ms % 470)
+                world.run(phase_ms % elections.KEEP_MS)
                 world.silent = True
                 began = world.time.at
                 world.run(phase_ms)
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import http.client
-import json
 import socket
 import threading
 import time
@@ -335,11 +334,9 @@
     def test_a_coordinator_that_is_killed_is_replaced_without_a_gap(self):
         deployment = platformhelp.Deployment(entries=2)
         self.addCleanup(deployment.close)
-        instance, *_ = json.loads(
-            deployment.store.read('lentilmoor/coordinator/catalog'))
-        index = 0 if instance.startswith('edge-1.') else 1
-        deployment.entries[index].process.kill()
-        other = deployment.entries[1 - index]
+        leader = deployment.find_leader()
+        leader.process.kill()
+        other, = (item for item in deployment.entries if item is not leader)
         until = time.monotonic() + 6.0
         while time.monotonic() < until:
             for key in (0, 20_000, 40_000, 65_535):
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -1,6 +1,5 @@
 """Entries that are asked to end, as processes against the stand-ins."""
 
-import json
 import time
 import unittest
 
@@ -20,7 +19,8 @@
     def _check(self, phase_s: float) -> None:
         deployment = platformhelp.Deployment(entries=2)
         try:
-            leader, other = _find_leader(deployment)
+            leader = deployment.find_leader()
+            other, = (item for item in deployment.entries if item is not leader)
             deployment.store.faults.away = 'silent'
             time.sleep(phase_s)
             leader.stop()
@@ -76,16 +76,6 @@
         self.assertEqual(self._order(2_000)[0], 200, self.entry.read_log())
 
 
-def _find_leader(
-    deployment: platformhelp.Deployment
-) -> tuple[platformhelp.Entry, platformhelp.Entry]:
-    instance, *_ = json.loads(
-        deployment.store.read('lentilmoor/coordinator/catalog'))
-    first, second = deployment.entries
-    return (first, second) if instance.startswith('edge-1.') else (second,
-                                                                   first)
-
-
 def _list_refused(entry: platformhelp.Entry,
                   seconds: float) -> list[tuple[float, bytes]]:
     """Returns requests for keys that were not served: when, and the answer."""
