--- a/lentilmoor/edge/hub.py
+++ b/lentilmoor/edge/hub.py
@@ -10,6 +10,7 @@
 import dataclasses
 import threading
 
+from lentilmoor import logs
 from lentilmoor.edge import reports
 
 # A report counts for so long; entries report several times as often.
@@ -102,25 +103,33 @@
 
 
 def note_crashes(table: HubTable, crashed: Iterable[str],
-                 cleared: Iterable[str], now: float) -> None:
+                 cleared: Iterable[str], now: float,
+                 logger: logs.Logger) -> None:
     """Takes in requests whose servers broke off, and those answered since."""
     with table.lock:
         for fingerprint in cleared:
-            table.suspects.pop(fingerprint, None)
+            if table.suspects.pop(fingerprint, None) is not None:
+                logger.info('suspect_cleared', fingerprint=fingerprint)
         for fingerprint in crashed:
             suspect = table.suspects.setdefault(fingerprint, Suspect(0, now))
             suspect.crashes += 1
             suspect.seen_at = now
+            logger.info('suspect_counted',
+                        fingerprint=fingerprint,
+                        crashes=suspect.crashes)
         if len(table.suspects) > _MOST_FINGERPRINTS:
             table.suspects.pop(next(iter(table.suspects)))
 
 
-def list_blocked(table: HubTable, now: float) -> list[str]:
+def list_blocked(table: HubTable, now: float, logger: logs.Logger) -> list[str]:
     """Returns fingerprints of requests that crash their servers."""
     with table.lock:
         for name, item in list(table.suspects.items()):
             if now - item.seen_at > BLOCKED_MS:
                 del table.suspects[name]
+                logger.info('suspect_forgotten',
+                            fingerprint=name,
+                            crashes=item.crashes)
         return [
             name for name, item in table.suspects.items()
             if item.crashes >= MOST_CRASHES
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -163,7 +163,7 @@
     configuration_revision = forwarder.configuration_revision
     revision, version = forwarder.followed, forwarder.newest_version
     hub.note_inflight(table, found.entry, found.inflight, now)
-    hub.note_crashes(table, found.crashed, found.cleared, now)
+    hub.note_crashes(table, found.crashed, found.cleared, now, forwarder.logger)
     hub.note_limits(table, found.limits, now)
     if found.draining:
         reporter.tell(control.DrainingReported(found.draining))
@@ -179,7 +179,7 @@
         assignments=assignments,
         coordinated=_tell_coordinated(reporter, found.wants_works),
         watched=hub.list_suspects(table),
-        blocked=hub.list_blocked(table, now),
+        blocked=hub.list_blocked(table, now, forwarder.logger),
         revision=revision,
         since=found.revision,
         changes=forwarder.platform.store.tell_news(
--- a/lentilmoor/edge/weighing.py
+++ b/lentilmoor/edge/weighing.py
@@ -36,6 +36,7 @@
                           server=server.id,
                           reason=lost.reason.value,
                           detail=lost.detail,
+                          fingerprint=requests.fingerprint(run.request),
                           age_ms=round(now - run.request.arrived_at))
     if not run.repeatable or lost.reason is _Reason.TIMED_OUT:
         return lost
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -27,6 +27,7 @@
 from lentilmoor.edge import workmeans
 from tests import edgeworlds
 
+_LOGGER = logs.make_logger('test', io.StringIO())
 _range = edgeworlds.make_range
 
 
@@ -268,13 +269,14 @@
     def test_only_what_crashes_without_an_answer_in_between_is_blocked(self):
         table = hub.HubTable()
         for now in (0.0, 1.0):
-            hub.note_crashes(table, ['bad', 'unlucky'], [], now)
-        hub.note_crashes(table, [], ['unlucky'], 2.0)
-        self.assertEqual(hub.list_blocked(table, 2.0), [])
-        hub.note_crashes(table, ['bad', 'unlucky'], [], 3.0)
-        self.assertEqual(hub.list_blocked(table, 3.0), ['bad'])
+            hub.note_crashes(table, ['bad', 'unlucky'], [], now, _LOGGER)
+        hub.note_crashes(table, [], ['unlucky'], 2.0, _LOGGER)
+        self.assertEqual(hub.list_blocked(table, 2.0, _LOGGER), [])
+        hub.note_crashes(table, ['bad', 'unlucky'], [], 3.0, _LOGGER)
+        self.assertEqual(hub.list_blocked(table, 3.0, _LOGGER), ['bad'])
         self.assertIn('unlucky', hub.list_suspects(table))
-        self.assertEqual(hub.list_blocked(table, 4.0 + hub.BLOCKED_MS), [])
+        self.assertEqual(hub.list_blocked(table, 4.0 + hub.BLOCKED_MS, _LOGGER),
+                         [])
 
 
 class ReportingTest(unittest.TestCase):
