--- /dev/null
+++ b/standins/deadly_request.py
@@ -0,0 +1,89 @@
+"""A request that crashes each backend server that begins to run it."""
+
+from collections.abc import Iterable
+import threading
+import time
+
+from standins import platform_server
+
+
+class DeadlyRequest:
+    """Crashes the servers that it is attached to; they start again.
+
+    Attributes:
+      path: Of the request.
+      crashes: When servers crashed, s (monotonic).
+    """
+
+    def __init__(self,
+                 path: str,
+                 away_s: float = 2.0,
+                 listed_s: float = 1.5,
+                 silent: bool = False):
+        """Makes a request that crashes servers.
+
+        Args:
+          path: Its path; requests for another one do no harm.
+          away_s: How long a server stays away.
+          listed_s: How long the entry of a crashed server stays in the store;
+            for as long as it is away if that is less.
+          silent: Whether connections to a crashed server stay open until it is
+            back, rather than break at once.
+        """
+        self.path = path
+        self.crashes: list[float] = []
+        self._away_s = away_s
+        self._listed_s = min(listed_s, away_s)
+        self._silent = silent
+        self._lock = threading.Lock()
+        self._restarted: list[platform_server.PlatformServer] = []
+        self._restarting: list[threading.Thread] = []
+        self._closed = False
+
+    def attach(self, servers: Iterable[platform_server.PlatformServer]) -> None:
+        """Has the request crash these servers, and those that follow them."""
+        for server in servers:
+            server.on_begin = self._make_hook(server)
+
+    def find_late(self, stable_s: float) -> list[float]:
+        """Returns when servers crashed so long after the third one did."""
+        crashes = sorted(self.crashes)
+        return [at for at in crashes if at > crashes[2] + stable_s]
+
+    def close(self) -> None:
+        """Ends the servers that were started."""
+        with self._lock:
+            self._closed = True
+        for thread in self._restarting:
+            thread.join()
+        for server in self._restarted:
+            server.close()
+
+    def _make_hook(self, server: platform_server.PlatformServer):
+
+        def begin(path: str) -> None:
+            if path != self.path:
+                return
+            with self._lock:
+                self.crashes.append(time.monotonic())
+                thread = threading.Thread(target=self._restart, args=(server,))
+                self._restarting.append(thread)
+            thread.start()
+            server.crash(self._away_s if self._silent else 0.0)
+            raise ConnectionResetError('crashed')
+
+        return begin
+
+    def _restart(self, server: platform_server.PlatformServer) -> None:
+        time.sleep(self._listed_s)
+        server.store.delete(f'servers/{server.id}')
+        time.sleep(self._away_s - self._listed_s)
+        with self._lock:
+            if self._closed:
+                return
+            new = platform_server.PlatformServer(server.store,
+                                                 server.service,
+                                                 server.keyed,
+                                                 port=server.port)
+            self._restarted.append(new)
+        self.attach([new])
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -5,6 +5,7 @@
 late. It keeps a journal of what it ran.
 """
 
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import http.server
@@ -77,6 +78,8 @@
         self.rate_limit: float | None = None
         self.leaving = False
         self.retry_after_s: float | None = None
+        # Called with the path of each request that it begins to run.
+        self.on_begin: Callable[[str], None] = lambda path: None
         self.lock = threading.Lock()
         self.slots = threading.Semaphore(2)
         self._server = _Server(('127.0.0.1', port), _make_handler(self))
@@ -124,6 +127,19 @@
             self.held.clear()
             self._reset_all()
 
+    def crash(self, silent_s: float = 0.0) -> None:
+        """Ends from within a request; its entry stays until it is deleted.
+
+        Args:
+          silent_s: How long open connections stay silent before they break.
+        """
+        threading.Thread(target=self._server.shutdown, daemon=True).start()
+        self._server.socket.close()
+        time.sleep(silent_s)
+        with self.lock:
+            self.held.clear()
+            self._reset_all()
+
     def _reset_all(self) -> None:
         for connection in self.open:
             with contextlib.suppress(OSError):
@@ -258,6 +274,7 @@
                 began = time.monotonic()
                 request_id = self.headers.get('Lentilmoor-Attempt-Id', '')
                 server.begun.add(request_id)
+                server.on_begin(self.path)
                 if not self._work():
                     server.cancelled += 1
                     self.close_connection = True
