--- a/benchmarks/edge_hub.py
+++ b/benchmarks/edge_hub.py
@@ -257,7 +257,7 @@
         }
         return reports.encode_report(
             reports.Report(f'e{number}.1', {SERVICE: rows}, inflight,
-                           {SERVICE: fence}, [], []))
+                           {SERVICE: fence}))
 
 
 def _make_everything(entries: int, keyed: int, others: int) -> ports.Everything:
--- a/benchmarks/edge_slopes.py
+++ b/benchmarks/edge_slopes.py
@@ -7,12 +7,10 @@
 """
 
 from collections.abc import Callable
-import io
 import time
 
 import msgspec
 
-from lentilmoor import logs
 from lentilmoor.edge import coordination
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyloads
@@ -34,9 +32,8 @@
     """
     inflight = {f'i-{number:010}': 2 for number in range(servers)}
     rows = {'x': [(number * 7, 'i-0000000001', 61.5) for number in range(6)]}
-    report = reports.Report('e0', rows, inflight, {'x': 9}, [], [])
+    report = reports.Report('e0', rows, inflight, {'x': 9})
     table = hub.HubTable()
-    logger = logs.make_logger('hub', io.StringIO())
     for number in range(entries):
         hub.note_inflight(table, f'e{number}', inflight, 0.0)
     data = reports.encode_report(report)
@@ -46,8 +43,7 @@
         nonlocal size
         found = reports.decode_report(data)
         hub.note_inflight(table, found.entry, found.inflight, 0.0)
-        reply = reports.Reply(hub.count_others(table, 'e0', 0.0), {}, {}, [],
-                              hub.list_blocked(table, 0.0, logger))
+        reply = reports.Reply(hub.count_others(table, 'e0', 0.0), {}, {})
         size = len(reports.encode_reply(reply))
 
     return _time(answer), len(data) + size
--- a/lentilmoor/edge/beliefs.py
+++ b/lentilmoor/edge/beliefs.py
@@ -79,6 +79,7 @@
       entry_lease: The entry's own lease.
       entry_keep_at: When to keep it again, ms.
       entry_keeping: Whether a call for it is under way.
+      suspects_at: When blocked requests may next be written to the store, ms.
       doubted: Whether the store didn't answer the last renewal.
       leaving: Whether the entry is about to end.
       handed_over: Set when it is and no coordinator's lease is left to end.
@@ -106,6 +107,7 @@
     entry_lease: ports.Lease | None = None
     entry_keep_at: float = 0.0
     entry_keeping: bool = False
+    suspects_at: float = 0.0
     doubted: bool = False
     leaving: bool = False
     handed_over: threading.Event = dataclasses.field(
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -31,7 +31,9 @@
 from lentilmoor.edge import requests
 from lentilmoor.edge import revisions
 from lentilmoor.edge import roles
+from lentilmoor.edge import savedsuspects
 from lentilmoor.edge import staleness
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 
 TICK_MS = 100.0
@@ -251,6 +253,7 @@
             elections.stand(self._context, name, role, now)
             roles.coordinate(self._context, name, role, now)
         elections.make_way(self._context, now)
+        savedsuspects.keep(self._context, now)
 
     def _call(self,
               work: Callable[[], object],
@@ -286,6 +289,7 @@
         if restored:
             self._take_restore(before)
         self._take_servers(everything, now)
+        savedsuspects.take(self._context, before, everything)
         self._log_servers(before, everything, heard)
         configuration = everything.configuration
         if configuration is not None and (before is None or before.configuration
@@ -307,7 +311,10 @@
 
     def _take_servers(self, everything: ports.Everything, now: float) -> None:
         owned = self._owned
+        ended_before = set(owned.ended)
         lifetimes.end_predecessors(owned, everything)
+        for name in (owned.ended - ended_before) & owned.servers.keys():
+            suspects.note_replaced(self._forwarder, owned.servers[name])
         for name in lifetimes.take_back_ends(owned, everything):
             self._logger.info('server_up_after_all', server=name)
         known_at = self._find_known_at(now)
@@ -320,6 +327,7 @@
         back_at = now if owned.doubted else owned.back_at
         for name in owned.servers:
             if name not in everything.servers and name not in owned.missing:
+                suspects.note_unlisted(self._forwarder, owned.servers[name])
                 owned.missing[name] = max(now, back_at + ownership.RETURN_MS)
                 owned.servers[name] = dataclasses.replace(owned.servers[name],
                                                           unlisted_at=known_at)
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -33,6 +33,7 @@
 from lentilmoor.edge import requests
 from lentilmoor.edge import staleness
 from lentilmoor.edge import subscriptions
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 
 # Requests answered at once, at first and at most; each waits for one server.
@@ -140,7 +141,11 @@
                               opens_per_s=40.0,
                               burst=12.0,
                               socket_options=socket_options)
-    forwarder = requests.Forwarder(clock, platform, logger, rules)
+    forwarder = requests.Forwarder(clock,
+                                   platform,
+                                   logger,
+                                   rules,
+                                   suspects=suspects.make_quarantine())
     forwarder.limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
@@ -247,6 +252,12 @@
                               entry.forwarder.freshness.known.configuration_at),
         'unapplied_changes':
             float(len(entry.forwarder.freshness.handed)),
+        'suspected_requests':
+            float(len(entry.forwarder.suspects.suspects)),
+        'quarantined_requests':
+            float(len(entry.forwarder.blocked)),
+        'crashed_servers':
+            float(len(entry.forwarder.suspects.ends)),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
         'control_late_ms':
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 import http.client
+import math
 import select
 import socket
 
@@ -65,10 +66,12 @@
     Attributes:
       answer: What to pass on to the caller.
       fields: What its headers say.
+      opened_at: When its connection was opened, ms.
     """
 
     answer: tries.Answer
     fields: ports.AnswerFields
+    opened_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,6 +240,16 @@
                                 f'{type(error).__name__}: {error}'[:200])
 
 
+def check(pool: connections.Pool, patience_ms: float) -> outcomes.Reason | None:
+    """Opens a connection for later use; returns why it couldn't be opened."""
+    taken = pool.take(True, True, patience_ms)
+    if isinstance(taken, outcomes.Failed):
+        return taken.reason
+    prepare(taken)
+    pool.put_back(taken)
+    return None
+
+
 def _exchange(pool: connections.Pool, taken: connections.Connection,
               order: Order, headers: dict[str, str], watch: CallerWatch,
               read_answer: ReadAnswer, clock: clocks.Clock) -> Result:
@@ -315,7 +328,7 @@
     else:
         pool.drop(taken)
     answer = tries.make_whole(response.status, headers, body)
-    return Reply(answer, fields)
+    return Reply(answer, fields, taken.opened_at)
 
 
 def _is_clean(taken: connections.Connection) -> bool:
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -10,6 +10,7 @@
 
 from lentilmoor import connections
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor.edge import budgets
 from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
@@ -19,6 +20,7 @@
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
 from lentilmoor.edge import staleness
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 from lentilmoor.edge import weighing
 
@@ -29,8 +31,7 @@
 WAY_BACK_MS = 8.0
 # A caller that doesn't say how long it waits.
 PATIENCE_MS = 10_000.0
-# Times to come back, ms: while an entry starts, which takes some 0.5 s, and to
-# a request that crashes its servers, which is blocked for so long.
+# Time to come back while an entry starts, which takes some 0.5 s.
 START_RETRY_MS = 300
 # Part of its time that a request waits at most for the configuration, or for
 # newer knowledge: it leaves the caller time to come back elsewhere.
@@ -38,7 +39,6 @@
 # Knowledge turns recent without a notice if others answer that they know
 # nothing newer.
 AWAIT_MS = 50.0
-BLOCKED_RETRY_MS = 30_000
 # Time to come back after a request that this entry knows too little for: others
 # may know more.
 OUTDATED_RETRY_MS = 60
@@ -69,10 +69,9 @@
     route = _find_route(forwarder, request)
     if isinstance(route, outcomes.NotRun):
         return route
-    if forwarder.blocked and requests.fingerprint(request) in forwarder.blocked:
-        return outcomes.NotRun(_Reason.QUARANTINED,
-                               'this request crashes its servers',
-                               BLOCKED_RETRY_MS)
+    verdict = suspects.check(forwarder, request)
+    if verdict is quarantine.Verdict.BLOCKED:
+        return suspects.refuse()
     name = matching.pick_part(route, forwarder.generator.random())
     snapshot = forwarder.snapshot
     service = snapshot.configuration.services.get(name)
@@ -85,6 +84,8 @@
     until = request.arrived_at + min(patience_ms - WAY_BACK_MS,
                                      route.timeout_ms)
     run = requests.Run(request, route, service, until)
+    if verdict is quarantine.Verdict.SUSPECT:
+        run.on_trial = suspects.begin_trial(forwarder, request)
     with forwarder.lock:
         budgets.note_request(_budget_of(forwarder, name),
                              forwarder.platform.settings.bounds,
@@ -164,7 +165,8 @@
         choice = picks.pick(forwarder, run)
         if not isinstance(choice, placement.Choice):
             return weighing.conclude(run, choice)
-        refusal = (_check_departure(forwarder, run, choice) or
+        refusal = (_check_blocked(forwarder, run) or
+                   _check_departure(forwarder, run, choice) or
                    _check_repeat(forwarder, run, choice))
         if refusal is not None:
             return weighing.conclude(run, refusal)
@@ -182,6 +184,15 @@
                         picks.FULL_RETRY_MS))
 
 
+def _check_blocked(forwarder: requests.Forwarder,
+                   run: requests.Run) -> outcomes.NotRun | None:
+    """Returns the refusal of a request that has been blocked since it came."""
+    if run.on_trial or suspects.check(forwarder,
+                                      run.request) is quarantine.Verdict.CLEAR:
+        return None
+    return suspects.refuse()
+
+
 def _check_departure(forwarder: requests.Forwarder, run: requests.Run,
                      choice: placement.Choice) -> outcomes.NotRun | None:
     """Returns the refusal of a request that can't end before this process."""
@@ -201,6 +212,8 @@
 
 def _may_repeat(forwarder: requests.Forwarder, run: requests.Run,
                 choice: placement.Choice) -> bool:
+    if not suspects.may_repeat(forwarder, run):
+        return False
     # The new owner of a moving key may have turned the request away before it
     # was granted the key; asking it again takes it to no other server.
     if len(run.sent | {choice.server.id}) > max(1, run.route.attempts):
@@ -223,7 +236,8 @@
     def make_headers() -> dict[str, str] | None:
         # A connection may take 0.5 s on a small machine, in which news come.
         if (not picks.may_send(forwarder, run.service, server.id) or
-                _check_departure(forwarder, run, choice) is not None):
+                _check_departure(forwarder, run, choice) is not None or
+                _check_blocked(forwarder, run) is not None):
             return None
         if requests.find_news_age(forwarder) > forwarder.limits.send_ms:
             _log_outdated(forwarder, request, 'sent_by_old_copy')
@@ -247,6 +261,7 @@
     if isinstance(result, exchange.Gone):
         with forwarder.lock:
             placement.note_left(state)
+        suspects.note_loss(forwarder, run, server, pool, False)
         return exchange.Gone(server.id, now - sent_at)
     if isinstance(result, exchange.Withheld):
         with forwarder.lock:
@@ -257,11 +272,14 @@
     if isinstance(result, exchange.NotSent):
         with forwarder.lock:
             placement.note_unreached(state, now)
-            forwarder.crashed += placement.take_crashed(state, now)
+        if result.reason is _Reason.CONNECT_FAILED:
+            suspects.note_refused(forwarder, server)
         run.avoid.add(server.id)
         return None
     run.sent.add(server.id)
     if isinstance(result, outcomes.Unknown):
+        suspects.note_loss(forwarder, run, server, pool, result.reason
+                           is _Reason.TIMED_OUT)
         return weighing.weigh_loss(forwarder, run, choice, state, result,
                                    now - sent_at)
     return weighing.weigh_answer(forwarder, run, server, state, result,
--- a/lentilmoor/edge/placement.py
+++ b/lentilmoor/edge/placement.py
@@ -45,8 +45,6 @@
 # answers, whose bytes between failure domains are paid for.
 AWAY_MS = 3.0
 AWAY_LARGE_MS = 25.0
-# A server that can't be reached so soon after it broke requests off crashed.
-CRASH_MS = 1_500.0
 # Part of a failure that is forgotten with each good answer.
 _HEAL = 0.8
 
@@ -68,7 +66,8 @@
       avoid_until: Not to be used before, ms.
       refusals: Connections in a row that failed.
       failing: Part of the last requests that failed, 0 to 1.
-      broken: Fingerprints of requests that it broke off, and when, ms.
+      answered_at: When it last answered, ms.
+      checked_at: When it was last asked for a connection after a loss, ms.
       draining_at: When the first answer that reported it as draining was
         received, ms; None if there was none.
       paused_until: When the pause that it requested ends, ms; 0 if none.
@@ -85,7 +84,8 @@
     avoid_until: float = 0.0
     refusals: int = 0
     failing: float = 0.0
-    broken: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    answered_at: float = -math.inf
+    checked_at: float = -math.inf
     draining_at: float | None = None
     paused_until: float = 0.0
 
@@ -308,23 +308,6 @@
     state.avoid_until = now + pause_ms
 
 
-def take_crashed(state: ServerState, now: float) -> list[str]:
-    """Returns what a server broke off just before it could not be reached.
-
-    A connection may break for many reasons. That its server is down right
-    after tells that it crashed with the request.
-
-    Args:
-      state: The server's.
-      now: ms.
-    """
-    crashed = [
-        fingerprint for fingerprint, at in state.broken if now - at <= CRASH_MS
-    ]
-    state.broken.clear()
-    return crashed
-
-
 def note_left(state: ServerState) -> None:
     """Counts out a request that was given up, which tells nothing."""
     state.inflight -= 1
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 
+from lentilmoor import crashes
 from lentilmoor import outcomes
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ownership
@@ -118,6 +119,23 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SavedSuspect:
+    """A request that crashes its servers (see `quarantine`).
+
+    Attributes:
+      fingerprint: Of the request.
+      service: The service whose servers crashed.
+      crashes: Their crashes.
+      revision: The store's revision of it; 0 if it isn't saved yet.
+    """
+
+    fingerprint: bytes
+    service: str
+    crashes: tuple[crashes.Crash, ...]
+    revision: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Everything:
     """All that the store holds for an entry.
@@ -131,6 +149,7 @@
       revision: Where to go on watching (see `revisions`).
       news: Revision of the last change that entries must not miss: of anything
         but assignments, which the hub tells by itself, and heartbeats.
+      suspects: Blocked requests, by the hexadecimal form of the fingerprint.
     """
 
     configuration: tables.Configuration | None
@@ -140,6 +159,8 @@
     entries: Mapping[str, Peer]
     revision: int
     news: int = 0
+    suspects: Mapping[str,
+                      SavedSuspect] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,6 +207,10 @@
         later than what is known.
       save: (assignment, revision or 0 if there is none, service) -> revision,
         CONFLICT, or another failure after which it may be done.
+      save_suspect: (suspect, with the revision of what it replaces) -> None,
+        CONFLICT, or another failure after which it may be done.
+      forget_suspect: (suspect) -> None, or a failure; deletes it if it is still
+        at its revision.
       find_silence: For how long the store has answered nothing, ms; 0 if it
         answered the last call.
       find_era: The newest era that the store has told; 0 before the first.
@@ -209,6 +234,8 @@
     dump: Callable[[int], bytes]
     restore: Callable[[bytes], Everything | None]
     save: Callable[[keyranges.Assignment, int], int | outcomes.Failed]
+    save_suspect: Callable[[SavedSuspect], None | outcomes.Failed]
+    forget_suspect: Callable[[SavedSuspect], None | outcomes.Failed]
     find_silence: Callable[[], float]
     find_era: Callable[[], int]
     on_restore: Callable[[Callable[[], None]], None]
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -11,6 +11,7 @@
 from lentilmoor import clocks
 from lentilmoor import httpcalls
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor.edge import control
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyranges
@@ -19,6 +20,7 @@
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 
 PATH = '/report'
@@ -53,6 +55,19 @@
 WORKS_MS = 1_000.0
 
 
+@dataclasses.dataclass(slots=True)
+class Exchanged:
+    """How much of two quarantines' evidence has been exchanged.
+
+    Attributes:
+      told: Version of this entry's that the other one has taken in.
+      heard: Version of the other's that this entry has taken in.
+    """
+
+    told: int = 0
+    heard: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Reporter:
     """What the exchange needs.
@@ -64,6 +79,7 @@
       tell: Sends the control actor a message.
       table: What was reported to this entry.
       works_at: When it last asked for servers' times of work, ms.
+      exchanged: Evidence exchanged with each hub, by its instance id.
       hear: Takes in how far the hub has followed the store.
     """
 
@@ -73,6 +89,7 @@
     tell: Callable[[object], None]
     table: hub.HubTable = dataclasses.field(default_factory=hub.HubTable)
     works_at: float = float('-inf')
+    exchanged: dict[str, Exchanged] = dataclasses.field(default_factory=dict)
     hear: Callable[[tables.News], object] = lambda unused_news: None
 
 
@@ -116,31 +133,72 @@
 
 def exchange(reporter: Reporter) -> None:
     """Reports once to each hub, and takes in what they reply."""
+    suspects.step(reporter.forwarder)
     peers = find_hubs(reporter)
+    _note_hubs(reporter, peers)
     now = reporter.forwarder.clock.now()
     wants_works = now - reporter.works_at >= WORKS_MS
     if wants_works:
         reporter.works_at = now
     replies: list[Told] = []
     rows = _take_rows(reporter.forwarder)
-    crashed, cleared = _take_crashes(reporter.forwarder)
     for peer, services in peers.items():
-        asked_at = reporter.forwarder.clock.now()
-        found = reports.Report(
-            reporter.instance,
-            {name: rows[name] for name in services if name in rows},
-            _count_inflight(reporter.forwarder), {
-                name: item.next_fence for name, item in
-                reporter.forwarder.snapshot.assignments.items()
-            }, crashed, cleared, reporter.forwarder.followed, wants_works,
-            ratelimits.list_limits(reporter.forwarder.rate_limits, asked_at),
-            _list_draining(reporter.forwarder))
-        reply = _send(reporter, peer, found)
-        if reply is not None:
-            replies.append(Told(reply, asked_at))
+        told = _ask(reporter, peer,
+                    {name: rows[name] for name in services if name in rows},
+                    wants_works)
+        if told is not None:
+            replies.append(told)
+    if peers and not replies:
+        _spread_evidence(reporter)
     apply(reporter, replies)
 
 
+def _ask(reporter: Reporter, peer: ports.Peer,
+         rows: dict[str, list[reports.Row]], wants_works: bool) -> Told | None:
+    """Reports to an entry; returns what it replied."""
+    forwarder, asked_at = reporter.forwarder, reporter.forwarder.clock.now()
+    exchanged = reporter.exchanged.get(peer.instance, Exchanged())
+    evidence, version = quarantine.list_changes(forwarder.suspects,
+                                                exchanged.told, asked_at)
+    reply = _send(
+        reporter, peer,
+        reports.Report(
+            reporter.instance, rows, _count_inflight(forwarder), {
+                name: item.next_fence
+                for name, item in forwarder.snapshot.assignments.items()
+            }, forwarder.followed, wants_works,
+            ratelimits.list_limits(forwarder.rate_limits, asked_at),
+            _list_draining(forwarder), evidence, peer.instance,
+            exchanged.heard))
+    if reply is None:
+        return None
+    suspects.merge(forwarder, reply.evidence, asked_at)
+    if reply.hub == peer.instance:
+        exchanged.told, exchanged.heard = version, reply.evidence_version
+    return Told(reply, asked_at)
+
+
+def _note_hubs(reporter: Reporter, peers: dict[ports.Peer, set[str]]) -> None:
+    """Notes who the hubs are now; only the first tries blocked requests."""
+    first = next(iter(peers), None)
+    reporter.forwarder.tries_suspects = (first is not None and
+                                         first.instance == reporter.instance)
+    reporter.exchanged = {
+        peer.instance: reporter.exchanged.get(peer.instance, Exchanged())
+        for peer in peers
+    }
+
+
+def _spread_evidence(reporter: Reporter) -> None:
+    """Tells any other entry what no hub knows yet, while none answers."""
+    forwarder = reporter.forwarder
+    told = max((row.told for row in reporter.exchanged.values()), default=0)
+    others = sorted(requests.list_others(forwarder))
+    if others and told < forwarder.suspects.version:
+        _ask(reporter, ports.Peer('', forwarder.generator.choice(others)), {},
+             False)
+
+
 def find_hubs(reporter: Reporter) -> dict[ports.Peer, set[str]]:
     """Returns whom to report to, and which services' keys to tell them."""
     snapshot = reporter.forwarder.snapshot
@@ -163,7 +221,10 @@
     configuration_revision = forwarder.configuration_revision
     revision, version = forwarder.followed, forwarder.newest_version
     hub.note_inflight(table, found.entry, found.inflight, now)
-    hub.note_crashes(table, found.crashed, found.cleared, now, forwarder.logger)
+    suspects.merge(forwarder, found.evidence, now)
+    heard = found.evidence_seen if found.hub == reporter.instance else 0
+    evidence, evidence_version = quarantine.list_changes(
+        forwarder.suspects, heard, now)
     hub.note_limits(table, found.limits, now)
     if found.draining:
         reporter.tell(control.DrainingReported(found.draining))
@@ -178,8 +239,6 @@
         others=hub.count_others(table, found.entry, now),
         assignments=assignments,
         coordinated=_tell_coordinated(reporter, found.wants_works),
-        watched=hub.list_suspects(table),
-        blocked=hub.list_blocked(table, now, forwarder.logger),
         revision=revision,
         since=found.revision,
         changes=forwarder.platform.store.tell_news(
@@ -191,7 +250,10 @@
         configuration_age_ms=requests.find_age(forwarder,
                                                known.configuration_at),
         configuration_revision=configuration_revision,
-        limits=hub.list_limits(table, now))
+        limits=hub.list_limits(table, now),
+        hub=reporter.instance,
+        evidence=evidence,
+        evidence_version=evidence_version)
 
 
 def _tell_coordinated(reporter: Reporter,
@@ -293,13 +355,9 @@
     forwarder = reporter.forwarder
     now = forwarder.clock.now()
     coordinated: dict[str, tables.Coordinated] = {}
-    watched: set[str] = set()
-    blocked: set[str] = set()
     for told in replies:
         reply = told.reply
         coordinated.update(reply.coordinated)
-        watched.update(reply.watched)
-        blocked.update(reply.blocked)
         _hear_assignments(reporter, reply)
         heard = tables.News(reply.revision, told.asked_at - reply.news_age_ms,
                             reply.since, reply.changes, reply.version,
@@ -314,8 +372,6 @@
     forwarder.unserved = {
         name: item.unserved for name, item in coordinated.items()
     }
-    forwarder.watched = frozenset(watched)
-    forwarder.blocked = frozenset(blocked)
     with forwarder.lock:
         for item in coordinated.values():
             for name, work_ms in item.works.items():
@@ -340,12 +396,6 @@
     return rows
 
 
-def _take_crashes(forwarder: requests.Forwarder) -> tuple[list[str], list[str]]:
-    crashed, forwarder.crashed = forwarder.crashed, []
-    cleared, forwarder.cleared = forwarder.cleared, []
-    return crashed, cleared
-
-
 def _list_draining(forwarder: requests.Forwarder) -> list[str]:
     """Returns the ids of servers whose answers reported draining."""
     with forwarder.lock:
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lentilmoor import quarantine
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import tables
 
@@ -35,24 +36,27 @@
       rows: Requests for keys, by service.
       inflight: Its requests under way, by server id.
       known: The `next_fence` of the assignment that it knows, by service.
-      crashed: Fingerprints of requests whose servers broke off.
-      cleared: Fingerprints of such requests that were answered since.
       revision: How far it has followed the store.
       wants_works: Whether it wants to be told servers' times of work.
       limits: Rate limits in force, and those that ended recently.
       draining: Ids of servers whose answers reported draining.
+      evidence: What the hub doesn't know yet of requests that crash servers.
+      hub: Instance id of the hub that the next field speaks of.
+      evidence_seen: Version of the hub's quarantine that it knows.
     """
 
     entry: str
     rows: dict[str, list[Row]]
     inflight: dict[str, int]
     known: dict[str, int]
-    crashed: list[str]
-    cleared: list[str]
     revision: int = 0
     wants_works: bool = True
     limits: ReportedLimits = dataclasses.field(default_factory=dict)
     draining: list[str] = dataclasses.field(default_factory=list)
+    evidence: list[quarantine.Evidence] = dataclasses.field(
+        default_factory=list)
+    hub: str = ''
+    evidence_seen: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,8 +67,6 @@
       others: Requests of other entries under way, by server id.
       assignments: Those that are newer than what the entry knows.
       coordinated: What the hub tells of services that it coordinates.
-      watched: Fingerprints of requests that may crash their servers.
-      blocked: Fingerprints of requests that do.
       revision: How far the hub has followed the store.
       since: The revision that the report named.
       changes: What has changed since then (see `ports.Store.tell_news`).
@@ -74,13 +76,14 @@
         than it has.
       configuration_revision: Up to which revision it knows that.
       limits: The newest rate limit of each server, from all reports.
+      hub: Instance id of who replies.
+      evidence: What the entry doesn't know yet of requests that crash servers.
+      evidence_version: Version of the hub's quarantine up to which that is all.
     """
 
     others: dict[str, int]
     assignments: dict[str, keyranges.Assignment]
     coordinated: dict[str, tables.Coordinated]
-    watched: list[str]
-    blocked: list[str]
     revision: int = 0
     since: int = 0
     changes: bytes | None = None
@@ -89,6 +92,10 @@
     configuration_age_ms: float = NEVER_MS
     configuration_revision: int = 0
     limits: ReportedLimits = dataclasses.field(default_factory=dict)
+    hub: str = ''
+    evidence: list[quarantine.Evidence] = dataclasses.field(
+        default_factory=list)
+    evidence_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Mapping
 import dataclasses
-import hashlib
 import random
 import threading
 
 from lentilmoor import clocks
 from lentilmoor import connections
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor import tries
 from lentilmoor.edge import budgets
 from lentilmoor.edge import departures
@@ -92,10 +92,11 @@
       unserved: First and last keys that no server holds now, by service.
       coordinated: What this entry tells the others, of each service that it
         coordinates; replaced as a whole.
-      watched: Fingerprints of requests that are suspected to crash servers.
-      blocked: Fingerprints of requests that do.
-      crashed: Of those suspected since the last report.
-      cleared: Of those answered since the last report.
+      suspects: Requests that crash servers (see `suspects`).
+      losses: Requests that servers have not answered, by server id.
+      blocked: Fingerprints of blocked requests that were logged.
+      tries_suspects: Whether this entry tries blocked requests once more.
+      tried: When it did so last, ms, by fingerprint.
       departure: When this process ends.
       limits: How old what is known may be.
       freshness: Up to when what is known of the store is complete.
@@ -111,7 +112,7 @@
         copy of the store was last logged, ms.
       unavailable_logged_at: When a request to a draining or paused server was
         last logged, ms.
-      lock: Guards states, pools and repeats.
+      lock: Guards states, pools, repeats, losses and trials.
     """
 
     clock: clocks.Clock
@@ -140,10 +141,12 @@
                               int]]] = dataclasses.field(default_factory=dict)
     coordinated: dict[str, tables.Coordinated] = dataclasses.field(
         default_factory=dict)
-    watched: frozenset[str] = frozenset()
-    blocked: frozenset[str] = frozenset()
-    crashed: list[str] = dataclasses.field(default_factory=list)
-    cleared: list[str] = dataclasses.field(default_factory=list)
+    suspects: quarantine.Quarantine = dataclasses.field(
+        default_factory=quarantine.Quarantine)
+    losses: dict[str, list] = dataclasses.field(default_factory=dict)
+    blocked: frozenset[bytes] = frozenset()
+    tries_suspects: bool = False
+    tried: dict[bytes, float] = dataclasses.field(default_factory=dict)
     departure: departures.Departure = dataclasses.field(
         default_factory=departures.Departure)
     limits: staleness.Limits = dataclasses.field(
@@ -180,6 +183,7 @@
       avoid: Servers that are not to be tried again.
       may_have_run: Whether a try ended without a certain outcome.
       last: A server's failure that is passed on if no try does better.
+      on_trial: Whether it is a blocked request that is tried once more.
     """
 
     request: Request
@@ -192,6 +196,7 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     last: tries.Answer | None = None
+    on_trial: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -245,13 +250,3 @@
     return staleness.is_store_away(forwarder.freshness, list_others(forwarder),
                                    forwarder.platform.store.find_silence(),
                                    forwarder.clock.now(), forwarder.limits)
-
-
-def fingerprint(request: Request) -> str:
-    """Returns what tells a request from others, whoever sends it again."""
-    digest = hashlib.blake2b(digest_size=8)
-    for part in (request.method, request.host, request.target,
-                 str(request.fields.key)):
-        digest.update(part.encode('latin-1', 'replace') + b'\0')
-    digest.update(request.body)
-    return digest.hexdigest()
--- a/lentilmoor/edge/weighing.py
+++ b/lentilmoor/edge/weighing.py
@@ -6,6 +6,7 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import requests
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 
 _SERVER_FAULT = 500
@@ -27,8 +28,6 @@
             _note_work(forwarder, run, server, least_ms)
     with forwarder.lock:
         placement.note_failure(state, now, False)
-        if lost.reason is _Reason.CONNECTION_LOST:
-            state.broken.append((requests.fingerprint(run.request), now))
     run.avoid.add(server.id)
     run.may_have_run = True
     forwarder.logger.info('try_lost',
@@ -36,7 +35,8 @@
                           server=server.id,
                           reason=lost.reason.value,
                           detail=lost.detail,
-                          fingerprint=requests.fingerprint(run.request),
+                          fingerprint=suspects.make_fingerprint(
+                              run.request).hex(),
                           age_ms=round(now - run.request.arrived_at))
     if not run.repeatable or lost.reason is _Reason.TIMED_OUT:
         return lost
@@ -50,6 +50,9 @@
     """Takes in an answer; None if another try may follow."""
     now = forwarder.clock.now()
     status, fields = reply.answer.status, reply.fields
+    state.answered_at = now
+    suspects.note_answer(forwarder, run, server, reply.opened_at,
+                         fields.proven and not fields.not_run)
     ratelimits.note_answer(forwarder.rate_limits, server.id, fields.rate_limit,
                            now, forwarder.logger)
     _note_availability(forwarder, server, state, fields, now)
@@ -60,8 +63,6 @@
         if run.service.keyed:
             forwarder.hurry.set()
         return None
-    if forwarder.watched:
-        _clear(forwarder, run.request)
     good = status < _SERVER_FAULT
     if status in _SUCCESS and not fields.proven:
         good = False
@@ -118,12 +119,6 @@
                             work_ms))
 
 
-def _clear(forwarder: requests.Forwarder, request: requests.Request) -> None:
-    fingerprint = requests.fingerprint(request)
-    if fingerprint in forwarder.watched:
-        forwarder.cleared.append(fingerprint)
-
-
 def conclude(run: requests.Run, refusal: outcomes.NotRun) -> requests.Outcome:
     """Returns the outcome of a request for which no try is left.
 
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from lentilmoor import clocks
+from lentilmoor import crashes
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ports
 from lentilmoor.edge import tables
@@ -90,12 +92,24 @@
     domain: str = ''
 
 
+class _Crash(msgspec.Struct, array_like=True):
+    server: str
+    # Unix ms.
+    at: float
+
+
+class _Suspect(msgspec.Struct, array_like=True):
+    service: str
+    crashes: list[_Crash]
+
+
 # The store has checked it. Numbers that came as text are taken, 5.0 for 5 too.
 _read_configuration = msgspec.json.Decoder(_Configuration, strict=False).decode
 # Anybody may have written it: what isn't as a server writes it names none.
 _read_server = msgspec.json.Decoder(_Server).decode
 _read_assignment = msgspec.json.Decoder(keyranges.Assignment).decode
 _read_peer = msgspec.json.Decoder(_Peer).decode
+_read_suspect = msgspec.json.Decoder(_Suspect).decode
 _ERRORS = (msgspec.MsgspecError, UnicodeDecodeError)
 
 
@@ -187,3 +201,28 @@
     """
     model = _read_peer(data)
     return ports.Peer(model.instance, model.address, model.small, model.domain)
+
+
+def write_suspect(suspect: ports.SavedSuspect, clock: clocks.Clock) -> bytes:
+    """Returns the form in which a request that crashes servers is kept."""
+    ahead_ms = clock.wall() - clock.now()
+    return msgspec.json.encode(
+        _Suspect(suspect.service, [
+            _Crash(item.server, item.at + ahead_ms) for item in suspect.crashes
+        ]))
+
+
+def read_suspect(fingerprint: bytes, data: bytes, revision: int,
+                 clock: clocks.Clock) -> ports.SavedSuspect:
+    """Reads what `write_suspect` wrote.
+
+    Raises:
+      MsgspecError: It is something else.
+    """
+    model, now = _read_suspect(data), clock.now()
+    ahead_ms = clock.wall() - now
+    return ports.SavedSuspect(
+        fingerprint, model.service,
+        tuple(
+            crashes.Crash(item.server, min(now, item.at - ahead_ms))
+            for item in model.crashes), revision)
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -229,6 +229,18 @@
             unanswered = answer
         return unanswered or outcomes.Failed(_Reason.CONFLICT, 'no agreement')
 
+    def delete(self, key: str, revision: int) -> outcomes.Failed | None:
+        """Deletes a key if it is at a revision."""
+        if self.is_outdated(revision):
+            return outcomes.Failed(_Reason.CONFLICT, 'store restored')
+        row = {'Key': key, 'Rev': revisions.find_number(revision)}
+        answer = self.call('POST', '/-/kv-txn', {
+            'ExpectRev': [row],
+            'Writes': [],
+            'Delete': [key]
+        })
+        return answer if isinstance(answer, outcomes.Failed) else None
+
 
 def _find_kind(target: str) -> str:
     path, _, query = target.partition('?')
@@ -264,6 +276,20 @@
     return view.read_peers(found.items)
 
 
+def _save_suspect(client: _Client, clock: clocks.Clock,
+                  suspect: ports.SavedSuspect) -> outcomes.Failed | None:
+    done = client.swap(views.SUSPECTS + suspect.fingerprint.hex(),
+                       documents.write_suspect(suspect, clock),
+                       suspect.revision, 0)
+    return done if isinstance(done, outcomes.Failed) else None
+
+
+def _forget_suspect(client: _Client,
+                    suspect: ports.SavedSuspect) -> outcomes.Failed | None:
+    return client.delete(views.SUSPECTS + suspect.fingerprint.hex(),
+                         suspect.revision)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchTimes:
     """Times of watches, ms.
@@ -413,6 +439,10 @@
                        dump=view.dump,
                        restore=view.restore,
                        save=save,
+                       save_suspect=functools.partial(_save_suspect, client,
+                                                      clock),
+                       forget_suspect=functools.partial(_forget_suspect,
+                                                        client),
                        find_silence=client.find_silence,
                        find_era=lambda: client.era or 0,
                        on_restore=client.on_restore,
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -28,6 +28,7 @@
 COORDINATORS = 'lentilmoor/coordinator/'
 ASSIGNMENTS = 'lentilmoor/assignment/'
 ENTRIES = 'lentilmoor/entry/'
+SUSPECTS = 'lentilmoor/suspect/'
 
 # Changes that are kept for others: some minutes of a busy day's.
 MOST_NEWS = 500
@@ -162,6 +163,7 @@
                 coordinators=dict(before.coordinators),
                 assignments=dict(before.assignments),
                 entries=dict(before.entries),
+                suspects=dict(before.suspects),
                 revision=max(before.revision, revision))
             for item in items:
                 if (revisions.find_era(item.revision) < era or
@@ -299,6 +301,9 @@
         elif item.key.startswith(ENTRIES):
             self._put(everything.entries, item, ENTRIES,
                       make_entry_reader(item))
+        elif item.key.startswith(SUSPECTS):
+            self._put(everything.suspects, item, SUSPECTS,
+                      self._make_suspect_reader(item))
         self._note_news(item)
         return dataclasses.replace(everything,
                                    news=max(everything.news, item.revision))
@@ -398,6 +403,16 @@
         self._servers[name] = servers[found.id] = found
         return changed
 
+    def _make_suspect_reader(
+            self, item: Item) -> Callable[[bytes], ports.SavedSuspect]:
+
+        def read(data: bytes) -> ports.SavedSuspect:
+            fingerprint = bytes.fromhex(item.key.removeprefix(SUSPECTS))
+            return documents.read_suspect(fingerprint, data, item.revision,
+                                          self._clock)
+
+        return read
+
     def read_peers(self, items: Iterable[Item]) -> list[ports.Peer]:
         """Returns the entries that registered; what doesn't parse names none.
 
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -6,6 +6,7 @@
 run between them block a fingerprint: it is answered as not run without
 reaching a server. All follows from the crashes, the last clean run and the last
 release; entries gossip these, so they agree without counting a crash twice.
+Where suspects can't be run alone, `crashes.Rules` asks for more crashes.
 Request threads and the control actor share the table, so each change holds its
 lock; `check` takes none.
 """
@@ -14,6 +15,7 @@
 from collections.abc import Iterator
 import dataclasses
 import enum
+import math
 import threading
 
 from lentilmoor import crashes
@@ -21,6 +23,12 @@
 # A server that was taken for crashed may be proven alive for this long.
 _DOUBT_MS = 10_000.0
 _MOST_SUSPECTS = 4_096
+# Crashes of servers are remembered for as long as they may explain a block.
+_MOST_ENDS = 1_024
+# Changed suspects and servers that are told at a time.
+_MOST_TOLD = 64
+# Servers that are lost together crash within this time of each other.
+_COMMON_CAUSE_MS = 1_000.0
 
 
 class Verdict(enum.Enum):
@@ -36,7 +44,7 @@
     """One observation as it travels between entries (peer.CrashEvidence).
 
     Attributes:
-      fingerprint: 16 bytes.
+      fingerprint: 16 bytes; empty for the crash of a server, whatever it ran.
       service: 'team/service'.
       crashes: 1 for a crash, 0 for a run that ended well.
       age_ms: Time since the observation.
@@ -52,6 +60,21 @@
     released: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """The crash of a server, whatever it ran.
+
+    Attributes:
+      service: Its service.
+      at: When, ms.
+      version: Of the quarantine when this was learned.
+    """
+
+    service: str
+    at: float
+    version: int
+
+
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """The table of suspects, by fingerprint, and which of them run now.
@@ -64,6 +87,9 @@
       explained: Crashes that a blocked request accounts for.
       blocked: Requests answered as not run.
       dropped: Suspects forgotten for want of room.
+      rules: When requests are blocked.
+      ends: Crashes of servers by server id, where each start has its own.
+      version: Counts changes of suspects and ends.
       lock: Held while the table changes.
     """
 
@@ -74,6 +100,9 @@
     explained: list[crashes.Crash] = dataclasses.field(default_factory=list)
     blocked: int = 0
     dropped: int = 0
+    rules: crashes.Rules = crashes.Rules()
+    ends: dict[str, End] = dataclasses.field(default_factory=dict)
+    version: int = 0
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
@@ -160,9 +189,24 @@
         return None
     with table.lock:
         crashes.clear(suspect, now)
+        _touch(table, suspect)
     return Evidence(fingerprint, suspect.service, 0, 0.0, server)
 
 
+def report_end(table: Quarantine, service: str, server: str,
+               now: float) -> None:
+    """Notes that a server crashed, whatever it ran.
+
+    Args:
+      table: The quarantine; updated.
+      service: Its service.
+      server: Its id, which no later start has.
+      now: ms.
+    """
+    with table.lock:
+        _add_end(table, service, server, now)
+
+
 def report_survived(table: Quarantine, server: str, since: float,
                     now: float) -> list[Evidence]:
     """Takes back crashes of a server that turned out to be alive.
@@ -195,6 +239,7 @@
         if len(kept) == len(suspect.crashes):
             continue
         crashes.set_crashes(suspect, kept)
+        _touch(table, suspect)
         if not kept:
             suspect.ran_well_at = now
             cleared.append(
@@ -216,13 +261,18 @@
 
 
 def _merge_item(table: Quarantine, item: Evidence, at: float) -> None:
-    if item.released:
+    if not item.fingerprint:
+        _add_end(table, item.service, item.server, at)
+    elif item.released:
         _release(table, item.fingerprint, item.service, at)
     elif item.crashes:
         _add_crash(table, item.fingerprint, item.service,
                    crashes.Crash(item.server, at))
-    elif item.fingerprint in table.suspects:
-        crashes.merge_clean_run(table.suspects[item.fingerprint], at)
+    else:
+        # Crashes before it may still be under way.
+        suspect = _find_suspect(table, item.fingerprint, item.service)
+        if crashes.merge_clean_run(suspect, at):
+            _touch(table, suspect)
 
 
 def release(table: Quarantine, fingerprint: bytes, service: str,
@@ -252,14 +302,61 @@
         ]
 
 
+def list_changes(table: Quarantine, since: int,
+                 now: float) -> tuple[list[Evidence], int]:
+    """Returns what has changed, for a peer that knows an earlier version.
+
+    Args:
+      table: The quarantine.
+      since: The version.
+      now: ms.
+
+    Returns:
+      Evidence, and the version up to which it tells everything.
+    """
+    if table.version <= since:
+        return [], table.version
+    with table.lock:
+        changed = [(suspect.version, [*_describe(fingerprint, suspect, now)])
+                   for fingerprint, suspect in table.suspects.items()
+                   if suspect.version > since]
+        changed += [(end.version,
+                     [Evidence(b'', end.service, 1, now - end.at, server)])
+                    for server, end in table.ends.items()
+                    if end.version > since]
+        version = table.version
+    changed.sort(key=lambda row: row[0])
+    if len(changed) > _MOST_TOLD:
+        changed = changed[:_MOST_TOLD]
+        version = changed[-1][0]
+    return [item for _, items in changed for item in items], version
+
+
+def has_other_cause(table: Quarantine, fingerprint: bytes) -> bool:
+    """Returns whether servers crashed together with those that ran a request.
+
+    What lost them may have lost the others too, with the request on them.
+    """
+    with table.lock:
+        suspect = table.suspects.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return False
+        known = {crash.server for crash in (*suspect.crashes, *table.explained)}
+        return any(
+            end.service == suspect.service and server not in known and any(
+                abs(end.at - crash.at) <= _COMMON_CAUSE_MS
+                for crash in suspect.crashes)
+            for server, end in table.ends.items())
+
+
 def _describe(fingerprint: bytes, suspect: crashes.Suspect,
               now: float) -> Iterator[Evidence]:
     service = suspect.service
     for crash in suspect.crashes:
         yield Evidence(fingerprint, service, 1, now - crash.at, crash.server)
-    if suspect.ran_well_at >= 0:
+    if suspect.ran_well_at > -math.inf:
         yield Evidence(fingerprint, service, 0, now - suspect.ran_well_at)
-    if suspect.released_at >= 0:
+    if suspect.released_at > -math.inf:
         age_ms = now - suspect.released_at
         yield Evidence(fingerprint, service, 0, age_ms, released=True)
 
@@ -274,6 +371,16 @@
         }
 
 
+def list_condemned(table: Quarantine) -> dict[bytes, crashes.Suspect]:
+    """Returns what has been blocked and not cleared since."""
+    with table.lock:
+        return {
+            fingerprint: suspect
+            for fingerprint, suspect in table.suspects.items()
+            if suspect.blocked_until
+        }
+
+
 def step(table: Quarantine, now: float) -> None:
     """Forgets what is old and what a blocked request accounts for.
 
@@ -281,7 +388,7 @@
       table: The quarantine; updated.
       now: ms.
     """
-    if table.suspects:
+    if table.suspects or table.ends:
         with table.lock:
             _forget(table, now)
 
@@ -305,6 +412,9 @@
             _drop_explained(table, suspect)
         if crashes.is_past(suspect, now):
             del table.suspects[fingerprint]
+    for server, end in list(table.ends.items()):
+        if end.at + crashes.BLOCK_MS < now:
+            del table.ends[server]
 
 
 def _drop_explained(table: Quarantine, suspect: crashes.Suspect) -> None:
@@ -316,33 +426,60 @@
 
 
 def _is_explained(table: Quarantine, crash: crashes.Crash) -> bool:
-    return any(crashes.is_same(crash, known) for known in table.explained)
+    return any(
+        crashes.is_same(crash, known, table.rules) for known in table.explained)
 
 
 def _add_crash(table: Quarantine, fingerprint: bytes, service: str,
                crash: crashes.Crash) -> None:
     """Adds a crash to a suspect, unless it is known or says nothing."""
-    suspect = table.suspects.get(fingerprint)
-    if suspect is None:
-        if _is_explained(table, crash):
-            return
-        _make_room(table)
-        suspect = table.suspects[fingerprint] = crashes.Suspect(service)
+    if fingerprint not in table.suspects and _is_explained(table, crash):
+        return
+    suspect = _find_suspect(table, fingerprint, service)
     if crash.at <= max(suspect.ran_well_at, suspect.released_at):
         return
-    if any(crashes.is_same(crash, known) for known in suspect.crashes):
+    if any(
+            crashes.is_same(crash, known, table.rules)
+            for known in suspect.crashes):
         return
     if not suspect.crashes and _is_explained(table, crash):
         return
     table.doubtful[crash.server] = crash.at
     known = sorted([*suspect.crashes, crash], key=lambda item: item.at)
     crashes.set_crashes(suspect, known[-crashes.MOST_CRASHES:])
+    _touch(table, suspect)
+
+
+def _add_end(table: Quarantine, service: str, server: str, at: float) -> None:
+    if server in table.ends:
+        return
+    if len(table.ends) >= _MOST_ENDS:
+        del table.ends[next(iter(table.ends))]
+    table.version += 1
+    table.ends[server] = End(service, at, table.version)
+
+
+def _find_suspect(table: Quarantine, fingerprint: bytes,
+                  service: str) -> crashes.Suspect:
+    """Returns what is known of a fingerprint; a new suspect if nothing is."""
+    suspect = table.suspects.get(fingerprint)
+    if suspect is None:
+        _make_room(table)
+        suspect = crashes.Suspect(service, rules=table.rules)
+        table.suspects[fingerprint] = suspect
+    return suspect
+
+
+def _touch(table: Quarantine, suspect: crashes.Suspect) -> None:
+    table.version += 1
+    suspect.version = table.version
 
 
 def _release(table: Quarantine, fingerprint: bytes, service: str,
              at: float) -> None:
-    new = crashes.Suspect(service)
-    crashes.release(table.suspects.setdefault(fingerprint, new), at)
+    suspect = _find_suspect(table, fingerprint, service)
+    if crashes.release(suspect, at):
+        _touch(table, suspect)
 
 
 def _make_room(table: Quarantine) -> None:
--- a/tests/test_edge_hub.py
+++ b/tests/test_edge_hub.py
@@ -104,9 +104,7 @@
 
             def call(self, *unused_args):
                 time_.advance(900.0)
-                reply = reports.Reply({}, {}, {}, [], [],
-                                      revision=5,
-                                      news_age_ms=100.0)
+                reply = reports.Reply({}, {}, {}, revision=5, news_age_ms=100.0)
                 return httpcalls.Reply(200, {}, reports.encode_reply(reply))
 
         forwarder = requests.Forwarder(time_.clock(), mock.Mock(),
@@ -143,7 +141,7 @@
         self.address = (host, int(port))
 
     def _post(self, revision: int, timeout_s: float) -> bytes:
-        report = reports.Report('e8', {}, {}, {}, [], [], revision)
+        report = reports.Report('e8', {}, {}, {}, revision)
         connection = http.client.HTTPConnection(*self.address, timeout_s)
         try:
             connection.request('POST', reporting.PATH,
@@ -155,7 +153,7 @@
     def _open_stuck(self, revision: int) -> socket.socket:
         """Sends a report and reads no reply."""
         report = reports.encode_report(
-            reports.Report('e9', {}, {}, {}, [], [], revision))
+            reports.Report('e9', {}, {}, {}, revision))
         peer = socket.socket()
         self.addCleanup(peer.close)
         peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
--- a/tests/test_edge_knowledge.py
+++ b/tests/test_edge_knowledge.py
@@ -80,7 +80,7 @@
 
     def test_a_hub_that_hears_itself_learns_nothing(self):
         acked_at = self._learn_without_the_newest()
-        own = reports.Report('e1', {}, {}, {}, [], [], self.forwarder.followed)
+        own = reports.Report('e1', {}, {}, {}, self.forwarder.followed)
         told = reporting.Told(reporting.answer(self.reporter, own),
                               self.clock.now())
         reporting.apply(self.reporter, [told])
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -1,5 +1,6 @@
 """Tests of key ranges, loads, reports between entries, logs and metrics."""
 
+import dataclasses
 import io
 import json
 import random
@@ -13,6 +14,7 @@
 from lentilmoor import linequeue
 from lentilmoor import logs
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
@@ -23,11 +25,12 @@
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 from lentilmoor.edge import workmeans
 from tests import edgeworlds
 
-_LOGGER = logs.make_logger('test', io.StringIO())
+_EVIDENCE = quarantine.Evidence(b'f' * 16, 'x', 1, 20.0, 's1')
 _range = edgeworlds.make_range
 
 
@@ -61,14 +64,16 @@
 
     def test_a_report_and_its_reply_survive_the_way(self):
         report = reports.Report('e1', {'x': [(7, 's1', 12.5)]}, {'s1': 2},
-                                {'x': 9}, ['f'], [])
+                                {'x': 9},
+                                evidence=[_EVIDENCE],
+                                hub='e2')
         self.assertEqual(reports.decode_report(reports.encode_report(report)),
                          report)
         assignment = keyranges.Assignment('x', 2, 9, (_range(0, 9, 'a'),),
                                           {'a': 3.0}, {'a': 'a:1'}, 'e1')
         told = tables.Coordinated([(1, 2)], {'s1': 12.5})
-        reply = reports.Reply({'s1': 3}, {'x': assignment}, {'x': told}, ['f'],
-                              [])
+        reply = reports.Reply({'s1': 3}, {'x': assignment}, {'x': told},
+                              evidence=[_EVIDENCE])
         found = reports.decode_reply(reports.encode_reply(reply))
         self.assertEqual(found, reply)
         self.assertEqual(found.assignments['x'].addresses, {'a': 'a:1'})
@@ -266,17 +271,13 @@
         self.assertEqual(hub.count_others(table, 'e3', 10.0), {'a': 2, 'b': 2})
         self.assertEqual(hub.count_others(table, 'e1', hub.FRESH_MS + 10.0), {})
 
-    def test_only_what_crashes_without_an_answer_in_between_is_blocked(self):
-        table = hub.HubTable()
-        for now in (0.0, 1.0):
-            hub.note_crashes(table, ['bad', 'unlucky'], [], now, _LOGGER)
-        hub.note_crashes(table, [], ['unlucky'], 2.0, _LOGGER)
-        self.assertEqual(hub.list_blocked(table, 2.0, _LOGGER), [])
-        hub.note_crashes(table, ['bad', 'unlucky'], [], 3.0, _LOGGER)
-        self.assertEqual(hub.list_blocked(table, 3.0, _LOGGER), ['bad'])
-        self.assertIn('unlucky', hub.list_suspects(table))
-        self.assertEqual(hub.list_blocked(table, 4.0 + hub.BLOCKED_MS, _LOGGER),
-                         [])
+
+def _make_crashes() -> list[quarantine.Evidence]:
+    """Returns evidence that blocks a request."""
+    return [
+        dataclasses.replace(_EVIDENCE, age_ms=age_ms, server=f's{age_ms}')
+        for age_ms in (1_000.0, 2_000.0, 3_000.0)
+    ]
 
 
 class ReportingTest(unittest.TestCase):
@@ -286,9 +287,17 @@
         super().setUp()
         clock = clocks.ManualTime().clock()
         store = mock.Mock(**{'tell_news.return_value': b'news'})
-        platform = mock.Mock(store=store, **{'settings.link_mbps': 1_000.0})
-        self.forwarder = requests.Forwarder(clock, platform,
-                                            logs.make_logger('test'), None)
+        platform = mock.Mock(store=store,
+                             **{
+                                 'settings.link_mbps': 1_000.0,
+                                 'settings.seeds': (),
+                                 'settings.control': 'a:9'
+                             })
+        self.forwarder = requests.Forwarder(clock,
+                                            platform,
+                                            logs.make_logger('test'),
+                                            None,
+                                            suspects=suspects.make_quarantine())
         peers = {
             'x': ports.Peer('e1', 'a:1'),
             'y': ports.Peer('e2', 'a:2'),
@@ -298,16 +307,20 @@
             'a:1':
                 reports.Reply({}, {},
                               {'x': tables.Coordinated([(1, 2)], {'s1': 30.0})},
-                              ['f1'], ['f1']),
+                              hub='e1',
+                              evidence=_make_crashes(),
+                              evidence_version=4),
             'a:2':
                 reports.Reply({'s2': 3}, {},
                               {'y': tables.Coordinated([(7, 9)], {'s2': 70.0})},
-                              [], []),
+                              hub='e2'),
         }
         self.reporter = reporting.Reporter('e9', self.forwarder, self, None)
+        self.sent: list[tuple[str, reports.Report]] = []
 
-    def call(self, address, unused_request, unused_timeout_ms):
+    def call(self, address, request, unused_timeout_ms):
         """Stands in for a caller of other entries."""
+        self.sent.append((address, reports.decode_report(request.body)))
         if address not in self.replies:
             return outcomes.Failed(outcomes.Reason.CONNECT_FAILED, 'down')
         data = reports.encode_reply(self.replies[address])
@@ -321,18 +334,69 @@
         })
         self.assertEqual(self.forwarder.states['s1'].shared_ms, 30.0)
         self.assertEqual(self.forwarder.states['s2'].shared_ms, 70.0)
-        self.assertEqual(self.forwarder.blocked, {'f1'})
 
-    def test_what_a_lost_one_told_is_forgotten(self):
+    def test_what_a_lost_one_told_of_its_service_is_forgotten(self):
         reporting.exchange(self.reporter)
         del self.replies['a:1']
         reporting.exchange(self.reporter)
         self.assertEqual(self.forwarder.unserved, {'y': [(7, 9)]})
-        self.assertEqual(self.forwarder.blocked, frozenset())
+
+    def test_what_a_lost_one_told_to_be_blocked_stays_blocked(self):
+        reporting.exchange(self.reporter)
+        del self.replies['a:1']
+        for _ in range(2):
+            reporting.exchange(self.reporter)
+            self.assertEqual(
+                quarantine.list_blocked(self.forwarder.suspects, 0.0).keys(),
+                {_EVIDENCE.fingerprint})
+
+    def test_evidence_is_told_again_until_it_has_arrived(self):
+        quarantine.report_end(self.forwarder.suspects, 'x', 's9', 0.0)
+        replies, self.replies = self.replies, {}
+        reporting.exchange(self.reporter)
+        self.replies = replies
+        self.sent.clear()
+        for _ in range(3):
+            reporting.exchange(self.reporter)
+        told = [[item.server
+                 for item in report.evidence]
+                for address, report in self.sent
+                if address == 'a:2']
+        self.assertIn('s9', told[0])
+        self.assertEqual(told[-1], [])
+
+    def test_another_process_at_the_address_of_the_hub_is_told_everything(self):
+        quarantine.report_end(self.forwarder.suspects, 'x', 's9', 0.0)
+        reporting.exchange(self.reporter)
+        self.replies['a:2'] = reports.Reply({}, {}, {}, hub='other')
+        quarantine.report_end(self.forwarder.suspects, 'x', 's8', 0.0)
+        reporting.exchange(self.reporter)
+        peers = self.forwarder.snapshot.coordinators | {
+            'y': ports.Peer('other', 'a:2')
+        }
+        self.forwarder.snapshot = tables.Snapshot(None, {}, {}, peers, {})
+        self.sent.clear()
+        reporting.exchange(self.reporter)
+        told = {
+            item.server for address, report in self.sent if address == 'a:2'
+            for item in report.evidence
+        }
+        self.assertLessEqual({'s8', 's9'}, told)
+
+    def test_evidence_goes_to_others_where_no_hub_answers(self):
+        quarantine.report_end(self.forwarder.suspects, 'x', 's9', 0.0)
+        self.replies = {'a:3': reports.Reply({}, {}, {}, hub='e3')}
+        self.forwarder.snapshot = tables.Snapshot(
+            None, {}, {}, self.forwarder.snapshot.coordinators,
+            {'e3': ports.Peer('e3', 'a:3')})
+        reporting.exchange(self.reporter)
+        address, report = self.sent[-1]
+        self.assertEqual(address, 'a:3')
+        self.assertEqual([item.server for item in report.evidence], ['s9'])
 
     def test_an_entry_tells_only_of_services_that_it_coordinates(self):
         reporting.exchange(self.reporter)
-        report = reports.Report('e3', {}, {}, {}, [], [])
+        report = reports.Report('e3', {}, {}, {})
         found = reporting.answer(self.reporter, report)
         self.assertEqual(found.coordinated, {})
         self.assertEqual(found.changes, b'news')
--- a/tests/test_edge_routing.py
+++ b/tests/test_edge_routing.py
@@ -146,11 +146,6 @@
         self.assertEqual(placement.find_least_work(1_400.0, choice), 700.0)
         self.assertEqual(placement.find_least_work(400.0, choice), 0.0)
 
-    def test_a_crash_is_told_from_a_broken_connection(self):
-        state = placement.ServerState(broken=[('f1', 900.0), ('f0', -5_000.0)])
-        self.assertEqual(placement.take_crashed(state, 1_000.0), ['f1'])
-        self.assertEqual(placement.take_crashed(state, 1_000.0), [])
-
 
 class WaitingTest(unittest.TestCase):
 
