Soak: a request that crashes its servers comes all the while

It comes at any entry with pauses of 0.05 s to 3 s, beside a frequent sound request for the same service, while entries are killed and the store is away or restored. At most three servers may crash later than 3 s after the third; the sound request must be served at the end.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,8 @@
 `python -m tests.soak --soak_seed=1 --soak_seconds=60`. Entries are killed,
 frozen and asked to end, the store is away or comes back from an older copy,
 servers leave and come, and the configuration changes, one soon after the other.
-Prints what was broken.
+All the while a request comes that crashes each server that runs it. Prints what
+was broken.
 """
 
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 from absl import app
 from absl import flags
 
+from standins import deadly_request
 from standins import platform_server
 from standins import platform_store
 from tests import platformhelp
@@ -41,6 +43,13 @@
 _SLOW_S = 4.0
 _SLOW_LIMIT_MS = 5_000
 _KEPT_CALLERS = 6
+# One request for this service crashes its servers; others are sound.
+_FRAIL = 'frail'
+_FRAIL_SERVERS = 5
+_DEADLY_PATH = f'/{_FRAIL}/bad'
+_DEADLY_GAPS_S = (0.05, 3.0)
+# Copies that may crash servers later than STABLE_S after the third.
+_MOST_LATE_CRASHES = 3
 _COPY_S = 0.5
 _MOST_COPIES = 12
 _CALLERS = 3
@@ -87,6 +96,15 @@
         ]
         for server in self._slow:
             server.work_s = _SLOW_S
+        self._frail = [
+            platform_server.PlatformServer(self._store, _FRAIL)
+            for _ in range(_FRAIL_SERVERS)
+        ]
+        self._deadly = deadly_request.DeadlyRequest(
+            _DEADLY_PATH,
+            away_s=self._random.uniform(0.5, 6.0),
+            silent=self._random.random() < 0.3)
+        self._deadly.attach(self._frail)
         self._copies: list[platform_store.Copy] = []
         self._store_calm_at = time.monotonic() + STABLE_S
         # When each entry is bound again, s.
@@ -118,7 +136,8 @@
         ]
         threads += [
             threading.Thread(target=work)
-            for work in (self._copy, self._watch_owners, self._watch_routes)
+            for work in (self._copy, self._watch_owners, self._watch_routes,
+                         self._call_deadly, self._call_frail)
         ]
         for thread in threads:
             thread.start()
@@ -131,10 +150,12 @@
             thread.join()
         self._check_recovered()
         self._check_history()
+        self._check_crashes()
 
     def close(self) -> None:
         """Ends all processes and servers."""
-        for server in self._slow:
+        self._deadly.close()
+        for server in (*self._slow, *self._frail):
             server.close()
         self._deployment.close()
 
@@ -253,7 +274,11 @@
         """Writes a configuration with all routes that were added."""
         document = platformhelp.make_configuration(self._version)
         routes, services = document['Routes'], document['Services']
-        services[_SLOW] = services['orders']
+        services[_SLOW] = services[_FRAIL] = services['orders']
+        routes[_FRAIL] = routes['report'] | {
+            'Prefix': f'/{_FRAIL}/',
+            'Service': _FRAIL
+        }
         routes[_SLOW] = routes['order'] | {
             'Prefix': f'/{_SLOW}/',
             'Service': _SLOW,
@@ -324,6 +349,25 @@
             return False
         return headers.get('Connection') != 'close'
 
+    def _call_deadly(self) -> None:
+        """Sends the request that crashes servers, at any entry."""
+        drawn = random.Random(_CALLERS + _KEPT_CALLERS)
+        while time.monotonic() < self._ends_at:
+            self._send_frail(drawn, _DEADLY_PATH)
+            time.sleep(drawn.uniform(*_DEADLY_GAPS_S))
+
+    def _call_frail(self) -> None:
+        """Sends a frequent sound request beside it."""
+        drawn = random.Random(_CALLERS + _KEPT_CALLERS + 1)
+        while time.monotonic() < self._ends_at:
+            self._send_frail(drawn, f'/{_FRAIL}/x')
+            time.sleep(0.02)
+
+    def _send_frail(self, drawn: random.Random, path: str) -> None:
+        entry = drawn.choice(self._deployment.entries)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            entry.call(path, request_id=uuid.uuid4().hex[:16])
+
     def _watch_owners(self) -> None:
         while time.monotonic() < self._ends_at:
             shared = platformhelp.find_shared(list(self._deployment.catalogs),
@@ -363,6 +407,7 @@
     def _list_missing(self) -> list[str]:
         paths = [('/stock/x', key) for key in KEYS[::8]]
         paths += [(route.path + 'x', None) for route in self._routes]
+        paths.append((f'/{_FRAIL}/x', None))
         missing = []
         for index, entry in enumerate(self._deployment.entries):
             for path, key in paths:
@@ -407,6 +452,18 @@
                 self._note(f'{len(late)} requests to {server.id} up to '
                            f'{max(late):.2f} s after it said that it leaves')
 
+    def _check_crashes(self) -> None:
+        """Checks that the request that crashes servers was stopped, and is."""
+        for entry in self._deployment.entries:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                entry.call(_DEADLY_PATH)
+        crashes = self._deadly.crashes
+        late = self._deadly.find_late(STABLE_S) if len(crashes) > 2 else []
+        if len(late) > _MOST_LATE_CRASHES:
+            ages = [round(at - crashes[0], 1) for at in sorted(crashes)]
+            self._note(f'{len(late)} servers crashed later than {STABLE_S} s '
+                       f'after the third: {ages}')
+
     def _note(self, text: str) -> None:
         self.breaches.append(f'{text} (after {self.events[-1:]})')
 
