Take nothing of the fixed repeat budget in an entry's first window

Callers' services could get more repeats than the operator allows (BUDGET) where entries are killed and start again: each process counted from nothing and took its share of the fixed part anew, several times within one window.

An entry that started less than a window ago takes only the part that follows from its own requests.

--- a/lentilmoor/edge/budgets.py
+++ b/lentilmoor/edge/budgets.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 
 from lentilmoor.edge import ports
 
@@ -27,10 +28,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Budget:
-    """Requests and repeats to one service within the window."""
+    """Requests and repeats to one service within the window.
+
+    Attributes:
+      steps: Counts of the window.
+      began_at: When the entry started, ms.
+    """
 
     steps: collections.deque[Step] = dataclasses.field(
         default_factory=collections.deque)
+    began_at: float = -math.inf
 
 
 def note_request(budget: Budget, bounds: ports.Bounds, now: float) -> None:
@@ -51,8 +58,11 @@
     step = _current(budget, bounds, now)
     requests = sum(item.requests for item in budget.steps)
     repeats = sum(item.repeats for item in budget.steps)
-    allowed = USED_PART * (bounds.retry_ratio * requests +
-                           bounds.retry_slack / max(1, entries))
+    fixed = bounds.retry_slack / max(1, entries)
+    if now < budget.began_at + bounds.retry_window_ms:
+        # An earlier process of this entry may have used it.
+        fixed = 0.0
+    allowed = USED_PART * (bounds.retry_ratio * requests + fixed)
     if repeats + 1 > allowed:
         return False
     step.repeats += 1
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -145,7 +145,8 @@
                                    platform,
                                    logger,
                                    rules,
-                                   suspects=suspects.make_quarantine())
+                                   suspects=suspects.make_quarantine(),
+                                   started_at=clock.now())
     forwarder.limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -356,4 +356,5 @@
 
 
 def _budget_of(forwarder: requests.Forwarder, service: str) -> budgets.Budget:
-    return forwarder.repeats.setdefault(service, budgets.Budget())
+    return forwarder.repeats.setdefault(
+        service, budgets.Budget(began_at=forwarder.started_at))
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -97,6 +97,7 @@
       blocked: Fingerprints of blocked requests that were logged.
       tries_suspects: Whether this entry tries blocked requests once more.
       tried: When it did so last, ms, by fingerprint.
+      started_at: When this process started, ms.
       departure: When this process ends.
       limits: How old what is known may be.
       freshness: Up to when what is known of the store is complete.
@@ -147,6 +148,7 @@
     blocked: frozenset[bytes] = frozenset()
     tries_suspects: bool = False
     tried: dict[bytes, float] = dataclasses.field(default_factory=dict)
+    started_at: float = float('-inf')
     departure: departures.Departure = dataclasses.field(
         default_factory=departures.Departure)
     limits: staleness.Limits = dataclasses.field(
--- a/tests/test_edge_routing.py
+++ b/tests/test_edge_routing.py
@@ -190,6 +190,24 @@
             self.assertLessEqual(repeats, 0.2 * requests + 60.0)
         self.assertGreater(len(taken), 0.1 * len(asked))
 
+    def test_entries_that_start_again_do_not_repeat_more(self):
+        # All of 12 entries are killed each 4 s; all repeat all.
+        entries: list[budgets.Budget] = []
+        asked, taken = [], []
+        for now in range(0, 40_000, 50):
+            if now % 4_000 == 0:
+                entries = [budgets.Budget(began_at=now) for _ in range(12)]
+            budget = entries[now // 50 % 12]
+            budgets.note_request(budget, _BOUNDS, now)
+            asked.append(now)
+            if budgets.take_repeat(budget, _BOUNDS, 12, now):
+                taken.append(now)
+        for begin in range(0, 30_000, 500):
+            requests = sum(begin <= at < begin + 10_000 for at in asked)
+            repeats = sum(begin <= at < begin + 10_000 for at in taken)
+            self.assertLessEqual(repeats, 0.2 * requests + 60.0)
+        self.assertGreater(len(taken), 0.05 * len(asked))
+
     def test_a_service_without_requests_keeps_its_fixed_part(self):
         budget = budgets.Budget()
         taken = sum(
