--- a/tests/test_edge_routing.py
+++ b/tests/test_edge_routing.py
@@ -172,6 +172,13 @@
 
 class BudgetTest(unittest.TestCase):
 
+    def _check_windows(self, asked: list[int], taken: list[int]) -> None:
+        """Checks that no window has more repeats than it allows."""
+        for begin in range(0, 30_000, 500):
+            requests = sum(begin <= at < begin + 10_000 for at in asked)
+            repeats = sum(begin <= at < begin + 10_000 for at in taken)
+            self.assertLessEqual(repeats, 0.2 * requests + 60.0)
+
     def test_all_entries_together_stay_within_what_is_allowed(self):
         # 12 entries, one of which gets most of the requests; all repeat all.
         entries = [budgets.Budget() for _ in range(12)]
@@ -184,10 +191,7 @@
             for _ in range(2):
                 if budgets.take_repeat(entries[index], _BOUNDS, 12, now):
                     taken.append(now)
-        for begin in range(0, 30_000, 500):
-            requests = sum(begin <= at < begin + 10_000 for at in asked)
-            repeats = sum(begin <= at < begin + 10_000 for at in taken)
-            self.assertLessEqual(repeats, 0.2 * requests + 60.0)
+        self._check_windows(asked, taken)
         self.assertGreater(len(taken), 0.1 * len(asked))
 
     def test_entries_that_start_again_do_not_repeat_more(self):
@@ -202,10 +206,7 @@
             asked.append(now)
             if budgets.take_repeat(budget, _BOUNDS, 12, now):
                 taken.append(now)
-        for begin in range(0, 30_000, 500):
-            requests = sum(begin <= at < begin + 10_000 for at in asked)
-            repeats = sum(begin <= at < begin + 10_000 for at in taken)
-            self.assertLessEqual(repeats, 0.2 * requests + 60.0)
+        self._check_windows(asked, taken)
         self.assertGreater(len(taken), 0.05 * len(asked))
 
     def test_a_service_without_requests_keeps_its_fixed_part(self):
