Take a crash back only by an answer to a request that was sent after it

An answer that was under way when a server crashed was read a moment later and taken for proof that the server lived: the crash under the request that caused it was not counted. By reading; a test shows it.

Only an answer over a connection older than the loss, to a request that was sent after it, takes it back; a second later for crashes that other entries told of, whose times are less exact. A trial that crashes another server ends further trials before the block ends, whoever coordinates then.

Tests: three new ones in test_edge_suspects; the first and the last fail without the change.

--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -40,6 +40,8 @@
 TRIAL_MS = 5_000.0
 # Time for a caller of a blocked request to come back.
 RETRY_MS = 30_000
+# When a crash was that another entry told of is known as well as this.
+_TOLD_MS = 1_000.0
 # Requests that one line names.
 _MOST_NAMED = 20
 
@@ -97,15 +99,20 @@
     suspect = table.suspects.get(fingerprint)
     if suspect is None or not suspect.blocked_until:
         return quarantine.Verdict.CLEAR
-    verdict = quarantine.check(table, fingerprint, now)
-    if (verdict is quarantine.Verdict.BLOCKED and
-            now >= suspect.crashes[-1].at + TRIAL_MS and
-            quarantine.has_other_cause(table, fingerprint)):
-        verdict = quarantine.Verdict.SUSPECT
-    if verdict is quarantine.Verdict.SUSPECT and not _may_try(
-            forwarder, fingerprint, now):
-        verdict = quarantine.Verdict.BLOCKED
-    return verdict
+    due = (now >= suspect.blocked_until or
+           _is_doubtful(table, fingerprint, suspect, now))
+    if due and _may_try(forwarder, fingerprint, now):
+        return quarantine.Verdict.SUSPECT
+    return quarantine.Verdict.BLOCKED
+
+
+def _is_doubtful(table: quarantine.Quarantine, fingerprint: bytes,
+                 suspect: crashes.Suspect, now: float) -> bool:
+    """Returns whether a first block may have another cause."""
+    last_at = max((crash.at for crash in suspect.crashes), default=now)
+    is_first = suspect.blocked_until <= last_at + crashes.BLOCK_MS
+    return (is_first and now >= last_at + TRIAL_MS and
+            quarantine.has_other_cause(table, fingerprint))
 
 
 def _may_try(forwarder: requests.Forwarder, fingerprint: bytes,
@@ -223,8 +230,9 @@
       forwarder: What is known.
       run: The request.
       server: Who answered.
-      opened_at: When the connection was opened, ms. What was lost since has not
-        crashed the server, as the same process has answered.
+      opened_at: When the connection was opened, ms. What was lost between then
+        and the sending of this request has not crashed the server, as the same
+        process has answered.
       ran: Whether the answer proves that the request ran.
     """
     table, now = forwarder.suspects, forwarder.clock.now()
@@ -232,13 +240,14 @@
         with forwarder.lock:
             kept = [
                 loss for loss in forwarder.losses.pop(server.id, [])
-                if loss.at <= opened_at
+                if not opened_at < loss.at < run.sent_at
             ]
             if kept:
                 forwarder.losses[server.id] = kept
     if not table.suspects:
         return
-    quarantine.report_survived(table, server.id, opened_at, now)
+    quarantine.report_survived(table, server.id, opened_at, now,
+                               run.sent_at - _TOLD_MS)
     if ran:
         quarantine.report_clean_run(table, make_fingerprint(run.request),
                                     server.id, now)
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -207,8 +207,11 @@
         _add_end(table, service, server, now)
 
 
-def report_survived(table: Quarantine, server: str, since: float,
-                    now: float) -> list[Evidence]:
+def report_survived(table: Quarantine,
+                    server: str,
+                    since: float,
+                    now: float,
+                    until: float = math.inf) -> list[Evidence]:
     """Takes back crashes of a server that turned out to be alive.
 
     Args:
@@ -217,24 +220,25 @@
       since: When a connection was opened that has answered just now, ms; the
         server's process has lived from then on.
       now: ms.
+      until: Up to when that is certain, ms; later crashes stay.
 
     Returns:
       Evidence for the peers that those requests did no harm.
     """
-    if table.doubtful.get(server, since) <= since:
+    if not since < table.doubtful.get(server, since) <= until:
         return []
     with table.lock:
         table.doubtful.pop(server, None)
-        return _take_back(table, server, since, now)
+        return _take_back(table, server, since, until, now)
 
 
-def _take_back(table: Quarantine, server: str, since: float,
+def _take_back(table: Quarantine, server: str, since: float, until: float,
                now: float) -> list[Evidence]:
     cleared = []
     for fingerprint, suspect in table.suspects.items():
         kept = [
             crash for crash in suspect.crashes
-            if crash.server != server or crash.at <= since
+            if crash.server != server or not since < crash.at <= until
         ]
         if len(kept) == len(suspect.crashes):
             continue
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -87,9 +87,13 @@
         self.time.advance(5.0)
         suspects.note_loss(self.forwarder, run, server, pool, False)
 
-    def _answer(self, request: requests.Request, server: tables.Server,
-                opened_at: float) -> None:
+    def _answer(self,
+                request: requests.Request,
+                server: tables.Server,
+                opened_at: float,
+                sent_at: float | None = None) -> None:
         run = requests.Run(request, _ROUTE, _SERVICE, 0.0)
+        run.sent_at = self.time.at - 1.0 if sent_at is None else sent_at
         state = self.forwarder.states.get(server.id)
         if state is not None:
             state.answered_at = self.time.at
@@ -163,6 +167,23 @@
         suspects.note_replaced(self.forwarder, server)
         self.assertEqual(self._count(), 0)
 
+    def test_an_answer_that_was_under_way_at_the_crash_proves_nothing(self):
+        server, pool = self._start_server(True)
+        self._lose(_BAD, server, pool)
+        self._answer(_SOUND, server, 99_000.0, self.time.at - 10.0)
+        suspects.note_replaced(self.forwarder, server)
+        self.assertEqual(self._count(), 1)
+        self._answer(_SOUND, server, 99_000.0, self.time.at - 10.0)
+        self.assertEqual(self._count(), 1)
+
+    def test_a_later_answer_takes_a_crash_back(self):
+        server, pool = self._start_server(True)
+        self._lose(_BAD, server, pool)
+        suspects.note_unlisted(self.forwarder, server)
+        self.time.advance(2_000.0)
+        self._answer(_SOUND, server, 99_000.0)
+        self.assertEqual(self._count(), 0)
+
     def test_an_answer_over_a_newer_connection_proves_nothing(self):
         server, pool = self._start_server(True)
         self._lose(_BAD, server, pool)
@@ -253,6 +274,13 @@
         self.time.advance(60_000.0)
         self.assertIs(self._check(_SOUND), _BLOCKED)
 
+    def test_a_crash_of_the_trial_ends_all_trials(self):
+        self._block_by_mistake()
+        self._crash(_SOUND)
+        self.time.advance(suspects.TRIAL_MS)
+        self.forwarder.tries_suspects = True
+        self.assertIs(self._check(_SOUND), _BLOCKED)
+
     def test_it_is_free_after_a_clean_trial(self):
         self._block_by_mistake()
         self.forwarder.tries_suspects = True
