Stand-in and soak: servers that crash as machines without power do

Connections to them get no answer rather than a refusal, and their entry runs out in the store. Servers close their port at once, where the thread that accepts could keep it open for half a second.

--- a/standins/deadly_request.py
+++ b/standins/deadly_request.py
@@ -1,6 +1,8 @@
 """A request that crashes each backend server that begins to run it."""
 
 from collections.abc import Iterable
+import contextlib
+import socket
 import threading
 import time
 
@@ -19,7 +21,8 @@
                  path: str,
                  away_s: float = 2.0,
                  listed_s: float = 1.5,
-                 silent: bool = False):
+                 silent: bool = False,
+                 powerless: bool = False):
         """Makes a request that crashes servers.
 
         Args:
@@ -29,12 +32,15 @@
             for as long as it is away if that is less.
           silent: Whether connections to a crashed server stay open until it is
             back, rather than break at once.
+          powerless: Whether new connections aren't refused but get no answer
+            either, as from a machine without power.
         """
         self.path = path
         self.crashes: list[float] = []
         self._away_s = away_s
         self._listed_s = min(listed_s, away_s)
-        self._silent = silent
+        self._silent = silent or powerless
+        self._powerless = powerless
         self._lock = threading.Lock()
         self._restarted: list[platform_server.PlatformServer] = []
         self._restarting: list[threading.Thread] = []
@@ -64,20 +70,31 @@
         def begin(path: str) -> None:
             if path != self.path:
                 return
+            ended = threading.Event()
             with self._lock:
                 self.crashes.append(time.monotonic())
-                thread = threading.Thread(target=self._restart, args=(server,))
+                thread = threading.Thread(target=self._restart,
+                                          args=(server, ended))
                 self._restarting.append(thread)
             thread.start()
-            server.crash(self._away_s if self._silent else 0.0)
+            with contextlib.ExitStack() as held:
+                server.crash()
+                if self._powerless:
+                    _hold_port(server.port, held)
+                if self._silent:
+                    time.sleep(self._away_s)
+                server.reset()
+            ended.set()
             raise ConnectionResetError('crashed')
 
         return begin
 
-    def _restart(self, server: platform_server.PlatformServer) -> None:
+    def _restart(self, server: platform_server.PlatformServer,
+                 ended: threading.Event) -> None:
         time.sleep(self._listed_s)
         server.store.delete(f'servers/{server.id}')
         time.sleep(self._away_s - self._listed_s)
+        ended.wait()
         with self._lock:
             if self._closed:
                 return
@@ -87,3 +104,15 @@
                                                  port=server.port)
             self._restarted.append(new)
         self.attach([new])
+
+
+def _hold_port(port: int, held: contextlib.ExitStack) -> None:
+    """Has connections to a port get no answer."""
+    listener = held.enter_context(socket.socket())
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(('127.0.0.1', port))
+    listener.listen(0)
+    for _ in range(2):  # The queue takes no more, and what comes is dropped.
+        filler = held.enter_context(socket.socket())
+        filler.setblocking(False)
+        filler.connect_ex(('127.0.0.1', port))
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -127,15 +127,18 @@
             self.held.clear()
             self._reset_all()
 
-    def crash(self, silent_s: float = 0.0) -> None:
-        """Ends from within a request; its entry stays until it is deleted.
+    def crash(self) -> None:
+        """Ends from within a request, but for open connections.
 
-        Args:
-          silent_s: How long open connections stay silent before they break.
+        Its entry stays until it is deleted.
         """
         threading.Thread(target=self._server.shutdown, daemon=True).start()
+        # The thread that accepts would keep the port open.
+        self._server.socket.shutdown(socket.SHUT_RDWR)
         self._server.socket.close()
-        time.sleep(silent_s)
+
+    def reset(self) -> None:
+        """Forgets its keys and breaks open connections."""
         with self.lock:
             self.held.clear()
             self._reset_all()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -48,6 +48,7 @@
 _FRAIL_SERVERS = 5
 _DEADLY_PATH = f'/{_FRAIL}/bad'
 _DEADLY_GAPS_S = (0.05, 3.0)
+_CRASHES = ({}, {'silent': True}, {'powerless': True})
 # Copies that may crash servers later than STABLE_S after the third.
 _MOST_LATE_CRASHES = 3
 _COPY_S = 0.5
@@ -103,7 +104,7 @@
         self._deadly = deadly_request.DeadlyRequest(
             _DEADLY_PATH,
             away_s=self._random.uniform(0.5, 6.0),
-            silent=self._random.random() < 0.3)
+            **self._random.choice(_CRASHES))
         self._deadly.attach(self._frail)
         self._copies: list[platform_store.Copy] = []
         self._store_calm_at = time.monotonic() + STABLE_S
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -82,6 +82,11 @@
         self._send_often(16.0, 0.7)
         self._assert_stopped(deadly)
 
+    def test_it_stops_where_machines_lose_power(self):
+        deadly = self._attach(powerless=True, away_s=4.0, listed_s=2.6)
+        self._send_often(16.0, 0.7)
+        self._assert_stopped(deadly)
+
     def test_it_stops_where_the_coordinator_is_killed(self):
         deadly = self._attach()
 
