--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+import math
 import signal
 import socket
 import threading
@@ -141,12 +142,13 @@
                               opens_per_s=40.0,
                               burst=12.0,
                               socket_options=socket_options)
+    started_at = -math.inf if platform.settings.first_start else clock.now()
     forwarder = requests.Forwarder(clock,
                                    platform,
                                    logger,
                                    rules,
                                    suspects=suspects.make_quarantine(),
-                                   started_at=clock.now())
+                                   started_at=started_at)
     forwarder.limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -61,6 +61,8 @@
       cores: Processor time it may use, in cores.
       link_mbps: Speed of its link, Mbit/s.
       bounds: What the operator promises and expects.
+      first_start: Whether the whole system starts for the first time, so that
+        no earlier process of this entry has run.
     """
 
     instance: str
@@ -73,6 +75,7 @@
     cores: float
     link_mbps: float
     bounds: Bounds
+    first_start: bool = False
 
     @property
     def small(self) -> bool:
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -43,7 +43,8 @@
         cores=(_take_number(fields, 'Limits.CpuShare') *
                _take_number(fields, 'Limits.Cores')),
         link_mbps=_take_number(fields, 'Limits.LinkMbps'),
-        bounds=bounds)
+        bounds=bounds,
+        first_start=fields.get('Bootstrap', '').strip() == 'true')
     staleness.make_limits(bounds.drain_ms, bounds.config_apply_ms)
     return settings, _take_address(fields, 'Platform.Addr')
 
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -124,7 +124,7 @@
         lines = [
             f'Node=edge-{number}', 'Zone=zone-a', 'Listen.Front=' + self._at(0),
             'Listen.Ready=' + self._at(1), 'Listen.Control=' + self._at(2),
-            'Limits.CpuShare=0.86', 'Limits.Cores=1',
+            'Bootstrap=true', 'Limits.CpuShare=0.86', 'Limits.Cores=1',
             f'Limits.LinkMbps={link_mbps}', f'Seeds={seeds}',
             f'Bounds={_BOUNDS}', f'Platform.Addr={standin.address}'
         ]
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -72,6 +72,12 @@
             _SETTINGS.replace('New=1', 'ConfigApplyMs=2500'))
         self.assertEqual(found.bounds.config_apply_ms, 2_500.0)
 
+    def test_only_what_says_so_starts_for_the_first_time(self):
+        for value, first in (('true', True), ('false', False), ('', False)):
+            found, _ = settings.parse_settings(_SETTINGS +
+                                               f'\nBootstrap={value}\n')
+            self.assertIs(found.first_start, first)
+
     def test_a_bound_that_can_not_be_kept_is_refused(self):
         with self.assertRaisesRegex(exceptions.SettingsError, 'bounds: 300 ms'):
             settings.parse_settings(
