Stand-in: answer nothing after a crash

The stand-in of a silent crash closed its port but answered other requests over connections that were open, and an answer to a later request takes a crash back, as it should. Two copies at one server also started it again twice.

A crashed server answers nothing any more, and crashes once.

--- a/standins/deadly_request.py
+++ b/standins/deadly_request.py
@@ -70,15 +70,17 @@
         def begin(path: str) -> None:
             if path != self.path:
                 return
-            ended = threading.Event()
             with self._lock:
                 self.crashes.append(time.monotonic())
-                thread = threading.Thread(target=self._restart,
-                                          args=(server, ended))
+            if not server.crash():
+                server.check_up()
+            ended = threading.Event()
+            thread = threading.Thread(target=self._restart,
+                                      args=(server, ended))
+            with self._lock:
                 self._restarting.append(thread)
             thread.start()
             with contextlib.ExitStack() as held:
-                server.crash()
                 if self._powerless:
                     _hold_port(server.port, held)
                 if self._silent:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -80,6 +80,8 @@
         self.retry_after_s: float | None = None
         # Called with the path of each request that it begins to run.
         self.on_begin: Callable[[str], None] = lambda path: None
+        self._crashed = False
+        self._reset = threading.Event()
         self.lock = threading.Lock()
         self.slots = threading.Semaphore(2)
         self._server = _Server(('127.0.0.1', port), _make_handler(self))
@@ -127,18 +129,37 @@
             self.held.clear()
             self._reset_all()
 
-    def crash(self) -> None:
+    def crash(self) -> bool:
         """Ends from within a request, but for open connections.
 
         Its entry stays until it is deleted.
+
+        Returns:
+          Whether it was up until now.
         """
+        with self.lock:
+            if self._crashed:
+                return False
+            self._crashed = True
         threading.Thread(target=self._server.shutdown, daemon=True).start()
         # The thread that accepts would keep the port open.
         self._server.socket.shutdown(socket.SHUT_RDWR)
         self._server.socket.close()
+        return True
+
+    def check_up(self) -> None:
+        """Waits for the end of connections if it has crashed.
+
+        Raises:
+          ConnectionResetError: It has.
+        """
+        if self._crashed:
+            self._reset.wait()
+            raise ConnectionResetError('crashed')
 
     def reset(self) -> None:
         """Forgets its keys and breaks open connections."""
+        self._reset.set()
         with self.lock:
             self.held.clear()
             self._reset_all()
@@ -237,6 +258,7 @@
 
         def handle_call(self) -> None:
             """Answers one call."""
+            server.check_up()
             length = int(self.headers.get('Content-Length') or 0)
             body = self.rfile.read(length)
             if self.path == '/-/grant':
@@ -339,6 +361,7 @@
                   body: bytes,
                   headers: dict | None = None,
                   length: int | None = None) -> None:
+            server.check_up()
             self.send_response(status)
             if server.rate_limit is not None:
                 self.send_header('Server-Limit', str(server.rate_limit))
