--- a/lentilmoor/edge/departures.py
+++ b/lentilmoor/edge/departures.py
@@ -27,11 +27,13 @@
     """When this process ends.
 
     Attributes:
+      asked_after: Nobody had asked the process to end by then, ms.
       last_arrival_at: Requests that arrive later are refused, ms.
       ends_at: When requests under way are interrupted, ms; inf as long as
         nobody has asked the process to end.
     """
 
+    asked_after: float = -math.inf
     last_arrival_at: float = math.inf
     ends_at: float = math.inf
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import math
+import queue
 import signal
 import socket
 import threading
@@ -123,12 +124,24 @@
     _start(functools.partial(reporting.report, entry.reporter))
     _start(functools.partial(subscriptions.listen, entry.follower))
     logger.info('entry_started', callers=platform.settings.callers)
-    while signals.receive(arrived) != signal.SIGTERM:
-        logger.info('reload_asked')
+    _await_end(entry, arrived)
     _finish(entry)
     logger.info('entry_stopped')
 
 
+def _await_end(entry: Entry, arrived: queue.SimpleQueue) -> None:
+    """Waits for SIGTERM, and notes up to when it surely had not come."""
+    number = None
+    while number != signal.SIGTERM:
+        now = entry.clock.now()
+        # Handlers of signals that came before `now` was read have run by here.
+        if arrived.empty():
+            entry.forwarder.departure.asked_after = now
+        number = signals.receive(arrived)
+        if number == signal.SIGHUP:
+            entry.logger.info('reload_asked')
+
+
 def _start(work: Callable[[], object]) -> None:
     threading.Thread(target=work, daemon=True).start()
 
@@ -263,6 +276,9 @@
             float(len(entry.forwarder.suspects.ends)),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
+        'sigterm_check_age_ms':
+            requests.find_age(entry.forwarder,
+                              entry.forwarder.departure.asked_after),
         'control_late_ms':
             entry.pace.late_ms,
         'control_steps':
@@ -381,8 +397,10 @@
     departures.begin(entry.forwarder.departure,
                      entry.platform.settings.bounds.grace_ms, began)
     entry.leaving = True
+    asked_after = entry.forwarder.departure.asked_after
     entry.logger.info('entry_leaving',
                       inside=entry.count.inside,
+                      late_ms=round(began - asked_after),
                       left_ms=round(_find_left(entry)))
     handed_over = threading.Event()
     entry.actor.tell(control.Leave(handed_over))
--- a/lentilmoor/signals.py
+++ b/lentilmoor/signals.py
@@ -25,8 +25,8 @@
     return arrived
 
 
-def receive(arrived: queue.SimpleQueue) -> int:
-    """Waits for the next signal and returns its number."""
-    while True:
-        with contextlib.suppress(queue.Empty):
-            return arrived.get(timeout=_LOOK_S)
+def receive(arrived: queue.SimpleQueue) -> int | None:
+    """Waits a little for the next signal; returns its number, or None."""
+    with contextlib.suppress(queue.Empty):
+        return arrived.get(timeout=_LOOK_S)
+    return None
