Count an entry's end from when it had surely not been asked to end

Callers lost requests at the end of an entry that noticed SIGTERM late: it took requests that were sent later than 3 s after SIGTERM, outlived the grace period and was killed while servers were at work.

Cause: every decision about the end counted from the moment at which the main thread noticed SIGTERM. The grace period runs from when it was sent, which may be as long ago as the process stood still, or its main thread waited for its turn.

Change: - Each time the main thread looks for signals it notes a time by which none had been sent. From there on count the last arrival, each send and the end. - A process that hasn't looked for over 1 s may have been asked to end: it sends only what would be answered before that end. One that stood still for over 3 s refuses what has arrived meanwhile. - Readiness and the time that the balancer needs still count from noticing, as does the wait for a store that is away: a successor can't begin earlier.

The three tests of LateSignalTest failed before: 504 for a report at work, a request that came during the stop was sent on, the process outlived its grace.

--- a/lentilmoor/edge/departures.py
+++ b/lentilmoor/edge/departures.py
@@ -15,6 +15,8 @@
 LAST_ARRIVAL_MS = 3_000.0
 # Requests under way are given up so long before SIGKILL.
 MARGIN_MS = 400.0
+# A process that hasn't checked for SIGTERM for longer may be about to end.
+UNCHECKED_MS = 1_000.0
 # Times of work vary as much as their mean: one in twenty takes so many times as
 # long as expected.
 LONGEST = 3.0
@@ -26,28 +28,43 @@
 class Departure:
     """When this process ends.
 
+    SIGTERM may be noticed long after it was sent, and the grace period runs
+    meanwhile. So all times are counted from when it had surely not been sent.
+
     Attributes:
-      asked_after: Nobody had asked the process to end by then, ms.
+      asked: Whether SIGTERM has been noticed.
+      checked_at: It had surely not been sent by then, ms.
       last_arrival_at: Requests that arrive later are refused, ms.
-      ends_at: When requests under way are interrupted, ms; inf as long as
-        nobody has asked the process to end.
+      ends_at: When requests under way are given up if SIGTERM came right after
+        `checked_at`, ms.
     """
 
-    asked_after: float = -math.inf
+    asked: bool = False
+    checked_at: float = math.inf
     last_arrival_at: float = math.inf
     ends_at: float = math.inf
 
 
-def begin(departure: Departure, grace_ms: float, now: float) -> None:
-    """Notes that the process was asked to end.
+def note_running(departure: Departure, grace_ms: float,
+                 checked_at: float) -> None:
+    """Notes that nobody had asked the process to end by a time.
 
     Args:
       departure: What is changed.
-      grace_ms: From now to the kill.
-      now: ms.
+      grace_ms: From SIGTERM to SIGKILL.
+      checked_at: SIGTERM had not been sent by then, ms.
     """
-    departure.ends_at = now + max(0.0, grace_ms - MARGIN_MS)
-    departure.last_arrival_at = min(now + LAST_ARRIVAL_MS, departure.ends_at)
+    departure.checked_at = checked_at
+    departure.ends_at = checked_at + max(0.0, grace_ms - MARGIN_MS)
+    departure.last_arrival_at = min(checked_at + LAST_ARRIVAL_MS,
+                                    departure.ends_at)
+
+
+def find_end(departure: Departure, now: float) -> float:
+    """Returns when requests have to be over, ms; inf if the process stays."""
+    if not departure.asked and now - departure.checked_at <= UNCHECKED_MS:
+        return math.inf
+    return departure.ends_at
 
 
 def check_arrival(departure: Departure,
@@ -70,9 +87,10 @@
       expected_ms: Expected time to its answer.
       now: ms.
     """
-    if until <= departure.ends_at:
+    ends_at = find_end(departure, now)
+    if until <= ends_at:
         return None
-    if repeatable and now + LONGEST * expected_ms <= departure.ends_at:
+    if repeatable and now + LONGEST * expected_ms <= ends_at:
         return None
     return _refuse()
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -4,7 +4,6 @@
 import dataclasses
 import functools
 import math
-import queue
 import signal
 import socket
 import threading
@@ -78,7 +77,6 @@
       follower: Follows the store.
       pace: Whether the control actor keeps up.
       hurry: Set when the control actor wants a tick soon.
-      leaving: Whether the process is to end.
     """
 
     platform: ports.Platform
@@ -94,7 +92,6 @@
     follower: knowledge.Follower | None = None
     pace: beliefs.Pace | None = None
     hurry: threading.Event = dataclasses.field(default_factory=threading.Event)
-    leaving: bool = False
 
 
 def run(platform: ports.Platform, instance: str, clock: clocks.Clock,
@@ -124,24 +121,15 @@
     _start(functools.partial(reporting.report, entry.reporter))
     _start(functools.partial(subscriptions.listen, entry.follower))
     logger.info('entry_started', callers=platform.settings.callers)
-    _await_end(entry, arrived)
+    note_running = functools.partial(departures.note_running,
+                                     entry.forwarder.departure,
+                                     platform.settings.bounds.grace_ms)
+    while signals.receive(arrived, clock, note_running) != signal.SIGTERM:
+        logger.info('reload_asked')
     _finish(entry)
     logger.info('entry_stopped')
 
 
-def _await_end(entry: Entry, arrived: queue.SimpleQueue) -> None:
-    """Waits for SIGTERM, and notes up to when it surely had not come."""
-    number = None
-    while number != signal.SIGTERM:
-        now = entry.clock.now()
-        # Handlers of signals that came before `now` was read have run by here.
-        if arrived.empty():
-            entry.forwarder.departure.asked_after = now
-        number = signals.receive(arrived)
-        if number == signal.SIGHUP:
-            entry.logger.info('reload_asked')
-
-
 def _start(work: Callable[[], object]) -> None:
     threading.Thread(target=work, daemon=True).start()
 
@@ -162,6 +150,8 @@
                                    rules,
                                    suspects=suspects.make_quarantine(),
                                    started_at=started_at)
+    departures.note_running(forwarder.departure,
+                            platform.settings.bounds.grace_ms, clock.now())
     forwarder.limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
@@ -278,7 +268,7 @@
             float(len(entry.forwarder.rate_limits.by_server)),
         'sigterm_check_age_ms':
             requests.find_age(entry.forwarder,
-                              entry.forwarder.departure.asked_after),
+                              entry.forwarder.departure.checked_at),
         'control_late_ms':
             entry.pace.late_ms,
         'control_steps':
@@ -326,7 +316,8 @@
 
 def _show_ready(entry: Entry, unused_body: bytes) -> tuple[int, bytes, str]:
     snapshot = entry.forwarder.snapshot
-    ready = (snapshot.configuration is not None and not entry.leaving and
+    ready = (snapshot.configuration is not None and
+             not entry.forwarder.departure.asked and
              requests.is_recent(entry.forwarder) and
              requests.is_configuration_recent(entry.forwarder) and
              all(name in snapshot.assignments
@@ -393,19 +384,17 @@
 
 def _finish(entry: Entry) -> None:
     """Ends without interrupting a request."""
-    began = entry.clock.now()
-    departures.begin(entry.forwarder.departure,
-                     entry.platform.settings.bounds.grace_ms, began)
-    entry.leaving = True
-    asked_after = entry.forwarder.departure.asked_after
+    noticed_at = entry.clock.now()
+    departure = entry.forwarder.departure
+    departure.asked = True
     entry.logger.info('entry_leaving',
                       inside=entry.count.inside,
-                      late_ms=round(began - asked_after),
-                      left_ms=round(_find_left(entry)))
+                      late_ms=round(noticed_at - departure.checked_at),
+                      left_ms=round(_find_left(entry, departure.ends_at)))
     handed_over = threading.Event()
     entry.actor.tell(control.Leave(handed_over))
     entry.count.closing = True
-    while entry.clock.now() - began < NOTICE_MS:
+    while entry.clock.now() < min(noticed_at + NOTICE_MS, departure.ends_at):
         clocks.pause(_LOOK_MS)
     # Takes no new connections, closes idle ones and waits for the others. The
     # library would measure a time-out by the time of day, which may jump.
@@ -413,17 +402,19 @@
     callers.shutdown_timeout = None
     stopping = threading.Thread(target=callers.stop, daemon=True)
     stopping.start()
-    stopping.join(_find_left(entry) / clocks.MS_PER_S)
-    # While the store is away nobody else can renew the servers' grants.
-    handed_over.wait(_find_left(entry) / clocks.MS_PER_S)
+    stopping.join(_find_left(entry, departure.ends_at) / clocks.MS_PER_S)
+    # While the store is away nobody else can renew the servers' grants, so this
+    # goes on for as long as the process may live.
+    grace_ms = entry.platform.settings.bounds.grace_ms
+    latest_end_at = noticed_at + grace_ms - departures.MARGIN_MS
+    handed_over.wait(_find_left(entry, latest_end_at) / clocks.MS_PER_S)
     _log_interrupted(entry)
     entry.logger.info('entry_finished', inside=entry.count.inside)
 
 
-def _find_left(entry: Entry) -> float:
-    """Returns the time until this process ends, ms."""
-    ends_at = entry.forwarder.departure.ends_at + LAST_ANSWERS_MS
-    return max(0.0, ends_at - entry.clock.now())
+def _find_left(entry: Entry, ends_at: float) -> float:
+    """Returns the time until the last answers have been written, ms."""
+    return max(0.0, ends_at + LAST_ANSWERS_MS - entry.clock.now())
 
 
 def _log_interrupted(entry: Entry) -> None:
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -231,7 +231,7 @@
     request, server = run.request, choice.server
     state, pool = _enter(forwarder, run.service, server)
     sent_at = forwarder.clock.now()
-    until = min(run.until, forwarder.departure.ends_at)
+    until = min(run.until, departures.find_end(forwarder.departure, sent_at))
 
     def make_headers() -> dict[str, str] | None:
         # A connection may take 0.5 s on a small machine, in which news come.
--- a/lentilmoor/signals.py
+++ b/lentilmoor/signals.py
@@ -5,10 +5,13 @@
 that allows it.
 """
 
+from collections.abc import Callable
 import contextlib
 import queue
 import signal
 
+from lentilmoor import clocks
+
 # Another thread may receive a signal, which doesn't wake the main thread.
 _LOOK_S = 0.2
 
@@ -25,8 +28,22 @@
     return arrived
 
 
-def receive(arrived: queue.SimpleQueue) -> int | None:
-    """Waits a little for the next signal; returns its number, or None."""
-    with contextlib.suppress(queue.Empty):
-        return arrived.get(timeout=_LOOK_S)
-    return None
+def receive(arrived: queue.SimpleQueue, clock: clocks.Clock,
+            note_absent: Callable[[float], None]) -> int:
+    """Waits for the next signal and returns its number.
+
+    A process that is stalled receives signals long after they were sent.
+
+    Args:
+      arrived: What `watch` returned.
+      clock: Time.
+      note_absent: Told, time and again, a time by which no further signal had
+        been sent, ms.
+    """
+    while True:
+        now = clock.now()
+        # The handler of a signal sent before then has run by here.
+        if arrived.empty():
+            note_absent(now)
+        with contextlib.suppress(queue.Empty):
+            return arrived.get(timeout=_LOOK_S)
--- a/tests/test_edge_departures.py
+++ b/tests/test_edge_departures.py
@@ -1,5 +1,6 @@
 """Which requests an entry still sends once it was asked to end."""
 
+import math
 import threading
 import unittest
 
@@ -18,7 +19,8 @@
     def setUp(self):
         super().setUp()
         self.departure = departures.Departure()
-        departures.begin(self.departure, _GRACE_MS, 10_000.0)
+        departures.note_running(self.departure, _GRACE_MS, 10_000.0)
+        self.departure.asked = True
 
     def _check(self, left_ms: float, repeatable: bool, expected_ms: float,
                at: float) -> bool:
@@ -47,14 +49,47 @@
         self.assertIsNotNone(departures.check_arrival(self.departure, 13_001.0))
 
 
+class UncheckedSignalTest(unittest.TestCase):
+    """A stalled process took requests before it noticed SIGTERM."""
+
+    def setUp(self):
+        super().setUp()
+        self.departure = departures.Departure()
+        departures.note_running(self.departure, _GRACE_MS, 10_000.0)
+
+    def _check(self, at: float, repeatable: bool = False) -> bool:
+        return departures.check_send(self.departure, at + 5_000.0, repeatable,
+                                     800.0, at) is None
+
+    def test_long_requests_are_sent_while_it_surely_stays(self):
+        self.assertTrue(self._check(11_000.0))
+        self.assertEqual(departures.find_end(self.departure, 11_000.0),
+                         math.inf)
+
+    def test_what_may_outlast_a_stalled_process_is_not_sent(self):
+        self.assertFalse(self._check(11_001.0))
+        self.assertTrue(self._check(11_001.0, repeatable=True))
+        self.assertFalse(self._check(13_300.0, repeatable=True))
+
+    def test_what_arrives_after_a_long_stall_is_refused(self):
+        self.assertIsNone(departures.check_arrival(self.departure, 13_000.0))
+        self.assertIsNotNone(departures.check_arrival(self.departure, 13_001.0))
+
+    def test_a_later_check_clears_all(self):
+        departures.note_running(self.departure, _GRACE_MS, 14_000.0)
+        self.assertIsNone(departures.check_arrival(self.departure, 14_100.0))
+        self.assertTrue(self._check(14_100.0))
+
+
 class WaitingRequestTest(test_edge_forwarding.KeyCase):
     """Requests that waited when SIGTERM came were sent right before the end."""
 
     def _leave(self, left_ms: float) -> None:
         """Has the process end so soon from now."""
-        departures.begin(self.forwarder.departure,
-                         left_ms + departures.MARGIN_MS,
-                         self.forwarder.clock.now())
+        departures.note_running(self.forwarder.departure,
+                                left_ms + departures.MARGIN_MS,
+                                self.forwarder.clock.now())
+        self.forwarder.departure.asked = True
 
     def _leave_before_the_key_moves(self) -> None:
         for timer in (threading.Timer(0.02, self._leave, (400.0,)),
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -1,10 +1,13 @@
 """Entries that are asked to end, as processes against the stand-ins."""
 
+import signal
+import threading
 import time
 import unittest
 
 from tests import platformhelp
 
+_GRACE_S = 6.0
 _KEYS = (0, 20_000, 40_000, 65_535)
 
 
@@ -43,13 +46,7 @@
         self.addCleanup(self.deployment.close)
         self.entry, = self.deployment.entries
         self.server, = self.deployment.orders
-        order = platformhelp.make_configuration()['Routes']['order']
-        self.deployment.store.put(
-            'op/config',
-            platformhelp.make_configuration(2,
-                                            order=order | {'TimeoutMs': 5_000}))
-        platformhelp.wait_until(lambda: '"version": 2' in self.entry.read_log(),
-                                5.0, self.entry.read_log)
+        _lengthen_routes(self.deployment, 'order')
 
     def _order(self, patience_ms: int):
         return self.entry.call('/order/x',
@@ -76,6 +73,83 @@
         self.assertEqual(self._order(2_000)[0], 200, self.entry.read_log())
 
 
+class LateSignalTest(unittest.TestCase):
+    """An entry that noticed SIGTERM late was killed with servers at work."""
+
+    def setUp(self):
+        super().setUp()
+        self.deployment = platformhelp.Deployment(catalogs=1, orders=1)
+        self.addCleanup(self.deployment.close)
+        self.entry, = self.deployment.entries
+        self.server, = self.deployment.orders
+        _lengthen_routes(self.deployment, 'order', 'report')
+
+    def _stop_late(self, late_s: float) -> float:
+        """Has the entry notice SIGTERM late; returns when it was sent, s."""
+        process = self.entry.process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(0.02)
+        asked_at = time.monotonic()
+        self.entry.stop()
+        resume = threading.Timer(late_s, process.send_signal, (signal.SIGCONT,))
+        resume.start()
+        self.addCleanup(resume.join)
+        return asked_at
+
+    def _assert_refused(self, path: str, **options) -> None:
+        known = self.server.arrivals
+        status, _, _ = self.entry.call(path, **options)
+        self.assertEqual(status, 503, self.entry.read_log())
+        self.assertEqual(self.server.arrivals, known)
+
+    def _assert_ends(self, asked_at: float) -> None:
+        left_s = asked_at + _GRACE_S - time.monotonic()
+        self.assertEqual(self.entry.process.wait(left_s), 0,
+                         self.entry.read_log())
+
+    def test_nothing_later_than_the_notice_is_sent(self):
+        asked_at = self._stop_late(0.5)
+        _sleep_until(asked_at + 3.1)
+        self.server.work_s = 4.0
+        self._assert_refused('/report/x', patience_ms=6_000)
+        self._assert_refused('/order/x',
+                             method='POST',
+                             body=b'1',
+                             patience_ms=2_800)
+        self._assert_ends(asked_at)
+
+    def test_it_gives_up_a_request_and_ends_in_time(self):
+        asked_at = self._stop_late(0.5)
+        _sleep_until(asked_at + 1.0)
+        self.server.work_s = 5.2
+        status, _, _ = self.entry.call('/report/x', patience_ms=9_000)
+        self.assertEqual(status, 504, self.entry.read_log())
+        self._assert_ends(asked_at)
+
+    def test_what_comes_while_it_stands_still_is_not_sent(self):
+        asked_at = self._stop_late(5.5)
+        _sleep_until(asked_at + 3.2)
+        self._assert_refused('/report/x', patience_ms=6_000)
+
+
+def _sleep_until(at: float) -> None:
+    time.sleep(max(0.0, at - time.monotonic()))
+
+
+def _lengthen_routes(deployment: platformhelp.Deployment, *names: str) -> None:
+    """Gives routes a limit of 5 s at the first entry."""
+    entry, routes = deployment.entries[0], platformhelp.make_configuration()
+    changed = {
+        name: routes['Routes'][name] | {
+            'TimeoutMs': 5_000
+        } for name in names
+    }
+    deployment.store.put('op/config',
+                         platformhelp.make_configuration(2, **changed))
+    platformhelp.wait_until(lambda: '"version": 2' in entry.read_log(), 5.0,
+                            entry.read_log)
+
+
 def _list_refused(entry: platformhelp.Entry,
                   seconds: float) -> list[tuple[float, bytes]]:
     """Returns requests for keys that were not served: when, and the answer."""
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,16 +1,24 @@
 """Signals that arrive while the main thread waits for them."""
 
+import signal
 import subprocess
 import sys
+import time
 import unittest
 
+from lentilmoor import clocks
+
 # Sends itself a signal before each line that the wait for one runs.
 _PROGRAM = '''
 import os
 import signal
 import sys
+from lentilmoor import clocks
 from lentilmoor import signals
 
+def receive():
+    return signals.receive(arrived, clocks.Clock(), lambda _: None)
+
 arrived = signals.watch(signal.SIGHUP, signal.SIGTERM)
 def trace(frame, event, argument):
     if event == 'line':
@@ -18,13 +26,33 @@
     return trace
 for _ in range(20):
     sys.settrace(trace)
-    assert signals.receive(arrived) == signal.SIGHUP
+    assert receive() == signal.SIGHUP
     sys.settrace(None)
 os.kill(os.getpid(), signal.SIGTERM)
-while signals.receive(arrived) != signal.SIGTERM:
+while receive() != signal.SIGTERM:
     pass
 '''
 
+# Prints the last time that was noted while other threads compute.
+_STARVED_PROGRAM = '''
+import signal
+import threading
+from lentilmoor import clocks
+from lentilmoor import signals
+
+def compute():
+    while True:
+        sum(range(1000))
+
+absent = []
+arrived = signals.watch(signal.SIGTERM)
+for _ in range(8):
+    threading.Thread(target=compute, daemon=True).start()
+print('ready', flush=True)
+signals.receive(arrived, clocks.Clock(), absent.append)
+print(absent[-1], flush=True)
+'''
+
 
 class SignalTest(unittest.TestCase):
 
@@ -34,6 +62,29 @@
                        timeout=10.0,
                        check=True)
 
+    def test_nothing_is_noted_as_absent_after_it_was_sent(self):
+        for stopped_s in (0.0, 0.3):
+            for delay_s in (0.05, 0.21, 0.4):
+                with self.subTest(stopped_s=stopped_s, delay_s=delay_s):
+                    self._check_time(stopped_s, delay_s)
+
+    def _check_time(self, stopped_s: float, delay_s: float) -> None:
+        command = [sys.executable, '-c', _STARVED_PROGRAM]
+        with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+            try:
+                self.assertEqual(process.stdout.readline(), b'ready\n')
+                time.sleep(delay_s)
+                if stopped_s:
+                    process.send_signal(signal.SIGSTOP)
+                    time.sleep(0.05)
+                sent_at = clocks.Clock().now()
+                process.send_signal(signal.SIGTERM)
+                time.sleep(stopped_s)
+                process.send_signal(signal.SIGCONT)
+                self.assertLessEqual(float(process.stdout.readline()), sent_at)
+            finally:
+                process.kill()
+
 
 if __name__ == '__main__':
     unittest.main()
