Judge late requests by when their body has come

Callers whose body comes slowly lost requests at the end of an entry: headers read before the limit of 3 s after SIGTERM let a request pass whose body ended later. A request that may be repeated was then sent on if three times its expected time fitted, and given up with a 504 while its server was at work.

Cause: a request counted as arrived when its headers had been read. It now counts from when all of it has. SlowBodyTest failed before: 504 after 5.6 s for a body that ended 3.2 s after SIGTERM; 503 at once now.

--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -55,7 +55,9 @@
 def forward(forwarder: requests.Forwarder,
             request: requests.Request) -> requests.Outcome:
     """Carries a request to its outcome."""
-    return (departures.check_arrival(forwarder.departure, request.arrived_at) or
+    # Its body may have come long after its headers.
+    whole_at = forwarder.clock.now()
+    return (departures.check_arrival(forwarder.departure, whole_at) or
             _route(forwarder, request))
 
 
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -1,5 +1,6 @@
 """Entries that are asked to end, as processes against the stand-ins."""
 
+import http.client
 import signal
 import threading
 import time
@@ -132,6 +133,36 @@
         self._assert_refused('/report/x', patience_ms=6_000)
 
 
+class SlowBodyTest(unittest.TestCase):
+    """A request whose body ended too late was sent on, and given up."""
+
+    def test_it_is_refused(self):
+        deployment = platformhelp.Deployment(catalogs=1, orders=1)
+        self.addCleanup(deployment.close)
+        entry, (server,) = deployment.entries[0], deployment.orders
+        _lengthen_routes(deployment, 'report')
+        server.work_s = 4.0
+        connection = http.client.HTTPConnection('127.0.0.1', entry.ports[0], 10)
+        self.addCleanup(connection.close)
+        entry.stop()
+        asked_at = time.monotonic()
+        _sleep_until(asked_at + 2.5)
+        connection.putrequest('POST', '/report/x', skip_host=True)
+        headers = {
+            'Host': platformhelp.HOST,
+            'Content-Length': '2',
+            'Lentilmoor-Attempt-Id': 'slow-body',
+            'Lentilmoor-Deadline-Ms': '6000'
+        }
+        for name, value in headers.items():
+            connection.putheader(name, value)
+        connection.endheaders(b'1')
+        _sleep_until(asked_at + 3.2)
+        connection.send(b'2')
+        self.assertEqual(connection.getresponse().status, 503)
+        self.assertEqual(server.arrivals, 0)
+
+
 def _sleep_until(at: float) -> None:
     time.sleep(max(0.0, at - time.monotonic()))
 
