Have only the main thread receive signals

An entry that was stopped as SIGTERM came could still pass on a request sent 3.1 s after it: LateSignalTest failed once, beside a load, on (504 for 503).

Cause: once the process went on, another thread received the signal, and the main thread found no handler run and noted that SIGTERM had not been sent.

Signals are blocked before the first thread starts, and the main thread alone unblocks them once all run; one that comes during the start waits until then. The first time by which none had been sent is that before they were blocked.

SignalThreadTest failed before. The tests of ends share their set-up; checks are unchanged.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -53,6 +53,8 @@
 NOTICE_MS = 3_100.0
 # For the answers to requests that are given up because this process ends.
 LAST_ANSWERS_MS = 150.0
+# What the process is asked by: to end, and to read its settings again.
+SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 READY_PATH = '/-/readyz'
 METRICS_PATH = '/metrics'
 # A page that took longer to write held a thread: who asked doesn't read.
@@ -96,7 +98,7 @@
 
 def run(platform: ports.Platform, instance: str, clock: clocks.Clock,
         logger: logs.Logger, socket_options: tuple,
-        callers: socket.socket | None) -> None:
+        callers: socket.socket | None, started_at: float) -> None:
     """Runs an entry until SIGTERM.
 
     Args:
@@ -107,11 +109,16 @@
       socket_options: Set on connections to servers and entries.
       callers: The socket on which callers' connections already arrive; one is
         opened if there is none.
+      started_at: When the process started, before it blocked `SIGNALS`, ms.
     """
     logs.quiet_libraries()
-    entry = _make_entry(platform, instance, clock, logger, socket_options)
+    entry = _make_entry(platform, instance, clock, logger, socket_options,
+                        started_at)
     entry.listeners[0].opened = callers
-    arrived = signals.watch(signal.SIGTERM, signal.SIGHUP)
+    note_running = functools.partial(departures.note_running,
+                                     entry.forwarder.departure,
+                                     platform.settings.bounds.grace_ms)
+    note_running(started_at)
     for listener in entry.listeners:
         listener.prepare()
         _start(listener.serve)
@@ -121,9 +128,8 @@
     _start(functools.partial(reporting.report, entry.reporter))
     _start(functools.partial(subscriptions.listen, entry.follower))
     logger.info('entry_started', callers=platform.settings.callers)
-    note_running = functools.partial(departures.note_running,
-                                     entry.forwarder.departure,
-                                     platform.settings.bounds.grace_ms)
+    # Threads that are started after this could receive signals.
+    arrived = signals.watch(*SIGNALS)
     while signals.receive(arrived, clock, note_running) != signal.SIGTERM:
         logger.info('reload_asked')
     _finish(entry)
@@ -135,7 +141,8 @@
 
 
 def _make_entry(platform: ports.Platform, instance: str, clock: clocks.Clock,
-                logger: logs.Logger, socket_options: tuple) -> Entry:
+                logger: logs.Logger, socket_options: tuple,
+                started_at: float) -> Entry:
     rules = connections.Rules(most=12,
                               idle_ms=8_000.0,
                               proven_ms=8_000.0,
@@ -143,15 +150,14 @@
                               opens_per_s=40.0,
                               burst=12.0,
                               socket_options=socket_options)
-    started_at = -math.inf if platform.settings.first_start else clock.now()
-    forwarder = requests.Forwarder(clock,
-                                   platform,
-                                   logger,
-                                   rules,
-                                   suspects=suspects.make_quarantine(),
-                                   started_at=started_at)
-    departures.note_running(forwarder.departure,
-                            platform.settings.bounds.grace_ms, clock.now())
+    first = platform.settings.first_start
+    forwarder = requests.Forwarder(
+        clock,
+        platform,
+        logger,
+        rules,
+        suspects=suspects.make_quarantine(),
+        started_at=-math.inf if first else started_at)
     forwarder.limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -9,6 +9,7 @@
 from lentilmoor import exceptions
 from lentilmoor import linequeue
 from lentilmoor import logs
+from lentilmoor import signals
 from lentilmoor.edge import entry
 from lentilmoor.edge import ports
 from lentilmoor.platform import dialect
@@ -36,6 +37,8 @@
               file=sys.stderr)
         return _EXIT_REFUSED
     clock = clocks.make_suspend_clock()
+    started_at = clock.now()
+    signals.block(*entry.SIGNALS)
     instance = f'{settings.instance}.{secrets.token_hex(4)}'
     lines = linequeue.LineQueue(sys.stdout, clock)
     logger = logs.make_logger(instance, lines)
@@ -43,7 +46,8 @@
     platform = ports.Platform(
         settings, store.connect_store(address, clock, logger, times),
         servers.connect_servers(clock), dialect.make_dialect())
-    entry.run(platform, instance, clock, logger, store.KEEPALIVE, callers)
+    entry.run(platform, instance, clock, logger, store.KEEPALIVE, callers,
+              started_at)
     lines.close()
     # Threads that wait for outside calls must not hold the process.
     os._exit(0)  # pylint: disable=protected-access
--- a/lentilmoor/signals.py
+++ b/lentilmoor/signals.py
@@ -12,10 +12,23 @@
 
 from lentilmoor import clocks
 
-# Another thread may receive a signal, which doesn't wake the main thread.
+# Interval between notes that no signal had been sent.
 _LOOK_S = 0.2
 
 
+def block(*numbers: int) -> None:
+    """Leaves signals pending until the main thread watches them.
+
+    Threads that are started meanwhile, and all that these start, never receive
+    them. One that did would not interrupt the main thread, which could find no
+    signal although one had been sent.
+
+    Args:
+      *numbers: Which signals.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+
+
 def watch(*numbers: int) -> queue.SimpleQueue:
     """Returns a queue of the signals that arrive from now on, in order.
 
@@ -25,6 +38,7 @@
     arrived = queue.SimpleQueue()
     for number in numbers:
         signal.signal(number, lambda number, _: arrived.put(number))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
     return arrived
 
 
@@ -38,7 +52,8 @@
       arrived: What `watch` returned.
       clock: Time.
       note_absent: Told, time and again, a time by which no further signal had
-        been sent, ms.
+        been sent, ms. It is right only if signals were blocked before other
+        threads started.
     """
     while True:
         now = clock.now()
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -1,6 +1,8 @@
 """Entries that are asked to end, as processes against the stand-ins."""
 
 import http.client
+import pathlib
+import re
 import signal
 import threading
 import time
@@ -38,8 +40,8 @@
             deployment.close()
 
 
-class InterruptedRequestTest(unittest.TestCase):
-    """An entry that ended cut requests that it had sent on after SIGTERM."""
+class LongRequestCase(unittest.TestCase):
+    """One entry and one server of a service whose routes allow 5 s."""
 
     def setUp(self):
         super().setUp()
@@ -47,7 +49,20 @@
         self.addCleanup(self.deployment.close)
         self.entry, = self.deployment.entries
         self.server, = self.deployment.orders
-        _lengthen_routes(self.deployment, 'order')
+        routes = platformhelp.make_configuration()['Routes']
+        changed = {
+            name: routes[name] | {
+                'TimeoutMs': 5_000
+            } for name in ('order', 'report')
+        }
+        self.deployment.store.put('op/config',
+                                  platformhelp.make_configuration(2, **changed))
+        platformhelp.wait_until(lambda: '"version": 2' in self.entry.read_log(),
+                                5.0, self.entry.read_log)
+
+
+class InterruptedRequestTest(LongRequestCase):
+    """An entry that ended cut requests that it had sent on after SIGTERM."""
 
     def _order(self, patience_ms: int):
         return self.entry.call('/order/x',
@@ -74,17 +89,9 @@
         self.assertEqual(self._order(2_000)[0], 200, self.entry.read_log())
 
 
-class LateSignalTest(unittest.TestCase):
+class LateSignalTest(LongRequestCase):
     """An entry that noticed SIGTERM late was killed with servers at work."""
 
-    def setUp(self):
-        super().setUp()
-        self.deployment = platformhelp.Deployment(catalogs=1, orders=1)
-        self.addCleanup(self.deployment.close)
-        self.entry, = self.deployment.entries
-        self.server, = self.deployment.orders
-        _lengthen_routes(self.deployment, 'order', 'report')
-
     def _stop_late(self, late_s: float) -> float:
         """Has the entry notice SIGTERM late; returns when it was sent, s."""
         process = self.entry.process
@@ -133,18 +140,15 @@
         self._assert_refused('/report/x', patience_ms=6_000)
 
 
-class SlowBodyTest(unittest.TestCase):
+class SlowBodyTest(LongRequestCase):
     """A request whose body ended too late was sent on, and given up."""
 
     def test_it_is_refused(self):
-        deployment = platformhelp.Deployment(catalogs=1, orders=1)
-        self.addCleanup(deployment.close)
-        entry, (server,) = deployment.entries[0], deployment.orders
-        _lengthen_routes(deployment, 'report')
-        server.work_s = 4.0
-        connection = http.client.HTTPConnection('127.0.0.1', entry.ports[0], 10)
+        self.server.work_s = 4.0
+        connection = http.client.HTTPConnection('127.0.0.1',
+                                                self.entry.ports[0], 10)
         self.addCleanup(connection.close)
-        entry.stop()
+        self.entry.stop()
         asked_at = time.monotonic()
         _sleep_until(asked_at + 2.5)
         connection.putrequest('POST', '/report/x', skip_host=True)
@@ -160,25 +164,33 @@
         _sleep_until(asked_at + 3.2)
         connection.send(b'2')
         self.assertEqual(connection.getresponse().status, 503)
-        self.assertEqual(server.arrivals, 0)
+        self.assertEqual(self.server.arrivals, 0)
 
 
-def _sleep_until(at: float) -> None:
-    time.sleep(max(0.0, at - time.monotonic()))
+class SignalThreadTest(LongRequestCase):
+    """Another thread received SIGTERM, and the main one noted its absence."""
 
+    def test_only_the_main_thread_receives_it(self):
+        self.assertEqual(self.entry.call('/report/x')[0], 200)
+        process = self.entry.process
+        threads = pathlib.Path(f'/proc/{process.pid}/task').iterdir()
+        receiving = [
+            int(thread.name)
+            for thread in threads
+            if not _blocks(thread, signal.SIGTERM)
+        ]
+        self.assertEqual(receiving, [process.pid])
 
-def _lengthen_routes(deployment: platformhelp.Deployment, *names: str) -> None:
-    """Gives routes a limit of 5 s at the first entry."""
-    entry, routes = deployment.entries[0], platformhelp.make_configuration()
-    changed = {
-        name: routes['Routes'][name] | {
-            'TimeoutMs': 5_000
-        } for name in names
-    }
-    deployment.store.put('op/config',
-                         platformhelp.make_configuration(2, **changed))
-    platformhelp.wait_until(lambda: '"version": 2' in entry.read_log(), 5.0,
-                            entry.read_log)
+
+def _blocks(thread: pathlib.Path, number: int) -> bool:
+    """Returns whether a thread blocks a signal; it is named by its folder."""
+    status = (thread / 'status').read_text(encoding='utf-8')
+    mask = int(re.search(r'^SigBlk:\s*(\w+)', status, re.MULTILINE)[1], 16)
+    return bool(mask >> (number - 1) & 1)
+
+
+def _sleep_until(at: float) -> None:
+    time.sleep(max(0.0, at - time.monotonic()))
 
 
 def _list_refused(entry: platformhelp.Entry,
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -45,9 +45,10 @@
         sum(range(1000))
 
 absent = []
-arrived = signals.watch(signal.SIGTERM)
+signals.block(signal.SIGTERM)
 for _ in range(8):
     threading.Thread(target=compute, daemon=True).start()
+arrived = signals.watch(signal.SIGTERM)
 print('ready', flush=True)
 signals.receive(arrived, clocks.Clock(), absent.append)
 print(absent[-1], flush=True)
