Log how the crashes of a suspected request are counted

Nothing in the logs told whether crashes of a request in bursts were unknown, known late, or known and counted as one: `requests_suspected` names servers and fingerprints, not the count that decides. `suspect_counted` has the crashes, the independent ones and the time that they span, at each crash that is added.

--- a/lentilmoor/crashes.py
+++ b/lentilmoor/crashes.py
@@ -82,15 +82,21 @@
 def set_crashes(suspect: Suspect, crashes: list[Crash]) -> None:
     """Sets the crashes, sorted by time, and the block that they cause."""
     suspect.crashes = crashes
-    surplus = _count_independent(crashes,
-                                 suspect.policy) - suspect.policy.threshold
+    surplus = count_independent(crashes,
+                                suspect.policy) - suspect.policy.threshold
     if surplus < 0:
         suspect.blocked_until = 0.0
     else:
         suspect.blocked_until = crashes[-1].at + BLOCK_MS * 2**surplus
 
 
-def _count_independent(crashes: Iterable[Crash], policy: BlockPolicy) -> int:
+def count_independent(crashes: Iterable[Crash], policy: BlockPolicy) -> int:
+    """Returns the number of crashes that can't have a cause in common.
+
+    Args:
+      crashes: Crashes, sorted by time.
+      policy: Tells which crashes may have a common cause.
+    """
     count, counted_at = 0, -math.inf
     for crash in crashes:
         if crash.at >= counted_at + policy.common_cause_window_ms:
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -326,6 +326,23 @@
                                   for loss in recent[:_MAX_LOGGED_FINGERPRINTS]
                               ])
         forwarder.report_now.set()
+    for fingerprint in {loss.fingerprint for loss in recent}:
+        _log_crash_count(forwarder, fingerprint)
+
+
+def _log_crash_count(forwarder: requests.Forwarder, fingerprint: bytes) -> None:
+    """Logs how the crashes of a request with more than one are counted."""
+    suspect = forwarder.suspects.suspects.get(fingerprint)
+    if suspect is None or len(suspect.crashes) < 2:
+        return
+    found = list(suspect.crashes)
+    forwarder.logger.info('suspect_counted',
+                          fingerprint=fingerprint.hex(),
+                          crashes=len(found),
+                          independent=crashes.count_independent(
+                              found, suspect.policy),
+                          span_ms=round(found[-1].at - found[0].at),
+                          blocked=bool(suspect.blocked_until))
 
 
 def merge(forwarder: requests.Forwarder,
