Tests of bursts of a request that crashes its servers, known red

Callers and servers: a request that crashes each server that runs it, sent in bursts of six copies to three entries every 2.3 s, reaches servers for long after it has crashed three. The unit test replays three bursts of nine crashes on one entry: not blocked.

The earlier tests send one copy after the other, which is why they pass.

--- a/standins/deadly_request.py
+++ b/standins/deadly_request.py
@@ -37,6 +37,7 @@
         """
         self.path = path
         self.crashes: list[float] = []
+        self._crashes_by_path = {path: self.crashes}
         self._away_s = away_s
         self._listed_s = min(listed_s, away_s)
         self._silent = silent or powerless
@@ -51,10 +52,17 @@
         for server in servers:
             server.on_begin = self._make_hook(server)
 
+    def add_path(self, path: str) -> list[float]:
+        """Has requests for another path crash the servers too.
+
+        Returns:
+          When servers crashed by them, s (monotonic).
+        """
+        return self._crashes_by_path.setdefault(path, [])
+
     def find_late(self, stable_s: float) -> list[float]:
         """Returns when servers crashed so long after the third one did."""
-        crashes = sorted(self.crashes)
-        return [at for at in crashes if at > crashes[2] + stable_s]
+        return find_late(self.crashes, stable_s)
 
     def close(self) -> None:
         """Ends the servers that were started."""
@@ -68,10 +76,11 @@
     def _make_hook(self, server: platform_server.PlatformServer):
 
         def begin(path: str) -> None:
-            if path != self.path:
+            crashes = self._crashes_by_path.get(path)
+            if crashes is None:
                 return
             with self._lock:
-                self.crashes.append(time.monotonic())
+                crashes.append(time.monotonic())
             if not server.crash():
                 server.check_up()
             ended = threading.Event()
@@ -108,6 +117,12 @@
         self.attach([new])
 
 
+def find_late(crashes: list[float], stable_s: float) -> list[float]:
+    """Returns the crashes that came so long after the third one."""
+    crashes = sorted(crashes)
+    return [at for at in crashes if at > crashes[2] + stable_s]
+
+
 def _hold_port(port: int, held: contextlib.ExitStack) -> None:
     """Has connections to a port get no answer."""
     listener = held.enter_context(socket.socket())
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -231,6 +231,14 @@
             self._crash_server(_HARMLESS)
         self.assertIs(self._check(_HARMLESS), _CLEAR)
 
+    def test_earlier_bursts_are_not_forgotten(self):
+        # Only the newest eight crashes were kept.
+        for _ in range(3):
+            for _ in range(9):
+                self._crash_server(_CRASHING)
+            self.time.advance(2_000.0)
+        self.assertIs(self._check(), _BLOCKED)
+
     def test_a_clean_run_reported_by_another_entry_clears(self):
         self._block_request()
         clean = quarantine.Evidence(suspects.make_fingerprint(_CRASHING),
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -19,8 +19,8 @@
 _BLOCK_DELAY_S = 3.0
 
 
-class DeadlyRequestTest(unittest.TestCase):
-    """A request that crashes its servers is sent repeatedly to all entries.
+class DeadlyRequestCase(unittest.TestCase):
+    """Three entry processes, and a request that crashes its servers.
 
     At most `_MAX_LATE_CRASHES` copies of it may reach servers once it is known.
     """
@@ -44,6 +44,22 @@
             return entry.call(path, request_id=uuid.uuid4().hex[:16])[0]
         return 0
 
+    def _assert_blocked(self, deadly: deadly_request.DeadlyRequest) -> None:
+        self.assertGreaterEqual(len(deadly.crashes), 3)
+        self._assert_few_late(deadly.crashes)
+
+    def _assert_few_late(self, crashes: list[float]) -> None:
+        if len(crashes) < 3:
+            return
+        late = deadly_request.find_late(crashes, _BLOCK_DELAY_S)
+        self.assertLessEqual(
+            len(late), _MAX_LATE_CRASHES,
+            [round(at - crashes[0], 1) for at in sorted(crashes)])
+
+
+class DeadlyRequestTest(DeadlyRequestCase):
+    """The request is sent again and again, one copy after the other."""
+
     def _send_repeatedly(self,
                          seconds: float,
                          pause_s: float,
@@ -58,14 +74,6 @@
             after_each()
             time.sleep(pause_s)
 
-    def _assert_blocked(self, deadly: deadly_request.DeadlyRequest) -> None:
-        self.assertGreaterEqual(len(deadly.crashes), 3)
-        late = deadly.find_late(_BLOCK_DELAY_S)
-        first_crash_at = deadly.crashes[0]
-        self.assertLessEqual(
-            len(late), _MAX_LATE_CRASHES,
-            [round(at - first_crash_at, 1) for at in sorted(deadly.crashes)])
-
     def test_blocked_without_other_requests(self):
         deadly = self._attach_request()
         self._send_repeatedly(14.0, 0.7)
@@ -151,5 +159,83 @@
         self.assertGreaterEqual(statuses.count(200), 0.98 * len(statuses))
 
 
+class BurstTest(DeadlyRequestCase):
+    """Copies of the request are sent in bursts, to all entries at once."""
+
+    def _send_burst(self, path: str, copies: int, spread_s: float) -> None:
+        threads = []
+        for number in range(copies):
+            entry = self.deployment.entries[number % 3]
+            threads.append(
+                threading.Thread(target=lambda entry=entry: self.statuses.
+                                 append(self._send(entry, path))))
+            threads[-1].start()
+            time.sleep(spread_s)
+        for thread in threads:
+            thread.join()
+
+    def _send_bursts(self,
+                     seconds: float,
+                     spread_s: float = 0.07,
+                     copies: int = 6,
+                     before_each: Callable[[], None] = lambda: None) -> None:
+        """Sends a burst whenever the servers are back from the last one."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            before_each()
+            self._send_burst(_PATH, copies, spread_s)
+            time.sleep(2.3)
+
+    def test_bursts_that_crash_all_servers_are_blocked(self):
+        deadly = self._attach_request()
+        self._send_bursts(20.0)
+        self._assert_blocked(deadly)
+        self.assertEqual(set(self.statuses[-6:]), {503})
+
+    def test_bursts_at_one_moment_are_blocked(self):
+        deadly = self._attach_request()
+        self._send_bursts(16.0, spread_s=0.0)
+        self._assert_blocked(deadly)
+
+    def test_bursts_beside_other_requests_are_blocked(self):
+        deadly = self._attach_request()
+        stopped = threading.Event()
+
+        def send_others() -> None:
+            while not stopped.is_set():
+                self._send(self.deployment.entries[0],
+                           f'/report/{uuid.uuid4().hex}')
+                time.sleep(0.02)
+
+        thread = threading.Thread(target=send_others)
+        thread.start()
+        self._send_bursts(16.0)
+        stopped.set()
+        thread.join()
+        self._assert_blocked(deadly)
+
+    def test_bursts_beside_other_crashes_are_blocked(self):
+        deadly = self._attach_request()
+        other_path = itertools.count()
+
+        def crash_a_server() -> None:
+            path = f'/report/other{next(other_path)}'
+            deadly.add_path(path)
+            self._send_burst(path, 1, 0.1)
+
+        self._send_bursts(16.0, before_each=crash_a_server)
+        self._assert_blocked(deadly)
+
+    def test_two_requests_in_turn_are_blocked(self):
+        deadly = self._attach_request()
+        other_crashes = deadly.add_path('/report/other')
+        self._send_bursts(
+            16.0,
+            copies=3,
+            before_each=lambda: self._send_burst('/report/other', 3, 0.07))
+        self._assert_blocked(deadly)
+        self._assert_few_late(other_crashes)
+
+
 if __name__ == '__main__':
     unittest.main()
