Quarantine: crashes of one burst no longer displace those of earlier ones

Cause: the newest eight crashes of a request were kept. Crashes within 0.5 s count as one and three of these block, so eight never held three of them.

Change: 64 are kept, and those that count as independent are kept before the others. The limit of eight had also bounded the doublings of a block; that bound has a name of its own now.

What remains is the other cause: nothing limits the copies until there are three groups of crashes.

--- a/lentilmoor/crashes.py
+++ b/lentilmoor/crashes.py
@@ -12,8 +12,10 @@
 DUPLICATE_WINDOW_MS = 1_000.0
 # Duration of the first block; each further crash doubles it.
 BLOCK_MS = 600_000.0
-# Maximum number of crashes kept per fingerprint; the newest are kept.
-MAX_CRASHES = 8
+# Maximum number of crashes kept per fingerprint (see `limit_crashes`).
+MAX_CRASHES = 64
+# Further crashes don't extend a block any more after this many doublings.
+_MAX_DOUBLINGS = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +89,8 @@
     if surplus < 0:
         suspect.blocked_until = 0.0
     else:
-        suspect.blocked_until = crashes[-1].at + BLOCK_MS * 2**surplus
+        doublings = min(surplus, _MAX_DOUBLINGS)
+        suspect.blocked_until = crashes[-1].at + BLOCK_MS * 2**doublings
 
 
 def count_independent(crashes: Iterable[Crash], policy: BlockPolicy) -> int:
@@ -97,11 +100,32 @@
       crashes: Crashes, sorted by time.
       policy: Tells which crashes may have a common cause.
     """
-    count, counted_at = 0, -math.inf
+    return len(_list_independent(crashes, policy))
+
+
+def _list_independent(crashes: Iterable[Crash],
+                      policy: BlockPolicy) -> list[Crash]:
+    """Returns the first crash of each group with a common cause."""
+    found: list[Crash] = []
     for crash in crashes:
-        if crash.at >= counted_at + policy.common_cause_window_ms:
-            count, counted_at = count + 1, crash.at
-    return count
+        if not found or crash.at >= found[-1].at + policy.common_cause_window_ms:
+            found.append(crash)
+    return found
+
+
+def limit_crashes(crashes: list[Crash], policy: BlockPolicy) -> list[Crash]:
+    """Returns at most `MAX_CRASHES` crashes, sorted by time.
+
+    Keeps those that count as independent, then the newest of the others: the
+    crashes of one large group must not displace those of earlier groups.
+    """
+    surplus = len(crashes) - MAX_CRASHES
+    if surplus <= 0:
+        return crashes
+    independent = _list_independent(crashes, policy)
+    others = [crash for crash in crashes if crash not in independent]
+    return sorted([*independent, *others[surplus:]],
+                  key=lambda crash: crash.at)[-MAX_CRASHES:]
 
 
 def is_duplicate(one: Crash, other: Crash, policy: BlockPolicy) -> bool:
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -475,7 +475,7 @@
         return
     table.unconfirmed_crashes[crash.server] = crash.at
     known = sorted([*suspect.crashes, crash], key=lambda item: item.at)
-    crashes.set_crashes(suspect, known[-crashes.MAX_CRASHES:])
+    crashes.set_crashes(suspect, crashes.limit_crashes(known, suspect.policy))
     _mark_changed(table, suspect)
 
 
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -8,6 +8,7 @@
 
 from lentilmoor import clocks
 from lentilmoor import connections
+from lentilmoor import crashes
 from lentilmoor import logs
 from lentilmoor import quarantine
 from lentilmoor.edge import exchange
@@ -239,6 +240,18 @@
             self.time.advance(2_000.0)
         self.assertIs(self._check(), _BLOCKED)
 
+    def test_a_burst_larger_than_the_table_displaces_no_other(self):
+        for _ in range(3):
+            for number in range(crashes.MAX_CRASHES + 1):
+                quarantine.report_crash(self.forwarder.suspects,
+                                        suspects.make_fingerprint(_CRASHING),
+                                        'orders',
+                                        f's{number} at {self.time.at}',
+                                        self.time.at)
+            self.time.advance(2_000.0)
+        self.assertEqual(self._count_crashes(), crashes.MAX_CRASHES)
+        self.assertIs(self._check(), _BLOCKED)
+
     def test_a_clean_run_reported_by_another_entry_clears(self):
         self._block_request()
         clean = quarantine.Evidence(suspects.make_fingerprint(_CRASHING),
