Run a request that may crash its servers one copy at a time

Cause: crashes within 0.5 s count as one, as servers that are lost together may have a cause in common, and three such groups block. Between the groups nothing limited how many copies ran: the excuse of a sound request held for every one.

Change: a request with two crashes runs as a trial, one at a time in the whole fleet, granted by the first hub, 0.5 s after the newest crash at the earliest. Two trials make up the three independent crashes that block; a clean one clears. While no hub can be asked, suspects are refused as not run. The trial of a blocked request beside other crashes is granted in the same way. Crashes that a blocked request accounts for are no longer dropped on this path: two requests that crash servers cleared each other.

test_servers_lost_together_count_as_one_crash demanded CLEAR after six crashes at one moment, which is the fault; it demands now that the request isn't blocked, is tried once 0.5 s later and cleared by that.

--- a/lentilmoor/crashes.py
+++ b/lentilmoor/crashes.py
@@ -29,11 +29,14 @@
         reports of the same crash; inf if each start of a server gets a new id.
       common_cause_window_ms: Crashes of several servers within this time count
         as one, since they may have a common cause.
+      clears_attributed: Whether a crash that a blocked request accounts for no
+        longer counts against the requests that were in flight beside it.
     """
 
     threshold: int = 2
     duplicate_window_ms: float = DUPLICATE_WINDOW_MS
     common_cause_window_ms: float = 0.0
+    clears_attributed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,9 +110,11 @@
                       policy: BlockPolicy) -> list[Crash]:
     """Returns the first crash of each group with a common cause."""
     found: list[Crash] = []
+    group_ends_at = -math.inf
     for crash in crashes:
-        if not found or crash.at >= found[-1].at + policy.common_cause_window_ms:
+        if crash.at >= group_ends_at:
             found.append(crash)
+            group_ends_at = crash.at + policy.common_cause_window_ms
     return found
 
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -39,6 +39,8 @@
 from lentilmoor.edge import subscriptions
 from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
+from lentilmoor.edge import trials
+from lentilmoor.edge import trialtables
 
 # Initial and maximum number of threads that answer callers. Each waits for one
 # server at a time.
@@ -167,6 +169,8 @@
     forwarder.age_limits = platform.settings.limits
     forwarder.permit_table = permits.make_permit_table(
         platform.settings.control, clock, logger, socket_options)
+    forwarder.trials = trialtables.make_trial_table(clock, logger,
+                                                    socket_options)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
                   requestmetrics.RequestMetrics(clock))
     owned = controlstate.ControlState(instance)
@@ -218,6 +222,8 @@
                     functools.partial(_answer_news_request, entry),
                 permits.PATH:
                     functools.partial(_issue_permit, entry),
+                trialtables.PATH:
+                    functools.partial(_answer_trial_request, entry),
             }, clock, functools.partial(_log_slow_write, logger),
             REPLY_WRITE_TIMEOUT_MS), PEER_THREAD_LIMITS, log_error)
     entry.listeners = [callers, ready, peers]
@@ -384,6 +390,14 @@
     return 200, reports.encode_permit(reply), 'application/json'
 
 
+def _answer_trial_request(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
+    request = reports.decode_trial_request(body)
+    if request is None:
+        return 400, b'', 'text/plain'
+    reply = trials.handle_request(entry.forwarder, request)
+    return 200, reports.encode_trial(reply), 'application/json'
+
+
 def _apply_snapshot(entry: Entry, snapshot: ports.StoreSnapshot,
                     from_peer: bool) -> None:
     number = staleness.add_pending_change(entry.forwarder.freshness)
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -23,6 +23,7 @@
 from lentilmoor.edge import staleness
 from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
+from lentilmoor.edge import trials
 
 # Server selections per request, including those of servers that it can't
 # connect to.
@@ -71,8 +72,7 @@
     route = _find_route(forwarder, request)
     if isinstance(route, outcomes.NotRun):
         return route
-    verdict = suspects.check(forwarder, request)
-    if verdict is quarantine.Verdict.BLOCKED:
+    if suspects.check(forwarder, request) is quarantine.Verdict.BLOCKED:
         return suspects.make_refusal()
     service_name = matching.pick_service(route, forwarder.generator.random())
     snapshot = forwarder.snapshot
@@ -87,8 +87,6 @@
     deadline_at = request.arrived_at + min(caller_wait_ms - ANSWER_DELIVERY_MS,
                                            route.timeout_ms)
     run = requests.Run(request, route, service, deadline_at)
-    if verdict is quarantine.Verdict.SUSPECT:
-        run.on_trial = suspects.begin_trial(forwarder, request)
     with forwarder.lock:
         retrybudgets.record_request(_find_retry_budget(forwarder, service_name),
                                     forwarder.platform.settings.bounds,
@@ -98,6 +96,7 @@
         return _send_with_retries(forwarder, run)
     finally:
         forwarder.in_flight.discard(run)
+        trials.finish(forwarder, run)
 
 
 def _wait_for_configuration(
@@ -175,9 +174,9 @@
         choice = selection.select_server(forwarder, run)
         if not isinstance(choice, placement.Choice):
             return attemptresults.find_outcome(run, choice)
-        refusal = (_check_blocked(forwarder, run) or
-                   _check_departure(forwarder, run, choice) or
-                   _check_retry(forwarder, run, choice))
+        refusal = (_check_departure(forwarder, run, choice) or
+                   _check_retry(forwarder, run, choice) or
+                   _check_suspect(forwarder, run))
         if refusal is not None:
             return attemptresults.find_outcome(run, refusal)
         refusal = selection.take_permit(forwarder, run, choice.server)
@@ -194,13 +193,23 @@
                         selection.SERVICE_RETRY_MS))
 
 
-def _check_blocked(forwarder: requests.Forwarder,
+def _check_suspect(forwarder: requests.Forwarder,
                    run: requests.Run) -> outcomes.NotRun | None:
-    """Returns the refusal of a request blocked since it arrived, or None."""
-    if run.on_trial or suspects.check(forwarder,
-                                      run.request) is quarantine.Verdict.CLEAR:
+    """Returns the refusal of a blocked request or of a suspect, or None.
+
+    A suspect may be sent if its trial is granted.
+    """
+    if not _is_withheld(forwarder, run):
         return None
-    return suspects.make_refusal()
+    if suspects.check(forwarder, run.request) is quarantine.Verdict.BLOCKED:
+        return suspects.make_refusal()
+    return trials.begin(forwarder, run)
+
+
+def _is_withheld(forwarder: requests.Forwarder, run: requests.Run) -> bool:
+    """Returns whether a request has become a suspect since it arrived."""
+    return (run.trial is None and suspects.check(forwarder, run.request)
+            is not quarantine.Verdict.CLEAR)
 
 
 def _check_departure(forwarder: requests.Forwarder, run: requests.Run,
@@ -253,7 +262,7 @@
         # state may have changed meanwhile.
         if (not selection.may_send(forwarder, run.service, server.id) or
                 _check_departure(forwarder, run, choice) is not None or
-                _check_blocked(forwarder, run) is not None):
+                _is_withheld(forwarder, run)):
             return None
         if requests.find_knowledge_age(
                 forwarder) > forwarder.age_limits.max_send_age_ms:
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -23,6 +23,7 @@
 from lentilmoor.edge import requests
 from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
+from lentilmoor.edge import trials
 
 PATH = '/report'
 STATE_PATH = '/state'
@@ -150,6 +151,7 @@
     suspects.step(reporter.forwarder)
     peers = find_hubs(reporter)
     _update_hubs(reporter, peers)
+    trials.step(reporter.forwarder)
     now = reporter.forwarder.clock.now()
     times_due = now - reporter.work_times_asked_at >= WORK_TIMES_INTERVAL_MS
     if times_due:
@@ -196,11 +198,11 @@
 def _update_hubs(reporter: Reporter, peers: dict[ports.Peer, set[str]]) -> None:
     """Updates state that depends on the current hubs.
 
-    Only the first hub retries blocked requests.
+    The first hub grants the trials of suspects.
     """
     first = next(iter(peers), None)
-    reporter.forwarder.runs_trials = (first is not None and
-                                      first.instance == reporter.instance)
+    trials.set_issuer(reporter.forwarder, first, first is not None and
+                      first.instance == reporter.instance)
     reporter.evidence_versions = {
         peer.instance:
             reporter.evidence_versions.get(peer.instance, EvidenceVersions())
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -183,6 +183,42 @@
     wait_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialRequest:
+    """A request for a trial, or the report of its end, sent to the first hub.
+
+    Attributes:
+      trial: Id of the trial, chosen by the sender.
+      fingerprint: Fingerprint of the request that is to be tried.
+      left_ms: Time that the caller of the request still waits.
+      ended: Whether the trial has ended with an outcome that is known.
+      evidence: The sender's evidence on the request.
+    """
+
+    trial: str
+    fingerprint: bytes
+    left_ms: float = 0.0
+    ended: bool = False
+    evidence: list[quarantine.Evidence] = dataclasses.field(
+        default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialReply:
+    """The reply to a request for a trial.
+
+    Attributes:
+      granted: Whether the request may be sent, once.
+      wait_ms: If not, the time until the next trial may be granted.
+      evidence: The hub's evidence on the request.
+    """
+
+    granted: bool
+    wait_ms: float = 0.0
+    evidence: list[quarantine.Evidence] = dataclasses.field(
+        default_factory=list)
+
+
 def encode_report(report: Report) -> bytes:
     """Returns a report encoded as JSON."""
     return msgspec.json.encode(report)
@@ -233,6 +269,21 @@
     return _decode(_read_permit_reply, data)
 
 
+def encode_trial(message: TrialRequest | TrialReply) -> bytes:
+    """Returns a trial request or reply encoded as JSON."""
+    return msgspec.json.encode(message)
+
+
+def decode_trial_request(data: bytes) -> TrialRequest | None:
+    """Returns a decoded trial request, or None if it is invalid."""
+    return _decode(_read_trial_request, data)
+
+
+def decode_trial_reply(data: bytes) -> TrialReply | None:
+    """Returns a decoded trial reply, or None if it is invalid."""
+    return _decode(_read_trial_reply, data)
+
+
 def _decode(read: Callable[[bytes], _T], data: bytes) -> _T | None:
     try:
         return read(data)
@@ -246,3 +297,5 @@
 _read_news_reply = msgspec.json.Decoder(NewsReply).decode
 _read_permit_request = msgspec.json.Decoder(PermitRequest).decode
 _read_permit_reply = msgspec.json.Decoder(PermitReply).decode
+_read_trial_request = msgspec.json.Decoder(TrialRequest).decode
+_read_trial_reply = msgspec.json.Decoder(TrialReply).decode
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -21,6 +21,7 @@
 from lentilmoor.edge import retrybudgets
 from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
+from lentilmoor.edge import trialtables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,9 +99,8 @@
       suspects: Requests that crash servers (see `suspects`).
       lost_requests: Requests that servers have not answered, by server id.
       logged_blocked: Fingerprints of blocked requests that were logged.
-      runs_trials: Whether this entry runs trials: it sends a blocked request to
-        a server once more.
-      last_trials_at: Time of the last trial, ms, by fingerprint.
+      trials: Trials of suspects that this entry grants and runs (see
+        `trials`).
       started_at: When this process started, ms.
       departure: When this process ends.
       age_limits: Maximum age of the data that requests are routed and sent by.
@@ -118,8 +118,8 @@
         of the store was last logged, ms.
       unavailable_logged_at: When a request to a draining or paused server was
         last logged, ms.
-      lock: Guards `server_states`, `pools`, `retry_budgets`, `lost_requests`
-        and `last_trials_at`.
+      lock: Guards `server_states`, `pools`, `retry_budgets` and
+        `lost_requests`.
       generator: Source of the random numbers for routing.
     """
 
@@ -154,8 +154,8 @@
         default_factory=quarantine.Quarantine)
     lost_requests: dict[str, list] = dataclasses.field(default_factory=dict)
     logged_blocked: frozenset[bytes] = frozenset()
-    runs_trials: bool = False
-    last_trials_at: dict[bytes, float] = dataclasses.field(default_factory=dict)
+    trials: trialtables.TrialTable = dataclasses.field(
+        default_factory=trialtables.TrialTable)
     started_at: float = float('-inf')
     departure: departures.Departure = dataclasses.field(
         default_factory=departures.Departure)
@@ -195,7 +195,7 @@
       may_have_run: Whether an attempt ended with an unknown outcome.
       last_failure: A server's error response, returned to the caller if no
         later attempt succeeds.
-      on_trial: Whether this is the trial of a blocked request.
+      trial: The trial as which it runs; None if it is no suspect.
     """
 
     request: Request
@@ -208,7 +208,7 @@
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     last_failure: transport.Answer | None = None
-    on_trial: bool = False
+    trial: trialtables.HeldTrial | None = None
 
     @property
     def idempotent(self) -> bool:
--- a/lentilmoor/edge/savedsuspects.py
+++ b/lentilmoor/edge/savedsuspects.py
@@ -42,7 +42,7 @@
     if not (forwarder.suspects.suspects or
             saved) or now < owned.suspects_due_at:
         return
-    if not forwarder.runs_trials or owned.store_lost_at:
+    if forwarder.trials.issuing_since is None or owned.store_lost_at:
         return
     blocked = quarantine.list_uncleared_blocks(forwarder.suspects)
     for fingerprint, suspect in blocked.items():
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -25,14 +25,17 @@
 
 # The threshold is three, because harmless requests can be in flight at two
 # crashes in a row when servers are lost. Servers that are lost together count
-# as one.
+# as one. A crash stays a suspicion against every request that was in flight: a
+# clean trial clears those that did not cause it.
 BLOCK_POLICY = crashes.BlockPolicy(threshold=3,
                                    duplicate_window_ms=math.inf,
-                                   common_cause_window_ms=500.0)
-# A request with this many crashes is not retried on another server.
-_NO_RETRY_CRASHES = 2
+                                   common_cause_window_ms=500.0,
+                                   clears_attributed=False)
+# A request with this many crashes runs only as a trial (see `trials`), and is
+# not retried on another server.
+SUSPECT_CRASHES = 2
 # A lost request is not attributed to a crash that is detected later than this.
-_LOSS_RETENTION_MS = 10_000.0
+LOSS_RETENTION_MS = 10_000.0
 _MAX_LOSSES_PER_SERVER = 64
 # Timeout and minimum interval of the connection attempts that check whether a
 # server has crashed after it lost a request.
@@ -92,22 +95,26 @@
 
 def check(forwarder: requests.Forwarder,
           request: requests.Request) -> quarantine.Verdict:
-    """Returns whether a request may be sent.
+    """Returns whether a request may be sent (see `check_fingerprint`)."""
+    if not forwarder.suspects.suspects:
+        return quarantine.Verdict.CLEAR
+    return check_fingerprint(forwarder, make_fingerprint(request))
+
+
+def check_fingerprint(forwarder: requests.Forwarder,
+                      fingerprint: bytes) -> quarantine.Verdict:
+    """Returns whether the requests with a fingerprint may be sent.
 
     Returns:
-      CLEAR: it may be sent. BLOCKED: it must not be sent. SUSPECT: it is
-      blocked, but may be tried once (see `begin_trial`).
+      CLEAR: they may be sent. BLOCKED: they must not be sent. SUSPECT: they may
+      be sent only as trials (see `trials`).
     """
-    table = forwarder.suspects
-    if not table.suspects:
-        return quarantine.Verdict.CLEAR
-    fingerprint, now = make_fingerprint(request), forwarder.clock.now()
+    table, now = forwarder.suspects, forwarder.clock.now()
     suspect = table.suspects.get(fingerprint)
-    if suspect is None or not suspect.blocked_until:
+    if suspect is None or len(suspect.crashes) < SUSPECT_CRASHES:
         return quarantine.Verdict.CLEAR
-    is_trial_due = (now >= suspect.blocked_until or
-                    _may_have_other_cause(table, fingerprint, suspect, now))
-    if is_trial_due and _is_trial_allowed(forwarder, fingerprint, now):
+    if (not suspect.blocked_until or now >= suspect.blocked_until or
+            _may_have_other_cause(table, fingerprint, suspect, now)):
         return quarantine.Verdict.SUSPECT
     return quarantine.Verdict.BLOCKED
 
@@ -121,29 +128,12 @@
             quarantine.has_concurrent_crashes(table, fingerprint))
 
 
-def _is_trial_allowed(forwarder: requests.Forwarder, fingerprint: bytes,
-                      now: float) -> bool:
-    """Returns whether this entry may try a blocked request.
-
-    Only one entry tries it, and not again within `crashes.BLOCK_MS`, which is
-    when the next block would end.
-    """
-    tried_at = forwarder.last_trials_at.get(fingerprint, -math.inf)
-    return forwarder.runs_trials and now >= tried_at + crashes.BLOCK_MS
-
-
-def begin_trial(forwarder: requests.Forwarder,
-                request: requests.Request) -> bool:
-    """Starts a trial of a blocked request; returns False if none is allowed."""
-    fingerprint, now = make_fingerprint(request), forwarder.clock.now()
+def is_undecided(forwarder: requests.Forwarder, fingerprint: bytes) -> bool:
+    """Returns whether it is unknown if a lost request crashed its server."""
     with forwarder.lock:
-        if not _is_trial_allowed(forwarder, fingerprint, now):
-            return False
-        forwarder.last_trials_at[fingerprint] = now
-    forwarder.logger.warning('suspect_tried',
-                             request=request.fields.request_id,
-                             fingerprint=fingerprint.hex())
-    return True
+        return any(loss.fingerprint == fingerprint
+                   for losses in forwarder.lost_requests.values()
+                   for loss in losses)
 
 
 def make_refusal() -> outcomes.NotRun:
@@ -155,10 +145,10 @@
 
 def may_retry(forwarder: requests.Forwarder, run: requests.Run) -> bool:
     """Returns whether a lost request may be retried on another server."""
-    if run.on_trial:
-        return False
+    if run.trial is not None:
+        return not run.may_have_run
     suspect = forwarder.suspects.suspects.get(make_fingerprint(run.request))
-    return suspect is None or len(suspect.crashes) < _NO_RETRY_CRASHES
+    return suspect is None or len(suspect.crashes) < SUSPECT_CRASHES
 
 
 def note_lost_request(forwarder: requests.Forwarder, run: requests.Run,
@@ -300,7 +290,7 @@
         state = forwarder.server_states.get(server.id, placement.ServerState())
         unresponsive = any(
             _is_unresponsive(state, loss) and
-            loss.lost_at > forwarder.clock.now() - _LOSS_RETENTION_MS
+            loss.lost_at > forwarder.clock.now() - LOSS_RETENTION_MS
             for loss in forwarder.lost_requests.get(server.id, []))
     if unresponsive and not _is_leaving(forwarder, server, 0.0):
         _record_server_crash(forwarder, server, 'unlisted')
@@ -311,9 +301,7 @@
     table, now = forwarder.suspects, forwarder.clock.now()
     with forwarder.lock:
         losses = forwarder.lost_requests.pop(server, [])
-    recent = [
-        loss for loss in losses if loss.lost_at > now - _LOSS_RETENTION_MS
-    ]
+    recent = [loss for loss in losses if loss.lost_at > now - LOSS_RETENTION_MS]
     for loss in recent:
         quarantine.report_crash(table, loss.fingerprint, loss.service, server,
                                 loss.lost_at)
@@ -367,11 +355,8 @@
     quarantine.step(table, now)
     with forwarder.lock:
         for server, losses in list(forwarder.lost_requests.items()):
-            if losses[-1].lost_at <= now - _LOSS_RETENTION_MS:
+            if losses[-1].lost_at <= now - LOSS_RETENTION_MS:
                 del forwarder.lost_requests[server]
-        for fingerprint, tried_at in list(forwarder.last_trials_at.items()):
-            if now >= tried_at + crashes.BLOCK_MS:
-                del forwarder.last_trials_at[fingerprint]
     blocked = quarantine.list_blocked(table, now)
     for fingerprint in blocked.keys() - forwarder.logged_blocked:
         forwarder.logger.warning(
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -352,6 +352,15 @@
     return [item for _, items in changed for item in items], version
 
 
+def list_evidence(table: Quarantine, fingerprint: bytes,
+                  now: float) -> list[Evidence]:
+    """Returns the evidence on one request."""
+    with table.lock:
+        suspect = table.suspects.get(fingerprint)
+        return ([] if suspect is None else list(
+            _list_evidence(fingerprint, suspect, now)))
+
+
 def has_concurrent_crashes(table: Quarantine, fingerprint: bytes) -> bool:
     """Returns whether other servers crashed together with a request's servers.
 
@@ -436,7 +445,7 @@
         if crash.at < settled
     ]
     for fingerprint, suspect in list(table.suspects.items()):
-        if not suspect.blocked_until:
+        if not suspect.blocked_until and table.policy.clears_attributed:
             _remove_attributed(table, suspect)
         if crashes.is_expired(suspect, now):
             del table.suspects[fingerprint]
@@ -462,7 +471,9 @@
 def _add_crash(table: Quarantine, fingerprint: bytes, service: str,
                crash: crashes.Crash) -> None:
     """Adds a crash to a suspect unless it is known, outdated or attributed."""
-    if fingerprint not in table.suspects and _is_attributed(table, crash):
+    attributed = (table.policy.clears_attributed and
+                  _is_attributed(table, crash))
+    if fingerprint not in table.suspects and attributed:
         return
     suspect = _get_or_add_suspect(table, fingerprint, service)
     if crash.at <= max(suspect.clean_run_at, suspect.released_at):
@@ -471,7 +482,7 @@
             crashes.is_duplicate(crash, known, table.policy)
             for known in suspect.crashes):
         return
-    if not suspect.crashes and _is_attributed(table, crash):
+    if not suspect.crashes and attributed:
         return
     table.unconfirmed_crashes[crash.server] = crash.at
     known = sorted([*suspect.crashes, crash], key=lambda item: item.at)
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -17,6 +17,7 @@
 from lentilmoor.edge import savedsuspects
 from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
+from lentilmoor.edge import trials
 from standins import platform_store
 from tests import platformhelp
 
@@ -40,6 +41,7 @@
                             'h', target, target, {}, b'', None, 0.0)
 
 
+_CONTROL = '127.0.0.1:1'
 _CRASHING, _HARMLESS = _make_request('/bad'), _make_request('/sound')
 
 
@@ -53,8 +55,10 @@
         self.server_count = 0
 
     def _make_forwarder(self) -> requests.Forwarder:
+        platform = mock.Mock()
+        platform.settings.control = _CONTROL
         return requests.Forwarder(self.time.clock(),
-                                  mock.Mock(),
+                                  platform,
                                   logs.make_logger('test', io.StringIO()),
                                   _RULES,
                                   suspects=suspects.make_quarantine())
@@ -108,6 +112,17 @@
             self._lose_request(request, server, pool)
         return server
 
+    def _grant_trials(self) -> None:
+        """Makes this entry the one that grants trials."""
+        trials.set_issuer(self.forwarder, ports.Peer('e1', _CONTROL), True)
+        self.time.advance(trials.HANDOVER_MS)
+
+    def _try(self, request: requests.Request) -> bool:
+        """Returns whether a suspect may be sent, as a trial."""
+        run = requests.Run(request, _ROUTE, _SERVICE, self.time.at + 1_000.0)
+        return (trials.begin(self.forwarder, run) is None and
+                run.trial is not None)
+
     def _check(self,
                request: requests.Request = _CRASHING) -> quarantine.Verdict:
         return suspects.check(self.forwarder, request)
@@ -228,8 +243,14 @@
             suspects.step(self.forwarder)
 
     def test_servers_lost_together_count_as_one_crash(self):
+        self._grant_trials()
         for _ in range(6):
             self._crash_server(_HARMLESS)
+        self.assertIs(self._check(_HARMLESS), _SUSPECT)
+        self.time.advance(suspects.BLOCK_POLICY.common_cause_window_ms)
+        self.assertTrue(self._try(_HARMLESS))
+        server, _ = self._add_server(True)
+        self._answer_request(_HARMLESS, server, self.time.at)
         self.assertIs(self._check(_HARMLESS), _CLEAR)
 
     def test_earlier_bursts_are_not_forgotten(self):
@@ -275,39 +296,42 @@
 
     def test_no_trial_if_the_request_was_involved_in_all_crashes(self):
         self._block_request()
-        self.forwarder.runs_trials = True
+        self._grant_trials()
         self.time.advance(60_000.0)
         self.assertIs(self._check(), _BLOCKED)
+        self.assertFalse(self._try(_CRASHING))
 
     def _block_harmless_request(self) -> None:
         for _ in range(3):
             self._crash_server(_HARMLESS)
             self._crash_server(_CRASHING)
             self.time.advance(1_000.0)
-        self.time.advance(suspects.TRIAL_DELAY_MS)
 
-    def test_one_entry_tries_once_if_other_servers_crashed_too(self):
+    def test_one_entry_grants_one_trial_if_other_servers_crashed_too(self):
         self._block_harmless_request()
         self.assertIs(self._check(_HARMLESS), _BLOCKED)
-        self.forwarder.runs_trials = True
-        self.assertIs(self._check(_HARMLESS), _SUSPECT)
-        self.assertTrue(suspects.begin_trial(self.forwarder, _HARMLESS))
-        self.assertFalse(suspects.begin_trial(self.forwarder, _HARMLESS))
-        self.assertIs(self._check(_HARMLESS), _BLOCKED)
+        self.time.advance(suspects.TRIAL_DELAY_MS)
+        self.assertFalse(self._try(_HARMLESS))
+        self._grant_trials()
+        self.assertTrue(self._try(_HARMLESS))
+        self.assertFalse(self._try(_HARMLESS))
         self.time.advance(60_000.0)
-        self.assertIs(self._check(_HARMLESS), _BLOCKED)
+        trials.step(self.forwarder)
+        self.assertFalse(self._try(_HARMLESS))
 
     def test_a_crash_during_the_trial_ends_all_trials(self):
         self._block_harmless_request()
         self._crash_server(_HARMLESS)
         self.time.advance(suspects.TRIAL_DELAY_MS)
-        self.forwarder.runs_trials = True
+        self._grant_trials()
         self.assertIs(self._check(_HARMLESS), _BLOCKED)
+        self.assertFalse(self._try(_HARMLESS))
 
     def test_a_clean_trial_clears(self):
         self._block_harmless_request()
-        self.forwarder.runs_trials = True
-        self.assertTrue(suspects.begin_trial(self.forwarder, _HARMLESS))
+        self.time.advance(suspects.TRIAL_DELAY_MS)
+        self._grant_trials()
+        self.assertTrue(self._try(_HARMLESS))
         server, _ = self._add_server(True)
         self._answer_request(_HARMLESS, server, self.time.at)
         self.assertIs(self._check(_HARMLESS), _CLEAR)
@@ -334,7 +358,7 @@
         for _ in range(3):
             self._crash_server(_CRASHING)
             self.time.advance(1_000.0)
-        self.forwarder.runs_trials = True
+        self._grant_trials()
         self.context = self._make_context(self.forwarder)
 
     def _make_context(self, forwarder: requests.Forwarder) -> mock.Mock:
@@ -369,7 +393,7 @@
         self.assertEqual(len(self._update_store().suspects), 1)
 
     def test_only_the_first_hub_writes(self):
-        self.forwarder.runs_trials = False
+        trials.set_issuer(self.forwarder, None, False)
         self.assertEqual(self._update_store().suspects, {})
 
     def test_a_cleared_block_is_deleted(self):
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -186,6 +186,45 @@
             self._send_burst(_PATH, copies, spread_s)
             time.sleep(2.3)
 
+    def test_a_hot_request_is_served_after_a_loss_of_servers(self):
+        for server in self.deployment.orders:
+            server.work_s = 0.05
+        stopped = threading.Event()
+        results: list[tuple[float, int]] = []
+
+        def send_hot(number: int) -> None:
+            while not stopped.is_set():
+                began = time.monotonic()
+                status = self._send(self.deployment.entries[number % 3],
+                                    '/report/hot')
+                results.append((began, status))
+
+        threads = [
+            threading.Thread(target=send_hot, args=(number,))
+            for number in range(6)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(2.0)
+        lost = self.deployment.orders[:3]
+        for server in lost:
+            server.crash()
+        for server in lost:
+            server.reset()
+        lost_at = time.monotonic()
+        time.sleep(1.5)
+        for server in lost:
+            self.deployment.store.delete(f'servers/{server.id}')
+        time.sleep(3.5)
+        stopped.set()
+        for thread in threads:
+            thread.join()
+        statuses = [
+            status for began, status in results if began > lost_at + 1.0
+        ]
+        self.assertGreater(len(statuses), 100)
+        self.assertGreaterEqual(statuses.count(200), 0.98 * len(statuses))
+
     def test_bursts_that_crash_all_servers_are_blocked(self):
         deadly = self._attach_request()
         self._send_bursts(20.0)
