--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -21,6 +21,7 @@
 from standins import held_path
 from standins import platform_server
 from standins import platform_store
+from standins import server_links
 
 HOST = 'shop.example'
 _LISTENING_PORTS = (12_000, 32_000)
@@ -260,6 +261,7 @@
                  entries: int = 1,
                  link_mbps: float = 1_000.0,
                  held_paths: bool = False,
+                 partition: server_links.Partition | None = None,
                  servers_tell_start: bool = True):
         self.store = platform_store.PlatformStore()
         self.store.put('op/config', make_configuration())
@@ -280,11 +282,19 @@
             platform_server.PlatformServer(self.store, 'orders')
             for _ in range(orders)
         ]
+        if partition is not None:
+            for server in (*self.catalogs, *self.orders):
+                self.paths.append(
+                    server_links.ServerLink(server.address, partition))
+                server.address = self.paths[-1].address
+                server.register()
         self.ended: list[Entry] = []
         self.entries = [
             Entry(self.store, n + 1, link_mbps=link_mbps)
             for n in range(entries)
         ]
+        if partition is not None:
+            partition.processes |= {entry.process.pid for entry in self.entries}
         for entry in self.entries:
             entry.await_ready()
         wait_until(
--- /dev/null
+++ b/tests/test_platform_cuts.py
@@ -0,0 +1,116 @@
+"""Tests of entry processes that are cut from all backend servers."""
+
+import collections
+import contextlib
+import http.client
+import itertools
+import threading
+import time
+import unittest
+import uuid
+
+from standins import server_links
+from tests import platformhelp
+
+# Time after the begin of a cut from which on callers are served again.
+_SETTLE_S = 3.0
+_CUT_S = 8.0
+# The operator's requirement, for first tries during a cut: the entries that are
+# cut serve at least this part of what the others do, and at most this many of
+# all tries fail.
+_MIN_RELATIVE_SHARE = 2 / 3
+_MAX_FAILED = 10
+_MAX_FAILED_SHARE = 1 / 50
+
+_Open = server_links.OpenConnections
+
+
+class CutEntriesTest(unittest.TestCase):
+    """Some of six entries are cut from all servers, and reach all else."""
+
+    def setUp(self):
+        super().setUp()
+        self.partition = server_links.Partition()
+        self.deployment = platformhelp.Deployment(catalogs=3,
+                                                  orders=3,
+                                                  entries=6,
+                                                  partition=self.partition)
+        self.addCleanup(self.deployment.close)
+        self._stopped = threading.Event()
+        self._numbers = itertools.count()
+        # (began at, entry, status) of each first try.
+        self.tries: list[tuple[float, platformhelp.Entry, int]] = []
+
+    def _send(self, entry: platformhelp.Entry) -> int:
+        number = next(self._numbers)
+        name = uuid.uuid4().hex[:6]
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            if number % 3 == 0:
+                return entry.call(f'/stock/{name}', number * 37 % 65_536)[0]
+            if number % 3 == 1:
+                return entry.call(f'/report/{name}')[0]
+            return entry.call(f'/order/{name}', method='POST', body=b'x')[0]
+        return 0
+
+    def _send_load(self, entry: platformhelp.Entry) -> None:
+        while not self._stopped.is_set():
+            began = time.monotonic()
+            self.tries.append((began, entry, self._send(entry)))
+            time.sleep(0.05)
+
+    def _play(self, cut_count: int, **options) -> list[platformhelp.Entry]:
+        """Cuts entries, the coordinator first, under load; returns them."""
+        leader = self.deployment.find_leader()
+        entries = self.deployment.entries
+        cut = [leader, *(entry for entry in entries if entry is not leader)]
+        del cut[cut_count:]
+        threads = [
+            threading.Thread(target=self._send_load, args=(entry,))
+            for entry in entries * 3
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(2.0)
+        self.partition.begin([entry.process.pid for entry in cut], **options)
+        cut_at = time.monotonic()
+        time.sleep(_CUT_S)
+        self.partition.end()
+        ended_at = time.monotonic()
+        time.sleep(3.0)
+        self._stopped.set()
+        for thread in threads:
+            thread.join()
+        self._assert_served(cut, cut_at + _SETTLE_S, ended_at)
+        return cut
+
+    def _assert_served(self, cut: list[platformhelp.Entry], since: float,
+                       until: float) -> None:
+        statuses = collections.defaultdict(collections.Counter)
+        for began, entry, status in self.tries:
+            if since <= began < until:
+                statuses[entry in cut][status] += 1
+        shares = {
+            group: found[200] / found.total()
+            for group, found in statuses.items()
+        }
+        explanation = f'cut: {statuses[True]}, others: {statuses[False]}'
+        self.assertGreaterEqual(shares[True],
+                                _MIN_RELATIVE_SHARE * shares[False],
+                                explanation)
+        tries = sum(found.total() for found in statuses.values())
+        failed = tries - sum(found[200] for found in statuses.values())
+        self.assertLessEqual(failed, _MAX_FAILED + tries * _MAX_FAILED_SHARE,
+                             explanation)
+
+    def test_silent_links_of_the_coordinator_and_most_entries(self):
+        self._play(4)
+
+    def test_reset_links_of_the_coordinator_and_another_entry(self):
+        self._play(2, open_connections=_Open.RESET, refuses=True)
+
+    def test_new_connections_are_refused_and_open_ones_live(self):
+        self._play(3, open_connections=_Open.LIVE, refuses=True)
+
+
+if __name__ == '__main__':
+    unittest.main()
