A coordinator that reaches no server gives its role to another entry

Cause: the role depends on the store alone, which a cut entry reaches. It renewed its lease and no grants.

Change: an entry finds that it reaches no server (edge/reachability): no answer for 0.4 s while two servers or more are silent or can't be connected to, then three of different services don't answer their health check within 0.3 s. A coordinator in that state ends its lease as one on a small machine does for a larger one, and stands for election 1.5 s later than others. Grants count as answers too. The first server that answers ends the state; one is checked each 0.25 s.

Entries that are cut still serve next to nothing: known red.

--- a/benchmarks/edge_hub.py
+++ b/benchmarks/edge_hub.py
@@ -111,7 +111,8 @@
             })
         settings = ports.Settings('e0', 'd', '', '', 'h:1', '', (), 2.0, 200.0,
                                   _BOUNDS)
-        servers = ports.ServerCalls(self._grant, self._release, self._probe)
+        servers = ports.ServerCalls(self._grant, self._release, self._probe,
+                                    lambda *unused_args: True)
         logger = logs.make_logger(_HUB, io.StringIO())
         platform = ports.Platform(settings, store, servers, None)
         forwarder = requests.Forwarder(clock, platform, logger, None)
--- a/lentilmoor/edge/control.py
+++ b/lentilmoor/edge/control.py
@@ -260,6 +260,7 @@
             elections.run_for_coordinator(self._context, name, role, now)
             roles.run_coordinator(self._context, name, role, now)
         elections.hand_over_to_larger(self._context, now)
+        elections.hand_over_if_unreachable(self._context)
         savedsuspects.update_store(self._context, now)
 
     def _call(self,
--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -6,6 +6,7 @@
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
+from lentilmoor.edge import reachability
 from lentilmoor.edge import revisions
 
 COORDINATOR_RENEW_INTERVAL_MS = 450.0
@@ -17,6 +18,8 @@
 # on a larger machine is registered, the second if one is.
 SMALL_ENTRY_DELAY_MS = 300.0
 LARGER_ENTRY_PRIORITY_MS = 1_000.0
+# Additional delay of an entry that reaches no server.
+UNREACHABLE_DELAY_MS = 1_500.0
 # Time for which an entry on a small machine coordinates, at least, before it
 # hands over to an entry on a larger machine.
 MIN_TENURE_MS = 1_000.0
@@ -51,6 +54,8 @@
         if context.peer.small:
             pause_ms += LARGER_ENTRY_PRIORITY_MS if _is_larger_registered(
                 context) else SMALL_ENTRY_DELAY_MS
+        if reachability.is_unreachable(context.forwarder):
+            pause_ms += UNREACHABLE_DELAY_MS
         role.candidacy_at = now + (0.0 if role.coordination_state else pause_ms)
     if now < role.candidacy_at:
         return
@@ -81,6 +86,22 @@
     owned.lease_due_at = 0.0
 
 
+def hand_over_if_unreachable(context: controlstate.Context) -> None:
+    """Hands the roles of an entry that reaches no server over to another.
+
+    Only a coordinator that reaches the servers can renew their grants.
+    """
+    owned = context.owned
+    if (owned.handover_reason or owned.store_lost_at or
+            owned.coordinator_lease is None or
+            not reachability.is_unreachable(context.forwarder) or
+            len(owned.store_snapshot.entries) < 2):
+        return
+    if any(role.coordination_state for role in owned.roles.values()):
+        owned.handover_reason = 'no server can be reached'
+        owned.lease_due_at = 0.0
+
+
 def _finish_handover(owned: controlstate.ControlState, now: float) -> None:
     """Delays the entry's next candidacies so that others can take the roles."""
     owned.handover_reason = ''
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -30,6 +30,7 @@
 from lentilmoor.edge import listening
 from lentilmoor.edge import permits
 from lentilmoor.edge import ports
+from lentilmoor.edge import reachability
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requestmetrics
@@ -293,6 +294,8 @@
             float(len(entry.forwarder.logged_blocked)),
         'crashed_servers':
             float(len(entry.forwarder.suspects.server_crashes)),
+        'servers_unreachable':
+            float(reachability.is_unreachable(entry.forwarder)),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
         'sigterm_check_age_ms':
@@ -420,6 +423,7 @@
         entry.actor.tell(control.Tick(entry.clock.now()))
         following.restart_if_silent(entry.follower)
         subscriptions.ask_random_peers(entry.follower)
+        reachability.step(entry.forwarder)
 
 
 def _shut_down(entry: Entry) -> None:
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -17,6 +17,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
 from lentilmoor.edge import ratelimits
+from lentilmoor.edge import reachability
 from lentilmoor.edge import requests
 from lentilmoor.edge import retrybudgets
 from lentilmoor.edge import selection
@@ -302,16 +303,20 @@
     if isinstance(result, exchange.NotSent):
         with forwarder.lock:
             placement.record_connect_failure(state, now)
+        if result.reason in (_Reason.CONNECT_FAILED, _Reason.TIMED_OUT):
+            reachability.note_failure(forwarder, server.id)
         if result.reason is _Reason.CONNECT_FAILED:
             suspects.note_connection_refused(forwarder, server)
         run.excluded_servers.add(server.id)
         return None
     run.sent_to.add(server.id)
     if isinstance(result, outcomes.Unknown):
+        reachability.note_failure(forwarder, server.id)
         suspects.note_lost_request(forwarder, run, server, pool, result.reason
                                    is _Reason.TIMED_OUT)
         return attemptresults.handle_loss(forwarder, run, choice, state, result,
                                           now - sent_at)
+    reachability.note_answer(forwarder)
     return attemptresults.handle_answer(forwarder, run, server, state, result,
                                         now - sent_at)
 
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -261,11 +261,14 @@
         the call has returned, the grant can no longer arrive at the server.
       release: (release) -> the outcome, and a hand-over token or ''.
       probe: (probe) -> DONE if the server answers.
+      check: (server, path of its health check, timeout in ms) -> whether the
+        server answers, whatever it states.
     """
 
     grant: Callable[[ownership.Grant], ownership.GrantResult]
     release: Callable[[ownership.Release], tuple[ownership.CallOutcome, str]]
     probe: Callable[[ownership.Probe], ownership.CallOutcome]
+    check: Callable[[tables.Server, str, float], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lentilmoor/edge/reachability.py
@@ -0,0 +1,159 @@
+"""Detects that this entry can't reach any backend server.
+
+An entry can lose its paths to all servers while callers, the store and other
+entries still reach it. Its connections then hang, are reset or are refused. It
+can't tell this from servers that have failed by a single one, so it looks at
+all of them: if several servers don't answer and no other one does, it checks a
+few servers of different services. If none answers, the entry is unreachable for
+servers until one answers again; meanwhile it checks one at a time.
+
+What it observes while it is cut off says nothing about the servers.
+"""
+
+from collections.abc import Iterable
+import concurrent.futures
+import threading
+
+from lentilmoor.edge import requests
+from lentilmoor.edge import tables
+
+# A server that has not answered a request for this time is silent. It is
+# longer than most answers take, and a check follows in any case.
+SILENCE_MS = 400.0
+# Minimum number of silent servers that raise the suspicion.
+MIN_SILENT_SERVERS = 2
+# Time for which a failure to reach a server counts.
+FAILURE_RETENTION_MS = 2_000.0
+# Number of servers that are checked, each at the same time.
+CHECKED_SERVERS = 3
+CHECK_TIMEOUT_MS = 300.0
+# Interval of checks while there is a suspicion, and while no server answers.
+CHECK_INTERVAL_MS = 250.0
+
+
+def is_unreachable(forwarder: requests.Forwarder) -> bool:
+    """Returns whether this entry can't reach any server."""
+    return forwarder.reachability.unreachable_since is not None
+
+
+def note_answer(forwarder: requests.Forwarder) -> None:
+    """Records that a server has answered, whatever it stated."""
+    state, now = forwarder.reachability, forwarder.clock.now()
+    state.answered_at = now
+    if not state.failures and state.unreachable_since is None:
+        return
+    with state.lock:
+        state.failures.clear()
+        since, state.unreachable_since = state.unreachable_since, None
+    if since is not None:
+        forwarder.logger.warning('servers_reachable',
+                                 after_ms=round(now - since))
+
+
+def note_failure(forwarder: requests.Forwarder, server: str) -> None:
+    """Records that a server could not be reached or did not answer."""
+    state = forwarder.reachability
+    with state.lock:
+        state.failures[server] = forwarder.clock.now()
+
+
+def has_answered_since(forwarder: requests.Forwarder, since: float) -> bool:
+    """Returns whether any server has answered this entry since a time, ms."""
+    return forwarder.reachability.answered_at >= since
+
+
+def step(forwarder: requests.Forwarder) -> None:
+    """Starts checks in the background if they are due."""
+    state, now = forwarder.reachability, forwarder.clock.now()
+    with state.lock:
+        if (state.is_checking or now < state.checked_at + CHECK_INTERVAL_MS or
+                not (state.unreachable_since is not None or
+                     _is_suspicious(forwarder, now))):
+            return
+        state.is_checking, state.checked_at = True, now
+    threading.Thread(target=check_servers, args=(forwarder,),
+                     daemon=True).start()
+
+
+def _is_suspicious(forwarder: requests.Forwarder, now: float) -> bool:
+    """Returns whether several servers are silent and no other has answered."""
+    state = forwarder.reachability
+    if now < state.answered_at + SILENCE_MS:
+        return False
+    silent = {
+        server for server, at in state.failures.items()
+        if at > now - FAILURE_RETENTION_MS
+    }
+    silent |= {
+        run.server
+        for run in list(forwarder.in_flight)
+        if run.server and now >= run.sent_at + SILENCE_MS
+    }
+    return len(silent) >= MIN_SILENT_SERVERS
+
+
+def check_servers(forwarder: requests.Forwarder) -> None:
+    """Checks some servers, and records whether this entry reaches any."""
+    state = forwarder.reachability
+    began_at = forwarder.clock.now()
+    servers = _pick_servers(
+        forwarder,
+        1 if state.unreachable_since is not None else CHECKED_SERVERS)
+    answered = _check_all(forwarder, servers)
+    if answered:
+        note_answer(forwarder)
+    with state.lock:
+        state.is_checking = False
+        is_new = (bool(servers) and not answered and
+                  state.answered_at < began_at and
+                  state.unreachable_since is None)
+        if is_new:
+            state.unreachable_since = forwarder.clock.now()
+    if is_new:
+        forwarder.logger.warning(
+            'servers_unreachable',
+            silent_ms=round(min(1e9,
+                                forwarder.clock.now() - state.answered_at)),
+            failures=len(state.failures),
+            checked=[server.id for server in servers])
+        _close_connections(forwarder)
+
+
+def _pick_servers(forwarder: requests.Forwarder,
+                  count: int) -> list[tables.Server]:
+    """Returns random servers, of different services if there are several."""
+    groups = [
+        list(rows.values()) for rows in forwarder.snapshot.servers.values()
+    ]
+    for group in groups:
+        forwarder.generator.shuffle(group)
+    forwarder.generator.shuffle(groups)
+    picked: list[tables.Server] = []
+    while len(picked) < count and any(groups):
+        picked += [group.pop() for group in groups if group]
+    return picked[:count]
+
+
+def _check_all(forwarder: requests.Forwarder,
+               servers: Iterable[tables.Server]) -> bool:
+    """Checks servers at the same time; returns whether any has answered."""
+    configuration = forwarder.snapshot.configuration
+
+    def check(server: tables.Server) -> bool:
+        service = configuration.services[server.service]
+        return forwarder.platform.servers.check(server, service.health_path,
+                                                CHECK_TIMEOUT_MS)
+
+    servers = list(servers)
+    if not servers:
+        return False
+    with concurrent.futures.ThreadPoolExecutor(len(servers)) as threads:
+        return any(list(threads.map(check, servers)))
+
+
+def _close_connections(forwarder: requests.Forwarder) -> None:
+    """Closes idle connections, which may stay silent when the cut has ended."""
+    with forwarder.lock:
+        pools = list(forwarder.pools.values())
+    for pool in pools:
+        pool.close()
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -19,6 +19,7 @@
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import retrybudgets
+from lentilmoor.edge import serverpaths
 from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
 from lentilmoor.edge import trialtables
@@ -96,6 +97,7 @@
       unserved_ranges: First and last keys that no server holds now, by service.
       coordinated: State that this entry reports to the others for each service
         that it coordinates; replaced as a whole.
+      reachability: What this entry observes of its paths to servers.
       suspects: Requests that crash servers (see `suspects`).
       lost_requests: Requests that servers have not answered, by server id.
       logged_blocked: Fingerprints of blocked requests that were logged.
@@ -150,6 +152,8 @@
         default_factory=dict)
     coordinated: dict[str, tables.CoordinatorStatus] = dataclasses.field(
         default_factory=dict)
+    reachability: serverpaths.Reachability = dataclasses.field(
+        default_factory=serverpaths.Reachability)
     suspects: quarantine.Quarantine = dataclasses.field(
         default_factory=quarantine.Quarantine)
     lost_requests: dict[str, list] = dataclasses.field(default_factory=dict)
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -10,10 +10,15 @@
 from lentilmoor.edge import moves
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ratelimits
+from lentilmoor.edge import reachability
 from lentilmoor.edge import rebalancing
 from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 
+# Outcomes of calls that a server has answered.
+_ANSWERED = (ownership.CallOutcome.DONE, ownership.CallOutcome.REFUSED,
+             ownership.CallOutcome.DECLINED)
+
 
 def run_coordinator(context: controlstate.Context, name: str,
                     role: controlstate.CoordinatorRole, now: float) -> None:
@@ -146,7 +151,10 @@
                          result: ownership.GrantResult, sent_at: float) -> None:
     now = context.clock.now()
     coordination.handle_grant_result(state, grant, result, sent_at, now)
+    if result.outcome in _ANSWERED:
+        reachability.note_answer(context.forwarder)
     if result.outcome is ownership.CallOutcome.UNKNOWN:
+        reachability.note_failure(context.forwarder, grant.server.id)
         in_force_ms = holds.compute_expiry(now, grant.hold_ms) - now
         context.logger.warning('grant_unanswered',
                                service=grant.service,
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -67,12 +67,14 @@
         combined.
       warmup_ms: How long a server is slow with keys that it received without a
         hand-over token.
+      health_path: Path of a server's health check.
     """
 
     name: str
     keyed: bool
     max_connections: int
     warmup_ms: float
+    health_path: str = '/'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -55,6 +55,7 @@
     sharded: bool = False
     # For how long keys that were granted without a handover token are slow.
     warm_s: float = 0.0
+    health_path: str = '/'
 
 
 class _Limits(msgspec.Struct, rename='pascal'):
@@ -125,7 +126,7 @@
     services = {
         name:
             tables.Service(name, item.sharded, item.max_conns,
-                           item.warm_s * 1000.0)
+                           item.warm_s * 1000.0, item.health_path)
         for name, item in model.services.items()
     }
     limits = tables.CallerLimits(model.limits.max_header_bytes,
--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -12,6 +12,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
+from lentilmoor.edge import tables
 from lentilmoor.platform import grantconnections
 
 _GRANT = '/-/grant'
@@ -64,7 +65,12 @@
             call_release(action.server.address, fields,
                          ownership.GRANT_TIMEOUT_MS))
 
-    return ports.ServerCalls(grant, release, probe)
+    def check(server: tables.Server, path: str, timeout_ms: float) -> bool:
+        reply = caller.call(server.address, httpclient.Request('GET', path),
+                            timeout_ms)
+        return isinstance(reply, httpclient.Reply)
+
+    return ports.ServerCalls(grant, release, probe, check)
 
 
 def _send_grant(pool: grantconnections.GrantConnectionPool,
--- a/tests/test_edge_elections.py
+++ b/tests/test_edge_elections.py
@@ -8,6 +8,7 @@
 from lentilmoor.edge import elections
 from lentilmoor.edge import ports
 from lentilmoor.edge import roles
+from lentilmoor.edge import serverpaths
 from lentilmoor.edge import tables
 
 _STEP_MS = 10.0
@@ -36,6 +37,7 @@
                             peer=ports.Peer('e1', 'a:9', small),
                             clock=time_.clock())
         context.forwarder.generator.random.return_value = seed
+        context.forwarder.reachability = serverpaths.Reachability()
         role = controlstate.CoordinatorRole()
         while not context.call.called:
             time_.advance(_STEP_MS)
--- a/tests/test_platform_cuts.py
+++ b/tests/test_platform_cuts.py
@@ -58,8 +58,14 @@
             self.tries.append((began, entry, self._send(entry)))
             time.sleep(0.05)
 
-    def _play(self, cut_count: int, **options) -> list[platformhelp.Entry]:
-        """Cuts entries, the coordinator first, under load; returns them."""
+    def _play(self, cut_count: int,
+              **options) -> dict[bool, collections.Counter[int]]:
+        """Cuts entries, the coordinator first, under load.
+
+        Returns:
+          Statuses of the first tries during the cut, at entries that were cut
+          and at the others.
+        """
         leader = self.deployment.find_leader()
         entries = self.deployment.entries
         cut = [leader, *(entry for entry in entries if entry is not leader)]
@@ -80,15 +86,14 @@
         self._stopped.set()
         for thread in threads:
             thread.join()
-        self._assert_served(cut, cut_at + _SETTLE_S, ended_at)
-        return cut
-
-    def _assert_served(self, cut: list[platformhelp.Entry], since: float,
-                       until: float) -> None:
         statuses = collections.defaultdict(collections.Counter)
         for began, entry, status in self.tries:
-            if since <= began < until:
+            if cut_at + _SETTLE_S <= began < ended_at:
                 statuses[entry in cut][status] += 1
+        return statuses
+
+    def _assert_served(self, statuses: dict[bool,
+                                            collections.Counter[int]]) -> None:
         shares = {
             group: found[200] / found.total()
             for group, found in statuses.items()
@@ -102,14 +107,20 @@
         self.assertLessEqual(failed, _MAX_FAILED + tries * _MAX_FAILED_SHARE,
                              explanation)
 
+    def test_others_are_served_while_the_coordinator_is_cut(self):
+        others = self._play(2)[False]
+        self.assertGreaterEqual(others[200], 0.95 * others.total(), others)
+
     def test_silent_links_of_the_coordinator_and_most_entries(self):
-        self._play(4)
+        self._assert_served(self._play(4))
 
     def test_reset_links_of_the_coordinator_and_another_entry(self):
-        self._play(2, open_connections=_Open.RESET, refuses=True)
+        self._assert_served(
+            self._play(2, open_connections=_Open.RESET, refuses=True))
 
     def test_new_connections_are_refused_and_open_ones_live(self):
-        self._play(3, open_connections=_Open.LIVE, refuses=True)
+        self._assert_served(
+            self._play(3, open_connections=_Open.LIVE, refuses=True))
 
 
 if __name__ == '__main__':
