Entries that reach no server pass requests to entries that do

Cause: an entry has no way to a server but its own.

Change: while an entry reaches no server, it passes whole requests to other entries (edge/proxying), with id, key, headers, body and the time that the caller still waits. Limits, permits, retries and the quarantine apply where a request is sent from. Entries that reach no server either, or have 24 such requests in progress, refuse it as not run, and up to four are asked; those that accepted are asked first. A request whose connection is lost is passed on again only if it is idempotent; what was passed on isn't passed further. A caller that leaves cancels it.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -30,6 +30,8 @@
 from lentilmoor.edge import listening
 from lentilmoor.edge import permits
 from lentilmoor.edge import ports
+from lentilmoor.edge import proxying
+from lentilmoor.edge import proxytables
 from lentilmoor.edge import reachability
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -51,7 +53,8 @@
 # entry that doesn't read its reply occupies a thread, which must not keep the
 # hub from sending news to the others. The sender of a report gives up after
 # about 1 s. Requests for news wait in these threads too.
-PEER_THREAD_LIMITS = (8, 16 + storecopy.MAX_WAITING_REQUESTS)
+PEER_THREAD_LIMITS = (8, 16 + storecopy.MAX_WAITING_REQUESTS +
+                      proxying.MAX_ACCEPTED)
 REPLY_WRITE_TIMEOUT_MS = 1_000.0
 # Connections to another entry: one for reports, one for news.
 MAX_PEER_CONNECTIONS = 2
@@ -226,7 +229,12 @@
                 trialtables.PATH:
                     functools.partial(_answer_trial_request, entry),
             }, clock, functools.partial(_log_slow_write, logger),
-            REPLY_WRITE_TIMEOUT_MS), PEER_THREAD_LIMITS, log_error)
+            REPLY_WRITE_TIMEOUT_MS, {
+                proxytables.PATH:
+                    functools.partial(
+                        proxying.handle_request, forwarder,
+                        functools.partial(forwarding.forward, forwarder))
+            }), PEER_THREAD_LIMITS, log_error)
     entry.listeners = [callers, ready, peers]
     return entry
 
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -16,6 +16,7 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
+from lentilmoor.edge import proxying
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reachability
 from lentilmoor.edge import requests
@@ -88,6 +89,11 @@
     deadline_at = request.arrived_at + min(caller_wait_ms - ANSWER_DELIVERY_MS,
                                            route.timeout_ms)
     run = requests.Run(request, route, service, deadline_at)
+    if reachability.is_unreachable(forwarder):
+        outcome = proxying.pass_on(forwarder, request, run.idempotent,
+                                   deadline_at)
+        if outcome is not None:
+            return outcome
     with forwarder.lock:
         retrybudgets.record_request(_find_retry_budget(forwarder, service_name),
                                     forwarder.platform.settings.bounds,
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -35,6 +35,8 @@
 RecordOutcome = Callable[[requests.Request, requests.Outcome], None]
 PageHandler = Callable[[bytes], tuple[int, bytes, str]]
 """Called with the request's body; returns status, body and content type."""
+WatchedPageHandler = Callable[[bytes, exchange.CallerWatch], tuple[int, bytes]]
+"""Called with the body and a watch of the client; returns status and body."""
 RecordWrite = Callable[[str, int, float], None]
 """Called with the client's address, the page's bytes and the write's ms."""
 
@@ -164,10 +166,12 @@
 
 
 def make_page_gateway(
-        pages: dict[str, PageHandler],
-        clock: clocks.Clock,
-        record_write: RecordWrite | None = None,
-        write_timeout_ms: float | None = None) -> type[cheroot_server.Gateway]:
+    pages: dict[str, PageHandler],
+    clock: clocks.Clock,
+    record_write: RecordWrite | None = None,
+    write_timeout_ms: float | None = None,
+    watched_pages: dict[str, WatchedPageHandler] | None = None
+) -> type[cheroot_server.Gateway]:
     """Returns a gateway class that serves small pages.
 
     Args:
@@ -176,6 +180,8 @@
       record_write: Called with the duration of each page's write, if given.
       write_timeout_ms: Time after which a write to a client that reads nothing
         is aborted; cheroot's timeout if None.
+      watched_pages: Handlers that watch whether the client disconnects, by
+        path.
     """
 
     class PageGateway(cheroot_server.Gateway):
@@ -183,12 +189,7 @@
 
         def respond(self) -> None:
             """Writes the page of the request's path."""
-            handler = pages.get(self.req.path.decode('latin-1'))
-            status, body, content_type = 404, b'', 'text/plain'
-            if handler is not None:
-                length = int(self.req.inheaders.get(b'Content-Length', 0))
-                status, body, content_type = handler(
-                    self.req.rfile.read(length) if length else b'')
+            status, body, content_type = self._find_page()
             if write_timeout_ms is not None:
                 self.req.conn.socket.settimeout(write_timeout_ms /
                                                 clocks.MS_PER_S)
@@ -206,6 +207,20 @@
                                  clock.now() - started_at)
             self.req.conn.socket.settimeout(self.req.server.timeout)
 
+        def _find_page(self) -> tuple[int, bytes, str]:
+            path = self.req.path.decode('latin-1')
+            length = int(self.req.inheaders.get(b'Content-Length', 0))
+            if path in pages:
+                return pages[path](
+                    self.req.rfile.read(length) if length else b'')
+            if path in (watched_pages or {}):
+                body = self.req.rfile.read(length) if length else b''
+                status, reply = watched_pages[path](body,
+                                                    exchange.CallerWatch(
+                                                        self.req.conn.socket))
+                return status, reply, 'application/octet-stream'
+            return 404, b'', 'text/plain'
+
     return PageGateway
 
 
--- /dev/null
+++ b/lentilmoor/edge/proxying.py
@@ -0,0 +1,228 @@
+"""Passes whole requests to entries that reach the backend servers.
+
+An entry that reaches no server (see `reachability`) passes its requests on
+to other entries. The headers, body and id of a request and the time its caller
+still waits go along, and its outcome comes back, so permits, retries and the
+quarantine apply once: where it is sent from. If the caller leaves, the
+connection to the other entry is closed, which cancels the request there.
+
+A request is passed on once: the other entry refuses it if it reaches no server
+either, or has no room. Such a refusal says that it has not run, so another
+entry may be asked. A request whose connection is lost may have run; only an
+idempotent one is then passed to another entry.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from lentilmoor import connections
+from lentilmoor import outcomes
+from lentilmoor.edge import exchange
+from lentilmoor.edge import ports
+from lentilmoor.edge import proxytables
+from lentilmoor.edge import reachability
+from lentilmoor.edge import requests
+
+# Entries that are asked to take a request.
+MAX_ASKED = 4
+# Requests of other entries that are in progress here at most. Each takes a
+# thread and a place at a server that this entry's own callers may need.
+MAX_ACCEPTED = 24
+# Time for which an entry that took no request isn't asked again.
+UNWILLING_MS = 1_000.0
+# The same for all entries, if none took a request.
+NONE_WILLING_MS = 250.0
+# Part of the caller's time that is reserved for delivering the answer.
+_DELIVERY_MS = 4.0
+_POOL_LIMITS = connections.PoolLimits(max_open=16,
+                                      max_idle_ms=5_000.0,
+                                      non_idempotent_idle_ms=2_000.0,
+                                      connect_timeout_ms=100.0,
+                                      opens_per_s=100.0,
+                                      burst=16.0)
+_ACCEPTED = 200
+_UNAVAILABLE = 503
+
+_Reason = outcomes.Reason
+
+
+def pass_on(forwarder: requests.Forwarder, request: requests.Request,
+            idempotent: bool, deadline_at: float) -> requests.Outcome | None:
+    """Passes a request to another entry.
+
+    Args:
+      forwarder: State of this entry.
+      request: The request; it must not have been sent to any server.
+      idempotent: Whether it may run more than once.
+      deadline_at: When it times out, ms.
+
+    Returns:
+      Its outcome; None if no entry has accepted it.
+    """
+    now = forwarder.clock.now()
+    if request.proxied or now < forwarder.proxies.asked_again_at:
+        return None
+    for address in _pick_entries(forwarder, now):
+        outcome = _ask(forwarder, request, idempotent, address, deadline_at)
+        if outcome is not None:
+            return outcome
+    forwarder.proxies.asked_again_at = forwarder.clock.now() + NONE_WILLING_MS
+    return None
+
+
+def _pick_entries(forwarder: requests.Forwarder, now: float) -> list[str]:
+    """Returns the entries to ask, the most likely ones first.
+
+    These are entries that accepted the last request, then those of the same
+    failure domain; in random order, which spreads the load.
+    """
+    table, settings = forwarder.proxies, forwarder.platform.settings
+    peers = {
+        peer.address: peer
+        for peer in forwarder.snapshot.entries.values()
+        if peer.address != settings.control and
+        table.unwilling_until.get(peer.address, 0.0) <= now
+    }
+    addresses = sorted(peers)
+    forwarder.generator.shuffle(addresses)
+    addresses.sort(key=lambda address: (address not in table.willing, peers[
+        address].domain != settings.domain))
+    return addresses[:MAX_ASKED]
+
+
+def _ask(forwarder: requests.Forwarder, request: requests.Request,
+         idempotent: bool, address: str,
+         deadline_at: float) -> requests.Outcome | None:
+    """Asks an entry to take a request; None if another one may be asked."""
+    clock = forwarder.clock
+
+    def make_headers() -> dict[str, str] | None:
+        return {'Content-Type': 'application/msgpack'}
+
+    remaining_ms = deadline_at - clock.now()
+    if remaining_ms <= _DELIVERY_MS:
+        return None
+    body = proxytables.encode(
+        _make_message(request, remaining_ms - _DELIVERY_MS))
+    outgoing = exchange.OutgoingRequest('', 'POST', proxytables.PATH,
+                                        make_headers, body, False, deadline_at)
+    result = exchange.send(_find_pool(forwarder,
+                                      address), outgoing, request.watch,
+                           proxytables.parse_answer_headers, clock)
+    outcome = _read_result(result, address)
+    is_lost = isinstance(result, outcomes.Unknown)
+    _note_willing(forwarder, address, outcome is not None and not is_lost)
+    forwarder.logger.info('request_proxied',
+                          request=request.fields.request_id,
+                          entry=address,
+                          accepted=outcome is not None,
+                          lost=is_lost)
+    if is_lost and idempotent and result.reason is not _Reason.TIMED_OUT:
+        return None
+    return outcome
+
+
+def _make_message(request: requests.Request,
+                  caller_timeout_ms: float) -> proxytables.ProxiedRequest:
+    return proxytables.ProxiedRequest(request.fields.request_id,
+                                      caller_timeout_ms, request.fields.key,
+                                      request.method, request.host,
+                                      request.path, request.target,
+                                      dict(request.headers), request.body)
+
+
+def _read_result(result: exchange.Result,
+                 address: str) -> requests.Outcome | None:
+    """Returns the outcome of a request; None if it was not accepted."""
+    if isinstance(result, exchange.CallerDisconnected):
+        return dataclasses.replace(result, where=address)
+    if isinstance(result, outcomes.Unknown):
+        return result
+    if not isinstance(result, exchange.ServerAnswer):
+        return None
+    if result.answer.status != _ACCEPTED:
+        return None
+    return proxytables.decode_outcome(result.answer.body) or outcomes.Unknown(
+        _Reason.PEER_UNAVAILABLE, f'{address} sent an invalid outcome')
+
+
+def _find_pool(forwarder: requests.Forwarder, address: str) -> connections.Pool:
+    with forwarder.proxies.lock:
+        pool = forwarder.proxies.pools.get(address)
+        if pool is None:
+            limits = dataclasses.replace(
+                _POOL_LIMITS, socket_options=forwarder.rules.socket_options)
+            pool = connections.Pool(address, limits, forwarder.clock)
+            forwarder.proxies.pools[address] = pool
+        return pool
+
+
+def _note_willing(forwarder: requests.Forwarder, address: str,
+                  willing: bool) -> None:
+    table = forwarder.proxies
+    with table.lock:
+        if willing:
+            table.willing.add(address)
+            table.unwilling_until.pop(address, None)
+        else:
+            table.willing.discard(address)
+            table.unwilling_until[address] = (forwarder.clock.now() +
+                                              UNWILLING_MS)
+
+
+def handle_request(forwarder: requests.Forwarder,
+                   forward: Callable[[requests.Request],
+                                     requests.Outcome], body: bytes,
+                   watch: exchange.CallerWatch) -> tuple[int, bytes]:
+    """Forwards a request of another entry.
+
+    Args:
+      forwarder: State of this entry.
+      forward: Forwards a request to a server and returns its outcome.
+      body: The encoded request.
+      watch: Detects whether the other entry has closed its connection.
+
+    Returns:
+      Status and body of the reply.
+    """
+    message = proxytables.decode_request(body)
+    if message is None:
+        return 400, b''
+    if not _accept(forwarder):
+        return _UNAVAILABLE, b''
+    try:
+        outcome = forward(_make_request(message, watch, forwarder.clock.now()))
+    finally:
+        with forwarder.proxies.lock:
+            forwarder.proxies.accepted_count -= 1
+    if isinstance(outcome, exchange.CallerDisconnected):
+        return _UNAVAILABLE, b''  # Nobody reads it.
+    return _ACCEPTED, proxytables.encode_outcome(outcome)
+
+
+def _accept(forwarder: requests.Forwarder) -> bool:
+    """Returns whether a request of another entry is accepted."""
+    table = forwarder.proxies
+    with table.lock:
+        if (forwarder.departure.sigterm_received or
+                reachability.is_unreachable(forwarder) or
+                table.accepted_count >= MAX_ACCEPTED):
+            return False
+        table.accepted_count += 1
+        return True
+
+
+def _make_request(message: proxytables.ProxiedRequest,
+                  watch: exchange.CallerWatch,
+                  arrived_at: float) -> requests.Request:
+    return requests.Request(fields=ports.CallerHeaders(
+        message.request_id, message.caller_timeout_ms, message.key),
+                            method=message.method,
+                            host=message.host,
+                            path=message.path,
+                            target=message.target,
+                            headers=message.headers,
+                            body=message.body,
+                            watch=watch,
+                            arrived_at=arrived_at,
+                            proxied=True)
--- /dev/null
+++ b/lentilmoor/edge/proxytables.py
@@ -0,0 +1,137 @@
+"""State and messages of requests that entries pass to other entries."""
+
+import dataclasses
+import threading
+
+import msgspec
+
+from lentilmoor import connections
+from lentilmoor import outcomes
+from lentilmoor import transport
+from lentilmoor.edge import ports
+
+PATH = '/proxy'
+
+
+class ProxiedRequest(msgspec.Struct, frozen=True):
+    """A caller's request that another entry is to forward to a server.
+
+    Attributes:
+      request_id: Id of the request, as the caller sent it.
+      caller_timeout_ms: How long the caller still waits.
+      key: The request's key; None if there is none.
+      method: HTTP method.
+      host: Host header.
+      path: Path without the query.
+      target: Path and query.
+      headers: Headers that are forwarded to the server.
+      body: The complete body.
+    """
+
+    request_id: str
+    caller_timeout_ms: float
+    key: int | None
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class ProxiedOutcome(msgspec.Struct, frozen=True):
+    """The outcome of a proxied request.
+
+    Attributes:
+      status: Status of a server's answer; 0 if there is none.
+      headers: Headers of the answer.
+      body: Body of the answer.
+      reason: Value of the reason if there is no answer.
+      detail: A sentence for people.
+      retry_after_ms: As in the outcome.
+      may_have_run: Whether the request may have run.
+    """
+
+    status: int = 0
+    headers: list[tuple[str, str]] = []
+    body: bytes = b''
+    reason: str = ''
+    detail: str = ''
+    retry_after_ms: int = 0
+    may_have_run: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ProxyTable:
+    """Requests that pass through other entries; thread-safe.
+
+    Attributes:
+      pools: Connections to other entries, by address.
+      willing: Addresses of entries that accepted a request last time.
+      unwilling_until: When an entry that accepted none is asked again, ms, by
+        address.
+      asked_again_at: When any entry is asked again after none accepted a
+        request, ms.
+      accepted_count: Requests of other entries that are in progress here.
+      lock: Guards all other attributes.
+    """
+
+    pools: dict[str, connections.Pool] = dataclasses.field(default_factory=dict)
+    willing: set[str] = dataclasses.field(default_factory=set)
+    unwilling_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    asked_again_at: float = 0.0
+    accepted_count: int = 0
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+
+encode = msgspec.msgpack.Encoder().encode
+_decode_request = msgspec.msgpack.Decoder(ProxiedRequest).decode
+_decode_outcome = msgspec.msgpack.Decoder(ProxiedOutcome).decode
+
+
+def decode_request(data: bytes) -> ProxiedRequest | None:
+    """Returns a decoded request, or None if it is invalid."""
+    try:
+        return _decode_request(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_outcome(
+    data: bytes
+) -> transport.Answer | outcomes.NotRun | outcomes.Unknown | None:
+    """Returns a decoded outcome, or None if it is invalid."""
+    try:
+        message = _decode_outcome(data)
+        if message.status:
+            return transport.make_complete_answer(message.status,
+                                                  message.headers, message.body)
+        kind = outcomes.Unknown if message.may_have_run else outcomes.NotRun
+        return kind(outcomes.Reason(message.reason), message.detail,
+                    message.retry_after_ms)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+
+
+def encode_outcome(
+        outcome: transport.Answer | outcomes.NotRun | outcomes.Unknown
+) -> bytes:
+    """Returns an encoded outcome."""
+    if isinstance(outcome, transport.Answer):
+        return encode(
+            ProxiedOutcome(outcome.status, outcome.headers, outcome.body))
+    return encode(
+        ProxiedOutcome(reason=outcome.reason.value,
+                       detail=outcome.detail,
+                       retry_after_ms=outcome.retry_after_ms,
+                       may_have_run=isinstance(outcome, outcomes.Unknown)))
+
+
+def parse_answer_headers(unused_status, unused_headers) -> ports.AnswerHeaders:
+    """Returns what the headers of another entry's reply state: nothing."""
+    return ports.AnswerHeaders(request_id='',
+                               not_run=False,
+                               has_proof=True,
+                               load=None,
+                               keep_alive_ms=None,
+                               closes_connection=False)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -16,6 +16,7 @@
 from lentilmoor.edge import permits
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import proxytables
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
 from lentilmoor.edge import retrybudgets
@@ -39,6 +40,7 @@
       body: The complete body.
       watch: Detects whether the caller has closed its connection.
       arrived_at: Time of arrival, ms.
+      proxied: Whether another entry has passed it on.
     """
 
     fields: ports.CallerHeaders
@@ -50,6 +52,7 @@
     body: bytes
     watch: exchange.CallerWatch
     arrived_at: float
+    proxied: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +101,7 @@
       coordinated: State that this entry reports to the others for each service
         that it coordinates; replaced as a whole.
       reachability: What this entry observes of its paths to servers.
+      proxies: Requests that pass through other entries.
       suspects: Requests that crash servers (see `suspects`).
       lost_requests: Requests that servers have not answered, by server id.
       logged_blocked: Fingerprints of blocked requests that were logged.
@@ -154,6 +158,8 @@
         default_factory=dict)
     reachability: serverpaths.Reachability = dataclasses.field(
         default_factory=serverpaths.Reachability)
+    proxies: proxytables.ProxyTable = dataclasses.field(
+        default_factory=proxytables.ProxyTable)
     suspects: quarantine.Quarantine = dataclasses.field(
         default_factory=quarantine.Quarantine)
     lost_requests: dict[str, list] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/tests/test_edge_proxying.py
@@ -0,0 +1,192 @@
+"""Tests of requests that entries pass to other entries."""
+
+import functools
+import io
+import socket
+import threading
+import unittest
+from unittest import mock
+
+from lentilmoor import clocks
+from lentilmoor import connections
+from lentilmoor import logs
+from lentilmoor import outcomes
+from lentilmoor import transport
+from lentilmoor.edge import exchange
+from lentilmoor.edge import listening
+from lentilmoor.edge import ports
+from lentilmoor.edge import proxying
+from lentilmoor.edge import proxytables
+from lentilmoor.edge import requests
+from lentilmoor.edge import tables
+from tests import waits
+
+_CLOCK = clocks.make_suspend_clock()
+_TIMEOUT_MS = 2_000.0
+
+
+class _Entry:
+    """An entry that takes requests; `outcome` is what becomes of them."""
+
+    def __init__(self, outcome=None):
+        self.forwarder = _make_forwarder()
+        self.outcome = outcome
+        self.taken: list[requests.Request] = []
+        with socket.create_server(('127.0.0.1', 0)) as free:
+            self.address = f'127.0.0.1:{free.getsockname()[1]}'
+        gateway = listening.make_page_gateway(
+            {},
+            _CLOCK,
+            watched_pages={
+                proxytables.PATH:
+                    functools.partial(proxying.handle_request, self.forwarder,
+                                      self._forward)
+            })
+        self._listener = listening.make_listener(self.address, gateway, (4, 8),
+                                                 lambda *a, **k: None)
+        self._listener.prepare()
+        threading.Thread(target=self._listener.serve, daemon=True).start()
+
+    def _forward(self, request: requests.Request) -> requests.Outcome:
+        self.taken.append(request)
+        return self.outcome(request) if callable(self.outcome) else self.outcome
+
+    def close(self) -> None:
+        self._listener.stop()
+
+
+def _make_forwarder() -> requests.Forwarder:
+    platform = mock.Mock()
+    platform.settings.control, platform.settings.domain = 'self:1', 'a'
+    return requests.Forwarder(_CLOCK, platform,
+                              logs.make_logger('test', io.StringIO()),
+                              connections.PoolLimits())
+
+
+class ProxyCase(unittest.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.forwarder = _make_forwarder()
+        self.addCleanup(self._close_connections)
+        caller, self.caller = socket.socketpair()
+        self.addCleanup(caller.close)
+        self.addCleanup(self.caller.close)
+        self.request = requests.Request(
+            ports.CallerHeaders('r1', _TIMEOUT_MS, 7), 'POST', 'h', '/p',
+            '/p?q=1', {'Content-Type': 'text/plain'}, b'\x00body',
+            exchange.CallerWatch(caller), _CLOCK.now())
+
+    def _close_connections(self) -> None:
+        for pool in self.forwarder.proxies.pools.values():
+            pool.close()
+
+    def _add_entry(self, outcome=None, domain: str = 'a') -> _Entry:
+        entry = _Entry(outcome)
+        self.addCleanup(entry.close)
+        entries = dict(self.forwarder.snapshot.entries)
+        entries[entry.address] = ports.Peer(entry.address,
+                                            entry.address,
+                                            domain=domain)
+        self.forwarder.snapshot = tables.RoutingSnapshot(
+            None, {}, {}, {}, entries)
+        return entry
+
+    def _pass_on(self, idempotent: bool = False) -> requests.Outcome | None:
+        return proxying.pass_on(self.forwarder, self.request, idempotent,
+                                _CLOCK.now() + _TIMEOUT_MS)
+
+
+class OutcomeTest(ProxyCase):
+
+    def test_whole_request_and_its_answer(self):
+        answer = transport.make_complete_answer(200, [('A', 'b')], b'\xffok')
+        entry = self._add_entry(answer)
+        outcome = self._pass_on()
+        self.assertEqual((outcome.status, outcome.headers, outcome.body),
+                         (200, [('A', 'b')], b'\xffok'))
+        taken = entry.taken[0]
+        for field in ('method', 'host', 'path', 'target', 'headers', 'body'):
+            self.assertEqual(getattr(taken, field),
+                             getattr(self.request, field))
+        self.assertEqual((taken.fields.request_id, taken.fields.key), ('r1', 7))
+        self.assertLess(taken.fields.caller_timeout_ms, _TIMEOUT_MS)
+        self.assertTrue(taken.proxied)
+
+    def test_refusal_and_unknown_outcome(self):
+        for kind in (outcomes.NotRun, outcomes.Unknown):
+            expected = kind(outcomes.Reason.OVERLOADED, 'detail', 120)
+            self._add_entry(expected)
+            self.assertEqual(self._pass_on(), expected)
+            self.forwarder.snapshot.entries.clear()
+
+    def test_proxied_request_is_not_passed_on_again(self):
+        entry = self._add_entry()
+        self.request = mock.Mock(proxied=True)
+        self.assertIsNone(self._pass_on())
+        self.assertEqual(entry.taken, [])
+
+
+class ChoiceTest(ProxyCase):
+
+    def test_entry_that_reaches_no_server_is_passed_over(self):
+        cut = self._add_entry()
+        cut.forwarder.reachability.unreachable_since = 1.0
+        other = self._add_entry(transport.make_complete_answer(200, [], b''),
+                                'b')
+        self.assertEqual(self._pass_on().status, 200)
+        self.assertEqual((len(cut.taken), len(other.taken)), (0, 1))
+        self.assertEqual(self._pass_on().status, 200)
+        self.assertIn(cut.address, self.forwarder.proxies.unwilling_until)
+
+    def test_nobody_is_asked_for_a_while_after_none_accepted(self):
+        cut = self._add_entry()
+        cut.forwarder.reachability.unreachable_since = 1.0
+        self.assertIsNone(self._pass_on())
+        cut.forwarder.reachability.unreachable_since = None
+        self.forwarder.proxies.unwilling_until.clear()
+        self.assertIsNone(self._pass_on())
+        self.assertEqual(cut.taken, [])
+
+    def test_entry_accepts_a_limited_number(self):
+        entry = self._add_entry()
+        entry.forwarder.proxies.accepted_count = proxying.MAX_ACCEPTED
+        self.assertIsNone(self._pass_on())
+        self.assertEqual(entry.taken, [])
+
+
+class LossTest(ProxyCase):
+
+    def _add_failing_entries(self) -> list[_Entry]:
+
+        def fail(unused_request):
+            raise SystemExit  # cheroot closes the connection.
+
+        return [self._add_entry(fail) for _ in range(2)]
+
+    def test_order_whose_connection_is_lost_is_passed_on_once(self):
+        entries = self._add_failing_entries()
+        self.assertIsInstance(self._pass_on(), outcomes.Unknown)
+        self.assertEqual(sum(len(entry.taken) for entry in entries), 1)
+
+    def test_idempotent_request_is_passed_to_another_entry(self):
+        entries = self._add_failing_entries()
+        self._pass_on(idempotent=True)
+        self.assertEqual(sum(len(entry.taken) for entry in entries), 2)
+
+    def test_caller_that_leaves_cancels_the_request(self):
+        left = threading.Event()
+
+        def wait_for_caller(request):
+            waits.wait_for(request.watch.is_disconnected)
+            left.set()
+            return exchange.CallerDisconnected()
+
+        self._add_entry(wait_for_caller)
+        threading.Timer(0.1, self.caller.close).start()
+        self.assertIsInstance(self._pass_on(), exchange.CallerDisconnected)
+        self.assertTrue(left.wait(5.0))
+
+
+if __name__ == '__main__':
+    unittest.main()
