--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -88,16 +88,22 @@
                       DEFAULT_CALLER_TIMEOUT_MS)
     deadline_at = request.arrived_at + min(caller_wait_ms - ANSWER_DELIVERY_MS,
                                            route.timeout_ms)
-    run = requests.Run(request, route, service, deadline_at)
+    return _find_way(forwarder,
+                     requests.Run(request, route, service, deadline_at))
+
+
+def _find_way(forwarder: requests.Forwarder,
+              run: requests.Run) -> requests.Outcome:
+    """Sends a request to a server, itself or through another entry."""
     if reachability.is_unreachable(forwarder):
-        outcome = proxying.pass_on(forwarder, request, run.idempotent,
-                                   deadline_at)
+        outcome = proxying.pass_on(forwarder, run.request, run.idempotent,
+                                   run.deadline_at)
         if outcome is not None:
             return outcome
     with forwarder.lock:
-        retrybudgets.record_request(_find_retry_budget(forwarder, service_name),
-                                    forwarder.platform.settings.bounds,
-                                    request.arrived_at)
+        retrybudgets.record_request(
+            _find_retry_budget(forwarder, run.service.name),
+            forwarder.platform.settings.bounds, run.request.arrived_at)
     forwarder.in_flight.add(run)
     try:
         return _send_with_retries(forwarder, run)
