Suspects: clean runs from before their evidence arrives count

Callers: a sound request that is hot was refused as a suspect for up to a second, although entries that didn't know of the suspicion yet were running it cleanly.

Cause: a clean run was reported only if the request was a suspect at that moment.

Change: an entry remembers the last clean run of up to 512 requests, and applies it when evidence of earlier crashes arrives.

--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -104,6 +104,8 @@
       proxies: Requests that pass through other entries.
       suspects: Requests that crash servers (see `suspects`).
       lost_requests: Requests that servers have not answered, by server id.
+      clean_runs: When requests last ran without crashing their server, ms, by
+        fingerprint; the newest ones.
       refusals: Servers that refuse connections, and since when, ms, by server
         id, until another server proves that this entry has a path to servers.
       logged_blocked: Fingerprints of blocked requests that were logged.
@@ -126,8 +128,8 @@
         of the store was last logged, ms.
       unavailable_logged_at: When a request to a draining or paused server was
         last logged, ms.
-      lock: Guards `server_states`, `pools`, `retry_budgets`, `lost_requests`
-        and `refusals`.
+      lock: Guards `server_states`, `pools`, `retry_budgets`, `lost_requests`,
+        `clean_runs` and `refusals`.
       generator: Source of the random numbers for routing.
     """
 
@@ -164,6 +166,7 @@
         default_factory=proxytables.ProxyTable)
     suspects: quarantine.Quarantine = dataclasses.field(
         default_factory=quarantine.Quarantine)
+    clean_runs: dict[bytes, float] = dataclasses.field(default_factory=dict)
     refusals: dict[str, tuple[tables.Server,
                               float]] = dataclasses.field(default_factory=dict)
     lost_requests: dict[str, list] = dataclasses.field(default_factory=dict)
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -48,6 +48,9 @@
 TRIAL_DELAY_MS = 5_000.0
 # Time after which the caller of a blocked request may retry.
 RETRY_AFTER_MS = 30_000
+# Number of requests whose last clean run is remembered: those of the seconds
+# in which evidence of crashes arrives.
+_MAX_CLEAN_RUNS = 512
 # Maximum error of the times of crashes that other entries report.
 _CRASH_TIME_ERROR_MS = 1_000.0
 # Maximum number of requests listed in one log line.
@@ -251,6 +254,8 @@
             if kept:
                 forwarder.lost_requests[server.id] = kept
     _confirm_path(forwarder, run, server, ran)
+    if ran:
+        _remember_clean_run(forwarder, make_fingerprint(run.request), now)
     if not table.suspects:
         return
     quarantine.report_alive(table, server.id, opened_at, now,
@@ -260,6 +265,29 @@
                                     server.id, now)
 
 
+def _remember_clean_run(forwarder: requests.Forwarder, fingerprint: bytes,
+                        now: float) -> None:
+    """Remembers a clean run, as evidence of a crash may arrive after it."""
+    with forwarder.lock:
+        runs = forwarder.clean_runs
+        runs.pop(fingerprint, None)
+        runs[fingerprint] = now
+        if len(runs) > _MAX_CLEAN_RUNS:
+            del runs[next(iter(runs))]
+
+
+def _clear_by_clean_run(forwarder: requests.Forwarder,
+                        fingerprint: bytes) -> None:
+    """Clears a suspect that ran clean after its crashes."""
+    suspect = forwarder.suspects.suspects.get(fingerprint)
+    ran_at = forwarder.clean_runs.get(fingerprint)
+    if suspect is None or ran_at is None or not suspect.crashes:
+        return
+    if ran_at > suspect.crashes[-1].at:
+        quarantine.report_clean_run(forwarder.suspects, fingerprint, '', ran_at)
+        forwarder.report_now.set()
+
+
 def _confirm_path(forwarder: requests.Forwarder, run: requests.Run,
                   server: tables.Server, ran: bool) -> None:
     """Applies what an answer proves of the paths to this server and others."""
@@ -373,6 +401,7 @@
                               ])
         forwarder.report_now.set()
     for fingerprint in {loss.fingerprint for loss in recent}:
+        _clear_by_clean_run(forwarder, fingerprint)
         _log_crash_count(forwarder, fingerprint)
 
 
@@ -405,6 +434,8 @@
     for item in evidence:
         if not item.fingerprint and item.server in forwarder.lost_requests:
             _report_lost_requests(forwarder, item.server)
+    for fingerprint in {item.fingerprint for item in evidence if item.crashes}:
+        _clear_by_clean_run(forwarder, fingerprint)
 
 
 def step(forwarder: requests.Forwarder) -> None:
