Pass requests on if their server can't be reached from here

Callers: a request whose server refuses or drops this entry's connections was refused, though other entries may reach that server: partitions from some servers, or those that let open connections live and refuse new ones.

Cause: passing requests on began only when no server at all was reached.

Change: a request that was sent to no server, since one that isn't known to have crashed can't be connected to, is passed to another entry, and refused if none takes it.

Evidence: LostPathTest; test_request_is_passed_on failed before (the request was refused), as there was no way. The process test of open connections that live still fails, for what its stand-in does: it accepts a connection and resets it when the request has been sent.

--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -106,10 +106,15 @@
             forwarder.platform.settings.bounds, run.request.arrived_at)
     forwarder.in_flight.add(run)
     try:
-        return _send_with_retries(forwarder, run)
+        outcome = _send_with_retries(forwarder, run)
     finally:
         forwarder.in_flight.discard(run)
         trials.finish(forwarder, run)
+    if (isinstance(outcome, outcomes.NotRun) and run.lacks_path and
+            not run.sent_to):
+        return proxying.pass_on(forwarder, run.request, run.idempotent,
+                                run.deadline_at) or outcome
+    return outcome
 
 
 def _wait_for_configuration(
@@ -317,6 +322,8 @@
             placement.record_connect_failure(state, now)
         if result.reason in (_Reason.CONNECT_FAILED, _Reason.TIMED_OUT):
             reachability.note_failure(forwarder, server.id)
+            run.lacks_path |= not quarantine.has_crashed(
+                forwarder.suspects, server.id)
         if result.reason is _Reason.CONNECT_FAILED:
             suspects.note_connection_refused(forwarder, server)
         run.excluded_servers.add(server.id)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -209,6 +209,8 @@
       sent_at: When it was sent to that server, ms.
       sent_to: Ids of servers that it was sent to.
       excluded_servers: Ids of servers that must not be tried again.
+      lacks_path: Whether a server could not be reached that isn't known to have
+        crashed; another entry may reach it.
       may_have_run: Whether an attempt ended with an unknown outcome.
       last_failure: A server's error response, returned to the caller if no
         later attempt succeeds.
@@ -223,6 +225,7 @@
     sent_at: float = 0.0
     sent_to: set[str] = dataclasses.field(default_factory=set)
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
+    lacks_path: bool = False
     may_have_run: bool = False
     last_failure: transport.Answer | None = None
     trial: trialtables.HeldTrial | None = None
--- a/lentilmoor/edge/selection.py
+++ b/lentilmoor/edge/selection.py
@@ -8,6 +8,7 @@
 
 from lentilmoor import clocks
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor.edge import admission
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import permits
@@ -220,6 +221,8 @@
         state = forwarder.server_states.setdefault(server.id,
                                                    placement.ServerState())
         if state.backoff_until > now:
+            run.lacks_path |= not quarantine.has_crashed(
+                forwarder.suspects, server.id)
             return outcomes.NotRun(_Reason.NO_SERVER,
                                    'the owner of the key is unreachable',
                                    OWNER_RETRY_MS)
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -6,11 +6,13 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from lentilmoor import clocks
 from lentilmoor import connections
 from lentilmoor import logs
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor import transport
 from lentilmoor.edge import exchange
 from lentilmoor.edge import forwarding
@@ -18,6 +20,7 @@
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import proxying
 from lentilmoor.edge import requests
 from lentilmoor.edge import staleness
 from lentilmoor.edge import tables
@@ -113,6 +116,31 @@
         return forwarding.forward(self.forwarder, request)
 
 
+class LostPathTest(ForwardingTestCase):
+    """The owner of a key refuses connections; another entry may reach it."""
+
+    def _forward_to_refusing_owner(self) -> tuple[requests.Outcome, bool]:
+        """Returns the outcome and whether the request was passed on."""
+        self.old_owner.close()
+        answer = transport.make_complete_answer(200, [], b'')
+        with mock.patch.object(proxying, 'pass_on',
+                               return_value=answer) as pass_on:
+            outcome = self._forward()
+        return outcome, pass_on.called and outcome is answer
+
+    def test_request_is_passed_on(self):
+        self.assertTrue(self._forward_to_refusing_owner()[1])
+        self.assertTrue(self._forward_to_refusing_owner()[1])
+
+    def test_request_for_a_crashed_owner_is_refused(self):
+        quarantine.report_server_crash(self.forwarder.suspects, 'catalog',
+                                       self.old_owner.id,
+                                       self.forwarder.clock.now())
+        outcome, passed_on = self._forward_to_refusing_owner()
+        self.assertFalse(passed_on)
+        self.assertIsInstance(outcome, outcomes.NotRun)
+
+
 class MovingKeyTest(ForwardingTestCase):
     """A key moves from one server to another while a request is in flight."""
 
