--- a/standins/server_links.py
+++ b/standins/server_links.py
@@ -11,6 +11,7 @@
 import enum
 import os
 import pathlib
+import select
 import socket
 import struct
 import threading
@@ -76,12 +77,18 @@
         """Returns whether new connections of a process are reset now."""
         return self._refuses and self.is_cut(process)
 
-    def wait_for_path(self, process: int | None, is_new: bool) -> None:
-        """Waits until bytes of a process's connection may pass."""
-        if not is_new and self._open is OpenConnections.LIVE:
-            return
+    def wait_for_path(self, process: int | None, is_new: bool) -> bool:
+        """Waits until bytes of a process's connection may pass.
+
+        Returns:
+          Whether they had to wait.
+        """
+        if not self.is_cut(process) or (not is_new and
+                                        self._open is OpenConnections.LIVE):
+            return False
         with self._changed:
             self._changed.wait_for(lambda: not self.is_cut(process))
+        return True
 
     def find_owner(self, port: int, peer_port: int) -> int | None:
         """Returns the process that opened a loopback connection."""
@@ -156,7 +163,9 @@
               process: int | None) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(_BLOCK_BYTES):
-                self._partition.wait_for_path(process, False)
+                if self._partition.wait_for_path(process,
+                                                 False) and _is_reset(source):
+                    break
                 sink.sendall(data)
         for end in (source, sink):
             with contextlib.suppress(OSError):
@@ -170,6 +179,17 @@
     connection.close()
 
 
+def _is_reset(connection: socket.socket) -> bool:
+    """Returns whether the other end has reset a connection.
+
+    What it had sent before is then lost, as nothing sends it again.
+    """
+    poll = select.poll()
+    poll.register(connection, 0)
+    return any(events & (select.POLLERR | select.POLLHUP)
+               for _, events in poll.poll(0))
+
+
 def _find_inode(port: int, peer_port: int) -> str | None:
     """Returns the inode of the other end of an accepted connection."""
     ends = [f'0100007F:{port:04X}', f'0100007F:{peer_port:04X}']
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,8 +1,9 @@
 """Random faults against real processes, while what callers see is checked.
 
 `python -m tests.soak --soak_seed=1 --soak_seconds=60`. Entries are killed,
-frozen and asked to end, the store is away or comes back from an older copy,
-servers leave and come, and the configuration changes, one soon after the other.
+frozen, cut from servers and asked to end, the store is away or comes back from
+an older copy, servers leave and come, and the configuration changes, one soon
+after the other.
 All the while a request comes that crashes each server that runs it. Prints what
 was broken.
 """
@@ -24,6 +25,7 @@
 from standins import deadly_request
 from standins import platform_server
 from standins import platform_store
+from standins import server_links
 from tests import platformhelp
 
 _SEED = flags.DEFINE_integer('soak_seed', 1, 'Of all that is drawn.')
@@ -87,9 +89,11 @@
 
     def __init__(self, seed: int, entries: int):
         self._random = random.Random(seed)
+        self._partition = server_links.Partition()
         self._deployment = platformhelp.Deployment(catalogs=4,
                                                    orders=3,
-                                                   entries=entries)
+                                                   entries=entries,
+                                                   partition=self._partition)
         self._store = self._deployment.store
         self._slow = [
             platform_server.PlatformServer(self._store, _SLOW)
@@ -169,6 +173,7 @@
             ('freeze', self._freeze),
             ('end', self._end),
             ('end', self._end),
+            ('cut from servers', self._cut_from_servers),
             ('replace server', self._replace_server),
             ('add route', self._add_route),
             ('add route', self._add_route),
@@ -215,6 +220,7 @@
             if self._deployment.entries[index] is not old:
                 return
             new = platformhelp.Entry(self._store, index + 1)
+            self._partition.processes.add(new.process.pid)
             self._deployment.entries[index] = new
             self._deployment.ended.append(old)
         # Ready within the time in which an entry starts on a busy machine.
@@ -238,6 +244,17 @@
         process.send_signal(signal.SIGCONT)
         self._calm_at[index] = time.monotonic() + STABLE_S
 
+    def _cut_from_servers(self) -> None:
+        """Cuts some entries from most servers; others reach them."""
+        count = self._random.randrange(1, len(self._deployment.entries))
+        cut = self._random.sample(self._deployment.entries, count)
+        self._partition.begin([entry.process.pid for entry in cut],
+                              self._random.choice(
+                                  list(server_links.OpenConnections)),
+                              self._random.random() < 0.5)
+        time.sleep(self._random.uniform(0.5, 6.0))
+        self._partition.end()
+
     def _replace_server(self) -> None:
         """Has a server leave, and another one of its service come."""
         staying = [
