Tests: reserve the ports of entries across processes

A run of test_platform_cuts failed once as an entry wasn't ready within 15 s. Cause, from its log: its port was taken (Address already in use). Two runs of the tests at once pick random free ports, and release them until their entries listen.

A port is now reserved by an abstract socket name as long as the test process lives. A deployment that doesn't become ready ends its processes; six of them had stayed.

--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -26,6 +26,8 @@
 HOST = 'shop.example'
 _LISTENING_PORTS = (12_000, 32_000)
 _ports = random.SystemRandom()
+# Each reserves a port for this process as long as it is open.
+_reservations: list[socket.socket] = []
 _BOUNDS = ('DrainMs=2000,GraceS=6,RetryRatio=0.2,RetrySlack=64,'
            'RetryWindowS=10,HoldMaxMs=10000')
 
@@ -34,13 +36,20 @@
     """Returns a free loopback port to listen on.
 
     It is below the ephemeral range: the kernel could assign a port of that
-    range to a connection before the process that is to listen there starts.
+    range to a connection before the process that is to listen there starts. It
+    is reserved by a name, as other tests that run at the same time pick ports
+    in the same way.
     """
     while True:
         port = _ports.randrange(*_LISTENING_PORTS)
-        with contextlib.suppress(OSError):
+        reservation = socket.socket(socket.AF_UNIX)
+        try:
+            reservation.bind(f'\0lentilmoor-test-port-{port}')
             with socket.create_server(('127.0.0.1', port)):
+                _reservations.append(reservation)
                 return port
+        except OSError:
+            reservation.close()
 
 
 def make_configuration(version: int = 1, **changes) -> dict:
@@ -295,6 +304,13 @@
         ]
         if partition is not None:
             partition.processes |= {entry.process.pid for entry in self.entries}
+        try:
+            self._await_ready()
+        except BaseException:
+            self.close()
+            raise
+
+    def _await_ready(self) -> None:
         for entry in self.entries:
             entry.await_ready()
         wait_until(
