--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -1,6 +1,5 @@
 """Runs entry processes against stand-ins for the users' platform."""
 
-import contextlib
 import http.client
 import json
 import os
