Requests that no entry takes are refused, not sent over lost paths

Cause, by reading: if no entry took a request, it was sent over the entry's own paths, which it knows to be lost. An idempotent request whose connection to another entry was lost could then have been refused as not run.

Change: such a request is refused at once with Retry-After; one that was lost on its way to another entry ends as unknown. An entry that took none is asked again after 0.3 s, in place of 1 s. Checks in progress end with an exception too.

--- a/lentilmoor/edge/attemptresults.py
+++ b/lentilmoor/edge/attemptresults.py
@@ -9,6 +9,7 @@
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
+from lentilmoor.edge import reachability
 from lentilmoor.edge import requests
 from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
@@ -31,7 +32,7 @@
     now, server = forwarder.clock.now(), choice.server
     # Without an answer of any server, the entry may have lost its paths.
     if (lost.reason is _Reason.TIMED_OUT and
-            forwarder.reachability.answered_at >= run.sent_at):
+            reachability.has_answered_since(forwarder, run.sent_at)):
         min_work_ms = placement.estimate_min_work(took_ms, choice)
         if min_work_ms:
             placement.record_work(state, min_work_ms)
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -96,10 +96,8 @@
               run: requests.Run) -> requests.Outcome:
     """Sends a request to a server, itself or through another entry."""
     if reachability.is_unreachable(forwarder):
-        outcome = proxying.pass_on(forwarder, run.request, run.idempotent,
-                                   run.deadline_at)
-        if outcome is not None:
-            return outcome
+        return proxying.pass_on(forwarder, run.request, run.idempotent,
+                                run.deadline_at) or proxying.make_refusal()
     with forwarder.lock:
         retrybudgets.record_request(
             _find_retry_budget(forwarder, run.service.name),
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -29,9 +29,11 @@
 # thread and a place at a server that this entry's own callers may need.
 MAX_ACCEPTED = 24
 # Time for which an entry that took no request isn't asked again.
-UNWILLING_MS = 1_000.0
+UNWILLING_MS = 300.0
 # The same for all entries, if none took a request.
 NONE_WILLING_MS = 250.0
+# Retry-After of a request that no entry took.
+RETRY_AFTER_MS = 120
 # Part of the caller's time that is reserved for delivering the answer.
 _DELIVERY_MS = 4.0
 _POOL_LIMITS = connections.PoolLimits(max_open=16,
@@ -46,6 +48,13 @@
 _Reason = outcomes.Reason
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lost:
+    """The connection to an entry was lost; the request may have run."""
+
+    result: outcomes.Unknown
+
+
 def pass_on(forwarder: requests.Forwarder, request: requests.Request,
             idempotent: bool, deadline_at: float) -> requests.Outcome | None:
     """Passes a request to another entry.
@@ -57,19 +66,34 @@
       deadline_at: When it times out, ms.
 
     Returns:
-      Its outcome; None if no entry has accepted it.
+      Its outcome; None if no entry has taken it, so that it has not run.
     """
     now = forwarder.clock.now()
     if request.proxied or now < forwarder.proxies.asked_again_at:
         return None
+    lost: outcomes.Unknown | None = None
     for address in _pick_entries(forwarder, now):
-        outcome = _ask(forwarder, request, idempotent, address, deadline_at)
-        if outcome is not None:
-            return outcome
+        outcome = _ask(forwarder, request, address, deadline_at)
+        if not isinstance(outcome, _Lost):
+            if outcome is not None:
+                return outcome
+        elif idempotent and outcome.result.reason is not _Reason.TIMED_OUT:
+            lost = outcome.result
+        else:
+            return outcome.result
+    if lost is not None:
+        return lost
     forwarder.proxies.asked_again_at = forwarder.clock.now() + NONE_WILLING_MS
     return None
 
 
+def make_refusal() -> outcomes.NotRun:
+    """Returns the result for the caller of a request that no entry took."""
+    return outcomes.NotRun(
+        _Reason.NO_SERVER, 'this entry reaches no server, and no other one '
+        'takes the request', RETRY_AFTER_MS)
+
+
 def _pick_entries(forwarder: requests.Forwarder, now: float) -> list[str]:
     """Returns the entries to ask, the most likely ones first.
 
@@ -90,10 +114,14 @@
     return addresses[:MAX_ASKED]
 
 
-def _ask(forwarder: requests.Forwarder, request: requests.Request,
-         idempotent: bool, address: str,
-         deadline_at: float) -> requests.Outcome | None:
-    """Asks an entry to take a request; None if another one may be asked."""
+def _ask(forwarder: requests.Forwarder, request: requests.Request, address: str,
+         deadline_at: float) -> requests.Outcome | _Lost | None:
+    """Asks an entry to take a request.
+
+    Returns:
+      Its outcome; `_Lost` if the connection was lost; None if the entry didn't
+      take it.
+    """
     clock = forwarder.clock
 
     def make_headers() -> dict[str, str] | None:
@@ -117,9 +145,7 @@
                           entry=address,
                           accepted=outcome is not None,
                           lost=is_lost)
-    if is_lost and idempotent and result.reason is not _Reason.TIMED_OUT:
-        return None
-    return outcome
+    return _Lost(result) if is_lost else outcome
 
 
 def _make_message(request: requests.Request,
@@ -136,11 +162,8 @@
     """Returns the outcome of a request; None if it was not accepted."""
     if isinstance(result, exchange.CallerDisconnected):
         return dataclasses.replace(result, where=address)
-    if isinstance(result, outcomes.Unknown):
-        return result
-    if not isinstance(result, exchange.ServerAnswer):
-        return None
-    if result.answer.status != _ACCEPTED:
+    if (not isinstance(result, exchange.ServerAnswer) or
+            result.answer.status != _ACCEPTED):
         return None
     return proxytables.decode_outcome(result.answer.body) or outcomes.Unknown(
         _Reason.PEER_UNAVAILABLE, f'{address} sent an invalid outcome')
--- a/lentilmoor/edge/reachability.py
+++ b/lentilmoor/edge/reachability.py
@@ -33,14 +33,14 @@
 
 def is_unreachable(forwarder: requests.Forwarder) -> bool:
     """Returns whether this entry can't reach any server."""
-    return forwarder.reachability.unreachable_since is not None
+    return forwarder.reachability.is_lost
 
 
 def note_answer(forwarder: requests.Forwarder) -> None:
     """Records that a server has answered, whatever it stated."""
     state, now = forwarder.reachability, forwarder.clock.now()
     state.answered_at = now
-    if not state.failures and state.unreachable_since is None:
+    if not state.failures and not state.is_lost:
         return
     with state.lock:
         state.failures.clear()
@@ -70,12 +70,11 @@
     state, now = forwarder.reachability, forwarder.clock.now()
     with state.lock:
         if (state.is_checking or now < state.checked_at + CHECK_INTERVAL_MS or
-                not (state.unreachable_since is not None or
-                     forwarder.refusals or _is_suspicious(forwarder, now))):
+                not (state.is_lost or forwarder.refusals or
+                     _is_suspicious(forwarder, now))):
             return
         state.is_checking, state.checked_at = True, now
-    threading.Thread(target=check_servers, args=(forwarder,),
-                     daemon=True).start()
+    threading.Thread(target=_run_checks, args=(forwarder,), daemon=True).start()
 
 
 def _is_suspicious(forwarder: requests.Forwarder, now: float) -> bool:
@@ -95,21 +94,24 @@
     return len(silent) >= MIN_SILENT_SERVERS
 
 
+def _run_checks(forwarder: requests.Forwarder) -> None:
+    try:
+        check_servers(forwarder)
+    finally:
+        forwarder.reachability.is_checking = False
+
+
 def check_servers(forwarder: requests.Forwarder) -> None:
     """Checks some servers, and records whether this entry reaches any."""
     state = forwarder.reachability
     began_at = forwarder.clock.now()
-    servers = _pick_servers(
-        forwarder,
-        1 if state.unreachable_since is not None else CHECKED_SERVERS)
+    servers = _pick_servers(forwarder, 1 if state.is_lost else CHECKED_SERVERS)
     answering = _check_all(forwarder, servers)
     if answering:
         note_answer(forwarder)
         suspects.confirm_refusals(forwarder, answering[0].id, began_at)
     with state.lock:
-        state.is_checking = False
-        is_new = (bool(servers) and not answering and
-                  state.unreachable_since is None and
+        is_new = (bool(servers) and not answering and not state.is_lost and
                   _is_suspicious(forwarder, forwarder.clock.now()))
         if is_new:
             state.unreachable_since = forwarder.clock.now()
@@ -123,11 +125,10 @@
 
     Servers that refuse connections are left out.
     """
-    groups = [[
-        server
-        for server in rows.values()
-        if server.id not in forwarder.refusals
-    ]
+    refusing = set(forwarder.refusals)
+    groups = [[server
+               for server in rows.values()
+               if server.id not in refusing]
               for rows in forwarder.snapshot.servers.values()]
     for group in groups:
         forwarder.generator.shuffle(group)
@@ -144,9 +145,9 @@
     configuration = forwarder.snapshot.configuration
 
     def check(server: tables.Server) -> bool:
-        service = configuration.services[server.service]
-        return forwarder.platform.servers.check(server, service.health_path,
-                                                CHECK_TIMEOUT_MS)
+        service = configuration.services.get(server.service)
+        path = service.health_path if service else '/'
+        return forwarder.platform.servers.check(server, path, CHECK_TIMEOUT_MS)
 
     if not servers:
         return []
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -455,7 +455,7 @@
 
     None counts while this entry reaches no server: they hang here, not there.
     """
-    if forwarder.reachability.unreachable_since is not None:
+    if forwarder.reachability.is_lost:
         return {}
     with forwarder.lock:
         return {
--- a/lentilmoor/edge/serverpaths.py
+++ b/lentilmoor/edge/serverpaths.py
@@ -26,3 +26,8 @@
     checked_at: float = -math.inf
     is_checking: bool = False
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether this entry can't reach any server."""
+        return self.unreachable_since is not None
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -174,7 +174,7 @@
     """
     now = forwarder.clock.now()
     if (_is_leaving(forwarder, server, run.sent_at) or
-            forwarder.reachability.unreachable_since is not None):
+            forwarder.reachability.is_lost):
         return
     loss = LostRequest(make_fingerprint(run.request), server.service,
                        run.sent_at, now)
--- a/tests/test_edge_proxying.py
+++ b/tests/test_edge_proxying.py
@@ -171,8 +171,9 @@
 
     def test_idempotent_request_is_passed_to_another_entry(self):
         entries = self._add_failing_entries()
-        self._pass_on(idempotent=True)
+        outcome = self._pass_on(idempotent=True)
         self.assertEqual(sum(len(entry.taken) for entry in entries), 2)
+        self.assertIsInstance(outcome, outcomes.Unknown)
 
     def test_caller_that_leaves_cancels_the_request(self):
         left = threading.Event()
--- a/tests/test_edge_reachability.py
+++ b/tests/test_edge_reachability.py
@@ -65,6 +65,7 @@
             started = thread.called
         if started:
             reachability.check_servers(self.forwarder)
+            self.forwarder.reachability.is_checking = False
         return reachability.is_unreachable(self.forwarder)
 
     def _cut(self) -> None:
