Reachability: checks open new connections, and grants prove no path

The connections that carry its grants lived on, and their answers counted as proof of a path; so might an old connection of a health check.

Change: only answers to requests and checks count, and a check opens a connection. A coordinator that reaches no server by new connections gives way even if old ones carry its grants.

--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -262,7 +262,7 @@
       release: (release) -> the outcome, and a hand-over token or ''.
       probe: (probe) -> DONE if the server answers.
       check: (server, path of its health check, timeout in ms) -> whether the
-        server answers, whatever it states.
+        server answers over a new connection, whatever it states.
     """
 
     grant: Callable[[ownership.Grant], ownership.GrantResult]
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -15,10 +15,6 @@
 from lentilmoor.edge import revisions
 from lentilmoor.edge import tables
 
-# Outcomes of calls that a server has answered.
-_ANSWERED = (ownership.CallOutcome.DONE, ownership.CallOutcome.REFUSED,
-             ownership.CallOutcome.DECLINED)
-
 
 def run_coordinator(context: controlstate.Context, name: str,
                     role: controlstate.CoordinatorRole, now: float) -> None:
@@ -151,8 +147,6 @@
                          result: ownership.GrantResult, sent_at: float) -> None:
     now = context.clock.now()
     coordination.handle_grant_result(state, grant, result, sent_at, now)
-    if result.outcome in _ANSWERED:
-        reachability.note_answer(context.forwarder)
     if result.outcome is ownership.CallOutcome.UNKNOWN:
         reachability.note_failure(context.forwarder, grant.server.id)
         in_force_ms = holds.compute_expiry(now, grant.hold_ms) - now
--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -35,6 +35,7 @@
     """
     pool = grantconnections.GrantConnectionPool(clock)
     caller = httpclient.Client(clock, 4, grantconnections.SOCKET_OPTIONS)
+    checker = httpclient.Client(clock, 1, grantconnections.SOCKET_OPTIONS)
 
     def call_release(address: str, fields: Mapping,
                      timeout_ms: float) -> httpclient.Reply | outcomes.Failed:
@@ -66,8 +67,10 @@
                          ownership.GRANT_TIMEOUT_MS))
 
     def check(server: tables.Server, path: str, timeout_ms: float) -> bool:
-        reply = caller.call(server.address, httpclient.Request('GET', path),
-                            timeout_ms)
+        # Over a new connection: an old one may live on behind a partition.
+        reply = checker.call(server.address, httpclient.Request('GET', path),
+                             timeout_ms)
+        checker.discard_connections(server.address)
         return isinstance(reply, httpclient.Reply)
 
     return ports.ServerCalls(grant, release, probe, check)
