Health checks keep away from servers that leave, pause or set a limit

Cause, by reading: the checks of an entry that suspects that it reaches no server picked any listed server. What a server says of itself binds checks too.

Change: such servers are not checked. If no server may be checked, the entry sends its requests itself again, as nothing else could show that its paths are back.

Evidence: test_servers_that_leave_pause_or_limit_are_not_checked failed before. test_without_a_server_to_check_requests_are_sent_again came with the change.

--- a/lentilmoor/edge/reachability.py
+++ b/lentilmoor/edge/reachability.py
@@ -14,6 +14,7 @@
 import threading
 
 from lentilmoor.edge import requests
+from lentilmoor.edge import selection
 from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 
@@ -107,6 +108,9 @@
     began_at = forwarder.clock.now()
     servers = _pick_servers(forwarder, 1 if state.is_lost else CHECKED_SERVERS)
     answering = _check_all(forwarder, servers)
+    if not servers:
+        # Only requests can show whether the paths are back.
+        state.unreachable_since = None
     if answering:
         note_answer(forwarder)
         suspects.confirm_refusals(forwarder, answering[0].id, began_at)
@@ -123,12 +127,15 @@
                   count: int) -> list[tables.Server]:
     """Returns random servers, of different services if there are several.
 
-    Servers that refuse connections are left out.
+    Servers that refuse connections are left out, and those that may not be
+    sent requests.
     """
     refusing = set(forwarder.refusals)
-    groups = [[server
-               for server in rows.values()
-               if server.id not in refusing]
+    groups = [[
+        server
+        for server in rows.values()
+        if server.id not in refusing and selection.may_check(forwarder, server)
+    ]
               for rows in forwarder.snapshot.servers.values()]
     for group in groups:
         forwarder.generator.shuffle(group)
--- a/lentilmoor/edge/selection.py
+++ b/lentilmoor/edge/selection.py
@@ -85,6 +85,20 @@
     return not _is_past_drain(forwarder, server)
 
 
+def may_check(forwarder: requests.Forwarder, server: tables.Server) -> bool:
+    """Returns whether a server may be sent a health check now.
+
+    What a server says of itself binds checks as it binds requests: none is sent
+    to one that leaves, is paused or has set a rate limit.
+    """
+    state = forwarder.server_states.get(server.id)
+    paused_until = 0.0 if state is None else state.paused_until
+    return (server.leaves_at is None and
+            _find_draining_at(forwarder, server) is None and
+            server.id not in forwarder.rate_limits.by_server and
+            paused_until <= forwarder.clock.now())
+
+
 def take_permit(forwarder: requests.Forwarder, run: requests.Run,
                 server: tables.Server) -> outcomes.NotRun | None:
     """Takes a permit to send a request if the server has set a rate limit.
--- a/tests/test_edge_reachability.py
+++ b/tests/test_edge_reachability.py
@@ -1,5 +1,6 @@
 """Tests of how an entry finds that it reaches no backend server."""
 
+import dataclasses
 import io
 import unittest
 from unittest import mock
@@ -8,7 +9,9 @@
 from lentilmoor import logs
 from lentilmoor.edge import controlstate
 from lentilmoor.edge import elections
+from lentilmoor.edge import placement
 from lentilmoor.edge import ports
+from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reachability
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
@@ -116,12 +119,36 @@
         self.time.advance(reachability.CHECK_INTERVAL_MS)
         self.assertFalse(self._step())
 
+    def test_without_a_server_to_check_requests_are_sent_again(self):
+        self._cut()
+        self.forwarder.snapshot = tables.RoutingSnapshot(
+            _CONFIGURATION, {}, {}, {}, {})
+        self.time.advance(reachability.CHECK_INTERVAL_MS)
+        self.assertFalse(self._step())
+
     def test_checks_have_an_interval(self):
         self._cut()
         count = len(self.checked)
         self._step()
         self.assertEqual(len(self.checked), count)
 
+    def test_servers_that_leave_pause_or_limit_are_not_checked(self):
+        leaving = dataclasses.replace(_make_server('o1', 'orders'),
+                                      draining=True,
+                                      draining_at=self.time.at)
+        replaced = _SERVERS | {'orders': _SERVERS['orders'] | {'o1': leaving}}
+        self.forwarder.snapshot = tables.RoutingSnapshot(
+            _CONFIGURATION, replaced, {}, {}, {})
+        self.forwarder.server_states['k1'] = placement.ServerState(
+            paused_until=self.time.at + 60_000.0)
+        ratelimits.note_answer(self.forwarder.rate_limits, 'k2', 1.0,
+                               self.time.at, self.forwarder.logger)
+        self._cut()
+        for _ in range(20):
+            self.time.advance(reachability.CHECK_INTERVAL_MS)
+            self._step()
+        self.assertEqual({server for server, _ in self.checked}, {'o2'})
+
 
 class CoordinatorTest(ReachabilityCase):
 
