Entries that take slow servers for lost paths serve again

Cause, from the logs: health checks took longer than 0.3 s, so every entry found that it reached no server; each asked the others, which refused, and refused its own requests. Without requests no answer could end that. Coordinators gave way by turns.

Change: what no other entry takes is sent here again. A check has 0.5 s. A coordinator gives way only if no grant has been answered for a second.

--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -94,7 +94,7 @@
     owned = context.owned
     if (owned.handover_reason or owned.store_lost_at or
             owned.coordinator_lease is None or
-            not reachability.is_unreachable(context.forwarder) or
+            reachability.may_grant(context.forwarder) or
             len(owned.store_snapshot.entries) < 2):
         return
     if any(role.coordination_state for role in owned.roles.values()):
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -96,8 +96,11 @@
               run: requests.Run) -> requests.Outcome:
     """Sends a request to a server, itself or through another entry."""
     if reachability.is_unreachable(forwarder):
-        return proxying.pass_on(forwarder, run.request, run.idempotent,
-                                run.deadline_at) or proxying.make_refusal()
+        outcome = proxying.pass_on(forwarder, run.request, run.idempotent,
+                                   run.deadline_at)
+        if outcome is not None:
+            return outcome
+        # If no entry reaches servers, they may just be slow: try it here.
     with forwarder.lock:
         retrybudgets.record_request(
             _find_retry_budget(forwarder, run.service.name),
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -32,8 +32,6 @@
 UNWILLING_MS = 300.0
 # The same for all entries, if none took a request.
 NONE_WILLING_MS = 250.0
-# Retry-After of a request that no entry took.
-RETRY_AFTER_MS = 120
 # Part of the caller's time that is reserved for delivering the answer.
 _DELIVERY_MS = 4.0
 _POOL_LIMITS = connections.PoolLimits(max_open=16,
@@ -87,13 +85,6 @@
     return None
 
 
-def make_refusal() -> outcomes.NotRun:
-    """Returns the result for the caller of a request that no entry took."""
-    return outcomes.NotRun(
-        _Reason.NO_SERVER, 'this entry reaches no server, and no other one '
-        'takes the request', RETRY_AFTER_MS)
-
-
 def _pick_entries(forwarder: requests.Forwarder, now: float) -> list[str]:
     """Returns the entries to ask, the most likely ones first.
 
--- a/lentilmoor/edge/reachability.py
+++ b/lentilmoor/edge/reachability.py
@@ -27,7 +27,10 @@
 FAILURE_RETENTION_MS = 2_000.0
 # Number of servers that are checked, each at the same time.
 CHECKED_SERVERS = 3
-CHECK_TIMEOUT_MS = 300.0
+CHECK_TIMEOUT_MS = 500.0
+# Time without an answered grant after which this entry can't grant keys. Grants
+# are renewed more often.
+GRANT_SILENCE_MS = 1_000.0
 # Interval of checks while there is a suspicion, and while no server answers.
 CHECK_INTERVAL_MS = 250.0
 
@@ -61,6 +64,21 @@
         state.failures[server] = forwarder.clock.now()
 
 
+def note_grant_answer(forwarder: requests.Forwarder) -> None:
+    """Records that a server has answered a grant of its keys."""
+    forwarder.reachability.granted_at = forwarder.clock.now()
+
+
+def may_grant(forwarder: requests.Forwarder) -> bool:
+    """Returns whether this entry can grant servers their keys.
+
+    Connections that carry grants may live on while new ones are refused, and
+    servers that are too slow for checks may answer grants.
+    """
+    state, now = forwarder.reachability, forwarder.clock.now()
+    return not state.is_lost or now < state.granted_at + GRANT_SILENCE_MS
+
+
 def has_answered_since(forwarder: requests.Forwarder, since: float) -> bool:
     """Returns whether any server has answered this entry since a time, ms."""
     return forwarder.reachability.answered_at >= since
--- a/lentilmoor/edge/roles.py
+++ b/lentilmoor/edge/roles.py
@@ -147,6 +147,10 @@
                          result: ownership.GrantResult, sent_at: float) -> None:
     now = context.clock.now()
     coordination.handle_grant_result(state, grant, result, sent_at, now)
+    if result.outcome in (ownership.CallOutcome.DONE,
+                          ownership.CallOutcome.REFUSED,
+                          ownership.CallOutcome.DECLINED):
+        reachability.note_grant_answer(context.forwarder)
     if result.outcome is ownership.CallOutcome.UNKNOWN:
         reachability.note_failure(context.forwarder, grant.server.id)
         in_force_ms = holds.compute_expiry(now, grant.hold_ms) - now
--- a/lentilmoor/edge/serverpaths.py
+++ b/lentilmoor/edge/serverpaths.py
@@ -11,6 +11,7 @@
 
     Attributes:
       answered_at: When a server last answered anything.
+      granted_at: When a server last answered a grant.
       failures: When a server was last found not to answer, by server id. Only
         servers that have not answered since `answered_at`.
       unreachable_since: When this entry found that it can't reach any server;
@@ -21,6 +22,7 @@
     """
 
     answered_at: float = -math.inf
+    granted_at: float = -math.inf
     failures: dict[str, float] = dataclasses.field(default_factory=dict)
     unreachable_since: float | None = None
     checked_at: float = -math.inf
--- a/tests/test_edge_reachability.py
+++ b/tests/test_edge_reachability.py
@@ -173,6 +173,16 @@
         elections.hand_over_if_unreachable(context)
         self.assertNotEqual(context.owned.handover_reason, '')
 
+    def test_coordinator_whose_grants_are_answered_keeps_its_role(self):
+        self._cut()
+        context = self._make_context()
+        reachability.note_grant_answer(self.forwarder)
+        elections.hand_over_if_unreachable(context)
+        self.assertEqual(context.owned.handover_reason, '')
+        self.time.advance(reachability.GRANT_SILENCE_MS)
+        elections.hand_over_if_unreachable(context)
+        self.assertNotEqual(context.owned.handover_reason, '')
+
     def test_only_entry_keeps_its_role(self):
         self._cut()
         context = self._make_context(entries=1)
