--- a/lentilmoor/edge/elections.py
+++ b/lentilmoor/edge/elections.py
@@ -54,7 +54,7 @@
         if context.peer.small:
             pause_ms += LARGER_ENTRY_PRIORITY_MS if _is_larger_registered(
                 context) else SMALL_ENTRY_DELAY_MS
-        if reachability.is_unreachable(context.forwarder):
+        if context.forwarder.reachability.is_lost:
             pause_ms += UNREACHABLE_DELAY_MS
         role.candidacy_at = now + (0.0 if role.coordination_state else pause_ms)
     if now < role.candidacy_at:
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -219,15 +219,25 @@
         listening.make_page_gateway(
             {
                 reporting.PATH:
-                    functools.partial(_handle_report, entry),
+                    functools.partial(
+                        _answer_message, reports.decode_report,
+                        functools.partial(reporting.handle_report,
+                                          entry.reporter),
+                        reports.encode_report_reply),
                 reporting.STATE_PATH:
                     functools.partial(_render_state, entry),
                 subscriptions.PATH:
                     functools.partial(_answer_news_request, entry),
                 permits.PATH:
-                    functools.partial(_issue_permit, entry),
+                    functools.partial(
+                        _answer_message, reports.decode_permit_request,
+                        functools.partial(_issue_permit, forwarder),
+                        reports.encode_permit),
                 trialtables.PATH:
-                    functools.partial(_answer_trial_request, entry),
+                    functools.partial(
+                        _answer_message, reports.decode_trial_request,
+                        functools.partial(trials.handle_request, forwarder),
+                        reports.encode_trial),
             }, clock, functools.partial(_log_slow_write, logger),
             REPLY_WRITE_TIMEOUT_MS, {
                 proxytables.PATH:
@@ -303,7 +313,7 @@
         'crashed_servers':
             float(len(entry.forwarder.suspects.server_crashes)),
         'servers_unreachable':
-            float(reachability.is_unreachable(entry.forwarder)),
+            float(entry.forwarder.reachability.is_lost),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
         'sigterm_check_age_ms':
@@ -384,29 +394,19 @@
     return 200, reports.encode_news(reply), 'application/json'
 
 
-def _handle_report(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
-    report = reports.decode_report(body)
-    if report is None:
+def _answer_message(decode: Callable[[bytes], object | None], handle: Callable,
+                    encode: Callable[..., bytes],
+                    body: bytes) -> tuple[int, bytes, str]:
+    """Answers a message of another entry, which has a reply in any case."""
+    message = decode(body)
+    if message is None:
         return 400, b'', 'text/plain'
-    reply = reporting.handle_report(entry.reporter, report)
-    return 200, reports.encode_report_reply(reply), 'application/json'
+    return 200, encode(handle(message)), 'application/json'
 
 
-def _issue_permit(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
-    request = reports.decode_permit_request(body)
-    if request is None:
-        return 400, b'', 'text/plain'
-    reply = permits.issue(entry.forwarder.permit_table, request,
-                          entry.clock.now())
-    return 200, reports.encode_permit(reply), 'application/json'
-
-
-def _answer_trial_request(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
-    request = reports.decode_trial_request(body)
-    if request is None:
-        return 400, b'', 'text/plain'
-    reply = trials.handle_request(entry.forwarder, request)
-    return 200, reports.encode_trial(reply), 'application/json'
+def _issue_permit(forwarder: requests.Forwarder,
+                  request: reports.PermitRequest) -> reports.PermitReply:
+    return permits.issue(forwarder.permit_table, request, forwarder.clock.now())
 
 
 def _apply_snapshot(entry: Entry, snapshot: ports.StoreSnapshot,
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -95,7 +95,7 @@
 def _find_way(forwarder: requests.Forwarder,
               run: requests.Run) -> requests.Outcome:
     """Sends a request to a server, itself or through another entry."""
-    if reachability.is_unreachable(forwarder):
+    if forwarder.reachability.is_lost:
         outcome = proxying.pass_on(forwarder, run.request, run.idempotent,
                                    run.deadline_at)
         if outcome is not None:
@@ -323,8 +323,7 @@
             placement.record_connect_failure(state, now)
         if result.reason in (_Reason.CONNECT_FAILED, _Reason.TIMED_OUT):
             reachability.note_failure(forwarder, server.id)
-            run.lacks_path |= not quarantine.has_crashed(
-                forwarder.suspects, server.id)
+            requests.note_lacking_path(forwarder, run, server.id)
         if result.reason is _Reason.CONNECT_FAILED:
             suspects.note_connection_refused(forwarder, server)
         run.excluded_servers.add(server.id)
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -209,17 +209,15 @@
 
         def _find_page(self) -> tuple[int, bytes, str]:
             path = self.req.path.decode('latin-1')
+            watched = (watched_pages or {}).get(path)
+            if path not in pages and watched is None:
+                return 404, b'', 'text/plain'
             length = int(self.req.inheaders.get(b'Content-Length', 0))
-            if path in pages:
-                return pages[path](
-                    self.req.rfile.read(length) if length else b'')
-            if path in (watched_pages or {}):
-                body = self.req.rfile.read(length) if length else b''
-                status, reply = watched_pages[path](body,
-                                                    exchange.CallerWatch(
-                                                        self.req.conn.socket))
-                return status, reply, 'application/octet-stream'
-            return 404, b'', 'text/plain'
+            body = self.req.rfile.read(length) if length else b''
+            if watched is None:
+                return pages[path](body)
+            watch = exchange.CallerWatch(self.req.conn.socket)
+            return (*watched(body, watch), 'application/octet-stream')
 
     return PageGateway
 
--- a/lentilmoor/edge/permits.py
+++ b/lentilmoor/edge/permits.py
@@ -17,7 +17,6 @@
 
 from lentilmoor import clocks
 from lentilmoor import httpclient
-from lentilmoor import outcomes
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reports
@@ -79,11 +78,7 @@
         request = httpclient.Request('POST', PATH,
                                      reports.encode_permit(message))
         result = caller.call(issuer, request, REQUEST_TIMEOUT_MS)
-        reason = ''
-        if isinstance(result, outcomes.Failed):
-            reason = result.reason.value
-        elif result.status != 200:
-            reason = str(result.status)
+        reason = httpclient.find_failure(result)
         if not reason:
             return reports.decode_permit_reply(result.body)
         logger.info('permit_request_failed',
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -20,7 +20,6 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import ports
 from lentilmoor.edge import proxytables
-from lentilmoor.edge import reachability
 from lentilmoor.edge import requests
 
 # Entries that are asked to take a request.
@@ -219,7 +218,7 @@
     table = forwarder.proxies
     with table.lock:
         if (forwarder.departure.sigterm_received or
-                reachability.is_unreachable(forwarder) or
+                forwarder.reachability.is_lost or
                 table.accepted_count >= MAX_ACCEPTED):
             return False
         table.accepted_count += 1
--- a/lentilmoor/edge/reachability.py
+++ b/lentilmoor/edge/reachability.py
@@ -35,11 +35,6 @@
 CHECK_INTERVAL_MS = 250.0
 
 
-def is_unreachable(forwarder: requests.Forwarder) -> bool:
-    """Returns whether this entry can't reach any server."""
-    return forwarder.reachability.is_lost
-
-
 def note_answer(forwarder: requests.Forwarder) -> None:
     """Records that a server has answered, whatever it stated."""
     state, now = forwarder.reachability, forwarder.clock.now()
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -341,7 +341,7 @@
         address, httpclient.Request('POST', STATE_PATH,
                                     str(since).encode()), STATE_TIMEOUT_MS,
         TIMEOUT_MS)
-    if isinstance(result, outcomes.Failed) or result.status != 200:
+    if httpclient.find_failure(result):
         return None
     return reporter.forwarder.platform.store.restore(result.body)
 
@@ -359,7 +359,7 @@
         max(TIMEOUT_MS, TIMEOUT_INTERVALS * interval_ms))
     _log_failed_or_slow_reply(reporter, peer, len(data),
                               clock.now() - sent_at, result)
-    if isinstance(result, outcomes.Failed) or result.status != 200:
+    if httpclient.find_failure(result):
         return None
     return reports.decode_report_reply(result.body)
 
@@ -367,14 +367,14 @@
 def _log_failed_or_slow_reply(
         reporter: Reporter, peer: ports.Peer, sent_bytes: int, took_ms: float,
         result: httpclient.Reply | outcomes.Failed) -> None:
-    """Logs a failed report , anerrorstatus ,or a slow reply."""
+    """Logs a failed report, an error status, or a slow reply."""
     failed = isinstance(result, outcomes.Failed)
     if not failed and result.status == 200 and took_ms < SLOW_REPLY_MS:
         return
     reporter.forwarder.logger.info(
         'report_lost' if failed else 'report_slow',
         hub=peer.instance,
-        reason=result.reason.value if failed else str(result.status),
+        reason=httpclient.find_failure(result) or str(result.status),
         took_ms=round(took_ms),
         sent_bytes=sent_bytes,
         reply_bytes=0 if failed else len(result.body))
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -236,6 +236,12 @@
         return self.route.repeat is tables.RepeatPolicy.IDEMPOTENT
 
 
+def note_lacking_path(forwarder: Forwarder, run: Run, server: str) -> None:
+    """Notes that a server can't be reached, unless it has crashed."""
+    if not quarantine.has_crashed(forwarder.suspects, server):
+        run.lacks_path = True
+
+
 def find_knowledge_age(forwarder: Forwarder) -> float:
     """Returns the age of this entry's data on servers, ms."""
     return find_age(forwarder, forwarder.freshness.known_times.servers_at)
--- a/lentilmoor/edge/selection.py
+++ b/lentilmoor/edge/selection.py
@@ -8,7 +8,6 @@
 
 from lentilmoor import clocks
 from lentilmoor import outcomes
-from lentilmoor import quarantine
 from lentilmoor.edge import admission
 from lentilmoor.edge import keyranges
 from lentilmoor.edge import permits
@@ -91,12 +90,10 @@
     What a server says of itself binds checks as it binds requests: none is sent
     to one that leaves, is paused or has set a rate limit.
     """
-    state = forwarder.server_states.get(server.id)
-    paused_until = 0.0 if state is None else state.paused_until
     return (server.leaves_at is None and
             _find_draining_at(forwarder, server) is None and
             server.id not in forwarder.rate_limits.by_server and
-            paused_until <= forwarder.clock.now())
+            not _find_pause_left(forwarder, server, forwarder.clock.now()))
 
 
 def take_permit(forwarder: requests.Forwarder, run: requests.Run,
@@ -235,8 +232,7 @@
         state = forwarder.server_states.setdefault(server.id,
                                                    placement.ServerState())
         if state.backoff_until > now:
-            run.lacks_path |= not quarantine.has_crashed(
-                forwarder.suspects, server.id)
+            requests.note_lacking_path(forwarder, run, server.id)
             return outcomes.NotRun(_Reason.NO_SERVER,
                                    'the owner of the key is unreachable',
                                    OWNER_RETRY_MS)
--- a/lentilmoor/edge/trialtables.py
+++ b/lentilmoor/edge/trialtables.py
@@ -6,7 +6,6 @@
 
 from lentilmoor import clocks
 from lentilmoor import httpclient
-from lentilmoor import outcomes
 from lentilmoor.edge import ports
 from lentilmoor.edge import reports
 
@@ -93,13 +92,13 @@
             address,
             httpclient.Request('POST', PATH, reports.encode_trial(message)),
             CALL_TIMEOUT_MS)
-        if not isinstance(result, outcomes.Failed) and result.status == 200:
+        reason = httpclient.find_failure(result)
+        if not reason:
             return reports.decode_trial_reply(result.body)
         logger.info('trial_request_failed',
                     hub=address,
                     fingerprint=message.fingerprint.hex(),
-                    reason=(result.reason.value if isinstance(
-                        result, outcomes.Failed) else str(result.status)))
+                    reason=reason)
         return None
 
     return TrialTable(send_request)
--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -46,6 +46,13 @@
     body: bytes
 
 
+def find_failure(result: Reply | outcomes.Failed) -> str:
+    """Returns why a call failed, for logs; '' if its status is 200."""
+    if isinstance(result, outcomes.Failed):
+        return result.reason.value
+    return '' if result.status == 200 else str(result.status)
+
+
 class Client:
     """Makes calls over keep-alive connections.
 
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -83,6 +83,11 @@
     version: int
     refuted_until: float = -math.inf
 
+    @property
+    def is_refuted(self) -> bool:
+        """Whether the server was alive at the time of the crash."""
+        return self.refuted_until >= self.at
+
 
 @dataclasses.dataclass(slots=True)
 class Quarantine:
@@ -226,7 +231,7 @@
 def has_crashed(table: Quarantine, server: str) -> bool:
     """Returns whether a server is known to have crashed."""
     crash = table.server_crashes.get(server)
-    return crash is not None and crash.refuted_until < crash.at
+    return crash is not None and not crash.is_refuted
 
 
 def refute_server_crash(table: Quarantine, server: str,
@@ -425,7 +430,7 @@
             for crash in (*suspect.crashes, *table.attributed_crashes)
         }
         return any(other.service == suspect.service and server not in known and
-                   other.refuted_until < other.at and any(
+                   not other.is_refuted and any(
                        abs(other.at - crash.at) <= _CONCURRENT_CRASH_MS
                        for crash in suspect.crashes)
                    for server, other in table.server_crashes.items())
@@ -542,7 +547,7 @@
 def _add_server_crash(table: Quarantine, service: str, server: str,
                       at: float) -> None:
     known = table.server_crashes.get(server)
-    if known is not None and (known.refuted_until < known.at or
+    if known is not None and (not known.is_refuted or
                               at <= known.refuted_until):
         return
     if len(table.server_crashes) >= _MAX_SERVER_CRASHES:
--- a/tests/test_edge_reachability.py
+++ b/tests/test_edge_reachability.py
@@ -69,7 +69,7 @@
         if started:
             reachability.check_servers(self.forwarder)
             self.forwarder.reachability.is_checking = False
-        return reachability.is_unreachable(self.forwarder)
+        return self.forwarder.reachability.is_lost
 
     def _cut(self) -> None:
         self.time.advance(reachability.SILENCE_MS)
