Suspects: a request's fingerprint is made once, its verdict found once

No change of behaviour. Each answer made the fingerprint anew, since clean runs are remembered, and so did each check of a suspect, twice before a send: _is_withheld and then the check itself. A run keeps it now, and check_run tells what both asked.

--- a/lentilmoor/edge/attemptresults.py
+++ b/lentilmoor/edge/attemptresults.py
@@ -46,8 +46,7 @@
                           server=server.id,
                           reason=lost.reason.value,
                           detail=lost.detail,
-                          fingerprint=suspects.make_fingerprint(
-                              run.request).hex(),
+                          fingerprint=suspects.find_fingerprint(run).hex(),
                           age_ms=round(now - run.request.arrived_at))
     if not run.idempotent or lost.reason is _Reason.TIMED_OUT:
         return lost
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -218,17 +218,11 @@
 
     A suspect may be sent if its trial is granted.
     """
-    if not _is_withheld(forwarder, run):
-        return None
-    if suspects.check(forwarder, run.request) is quarantine.Verdict.BLOCKED:
-        return suspects.make_refusal()
-    return trials.begin(forwarder, run)
-
-
-def _is_withheld(forwarder: requests.Forwarder, run: requests.Run) -> bool:
-    """Returns whether a request has become a suspect since it arrived."""
-    return (run.trial is None and suspects.check(forwarder, run.request)
-            is not quarantine.Verdict.CLEAR)
+    verdict = suspects.check_run(forwarder, run)
+    if verdict is quarantine.Verdict.SUSPECT:
+        return trials.begin(forwarder, run)
+    return (suspects.make_refusal()
+            if verdict is quarantine.Verdict.BLOCKED else None)
 
 
 def _check_departure(forwarder: requests.Forwarder, run: requests.Run,
@@ -281,7 +275,8 @@
         # state may have changed meanwhile.
         if (not selection.may_send(forwarder, run.service, server.id) or
                 _check_departure(forwarder, run, choice) is not None or
-                _is_withheld(forwarder, run)):
+                suspects.check_run(forwarder,
+                                   run) is not quarantine.Verdict.CLEAR):
             return None
         if requests.find_knowledge_age(
                 forwarder) > forwarder.age_limits.max_send_age_ms:
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -211,6 +211,8 @@
       excluded_servers: Ids of servers that must not be tried again.
       lacks_path: Whether a server could not be reached that isn't known to have
         crashed; another entry may reach it.
+      fingerprint: Fingerprint of the request, once it has been needed (see
+        `suspects`); empty before.
       may_have_run: Whether an attempt ended with an unknown outcome.
       last_failure: A server's error response, returned to the caller if no
         later attempt succeeds.
@@ -226,6 +228,7 @@
     sent_to: set[str] = dataclasses.field(default_factory=set)
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     lacks_path: bool = False
+    fingerprint: bytes = b''
     may_have_run: bool = False
     last_failure: transport.Answer | None = None
     trial: trialtables.HeldTrial | None = None
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -96,6 +96,21 @@
                                          len(request.body))
 
 
+def find_fingerprint(run: requests.Run) -> bytes:
+    """Returns the fingerprint of a run's request, made once for the run."""
+    if not run.fingerprint:
+        run.fingerprint = make_fingerprint(run.request)
+    return run.fingerprint
+
+
+def check_run(forwarder: requests.Forwarder,
+              run: requests.Run) -> quarantine.Verdict:
+    """Returns whether a request may be sent, with its trial if it has one."""
+    if run.trial is not None or not forwarder.suspects.suspects:
+        return quarantine.Verdict.CLEAR
+    return check_fingerprint(forwarder, find_fingerprint(run))
+
+
 def check(forwarder: requests.Forwarder,
           request: requests.Request) -> quarantine.Verdict:
     """Returns whether a request may be sent (see `check_fingerprint`)."""
@@ -150,7 +165,7 @@
     """Returns whether a lost request may be retried on another server."""
     if run.trial is not None:
         return not run.may_have_run
-    suspect = forwarder.suspects.suspects.get(make_fingerprint(run.request))
+    suspect = forwarder.suspects.suspects.get(find_fingerprint(run))
     return suspect is None or len(suspect.crashes) < SUSPECT_CRASHES
 
 
@@ -176,8 +191,7 @@
     if (_is_leaving(forwarder, server, run.sent_at) or
             forwarder.reachability.is_lost):
         return
-    loss = LostRequest(make_fingerprint(run.request), server.service,
-                       run.sent_at, now)
+    loss = LostRequest(find_fingerprint(run), server.service, run.sent_at, now)
     with forwarder.lock:
         state = forwarder.server_states.setdefault(server.id,
                                                    placement.ServerState())
@@ -255,14 +269,14 @@
                 forwarder.lost_requests[server.id] = kept
     _confirm_path(forwarder, run, server, ran)
     if ran:
-        _remember_clean_run(forwarder, make_fingerprint(run.request), now)
+        _remember_clean_run(forwarder, find_fingerprint(run), now)
     if not table.suspects:
         return
     quarantine.report_alive(table, server.id, opened_at, now,
                             run.sent_at - _CRASH_TIME_ERROR_MS)
     if ran:
-        quarantine.report_clean_run(table, make_fingerprint(run.request),
-                                    server.id, now)
+        quarantine.report_clean_run(table, find_fingerprint(run), server.id,
+                                    now)
 
 
 def _remember_clean_run(forwarder: requests.Forwarder, fingerprint: bytes,
--- a/lentilmoor/edge/trials.py
+++ b/lentilmoor/edge/trials.py
@@ -66,7 +66,7 @@
       None if the request may be sent; otherwise its refusal.
     """
     now = forwarder.clock.now()
-    fingerprint = suspects.make_fingerprint(run.request)
+    fingerprint = suspects.find_fingerprint(run)
     issuer = forwarder.trials.issuer
     if issuer is None:
         return _make_refusal('no hub grants its trial', RETRY_AFTER_MS)
