--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -1,5 +1,6 @@
 """Runs entry processes against stand-ins for the users' platform."""
 
+from collections.abc import Callable
 import http.client
 import json
 import os
@@ -282,20 +283,15 @@
         ]
         self.paths = []
         if held_paths:
-            for server in self.catalogs:
-                self.paths.append(held_path.HeldPath(server.address))
-                server.address = self.paths[-1].address
-                server.register()
+            self._lead_through(held_path.HeldPath, self.catalogs)
         self.orders = [
             platform_server.PlatformServer(self.store, 'orders')
             for _ in range(orders)
         ]
         if partition is not None:
-            for server in (*self.catalogs, *self.orders):
-                self.paths.append(
-                    server_links.ServerLink(server.address, partition))
-                server.address = self.paths[-1].address
-                server.register()
+            self._lead_through(
+                lambda address: server_links.ServerLink(address, partition),
+                self.catalogs + self.orders)
         self.ended: list[Entry] = []
         self.entries = [
             Entry(self.store, n + 1, link_mbps=link_mbps)
@@ -309,6 +305,14 @@
             self.close()
             raise
 
+    def _lead_through(self, make_path: Callable[[str], object],
+                      servers: list[platform_server.PlatformServer]) -> None:
+        """Registers servers at the addresses of paths to them."""
+        for server in servers:
+            self.paths.append(make_path(server.address))
+            server.address = self.paths[-1].address
+            server.register()
+
     def _await_ready(self) -> None:
         for entry in self.entries:
             entry.await_ready()
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -20,14 +20,12 @@
 from lentilmoor.edge import trials
 from standins import platform_store
 from tests import platformhelp
+from tests import trialworlds
 
 _BLOCKED = quarantine.Verdict.BLOCKED
 _CLEAR = quarantine.Verdict.CLEAR
 _SUSPECT = quarantine.Verdict.SUSPECT
-_SERVICE = tables.Service('orders', False, 100, 0.0)
-_ROUTE = tables.Route('r', 'h', '/', tables.RepeatPolicy.IDEMPOTENT, False,
-                      (tables.RouteTarget('orders', 1.0),), 3, 3_000.0, 500.0,
-                      1)
+_ROUTE, _SERVICE = trialworlds.ROUTE, trialworlds.SERVICE
 _RULES = connections.PoolLimits(max_open=4,
                                 max_idle_ms=8_000.0,
                                 non_idempotent_idle_ms=8_000.0,
@@ -35,14 +33,9 @@
                                 opens_per_s=40.0,
                                 burst=12.0)
 
-
-def _make_request(target: str) -> requests.Request:
-    return requests.Request(ports.CallerHeaders('r1', 1_000.0, None), 'GET',
-                            'h', target, target, {}, b'', None, 0.0)
-
-
 _CONTROL = '127.0.0.1:1'
-_CRASHING, _HARMLESS = _make_request('/bad'), _make_request('/sound')
+_CRASHING = trialworlds.make_request('/bad')
+_HARMLESS = trialworlds.make_request('/sound')
 
 
 class SuspectsCase(unittest.TestCase):
--- a/tests/trialworlds.py
+++ b/tests/trialworlds.py
@@ -21,12 +21,18 @@
 from lentilmoor.edge import tables
 from lentilmoor.edge import trials
 
-_SERVICE = tables.Service('orders', False, 100, 0.0)
-_ROUTE = tables.Route('r', 'h', '/', tables.RepeatPolicy.IDEMPOTENT, False,
-                      (tables.RouteTarget('orders', 1.0),), 3, 1_000.0, 500.0,
-                      1)
-_REQUEST = requests.Request(ports.CallerHeaders('r1', 1_000.0, None), 'GET',
-                            'h', '/bad', '/bad', {}, b'', None, 0.0)
+SERVICE = tables.Service('orders', False, 100, 0.0)
+ROUTE = tables.Route('r', 'h', '/', tables.RepeatPolicy.IDEMPOTENT, False,
+                     (tables.RouteTarget('orders', 1.0),), 3, 1_000.0, 500.0, 1)
+
+
+def make_request(target: str) -> requests.Request:
+    """Returns a request to the route."""
+    return requests.Request(ports.CallerHeaders('r1', 1_000.0, None), 'GET',
+                            'h', target, target, {}, b'', None, 0.0)
+
+
+_REQUEST = make_request('/bad')
 _FINGERPRINT = suspects.make_fingerprint(_REQUEST)
 _STEP_MS = 500.0
 
@@ -150,7 +156,7 @@
         """A copy arrives; it is sent if that is allowed."""
         entry = self._entries[number]
         verdict = suspects.check(entry, _REQUEST)
-        run = requests.Run(_REQUEST, _ROUTE, _SERVICE, self.time.at + 1_000.0)
+        run = requests.Run(_REQUEST, ROUTE, SERVICE, self.time.at + 1_000.0)
         if verdict is quarantine.Verdict.BLOCKED:
             return
         if (verdict is quarantine.Verdict.SUSPECT and
@@ -159,7 +165,7 @@
         self._in_flight.append(self._start(number, run))
 
     def _start(self, number: int, run: requests.Run | None = None) -> _Run:
-        run = run or requests.Run(_REQUEST, _ROUTE, _SERVICE, 0.0)
+        run = run or requests.Run(_REQUEST, ROUTE, SERVICE, 0.0)
         self._server_count += 1
         self.runs += 1
         return _Run(number, run, f's{self._server_count}')
