Log each arrival of a suspect at a server, and its result

Nothing told what a trial did, or which copies of a suspect were sent without one: a rejected attempt had no line, and a clean one none that names the request. suspect_sent and suspect_result name the request, the server, the trial and how long the process has run, so that sends by processes that have just started and trials that end without a run can be told apart.

--- /dev/null
+++ b/lentilmoor/edge/arrivals.py
@@ -0,0 +1,57 @@
+"""Arrivals of suspects at servers.
+
+A request that may crash its servers costs one of them with each arrival, so
+each arrival has a log line, whatever came of it.
+"""
+
+from lentilmoor import outcomes
+from lentilmoor.edge import exchange
+from lentilmoor.edge import requests
+from lentilmoor.edge import suspects
+
+
+def note_sent(forwarder: requests.Forwarder, run: requests.Run,
+              server: str) -> None:
+    """Logs that a suspect is being sent to a server.
+
+    Args:
+      forwarder: State of this entry.
+      run: The request.
+      server: Id of the server.
+    """
+    crash_count = suspects.count_crashes(forwarder, run)
+    if not crash_count and run.trial is None:
+        return
+    run.logs_result = True
+    forwarder.logger.info('suspect_sent',
+                          request=run.request.fields.request_id,
+                          fingerprint=suspects.find_fingerprint(run).hex(),
+                          server=server,
+                          trial=run.trial.trial if run.trial else '',
+                          crashes=crash_count,
+                          uptime_ms=round(
+                              requests.find_age(forwarder,
+                                                forwarder.started_at)))
+
+
+def note_result(forwarder: requests.Forwarder, run: requests.Run, server: str,
+                result: exchange.Result) -> None:
+    """Logs the result of a suspect that was sent to a server."""
+    if not run.logs_result:
+        return
+    run.logs_result = False
+    forwarder.logger.info('suspect_result',
+                          request=run.request.fields.request_id,
+                          fingerprint=suspects.find_fingerprint(run).hex(),
+                          server=server,
+                          trial=run.trial.trial if run.trial else '',
+                          result=_name_result(result))
+
+
+def _name_result(result: exchange.Result) -> str:
+    if isinstance(result, exchange.ServerAnswer):
+        kind = 'not-run' if result.fields.not_run else 'answered'
+        return f'{kind} {result.answer.status}'
+    if isinstance(result, outcomes.Unknown):
+        return f'lost {result.reason.value}'
+    return 'caller-left'
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -11,6 +11,7 @@
 from lentilmoor import connections
 from lentilmoor import outcomes
 from lentilmoor import quarantine
+from lentilmoor.edge import arrivals
 from lentilmoor.edge import attemptresults
 from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
@@ -287,6 +288,7 @@
                              forwarder.logger)
         headers = dict(request.headers)
         run.server, run.sent_at = server.id, forwarder.clock.now()
+        arrivals.note_sent(forwarder, run, server.id)
         forwarder.platform.header_format.add_server_headers(
             headers, server.name or server.id,
             attempt_deadline_at - run.sent_at)
@@ -301,6 +303,7 @@
         forwarder.platform.header_format.parse_answer_headers, forwarder.clock)
     now = forwarder.clock.now()
     run.server = ''
+    arrivals.note_result(forwarder, run, server.id, result)
     if isinstance(result, exchange.CallerDisconnected):
         with forwarder.lock:
             placement.record_abandoned(state)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -217,6 +217,8 @@
       last_failure: A server's error response, returned to the caller if no
         later attempt succeeds.
       trial: The trial as which it runs; None if it is no suspect.
+      logs_result: Whether the result of its attempt is logged, as it is a
+        suspect (see `arrivals`).
     """
 
     request: Request
@@ -232,6 +234,7 @@
     may_have_run: bool = False
     last_failure: transport.Answer | None = None
     trial: trialtables.HeldTrial | None = None
+    logs_result: bool = False
 
     @property
     def idempotent(self) -> bool:
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -137,6 +137,14 @@
     return quarantine.Verdict.BLOCKED
 
 
+def count_crashes(forwarder: requests.Forwarder, run: requests.Run) -> int:
+    """Returns the number of crashes that are known for a request."""
+    if not forwarder.suspects.suspects:
+        return 0
+    suspect = forwarder.suspects.suspects.get(find_fingerprint(run))
+    return 0 if suspect is None else len(suspect.crashes)
+
+
 def _may_have_other_cause(table: quarantine.Quarantine, fingerprint: bytes,
                           suspect: crashes.Suspect, now: float) -> bool:
     """Returns whether a request's first block may have another cause."""
