Entries learn the suspects of others before they send after a start

Cause: a process that starts has an empty table of suspects, and took what it had not received for what does not exist. A process that was frozen did so too.

Change: a table of suspects has an age. It is recent while the entry exchanges evidence with hubs whose own tables are recent, or else with any such entry, which is asked for all its evidence. Without a recent table a request waits for a short time and is refused as not run. If nobody has one and each other entry has replied or ended, all have started. Silent entries may know more: for up to 5 s each request is then sent to one server at most. A hub without a recent table grants no trials, and does not confirm itself.

--- a/lentilmoor/edge/arrivals.py
+++ b/lentilmoor/edge/arrivals.py
@@ -6,6 +6,7 @@
 
 from lentilmoor import outcomes
 from lentilmoor.edge import exchange
+from lentilmoor.edge import learning
 from lentilmoor.edge import requests
 from lentilmoor.edge import suspects
 
@@ -36,7 +37,13 @@
 
 def note_result(forwarder: requests.Forwarder, run: requests.Run, server: str,
                 result: exchange.Result) -> None:
-    """Logs the result of a suspect that was sent to a server."""
+    """Records the result of a request that was sent to a server.
+
+    Logs it if the request was a suspect.
+    """
+    if (isinstance(result, exchange.ServerAnswer) and
+            result.fields.has_proof and not result.fields.not_run):
+        learning.note_clean_run(forwarder, run)
     if not run.logs_result:
         return
     run.logs_result = False
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -27,6 +27,8 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import following
 from lentilmoor.edge import forwarding
+from lentilmoor.edge import learning
+from lentilmoor.edge import learningtables
 from lentilmoor.edge import listening
 from lentilmoor.edge import permits
 from lentilmoor.edge import ports
@@ -137,6 +139,7 @@
     following.restart_following(entry.follower)
     _start_thread(functools.partial(_tick_forever, entry))
     _start_thread(functools.partial(reporting.report_forever, entry.reporter))
+    _start_thread(functools.partial(learning.learn_forever, entry.forwarder))
     _start_thread(
         functools.partial(subscriptions.request_news_forever, entry.follower))
     logger.info('entry_started', callers=platform.settings.callers)
@@ -175,6 +178,8 @@
         platform.settings.control, clock, logger, socket_options)
     forwarder.trials = trialtables.make_trial_table(clock, logger,
                                                     socket_options)
+    forwarder.learning = learningtables.make_learning_table(
+        clock, socket_options)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
                   requestmetrics.RequestMetrics(clock))
     owned = controlstate.ControlState(instance)
@@ -238,6 +243,8 @@
                         _answer_message, reports.decode_trial_request,
                         functools.partial(trials.handle_request, forwarder),
                         reports.encode_trial),
+                learningtables.PATH:
+                    functools.partial(_render_suspects, forwarder),
             }, clock, functools.partial(_log_slow_write, logger),
             REPLY_WRITE_TIMEOUT_MS, {
                 proxytables.PATH:
@@ -314,6 +321,9 @@
             float(len(entry.forwarder.suspects.server_crashes)),
         'servers_unreachable':
             float(entry.forwarder.reachability.is_lost),
+        'suspects_age_ms':
+            requests.find_age(entry.forwarder,
+                              entry.forwarder.learning.recent_at),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
         'sigterm_check_age_ms':
@@ -384,6 +394,13 @@
     return 200, dump, 'application/octet-stream'
 
 
+def _render_suspects(forwarder: requests.Forwarder,
+                     unused_body: bytes) -> tuple[int, bytes, str]:
+    """Returns the evidence on suspects to an entry that may lack some."""
+    reply = learning.handle_request(forwarder)
+    return 200, reports.encode_suspects_reply(reply), 'application/json'
+
+
 def _answer_news_request(entry: Entry, body: bytes) -> tuple[int, bytes, str]:
     news_request = reports.decode_news_request(body)
     if news_request is None:
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -15,6 +15,7 @@
 from lentilmoor.edge import attemptresults
 from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
+from lentilmoor.edge import learning
 from lentilmoor.edge import matching
 from lentilmoor.edge import placement
 from lentilmoor.edge import proxying
@@ -219,6 +220,11 @@
 
     A suspect may be sent if its trial is granted.
     """
+    if run.trial is None:
+        refusal = learning.refuse_unjudged(forwarder, run,
+                                           _find_wait_deadline(run.request))
+        if refusal is not None:
+            return refusal
     verdict = suspects.check_run(forwarder, run)
     if verdict is quarantine.Verdict.SUSPECT:
         return trials.begin(forwarder, run)
@@ -276,8 +282,8 @@
         # state may have changed meanwhile.
         if (not selection.may_send(forwarder, run.service, server.id) or
                 _check_departure(forwarder, run, choice) is not None or
-                suspects.check_run(forwarder,
-                                   run) is not quarantine.Verdict.CLEAR):
+                not learning.may_send(forwarder, run) or suspects.check_run(
+                    forwarder, run) is not quarantine.Verdict.CLEAR):
             return None
         if requests.find_knowledge_age(
                 forwarder) > forwarder.age_limits.max_send_age_ms:
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -16,6 +16,7 @@
 from lentilmoor.edge import control
 from lentilmoor.edge import hub
 from lentilmoor.edge import keyranges
+from lentilmoor.edge import learning
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
@@ -192,6 +193,8 @@
     suspects.merge(forwarder, reply.evidence, sent_at)
     if reply.hub == peer.instance:
         versions.confirmed, versions.received = version, reply.evidence_version
+        if reply.evidence_complete:
+            learning.note_complete(forwarder, sent_at)
     return HubReply(reply, sent_at)
 
 
@@ -200,8 +203,11 @@
 
     The first hub grants the trials of suspects.
     """
+    forwarder = reporter.forwarder
+    forwarder.learning.max_age_ms = learning.find_max_age(
+        find_report_interval(len(forwarder.snapshot.entries)))
     first = next(iter(peers), None)
-    trials.set_issuer(reporter.forwarder, first, first is not None and
+    trials.set_issuer(forwarder, first, first is not None and
                       first.instance == reporter.instance)
     reporter.evidence_versions = {
         peer.instance:
@@ -255,6 +261,8 @@
     hub.record_inflight(table, report.entry, report.inflight, now)
     suspects.merge(forwarder, report.evidence, now)
     seen = report.evidence_seen if report.hub == reporter.instance else 0
+    is_recent, newest = learning.is_recent(
+        forwarder), forwarder.suspects.version
     evidence, evidence_version = quarantine.list_changes(
         forwarder.suspects, seen, now)
     hub.record_limits(table, report.limits, now)
@@ -285,7 +293,8 @@
         limits=hub.list_limits(table, now),
         hub=reporter.instance,
         evidence=evidence,
-        evidence_version=evidence_version)
+        evidence_version=evidence_version,
+        evidence_complete=is_recent and evidence_version >= newest)
 
 
 def _list_coordinated(
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -86,6 +86,8 @@
         confirmed.
       evidence_version: Version of the hub's quarantine that the entry has once
         it has merged `evidence`.
+      evidence_complete: Whether the entry then has all that the hub has, and
+        the hub's own table is recent (see `learning`).
     """
 
     others: dict[str, int]
@@ -103,6 +105,21 @@
     evidence: list[quarantine.Evidence] = dataclasses.field(
         default_factory=list)
     evidence_version: int = 0
+    evidence_complete: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectsReply:
+    """The reply to a request for all evidence on suspects.
+
+    Attributes:
+      recent: Whether the sender's table is recent (see `learning`).
+      evidence: All evidence that the sender has.
+    """
+
+    recent: bool
+    evidence: list[quarantine.Evidence] = dataclasses.field(
+        default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,6 +256,16 @@
     return _decode(_read_reply, data)
 
 
+def encode_suspects_reply(reply: SuspectsReply) -> bytes:
+    """Returns a reply with all evidence encoded as JSON."""
+    return msgspec.json.encode(reply)
+
+
+def decode_suspects_reply(data: bytes) -> SuspectsReply | None:
+    """Returns a decoded reply with all evidence, or None if it is invalid."""
+    return _decode(_read_suspects_reply, data)
+
+
 def encode_news(message: NewsRequest | NewsReply) -> bytes:
     """Returns a news request or reply encoded as JSON."""
     return msgspec.json.encode(message)
@@ -293,6 +320,7 @@
 
 _read_report = msgspec.json.Decoder(Report).decode
 _read_reply = msgspec.json.Decoder(ReportReply).decode
+_read_suspects_reply = msgspec.json.Decoder(SuspectsReply).decode
 _read_news_request = msgspec.json.Decoder(NewsRequest).decode
 _read_news_reply = msgspec.json.Decoder(NewsReply).decode
 _read_permit_request = msgspec.json.Decoder(PermitRequest).decode
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -12,6 +12,7 @@
 from lentilmoor import transport
 from lentilmoor.edge import departures
 from lentilmoor.edge import exchange
+from lentilmoor.edge import learningtables
 from lentilmoor.edge import matching
 from lentilmoor.edge import permits
 from lentilmoor.edge import placement
@@ -111,6 +112,7 @@
       logged_blocked: Fingerprints of blocked requests that were logged.
       trials: Trials of suspects that this entry grants and runs (see
         `trials`).
+      learning: How recent `suspects` is (see `learning`).
       started_at: When this process started, ms.
       departure: When this process ends.
       age_limits: Maximum age of the data that requests are routed and sent by.
@@ -173,6 +175,8 @@
     logged_blocked: frozenset[bytes] = frozenset()
     trials: trialtables.TrialTable = dataclasses.field(
         default_factory=trialtables.TrialTable)
+    learning: learningtables.LearningTable = dataclasses.field(
+        default_factory=learningtables.LearningTable)
     started_at: float = float('-inf')
     departure: departures.Departure = dataclasses.field(
         default_factory=departures.Departure)
--- a/lentilmoor/edge/trials.py
+++ b/lentilmoor/edge/trials.py
@@ -20,6 +20,7 @@
 from lentilmoor import crashes
 from lentilmoor import outcomes
 from lentilmoor import quarantine
+from lentilmoor.edge import learning
 from lentilmoor.edge import ports
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
@@ -188,8 +189,8 @@
                                                  < tried_at + crashes.BLOCK_MS):
         return suspects.RETRY_AFTER_MS
     granted = table.granted.get(fingerprint)
-    if table.issuing_since is None or (granted is not None and
-                                       now < granted.ends_at):
+    if (table.issuing_since is None or not learning.is_recent(forwarder) or
+            granted is not None and now < granted.ends_at):
         return RETRY_AFTER_MS
     last_crash_at = max(crash.at for crash in suspect.crashes)
     may_grant_at = max(table.issuing_since + HANDOVER_MS,
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -32,6 +32,8 @@
 _MAX_SERVER_CRASHES = 1_024
 # Maximum number of changed suspects and server crashes sent at a time.
 _MAX_CHANGES_PER_MESSAGE = 64
+# Maximum number of changes in a table.
+MAX_CHANGES = _MAX_SUSPECTS + _MAX_SERVER_CRASHES
 # Crashes of servers within this time may have a common cause.
 _CONCURRENT_CRASH_MS = 1_000.0
 
@@ -367,14 +369,19 @@
         ]
 
 
-def list_changes(table: Quarantine, since: int,
-                 now: float) -> tuple[list[Evidence], int]:
+def list_changes(
+    table: Quarantine,
+    since: int,
+    now: float,
+    most: int = _MAX_CHANGES_PER_MESSAGE
+) -> tuple[list[Evidence], int]:
     """Returns the changes since a version, for a peer that has that version.
 
     Args:
       table: The quarantine.
       since: The version.
       now: ms.
+      most: Maximum number of changed suspects and server crashes.
 
     Returns:
       Evidence, and the version up to which it includes all changes.
@@ -391,8 +398,8 @@
                     if crash.version > since]
         version = table.version
     changed.sort(key=lambda row: row[0])
-    if len(changed) > _MAX_CHANGES_PER_MESSAGE:
-        changed = changed[:_MAX_CHANGES_PER_MESSAGE]
+    if len(changed) > most:
+        changed = changed[:most]
         version = changed[-1][0]
     return [item for _, items in changed for item in items], version
 
--- a/tests/test_edge_trials.py
+++ b/tests/test_edge_trials.py
@@ -34,6 +34,10 @@
         scope = trialworlds.Scope(length=8, handovers=1)
         self.assertLessEqual(self._find_most_runs(scope), _MAX_TRIALS + 1)
 
+    def test_one_more_at_most_if_entries_start(self):
+        scope = trialworlds.Scope(entries=3, length=6, restarts=1)
+        self.assertLessEqual(self._find_most_runs(scope), _MAX_TRIALS + 1)
+
 
 class SoundRequestTest(unittest.TestCase):
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -25,10 +25,12 @@
     At most `_MAX_LATE_CRASHES` copies of it may reach servers once it is known.
     """
 
+    _ORDERS = 6
+
     def setUp(self):
         super().setUp()
         self.deployment = platformhelp.Deployment(catalogs=1,
-                                                  orders=6,
+                                                  orders=self._ORDERS,
                                                   entries=3)
         self.addCleanup(self.deployment.close)
         self.statuses: list[int] = []
@@ -159,7 +161,7 @@
         self.assertGreaterEqual(statuses.count(200), 0.98 * len(statuses))
 
 
-class BurstTest(DeadlyRequestCase):
+class BurstCase(DeadlyRequestCase):
     """Copies of the request are sent in bursts, to all entries at once."""
 
     def _send_burst(self, path: str, copies: int, spread_s: float) -> None:
@@ -174,6 +176,10 @@
         for thread in threads:
             thread.join()
 
+
+class BurstTest(BurstCase):
+    """Bursts follow one another."""
+
     def _send_bursts(self,
                      seconds: float,
                      spread_s: float = 0.07,
@@ -276,5 +282,52 @@
         self._assert_few_late(other_crashes)
 
 
+class RestartTest(BurstCase):
+    """Entries are killed and started again, the coordinator first."""
+
+    _ORDERS = 12
+    _CALLER_PAUSE_S = 0.03
+    _RESTARTS = 8
+    _RESTART_PAUSE_S = 0.6
+    # Detection of the crashes of the burst.
+    _DETECTION_S = 0.3
+
+    def setUp(self):
+        super().setUp()
+        self.stopped = threading.Event()
+
+    def _send_always(self, number: int) -> None:
+        while not self.stopped.wait(self._CALLER_PAUSE_S):
+            self.statuses.append(self._send(self.deployment.entries[number]))
+
+    def _restart(self, number: int) -> None:
+        old = self.deployment.entries[number]
+        old.process.kill()
+        self.deployment.ended.append(old)
+        self.deployment.entries[number] = platformhelp.Entry(
+            self.deployment.store, number + 1)
+
+    def test_entries_that_start_send_no_known_suspect(self):
+        deadly = self._attach_request()
+        leader = self.deployment.entries.index(self.deployment.find_leader())
+        self._send_burst(_PATH, 6, 0.0)
+        time.sleep(self._DETECTION_S)
+        threads = [
+            threading.Thread(target=self._send_always, args=(number,))
+            for number in range(3)
+        ]
+        for turn in range(self._RESTARTS):
+            self._restart((leader + turn) % 3)
+            if not turn:
+                for thread in threads:
+                    thread.start()
+            time.sleep(self._RESTART_PAUSE_S)
+        time.sleep(2.0)
+        self.stopped.set()
+        for thread in threads:
+            thread.join()
+        self._assert_blocked(deadly)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/trialworlds.py
+++ b/tests/trialworlds.py
@@ -14,6 +14,8 @@
 from lentilmoor import clocks
 from lentilmoor import logs
 from lentilmoor import quarantine
+from lentilmoor.edge import learning
+from lentilmoor.edge import learningtables
 from lentilmoor.edge import ports
 from lentilmoor.edge import reports
 from lentilmoor.edge import requests
@@ -48,6 +50,8 @@
       first_burst: Number of servers that the first copies crash together.
       length: Maximum number of events.
       handovers: Maximum number of changes of the entry that grants trials.
+      restarts: Maximum number of starts of entries. One that grants trials
+        hands that over first.
       sound: Whether the request crashes no server after the first burst.
     """
 
@@ -55,6 +59,7 @@
     first_burst: int = 2
     length: int = 9
     handovers: int = 0
+    restarts: int = 0
     sound: bool = False
 
 
@@ -78,6 +83,7 @@
         ]
         self._issuer = 0
         self._handovers = 0
+        self._restarts = 0
         self._in_flight: list[_Run] = []
         self._server_count = 0
         self.runs = 0
@@ -93,14 +99,22 @@
     def _make_entry(self, number: int) -> requests.Forwarder:
         platform = mock.Mock()
         platform.settings.control = f'e{number}'
+        platform.settings.seeds = tuple(
+            f'e{other}' for other in range(self._scope.entries))
         entry = requests.Forwarder(self.time.clock(),
                                    platform,
                                    logs.make_logger('test', io.StringIO()),
                                    mock.Mock(),
                                    suspects=suspects.make_quarantine())
         entry.trials.send_request = self._send_request
+        entry.learning.ask_entry = self._ask_entry
+        entry.snapshot = dataclasses.replace(entry.snapshot,
+                                             configuration=mock.Mock())
         return entry
 
+    def _ask_entry(self, address: str) -> reports.SuspectsReply:
+        return learning.handle_request(self._entries[int(address[1:])])
+
     def _send_request(self, address: str,
                       message: reports.TrialRequest) -> reports.TrialReply:
         return trials.handle_request(self._entries[int(address[1:])], message)
@@ -134,6 +148,9 @@
         yield 'wait', 0
         if self._handovers < self._scope.handovers:
             yield 'handover', 0
+        if self._restarts < self._scope.restarts:
+            for number in range(len(self._entries)):
+                yield 'restart', number
 
     def apply(self, event: Event) -> None:
         """Has an event happen."""
@@ -146,17 +163,38 @@
             self._end(self._in_flight.pop(number))
         elif kind == 'wait':
             self.time.advance(_STEP_MS)
+            for entry in self._entries:
+                learning.step(entry)
+        elif kind == 'restart':
+            self._restart(number)
         else:
             self._handovers += 1
-            self._issuer = (self._issuer + 1) % len(self._entries)
-            self._set_issuer()
-            self.time.advance(trials.HANDOVER_MS)
+            self._hand_over()
+
+    def _hand_over(self) -> None:
+        self._issuer = (self._issuer + 1) % len(self._entries)
+        self._set_issuer()
+        self.time.advance(trials.HANDOVER_MS)
+
+    def _restart(self, number: int) -> None:
+        """A new process takes the place of an entry; it knows nothing."""
+        self._restarts += 1
+        if number == self._issuer:
+            self._hand_over()
+        self._in_flight = [
+            item for item in self._in_flight if item.entry != number
+        ]
+        entry = self._entries[number] = self._make_entry(number)
+        entry.learning.max_age_ms = learningtables.MAX_AGE_MS
+        self._set_issuer()
 
     def _arrive(self, number: int) -> None:
         """A copy arrives; it is sent if that is allowed."""
         entry = self._entries[number]
-        verdict = suspects.check(entry, _REQUEST)
         run = requests.Run(_REQUEST, ROUTE, SERVICE, self.time.at + 1_000.0)
+        if learning.refuse_unjudged(entry, run, self.time.at) is not None:
+            return
+        verdict = suspects.check(entry, _REQUEST)
         if verdict is quarantine.Verdict.BLOCKED:
             return
         if (verdict is quarantine.Verdict.SUSPECT and
@@ -190,6 +228,8 @@
         """An entry reports to the issuer, and merges its reply."""
         entry, issuer = self._entries[number], self._entries[self._issuer]
         trials.step(entry)
+        if learning.is_recent(issuer):
+            learning.note_complete(entry, self.time.at)
         for source, target in ((entry, issuer), (issuer, entry)):
             evidence, _ = quarantine.list_changes(source.suspects, 0,
                                                   self.time.at)
@@ -205,11 +245,13 @@
                                for granted in entry.trials.granted.values()),
                          tuple(trial.running
                                for trial in entry.trials.held.values()),
-                         self._find_clean_age(entry))
+                         self._find_clean_age(entry), learning.is_recent(entry),
+                         tuple(sorted(entry.learning.unjudged)))
                         for entry in self._entries)
         flights = tuple(
             (item.entry, item.run.trial is None) for item in self._in_flight)
-        return entries, flights, self._issuer, self._handovers, self.runs
+        return (entries, flights, self._issuer, self._handovers, self._restarts,
+                self.runs)
 
     def _list_crashes(self, entry: requests.Forwarder) -> list:
         suspect = entry.suspects.suspects.get(_FINGERPRINT)
