Trials of suspects are counted by arrivals at servers, not by crashes

What the operator counts is arrivals, also rejected ones.

Cause: a trial's bound rested on crashes. A rejected trial was retried on the next server under the same grant, and a trial without an outcome counted for nothing.

Change: a trial is one arrival. It is recorded as evidence when it is sent, so all entries and the next hub count it; a grant whose entry never reports its end counts as one. Three without a clean run block a request with three crashes. The next trial waits 0.5 s after the first one, then twice as long each time. A blocked request gets the trial for crashes beside it only if one is left.

Evidence: the model with rejected runs: five arrivals with the retries as they were, three at most now.

--- a/lentilmoor/crashes.py
+++ b/lentilmoor/crashes.py
@@ -1,7 +1,8 @@
 """Crashes attributed to one fingerprint, and the block that they cause.
 
-All decisions depend only on the times of crashes, clean runs and releases, so
-entries with the same observations of a request reach the same decision.
+All decisions depend only on the times of crashes, trials, clean runs and
+releases, so entries with the same observations of a request reach the same
+decision.
 """
 
 from collections.abc import Iterable
@@ -31,12 +32,15 @@
         as one, since they may have a common cause.
       clears_attributed: Whether a crash that a blocked request accounts for no
         longer counts against the requests that were in flight beside it.
+      max_trials: Number of trials without a clean run that block a request with
+        `threshold` crashes, whatever their outcomes.
     """
 
     threshold: int = 2
     duplicate_window_ms: float = DUPLICATE_WINDOW_MS
     common_cause_window_ms: float = 0.0
     clears_attributed: bool = True
+    max_trials: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +64,8 @@
       service: 'team/service'.
       crashes: Crashes of servers that it was in flight on since its last clean
         run, sorted by time.
+      trials: When its trials since its last clean run were sent to a server,
+        ms, by id.
       clean_run_at: When its last clean run ended, ms; -inf if never.
       released_at: When an operator last released it, ms; -inf if never.
       blocked_until: End of its block, ms; 0 if it has not been blocked.
@@ -69,6 +75,7 @@
 
     service: str
     crashes: list[Crash] = dataclasses.field(default_factory=list)
+    trials: dict[str, float] = dataclasses.field(default_factory=dict)
     clean_run_at: float = -math.inf
     released_at: float = -math.inf
     blocked_until: float = 0.0
@@ -80,20 +87,49 @@
     """Returns whether the observations of a suspect are too old to matter."""
     newest = max(suspect.clean_run_at,
                  suspect.released_at, suspect.blocked_until,
-                 *(crash.at for crash in suspect.crashes))
+                 *(crash.at for crash in suspect.crashes),
+                 *suspect.trials.values())
     return newest + BLOCK_MS < now
 
 
 def set_crashes(suspect: Suspect, crashes: list[Crash]) -> None:
     """Sets the crashes, sorted by time, and the block that they cause."""
     suspect.crashes = crashes
-    surplus = count_independent(crashes,
+    _update_block(suspect)
+
+
+def add_trial(suspect: Suspect, trial: str, at: float) -> bool:
+    """Adds a trial that was sent to a server; returns whether it is new.
+
+    Args:
+      suspect: The suspect; updated.
+      trial: Id of the trial.
+      at: When it was sent, ms.
+    """
+    if trial in suspect.trials or at <= max(suspect.clean_run_at,
+                                            suspect.released_at):
+        return False
+    suspect.trials[trial] = at
+    _update_block(suspect)
+    return True
+
+
+def has_trials_left(suspect: Suspect) -> bool:
+    """Returns whether another trial may be sent to a server."""
+    return (len(suspect.crashes) < suspect.policy.threshold or
+            len(suspect.trials) < suspect.policy.max_trials)
+
+
+def _update_block(suspect: Suspect) -> None:
+    """Sets the block that the crashes and trials of a suspect cause."""
+    surplus = count_independent(suspect.crashes,
                                 suspect.policy) - suspect.policy.threshold
-    if surplus < 0:
+    if surplus < 0 and has_trials_left(suspect):
         suspect.blocked_until = 0.0
-    else:
-        doublings = min(surplus, _MAX_DOUBLINGS)
-        suspect.blocked_until = crashes[-1].at + BLOCK_MS * 2**doublings
+        return
+    doublings = min(max(0, surplus), _MAX_DOUBLINGS)
+    newest = max([suspect.crashes[-1].at, *suspect.trials.values()])
+    suspect.blocked_until = newest + BLOCK_MS * 2**doublings
 
 
 def count_independent(crashes: Iterable[Crash], policy: BlockPolicy) -> int:
@@ -142,8 +178,17 @@
 def apply_clean_run(suspect: Suspect, at: float) -> None:
     """Records a clean run and removes the crashes before it."""
     suspect.clean_run_at = max(suspect.clean_run_at, at)
-    kept = [crash for crash in suspect.crashes if crash.at > at]
-    set_crashes(suspect, kept)
+    _drop_until(suspect, at)
+
+
+def _drop_until(suspect: Suspect, at: float) -> None:
+    """Drops the crashes and trials up to a time."""
+    suspect.trials = {
+        trial: sent_at
+        for trial, sent_at in suspect.trials.items()
+        if sent_at > at
+    }
+    set_crashes(suspect, [crash for crash in suspect.crashes if crash.at > at])
 
 
 def merge_clean_run(suspect: Suspect, at: float) -> bool:
@@ -154,7 +199,8 @@
     were merged, that time would advance forever.
     """
     if (at < suspect.clean_run_at + DUPLICATE_WINDOW_MS and
-            all(crash.at > at for crash in suspect.crashes)):
+            all(crash.at > at for crash in suspect.crashes) and
+            all(sent_at > at for sent_at in suspect.trials.values())):
         return False
     apply_clean_run(suspect, at)
     return True
@@ -169,6 +215,5 @@
     if at < suspect.released_at + DUPLICATE_WINDOW_MS:
         return False  # The same release, received again from another peer.
     suspect.released_at = at
-    kept = [crash for crash in suspect.crashes if crash.at > at]
-    set_crashes(suspect, kept)
+    _drop_until(suspect, at)
     return True
--- a/lentilmoor/edge/arrivals.py
+++ b/lentilmoor/edge/arrivals.py
@@ -1,10 +1,11 @@
 """Arrivals of suspects at servers.
 
 A request that may crash its servers costs one of them with each arrival, so
-each arrival has a log line, whatever came of it.
+each arrival has a log line, and counts whatever came of it.
 """
 
 from lentilmoor import outcomes
+from lentilmoor import quarantine
 from lentilmoor.edge import exchange
 from lentilmoor.edge import learning
 from lentilmoor.edge import requests
@@ -13,7 +14,7 @@
 
 def note_sent(forwarder: requests.Forwarder, run: requests.Run,
               server: str) -> None:
-    """Logs that a suspect is being sent to a server.
+    """Records and logs that a suspect is being sent to a server.
 
     Args:
       forwarder: State of this entry.
@@ -23,6 +24,11 @@
     crash_count = suspects.count_crashes(forwarder, run)
     if not crash_count and run.trial is None:
         return
+    if run.trial is not None:
+        quarantine.report_trial(forwarder.suspects,
+                                suspects.find_fingerprint(run), run.trial.trial,
+                                run.sent_at)
+        forwarder.report_now.set()
     run.logs_result = True
     forwarder.logger.info('suspect_sent',
                           request=run.request.fields.request_id,
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -26,11 +26,13 @@
 # The threshold is three, because harmless requests can be in flight at two
 # crashes in a row when servers are lost. Servers that are lost together count
 # as one. A crash stays a suspicion against every request that was in flight: a
-# clean trial clears those that did not cause it.
+# clean trial clears those that did not cause it. Trials that are rejected or
+# not answered prove nothing, but each has reached a server.
 BLOCK_POLICY = crashes.BlockPolicy(threshold=3,
                                    duplicate_window_ms=math.inf,
                                    common_cause_window_ms=500.0,
-                                   clears_attributed=False)
+                                   clears_attributed=False,
+                                   max_trials=3)
 # A request with this many crashes runs only as a trial (see `trials`), and is
 # not retried on another server.
 SUSPECT_CRASHES = 2
@@ -151,6 +153,7 @@
     last_at = max((crash.at for crash in suspect.crashes), default=now)
     is_first = suspect.blocked_until <= last_at + crashes.BLOCK_MS
     return (is_first and now >= last_at + TRIAL_DELAY_MS and
+            crashes.has_trials_left(suspect) and
             quarantine.has_concurrent_crashes(table, fingerprint))
 
 
@@ -170,9 +173,12 @@
 
 
 def may_retry(forwarder: requests.Forwarder, run: requests.Run) -> bool:
-    """Returns whether a lost request may be retried on another server."""
+    """Returns whether a request that has reached a server may be retried.
+
+    A trial reaches one server, even if that has rejected it.
+    """
     if run.trial is not None:
-        return not run.may_have_run
+        return False
     suspect = forwarder.suspects.suspects.get(find_fingerprint(run))
     return suspect is None or len(suspect.crashes) < SUSPECT_CRASHES
 
--- a/lentilmoor/edge/trials.py
+++ b/lentilmoor/edge/trials.py
@@ -4,10 +4,13 @@
 them or was lost with them. The times of the crashes can't tell these apart, so
 such a suspect runs as a trial: one run at a time in the whole fleet, the next
 one only when the outcome of the last is known and late enough for its crash to
-count as independent. A clean trial clears the request; each crash adds one to
-the independent crashes that block it. Once all entries know of the suspect, at
-most `BLOCK_POLICY.threshold` - 1 trials can therefore crash a server before it
-is blocked, however its copies arrive.
+count as independent. A trial reaches one server, once. A clean trial clears the
+request; each crash adds one to the independent crashes that block it. Once all
+entries know of the suspect, at most `BLOCK_POLICY.threshold` - 1 trials can
+therefore crash a server before it is blocked, however its copies arrive. Trials
+that servers reject or don't answer prove nothing, so they are counted too:
+`BLOCK_POLICY.max_trials` without a clean run block the request. A trial that
+has reached no server counts for nothing.
 
 The first hub grants the trials. A hub that has just become the first one waits
 until the trials that its predecessor granted have ended. While no hub can be
@@ -30,6 +33,9 @@
 # Time for which a new first hub grants nothing. The outcomes of most trials
 # that the last one granted are known within it.
 HANDOVER_MS = 3_000.0
+# Pause after the first trial; each further one doubles it. What has rejected a
+# trial, such as a server that does not hold the key yet, changes meanwhile.
+PAUSE_MS = 500.0
 # Retry-After if a trial is in progress, or the hub can't be reached.
 RETRY_AFTER_MS = 120.0
 
@@ -129,6 +135,9 @@
         for fingerprint, granted in list(table.granted.items()):
             if now >= granted.ends_at:
                 del table.granted[fingerprint]
+                # Its entry may have ended, or lost its path to this one.
+                quarantine.report_trial(forwarder.suspects, fingerprint,
+                                        granted.trial, now)
     for trial in held:
         if now >= trial.ends_at or _report_end(forwarder, trial, now):
             with table.lock:
@@ -194,7 +203,8 @@
         return RETRY_AFTER_MS
     last_crash_at = max(crash.at for crash in suspect.crashes)
     may_grant_at = max(table.issuing_since + HANDOVER_MS,
-                       last_crash_at + suspect.policy.common_cause_window_ms)
+                       last_crash_at + suspect.policy.common_cause_window_ms,
+                       _find_pause_end(suspect))
     if now < may_grant_at:
         return may_grant_at - now
     if suspect.blocked_until:
@@ -202,3 +212,11 @@
     table.granted[fingerprint] = trialtables.GrantedTrial(
         message.trial, _find_end(now, message.left_ms))
     return 0.0
+
+
+def _find_pause_end(suspect: crashes.Suspect) -> float:
+    """Returns when the pause after the last trial of a suspect ends, ms."""
+    if not suspect.trials:
+        return -math.inf
+    pause_ms = PAUSE_MS * 2**(len(suspect.trials) - 1)
+    return max(suspect.trials.values()) + pause_ms
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -54,10 +54,12 @@
       fingerprint: 16 bytes; empty for the crash of a server regardless of its
         requests.
       service: 'team/service'.
-      crashes: 1 for a crash, 0 for a clean run or a release.
+      crashes: 1 for a crash or a trial, 0 for a clean run or a release.
       age_ms: Time since the observation.
       server: Id of the server that crashed or answered; empty for a release.
       released: Whether an operator released the request.
+      trial: Id of the trial that was sent to a server; empty for any other
+        observation.
     """
 
     fingerprint: bytes
@@ -66,6 +68,7 @@
     age_ms: float
     server: str = ''
     released: bool = False
+    trial: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +197,22 @@
     return Evidence(fingerprint, service, 1, 0.0, server)
 
 
+def report_trial(table: Quarantine, fingerprint: bytes, trial: str,
+                 at: float) -> None:
+    """Records that a trial of a suspect was sent to a server.
+
+    Args:
+      table: The quarantine; updated.
+      fingerprint: Fingerprint of the request.
+      trial: Id of the trial.
+      at: When it was sent, ms.
+    """
+    with table.lock:
+        suspect = table.suspects.get(fingerprint)
+        if suspect is not None and crashes.add_trial(suspect, trial, at):
+            _mark_changed(table, suspect)
+
+
 def report_clean_run(table: Quarantine, fingerprint: bytes, server: str,
                      now: float) -> Evidence | None:
     """Records that a request ran without crashing its server.
@@ -331,6 +350,10 @@
         _refute_server_crash(table, item.server, at)
     elif item.released:
         _apply_release(table, item.fingerprint, item.service, at)
+    elif item.trial:
+        suspect = _get_or_add_suspect(table, item.fingerprint, item.service)
+        if crashes.add_trial(suspect, item.trial, at):
+            _mark_changed(table, suspect)
     elif item.crashes:
         _add_crash(table, item.fingerprint, item.service,
                    crashes.Crash(item.server, at))
@@ -370,11 +393,10 @@
 
 
 def list_changes(
-    table: Quarantine,
-    since: int,
-    now: float,
-    most: int = _MAX_CHANGES_PER_MESSAGE
-) -> tuple[list[Evidence], int]:
+        table: Quarantine,
+        since: int,
+        now: float,
+        most: int = _MAX_CHANGES_PER_MESSAGE) -> tuple[list[Evidence], int]:
     """Returns the changes since a version, for a peer that has that version.
 
     Args:
@@ -448,6 +470,8 @@
     service = suspect.service
     for crash in suspect.crashes:
         yield Evidence(fingerprint, service, 1, now - crash.at, crash.server)
+    for trial, sent_at in suspect.trials.items():
+        yield Evidence(fingerprint, service, 1, now - sent_at, trial=trial)
     if suspect.clean_run_at > -math.inf:
         yield Evidence(fingerprint, service, 0, now - suspect.clean_run_at)
     if suspect.released_at > -math.inf:
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -394,6 +394,59 @@
         self._answer_request(_HARMLESS, server, self.time.at)
         self.assertIs(self._check(_HARMLESS), _CLEAR)
 
+    def _suspect_by_burst(self) -> bytes:
+        """Makes the request a suspect by three crashes that count as one."""
+        for _ in range(3):
+            self._crash_server(_CRASHING)
+        return suspects.make_fingerprint(_CRASHING)
+
+    def _send_trial(self, trial: str) -> None:
+        quarantine.report_trial(self.forwarder.suspects,
+                                suspects.make_fingerprint(_CRASHING), trial,
+                                self.time.at)
+
+    def test_trials_without_an_outcome_block(self):
+        self._suspect_by_burst()
+        for number in range(3):
+            self.assertIs(self._check(), _SUSPECT)
+            self.time.advance(1_000.0)
+            self._send_trial(f't{number}')
+        self.assertIs(self._check(), _BLOCKED)
+
+    def test_a_trial_that_two_entries_report_counts_once(self):
+        self._suspect_by_burst()
+        self.time.advance(1_000.0)
+        for _ in range(3):
+            self._send_trial('t1')
+        self.assertIs(self._check(), _SUSPECT)
+
+    def test_a_clean_run_forgets_earlier_trials(self):
+        fingerprint = self._suspect_by_burst()
+        for number in range(3):
+            self.time.advance(1_000.0)
+            self._send_trial(f't{number}')
+        self.time.advance(1.0)
+        quarantine.report_clean_run(self.forwarder.suspects, fingerprint, 's9',
+                                    self.time.at)
+        self.assertIs(self._check(), _CLEAR)
+
+    def test_other_entries_count_the_same_trials(self):
+        fingerprint = self._suspect_by_burst()
+        for number in range(3):
+            self.time.advance(1_000.0)
+            self._send_trial(f't{number}')
+        evidence = quarantine.list_evidence(self.forwarder.suspects,
+                                            fingerprint, self.time.at)
+        self.forwarder = self._make_forwarder()
+        suspects.merge(self.forwarder, evidence, self.time.at)
+        self.assertIs(self._check(), _BLOCKED)
+
+    def test_a_rejected_trial_is_not_sent_to_another_server(self):
+        run = requests.Run(_CRASHING, _ROUTE, _SERVICE, 0.0)
+        run.trial = mock.Mock()
+        run.sent_to.add('s1')
+        self.assertFalse(suspects.may_retry(self.forwarder, run))
+
     def test_a_crash_before_the_start_of_the_clock_counts(self):
         self.time.at = 1_000.0
         evidence = [
--- a/tests/test_edge_trials.py
+++ b/tests/test_edge_trials.py
@@ -38,6 +38,11 @@
         scope = trialworlds.Scope(entries=3, length=6, restarts=1)
         self.assertLessEqual(self._find_most_runs(scope), _MAX_TRIALS + 1)
 
+    def test_rejected_trials_are_counted(self):
+        scope = trialworlds.Scope(first_burst=3, length=8, rejections=3)
+        self.assertLessEqual(self._find_most_runs(scope),
+                             suspects.BLOCK_POLICY.max_trials)
+
 
 class SoundRequestTest(unittest.TestCase):
 
--- a/tests/trialworlds.py
+++ b/tests/trialworlds.py
@@ -14,6 +14,7 @@
 from lentilmoor import clocks
 from lentilmoor import logs
 from lentilmoor import quarantine
+from lentilmoor.edge import arrivals
 from lentilmoor.edge import learning
 from lentilmoor.edge import learningtables
 from lentilmoor.edge import ports
@@ -52,6 +53,7 @@
       handovers: Maximum number of changes of the entry that grants trials.
       restarts: Maximum number of starts of entries. One that grants trials
         hands that over first.
+      rejections: Maximum number of runs that a server rejects as not run.
       sound: Whether the request crashes no server after the first burst.
     """
 
@@ -60,6 +62,7 @@
     length: int = 9
     handovers: int = 0
     restarts: int = 0
+    rejections: int = 0
     sound: bool = False
 
 
@@ -84,6 +87,7 @@
         self._issuer = 0
         self._handovers = 0
         self._restarts = 0
+        self._rejections = 0
         self._in_flight: list[_Run] = []
         self._server_count = 0
         self.runs = 0
@@ -145,6 +149,8 @@
             yield 'exchange', number
         for number in range(len(self._in_flight)):
             yield 'end', number
+            if self._rejections < self._scope.rejections:
+                yield 'reject', number
         yield 'wait', 0
         if self._handovers < self._scope.handovers:
             yield 'handover', 0
@@ -161,6 +167,8 @@
             self._exchange(number)
         elif kind == 'end':
             self._end(self._in_flight.pop(number))
+        elif kind == 'reject':
+            self._reject(self._in_flight.pop(number))
         elif kind == 'wait':
             self.time.advance(_STEP_MS)
             for entry in self._entries:
@@ -206,7 +214,20 @@
         run = run or requests.Run(_REQUEST, ROUTE, SERVICE, 0.0)
         self._server_count += 1
         self.runs += 1
-        return _Run(number, run, f's{self._server_count}')
+        server = f's{self._server_count}'
+        run.sent_at = self.time.at
+        run.sent_to.add(server)
+        arrivals.note_sent(self._entries[number], run, server)
+        return _Run(number, run, server)
+
+    def _reject(self, ended: _Run) -> None:
+        """The server rejects a copy, which is sent again if that is allowed."""
+        self._rejections += 1
+        entry = self._entries[ended.entry]
+        if suspects.may_retry(entry, ended.run):
+            self._in_flight.append(self._start(ended.entry, ended.run))
+        else:
+            trials.finish(entry, ended.run)
 
     def _end(self, ended: _Run) -> None:
         if self._scope.sound:
@@ -238,25 +259,31 @@
     def find_signature(self) -> tuple:
         """Returns all that decides what may follow."""
         now = self.time.at
-        entries = tuple((tuple((crash.server, crash.at - now)
-                               for crash in self._list_crashes(entry)),
-                         tuple((granted.trial in entry.trials.held,
-                                round(granted.ends_at - now))
-                               for granted in entry.trials.granted.values()),
-                         tuple(trial.running
-                               for trial in entry.trials.held.values()),
-                         self._find_clean_age(entry), learning.is_recent(entry),
-                         tuple(sorted(entry.learning.unjudged)))
-                        for entry in self._entries)
+        entries = tuple(
+            (tuple((crash.server, crash.at - now)
+                   for crash in self._list_crashes(entry)),
+             tuple((granted.trial in entry.trials.held,
+                    round(granted.ends_at - now))
+                   for granted in entry.trials.granted.values()),
+             tuple(trial.running
+                   for trial in entry.trials.held.values()),
+             self._find_clean_age(entry), self._find_trial_ages(entry),
+             learning.is_recent(entry), tuple(sorted(entry.learning.unjudged)))
+            for entry in self._entries)
         flights = tuple(
             (item.entry, item.run.trial is None) for item in self._in_flight)
         return (entries, flights, self._issuer, self._handovers, self._restarts,
-                self.runs)
+                self._rejections, self.runs)
 
     def _list_crashes(self, entry: requests.Forwarder) -> list:
         suspect = entry.suspects.suspects.get(_FINGERPRINT)
         return [] if suspect is None else suspect.crashes
 
+    def _find_trial_ages(self, entry: requests.Forwarder) -> tuple[float, ...]:
+        suspect = entry.suspects.suspects.get(_FINGERPRINT)
+        return () if suspect is None else tuple(
+            self.time.at - at for at in suspect.trials.values())
+
     def _find_clean_age(self, entry: requests.Forwarder) -> float:
         suspect = entry.suspects.suspects.get(_FINGERPRINT)
         return 0.0 if suspect is None else suspect.clean_run_at - self.time.at
