Suspects that are not blocked yet are kept in the store

A request under which three servers have ended is a suspect, but not blocked until its trials have decided. If all entries are killed before that, the request starts again from nothing: three more servers end.

Cause: the store held blocked requests only, since stored crashes would have blocked sound requests whose clean runs weren't stored.

Change: suspects with three crashes are stored too, with their trials. What is read back is a suspect again, no block: a sound one is cleared by its trial. Of several unsaved ones the gravest is written first.

Evidence: the test of an entry that starts alone fails without the change (the request is clear) and passes with it.

--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -132,12 +132,14 @@
       fingerprint: Fingerprint of the request.
       service: The service whose servers crashed.
       crashes: Crashes of these servers.
+      trials: When its trials without a clean run were sent, ms, by id.
       revision: Store revision at which it was saved; 0 if it isn't saved yet.
     """
 
     fingerprint: bytes
     service: str
     crashes: tuple[crashes.Crash, ...]
+    trials: Mapping[str, float] = dataclasses.field(default_factory=dict)
     revision: int = 0
 
 
--- a/lentilmoor/edge/savedsuspects.py
+++ b/lentilmoor/edge/savedsuspects.py
@@ -1,4 +1,4 @@
-"""Blocked requests in the store.
+"""Suspects in the store: blocked requests, and those with as many crashes.
 
 An entry that starts while no other entry is running reads them from there.
 """
@@ -18,7 +18,7 @@
 def merge_stored(context: controlstate.Context,
                  before: ports.StoreSnapshot | None,
                  everything: ports.StoreSnapshot) -> None:
-    """Merges blocked requests that have changed in the store."""
+    """Merges suspects that have changed in the store."""
     previous = before.suspects if before else {}
     now = context.clock.now()
     for name, saved in everything.suspects.items():
@@ -28,12 +28,16 @@
             quarantine.Evidence(saved.fingerprint, saved.service, 1,
                                 now - crash.at, crash.server)
             for crash in saved.crashes
+        ] + [
+            quarantine.Evidence(
+                saved.fingerprint, saved.service, 1, now - at, trial=trial)
+            for trial, at in saved.trials.items()
         ]
         suspects.merge(context.forwarder, evidence, now)
 
 
 def update_store(context: controlstate.Context, now: float) -> None:
-    """Writes the next change of the blocked requests to the store.
+    """Writes the next change of the suspects to the store.
 
     Does nothing unless this entry is the first hub and can reach the store.
     """
@@ -44,14 +48,19 @@
         return
     if forwarder.trials.issuing_since is None or owned.store_lost_at:
         return
-    blocked = quarantine.list_uncleared_blocks(forwarder.suspects)
-    for fingerprint, suspect in blocked.items():
-        stored = saved.get(fingerprint.hex())
-        if stored is None or _list_servers(suspect) - _list_servers(stored):
-            _save_suspect(context, now, fingerprint, suspect, stored)
-            return
+    lasting = quarantine.list_lasting(forwarder.suspects)
+    unsaved = [
+        fingerprint for fingerprint, suspect in lasting.items()
+        if _has_news(suspect, saved.get(fingerprint.hex()))
+    ]
+    if unsaved:
+        # One write at a time: the gravest first.
+        worst = max(unsaved, key=lambda item: _find_gravity(lasting[item]))
+        _save_suspect(context, now, worst, lasting[worst],
+                      saved.get(worst.hex()))
+        return
     for name, stored in saved.items():
-        if stored.fingerprint not in blocked:
+        if stored.fingerprint not in lasting:
             owned.suspects_due_at = now + WRITE_RETRY_MS
             context.logger.info('suspect_forgotten', fingerprint=name)
             context.call(
@@ -61,8 +70,19 @@
             return
 
 
-def _list_servers(suspect: crashes.Suspect | ports.SavedSuspect) -> set[str]:
-    return {crash.server for crash in suspect.crashes}
+def _has_news(suspect: crashes.Suspect,
+              stored: ports.SavedSuspect | None) -> bool:
+    """Returns whether a suspect has crashes or trials that aren't stored."""
+    if stored is None:
+        return True
+    servers = {crash.server for crash in stored.crashes}
+    return (any(crash.server not in servers for crash in suspect.crashes) or
+            bool(suspect.trials.keys() - stored.trials.keys()))
+
+
+def _find_gravity(suspect: crashes.Suspect) -> tuple[bool, int, int]:
+    return (bool(suspect.blocked_until), len(suspect.trials),
+            len(suspect.crashes))
 
 
 def _save_suspect(context: controlstate.Context, now: float, fingerprint: bytes,
@@ -71,10 +91,13 @@
     context.owned.suspects_due_at = now + WRITE_RETRY_MS
     revision = 0 if stored is None else stored.revision
     record = ports.SavedSuspect(fingerprint, suspect.service,
-                                tuple(suspect.crashes), revision)
+                                tuple(suspect.crashes), dict(suspect.trials),
+                                revision)
     context.logger.info('suspect_saved',
                         fingerprint=fingerprint.hex(),
-                        crashes=len(record.crashes))
+                        crashes=len(record.crashes),
+                        trials=len(record.trials),
+                        blocked=bool(suspect.blocked_until))
     context.call(lambda: context.platform.store.save_suspect(record),
                  lambda result, unused_at: _log_failure(context, result))
 
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -104,6 +104,8 @@
 class _Suspect(msgspec.Struct, array_like=True):
     service: str
     crashes: list[_Crash]
+    # Unix ms, by id; earlier releases write none.
+    trials: dict[str, float] = {}
 
 
 # The store has validated the configuration, so numbers in text and 5.0 for 5
@@ -210,13 +212,15 @@
 
 
 def write_suspect(suspect: ports.SavedSuspect, clock: clocks.Clock) -> bytes:
-    """Encodes the crashes of a suspect request for the store, in Unix time."""
+    """Encodes a suspect request for the store, with times in Unix time."""
     wall_offset_ms = clock.wall() - clock.now()
     return msgspec.json.encode(
         _Suspect(suspect.service, [
             _Crash(item.server, item.at + wall_offset_ms)
             for item in suspect.crashes
-        ]))
+        ], {
+            trial: at + wall_offset_ms for trial, at in suspect.trials.items()
+        }))
 
 
 def read_suspect(fingerprint: bytes, data: bytes, revision: int,
@@ -227,7 +231,7 @@
       fingerprint: The request's fingerprint, from the key.
       data: The value.
       revision: The store's revision of the key's last change.
-      clock: This process's clock; crash times are converted to it.
+      clock: This process's clock; times are converted to it.
 
     Raises:
       MsgspecError: The value doesn't parse.
@@ -238,4 +242,7 @@
         fingerprint, model.service,
         tuple(
             crashes.Crash(item.server, min(now, item.at - wall_offset_ms))
-            for item in model.crashes), revision)
+            for item in model.crashes), {
+                trial: min(now, at - wall_offset_ms)
+                for trial, at in model.trials.items()
+            }, revision)
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -489,16 +489,18 @@
         }
 
 
-def list_uncleared_blocks(table: Quarantine) -> dict[bytes, crashes.Suspect]:
-    """Returns suspects that were blocked and not cleared, by fingerprint.
+def list_lasting(table: Quarantine) -> dict[bytes, crashes.Suspect]:
+    """Returns suspects that must not be forgotten, by fingerprint.
 
-    Includes those whose block has expired.
+    They were blocked, or have as many crashes as may block them, and were not
+    cleared. Includes those whose block has expired.
     """
     with table.lock:
         return {
             fingerprint: suspect
             for fingerprint, suspect in table.suspects.items()
-            if suspect.blocked_until
+            if suspect.blocked_until or
+            len(suspect.crashes) >= suspect.policy.threshold
         }
 
 
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -496,6 +496,25 @@
                                    stored)
         self.assertIs(self._check(), _BLOCKED)
 
+    def test_an_entry_that_starts_alone_loads_unblocked_suspects(self):
+        # Only blocked requests were written.
+        self.forwarder = self._make_forwarder()
+        for _ in range(3):
+            self._crash_server(_CRASHING)
+        self.time.advance(1_000.0)
+        quarantine.report_trial(self.forwarder.suspects,
+                                suspects.make_fingerprint(_CRASHING), 't1',
+                                self.time.at)
+        self._grant_trials()
+        self.context = self._make_context(self.forwarder)
+        stored = self._update_store()
+        self.forwarder = self._make_forwarder()
+        savedsuspects.merge_stored(self._make_context(self.forwarder), None,
+                                   stored)
+        self.assertIs(self._check(), _SUSPECT)
+        suspect, = self.forwarder.suspects.suspects.values()
+        self.assertEqual(list(suspect.trials), ['t1'])
+
     def test_blocks_missing_after_a_restore_are_written_again(self):
         copy = self.store.copy()
         self._update_store()
