--- a/tests/soak.py
+++ b/tests/soak.py
@@ -49,7 +49,10 @@
 _FRAIL = 'frail'
 _FRAIL_SERVERS = 5
 _DEADLY_PATH = f'/{_FRAIL}/bad'
+_OTHER_DEADLY_PATH = f'/{_FRAIL}/bad-too'
 _DEADLY_GAPS_S = (0.05, 3.0)
+# Copies that are sent at once.
+_DEADLY_COPIES = (1, 1, 4)
 _CRASHES = ({}, {'silent': True}, {'powerless': True})
 # Copies that may crash servers later than STABLE_S after the third.
 _MOST_LATE_CRASHES = 3
@@ -109,6 +112,7 @@
             _DEADLY_PATH,
             away_s=self._random.uniform(0.5, 6.0),
             **self._random.choice(_CRASHES))
+        self._other_crashes = self._deadly.add_path(_OTHER_DEADLY_PATH)
         self._deadly.attach(self._frail)
         self._copies: list[platform_store.Copy] = []
         self._store_calm_at = time.monotonic() + STABLE_S
@@ -368,10 +372,18 @@
         return headers.get('Connection') != 'close'
 
     def _call_deadly(self) -> None:
-        """Sends the request that crashes servers, at any entry."""
+        """Sends two requests that crash servers, at any entries."""
         drawn = random.Random(_CALLERS + _KEPT_CALLERS)
         while time.monotonic() < self._ends_at:
-            self._send_frail(drawn, _DEADLY_PATH)
+            path = drawn.choice((_DEADLY_PATH, _OTHER_DEADLY_PATH))
+            copies = [
+                threading.Thread(target=self._send_frail, args=(drawn, path))
+                for _ in range(drawn.choice(_DEADLY_COPIES))
+            ]
+            for copy in copies:
+                copy.start()
+            for copy in copies:
+                copy.join()
             time.sleep(drawn.uniform(*_DEADLY_GAPS_S))
 
     def _call_frail(self) -> None:
@@ -471,16 +483,18 @@
                            f'{max(late):.2f} s after it said that it leaves')
 
     def _check_crashes(self) -> None:
-        """Checks that the request that crashes servers was stopped, and is."""
-        for entry in self._deployment.entries:
-            with contextlib.suppress(OSError, http.client.HTTPException):
-                entry.call(_DEADLY_PATH)
-        crashes = self._deadly.crashes
-        late = self._deadly.find_late(STABLE_S) if len(crashes) > 2 else []
-        if len(late) > _MOST_LATE_CRASHES:
-            ages = [round(at - crashes[0], 1) for at in sorted(crashes)]
-            self._note(f'{len(late)} servers crashed later than {STABLE_S} s '
-                       f'after the third: {ages}')
+        """Checks that the requests that crash servers were stopped, and are."""
+        for path, crashes in ((_DEADLY_PATH, self._deadly.crashes),
+                              (_OTHER_DEADLY_PATH, self._other_crashes)):
+            for entry in self._deployment.entries:
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    entry.call(path)
+            late = (deadly_request.find_late(crashes, STABLE_S)
+                    if len(crashes) > 2 else [])
+            if len(late) > _MOST_LATE_CRASHES:
+                ages = [round(at - crashes[0], 1) for at in sorted(crashes)]
+                self._note(f'{len(late)} servers crashed by {path} later than '
+                           f'{STABLE_S} s after the third: {ages}')
 
     def _note(self, text: str) -> None:
         self.breaches.append(f'{text} (after {self.events[-1:]})')
