--- a/lentilmoor/edge/learning.py
+++ b/lentilmoor/edge/learning.py
@@ -33,9 +33,12 @@
 PATIENCE_MS = 1_000.0
 # Time after which entries that have not replied are taken to have ended.
 UNANSWERED_MS = 5_000.0
-# Interval between checks whether the table is recent.
+# Entries that are asked at most before the next check. In large fleets it is
+# unlikely that none of so many has a recent table while others have.
+MAX_ASKED = 16
+# Interval between checks whether the table is recent, and the minimum interval
+# while requests wait for it.
 CHECK_INTERVAL_MS = 100.0
-# Minimum interval between two rounds of requests to other entries.
 MIN_INTERVAL_MS = 25.0
 # Retry-After of a request that can't be judged.
 RETRY_AFTER_MS = 120
@@ -173,13 +176,16 @@
     """Merges the evidence of other entries.
 
     Returns:
-      Whether nothing is missing: one of them has a recent table, or none has
-      one and each has replied or has ended.
+      Whether nothing is missing: one of them has a recent table, or none that
+      was asked has one and each of these has replied or has ended.
     """
     table, has_ended = forwarder.learning, True
     addresses = sorted(requests.list_other_entries(forwarder))
     forwarder.generator.shuffle(addresses)
-    count = learningtables.ASKED_AT_ONCE
+    del addresses[MAX_ASKED:]
+    # While the table is still recent, there is time to ask one by one.
+    count = (1
+             if table.outdated_since is None else learningtables.ASKED_AT_ONCE)
     executor = concurrent.futures.ThreadPoolExecutor(count)
     try:
         for first in range(0, len(addresses), count):
