Trials: a new first hub waits until it knows the trials under way

Cause: the wait was meant for trials that only the last hub knew. Now that an arrival is evidence, which its entry reports at once, three report intervals suffice.

No more arrivals are allowed than before: one more for each change of the first hub.

--- a/lentilmoor/edge/trials.py
+++ b/lentilmoor/edge/trials.py
@@ -13,7 +13,7 @@
 has reached no server counts for nothing.
 
 The first hub grants the trials. A hub that has just become the first one waits
-until the trials that its predecessor granted have ended. While no hub can be
+until it knows the trials that its predecessor granted. While no hub can be
 reached, suspects are refused as not run.
 """
 
@@ -30,8 +30,8 @@
 from lentilmoor.edge import suspects
 from lentilmoor.edge import trialtables
 
-# Time for which a new first hub grants nothing. The outcomes of most trials
-# that the last one granted are known within it.
+# Maximum time for which a new first hub grants nothing. It waits until each
+# entry that runs a trial has reported that, if that takes less time.
 HANDOVER_MS = 3_000.0
 # Pause after the first trial; each further one doubles it. What has rejected a
 # trial, such as a server that does not hold the key yet, changes meanwhile.
@@ -202,7 +202,8 @@
             granted is not None and now < granted.ends_at):
         return RETRY_AFTER_MS
     last_crash_at = max(crash.at for crash in suspect.crashes)
-    may_grant_at = max(table.issuing_since + HANDOVER_MS,
+    handover_ms = min(HANDOVER_MS, forwarder.learning.max_age_ms)
+    may_grant_at = max(table.issuing_since + handover_ms,
                        last_crash_at + suspect.policy.common_cause_window_ms,
                        _find_pause_end(suspect))
     if now < may_grant_at:
