Learning and arrivals: one place and one check for each thing

An arrival's log lines build their common fields once. Clean runs are noted where an answer shows that it ran, not a second time from the same headers in the module of the log lines. A request checks the age of the table once before it is sent, not twice, and the metric uses the same function. The number of entries asked at the same time stands where it is used; the lock says what it guards. No change of behaviour.

--- a/lentilmoor/edge/arrivals.py
+++ b/lentilmoor/edge/arrivals.py
@@ -7,7 +7,6 @@
 from lentilmoor import outcomes
 from lentilmoor import quarantine
 from lentilmoor.edge import exchange
-from lentilmoor.edge import learning
 from lentilmoor.edge import requests
 from lentilmoor.edge import suspects
 
@@ -31,10 +30,7 @@
         forwarder.report_now.set()
     run.logs_result = True
     forwarder.logger.info('suspect_sent',
-                          request=run.request.fields.request_id,
-                          fingerprint=suspects.find_fingerprint(run).hex(),
-                          server=server,
-                          trial=run.trial.trial if run.trial else '',
+                          **_describe(run, server),
                           crashes=crash_count,
                           uptime_ms=round(
                               requests.find_age(forwarder,
@@ -43,24 +39,25 @@
 
 def note_result(forwarder: requests.Forwarder, run: requests.Run, server: str,
                 result: exchange.Result) -> None:
-    """Records the result of a request that was sent to a server.
-
-    Logs it if the request was a suspect.
-    """
-    if (isinstance(result, exchange.ServerAnswer) and
-            result.fields.has_proof and not result.fields.not_run):
-        learning.note_clean_run(forwarder, run)
+    """Logs the result of a request that was a suspect when it was sent."""
     if not run.logs_result:
         return
     run.logs_result = False
     forwarder.logger.info('suspect_result',
-                          request=run.request.fields.request_id,
-                          fingerprint=suspects.find_fingerprint(run).hex(),
-                          server=server,
-                          trial=run.trial.trial if run.trial else '',
+                          **_describe(run, server),
                           result=_name_result(result))
 
 
+def _describe(run: requests.Run, server: str) -> dict[str, str]:
+    """Returns the fields that the lines of an arrival have in common."""
+    return {
+        'request': run.request.fields.request_id,
+        'fingerprint': suspects.find_fingerprint(run).hex(),
+        'server': server,
+        'trial': run.trial.trial if run.trial else ''
+    }
+
+
 def _name_result(result: exchange.Result) -> str:
     if isinstance(result, exchange.ServerAnswer):
         kind = 'not-run' if result.fields.not_run else 'answered'
--- a/lentilmoor/edge/attemptresults.py
+++ b/lentilmoor/edge/attemptresults.py
@@ -6,6 +6,7 @@
 
 from lentilmoor import outcomes
 from lentilmoor.edge import exchange
+from lentilmoor.edge import learning
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import ratelimits
@@ -65,8 +66,11 @@
     now = forwarder.clock.now()
     status, fields = reply.answer.status, reply.fields
     state.answered_at = now
+    ran = fields.has_proof and not fields.not_run
     suspects.note_answer(forwarder, run, server, reply.connection_opened_at,
-                         fields.has_proof and not fields.not_run)
+                         ran)
+    if ran:
+        learning.note_clean_run(forwarder, run)
     ratelimits.note_answer(forwarder.rate_limits, server.id, fields.rate_limit,
                            now, forwarder.logger)
     _record_availability(forwarder, server, state, fields, now)
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -322,8 +322,7 @@
         'servers_unreachable':
             float(entry.forwarder.reachability.is_lost),
         'suspects_age_ms':
-            requests.find_age(entry.forwarder,
-                              entry.forwarder.learning.recent_at),
+            learning.find_table_age(entry.forwarder),
         'limited_servers':
             float(len(entry.forwarder.rate_limits.by_server)),
         'sigterm_check_age_ms':
--- a/lentilmoor/edge/learning.py
+++ b/lentilmoor/edge/learning.py
@@ -33,6 +33,8 @@
 PATIENCE_MS = 1_000.0
 # Time after which entries that have not replied are taken to have ended.
 UNANSWERED_MS = 5_000.0
+# Entries that are asked at the same time.
+ASKED_AT_ONCE = 4
 # Entries that are asked at most before the next check. In large fleets it is
 # unlikely that none of so many has a recent table while others have.
 MAX_ASKED = 16
@@ -57,10 +59,11 @@
 
 def is_recent(forwarder: requests.Forwarder) -> bool:
     """Returns whether this entry's table of suspects is recent."""
-    return _find_table_age(forwarder) <= forwarder.learning.max_age_ms
+    return find_table_age(forwarder) <= forwarder.learning.max_age_ms
 
 
-def _find_table_age(forwarder: requests.Forwarder) -> float:
+def find_table_age(forwarder: requests.Forwarder) -> float:
+    """Returns the age of this entry's table of suspects, ms."""
     return requests.find_age(forwarder, forwarder.learning.recent_at)
 
 
@@ -96,8 +99,8 @@
       Its refusal; None if the table is recent, or if the request may be sent to
       one server.
     """
-    _wait_until_recent(forwarder, wait_until)
-    if is_recent(forwarder) or _may_send_unjudged(forwarder, run):
+    if (_wait_until_recent(forwarder, wait_until) or
+            _may_send_unjudged(forwarder, run)):
         return None
     return outcomes.NotRun(_Reason.STARTING,
                            'the requests that crash servers are not known yet',
@@ -105,17 +108,19 @@
 
 
 def _wait_until_recent(forwarder: requests.Forwarder,
-                       wait_until: float) -> None:
+                       wait_until: float) -> bool:
+    """Waits for evidence; returns whether the table is recent."""
     table = forwarder.learning
     while not is_recent(forwarder):
         left_ms = wait_until - forwarder.clock.now()
         if left_ms <= 0:
-            return
+            return False
         table.asked_now.set()
         with table.changed:
             if not is_recent(forwarder):
                 table.changed.wait(
                     min(left_ms, CHECK_INTERVAL_MS) / clocks.MS_PER_S)
+    return True
 
 
 def _may_send_unjudged(forwarder: requests.Forwarder,
@@ -159,7 +164,7 @@
 
 def step(forwarder: requests.Forwarder) -> None:
     """Asks other entries for their evidence if the table is not recent."""
-    table, age_ms = forwarder.learning, _find_table_age(forwarder)
+    table, age_ms = forwarder.learning, find_table_age(forwarder)
     # Without a configuration the other entries may not be known yet.
     if (forwarder.snapshot.configuration is None or
             age_ms <= REFRESH_FRACTION * table.max_age_ms):
@@ -184,8 +189,7 @@
     forwarder.generator.shuffle(addresses)
     del addresses[MAX_ASKED:]
     # While the table is still recent, there is time to ask one by one.
-    count = (1
-             if table.outdated_since is None else learningtables.ASKED_AT_ONCE)
+    count = 1 if table.outdated_since is None else ASKED_AT_ONCE
     executor = concurrent.futures.ThreadPoolExecutor(count)
     try:
         for first in range(0, len(addresses), count):
--- a/lentilmoor/edge/learningtables.py
+++ b/lentilmoor/edge/learningtables.py
@@ -15,8 +15,6 @@
 CALL_TIMEOUT_MS = 300.0
 # A table without an exchange of evidence for this time isn't recent.
 MAX_AGE_MS = 1_500.0
-# Entries that are asked at the same time.
-ASKED_AT_ONCE = 4
 
 AskEntry = Callable[[str], reports.SuspectsReply | outcomes.Failed]
 
@@ -36,7 +34,8 @@
       unjudged: Fingerprints of requests that were sent while the table was not
         recent, and have not run clean since.
       asked_now: Set when the table is needed and isn't recent.
-      changed: Notified when the table becomes recent; guards all of the above.
+      changed: Notified when the table becomes recent; guards `recent_at`,
+        `outdated_since` and `unjudged`.
     """
 
     ask_entry: AskEntry = lambda unused_address: outcomes.Failed(
