Quarantine: one copy of the evidence that a suspect consists of

What is read from the store was written out as evidence a second time, with its own form of a trial. A trial is added in one place, whether it was sent here or reported. The method of the stand-in that the soak no longer calls goes. No change of behaviour.

--- a/lentilmoor/edge/savedsuspects.py
+++ b/lentilmoor/edge/savedsuspects.py
@@ -24,16 +24,11 @@
     for name, saved in everything.suspects.items():
         if previous.get(name) is saved:
             continue
-        evidence = [
-            quarantine.Evidence(saved.fingerprint, saved.service, 1,
-                                now - crash.at, crash.server)
-            for crash in saved.crashes
-        ] + [
-            quarantine.Evidence(
-                saved.fingerprint, saved.service, 1, now - at, trial=trial)
-            for trial, at in saved.trials.items()
-        ]
-        suspects.merge(context.forwarder, evidence, now)
+        suspect = crashes.Suspect(saved.service, list(saved.crashes),
+                                  dict(saved.trials))
+        suspects.merge(
+            context.forwarder,
+            quarantine.make_evidence(saved.fingerprint, suspect, now), now)
 
 
 def update_store(context: controlstate.Context, now: float) -> None:
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -209,8 +209,8 @@
     """
     with table.lock:
         suspect = table.suspects.get(fingerprint)
-        if suspect is not None and crashes.add_trial(suspect, trial, at):
-            _mark_changed(table, suspect)
+        if suspect is not None:
+            _add_trial(table, suspect, trial, at)
 
 
 def report_clean_run(table: Quarantine, fingerprint: bytes, server: str,
@@ -352,8 +352,7 @@
         _apply_release(table, item.fingerprint, item.service, at)
     elif item.trial:
         suspect = _get_or_add_suspect(table, item.fingerprint, item.service)
-        if crashes.add_trial(suspect, item.trial, at):
-            _mark_changed(table, suspect)
+        _add_trial(table, suspect, item.trial, at)
     elif item.crashes:
         _add_crash(table, item.fingerprint, item.service,
                    crashes.Crash(item.server, at))
@@ -388,7 +387,7 @@
     with table.lock:
         return [
             item for fingerprint, suspect in table.suspects.items()
-            for item in _list_evidence(fingerprint, suspect, now)
+            for item in make_evidence(fingerprint, suspect, now)
         ]
 
 
@@ -412,7 +411,7 @@
         return [], table.version
     with table.lock:
         changed = [(suspect.version,
-                    [*_list_evidence(fingerprint, suspect, now)])
+                    [*make_evidence(fingerprint, suspect, now)])
                    for fingerprint, suspect in table.suspects.items()
                    if suspect.version > since]
         changed += [(crash.version, _list_server_evidence(server, crash, now))
@@ -441,7 +440,7 @@
     with table.lock:
         suspect = table.suspects.get(fingerprint)
         return ([] if suspect is None else list(
-            _list_evidence(fingerprint, suspect, now)))
+            make_evidence(fingerprint, suspect, now)))
 
 
 def has_concurrent_crashes(table: Quarantine, fingerprint: bytes) -> bool:
@@ -465,8 +464,9 @@
                    for server, other in table.server_crashes.items())
 
 
-def _list_evidence(fingerprint: bytes, suspect: crashes.Suspect,
-                   now: float) -> Iterator[Evidence]:
+def make_evidence(fingerprint: bytes, suspect: crashes.Suspect,
+                  now: float) -> Iterator[Evidence]:
+    """Returns the evidence that a suspect consists of."""
     service = suspect.service
     for crash in suspect.crashes:
         yield Evidence(fingerprint, service, 1, now - crash.at, crash.server)
@@ -577,6 +577,12 @@
     _mark_changed(table, suspect)
 
 
+def _add_trial(table: Quarantine, suspect: crashes.Suspect, trial: str,
+               at: float) -> None:
+    if crashes.add_trial(suspect, trial, at):
+        _mark_changed(table, suspect)
+
+
 def _add_server_crash(table: Quarantine, service: str, server: str,
                       at: float) -> None:
     known = table.server_crashes.get(server)
--- a/standins/deadly_request.py
+++ b/standins/deadly_request.py
@@ -60,10 +60,6 @@
         """
         return self._crashes_by_path.setdefault(path, [])
 
-    def find_late(self, stable_s: float) -> list[float]:
-        """Returns when servers crashed so long after the third one did."""
-        return find_late(self.crashes, stable_s)
-
     def close(self) -> None:
         """Ends the servers that were started."""
         with self._lock:
