Tests: one way to make an entry with an empty quarantine, and to send trials

Three test files built it each for itself; three tests sent trials in a loop. All assertions stay; the check before each trial now stands in each of them.

--- a/tests/test_edge_learning.py
+++ b/tests/test_edge_learning.py
@@ -1,12 +1,10 @@
 """Tests of what entries learn about suspects after a start or a pause."""
 
 import dataclasses
-import io
 import unittest
 from unittest import mock
 
 from lentilmoor import clocks
-from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor import quarantine
 from lentilmoor.edge import learning
@@ -28,14 +26,7 @@
     def setUp(self):
         super().setUp()
         self.time = clocks.ManualTime(100_000.0)
-        platform = mock.Mock()
-        platform.settings.control = 'self'
-        self.forwarder = requests.Forwarder(self.time.clock(),
-                                            platform,
-                                            logs.make_logger(
-                                                'test', io.StringIO()),
-                                            mock.Mock(),
-                                            suspects=suspects.make_quarantine())
+        self.forwarder = trialworlds.make_forwarder(self.time, 'self')
         self.forwarder.snapshot = dataclasses.replace(self.forwarder.snapshot,
                                                       configuration=mock.Mock())
         self.forwarder.learning = learningtables.LearningTable(
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -1,7 +1,6 @@
 """Tests of how entries detect and block requests that crash servers."""
 
 import dataclasses
-import io
 import socket
 import unittest
 from unittest import mock
@@ -9,7 +8,6 @@
 from lentilmoor import clocks
 from lentilmoor import connections
 from lentilmoor import crashes
-from lentilmoor import logs
 from lentilmoor import quarantine
 from lentilmoor.edge import exchange
 from lentilmoor.edge import ports
@@ -48,13 +46,7 @@
         self.server_count = 0
 
     def _make_forwarder(self) -> requests.Forwarder:
-        platform = mock.Mock()
-        platform.settings.control = _CONTROL
-        return requests.Forwarder(self.time.clock(),
-                                  platform,
-                                  logs.make_logger('test', io.StringIO()),
-                                  _RULES,
-                                  suspects=suspects.make_quarantine())
+        return trialworlds.make_forwarder(self.time, _CONTROL, _RULES)
 
     def _add_server(self, up: bool) -> tuple[tables.Server, connections.Pool]:
         """Adds a server, which accepts connections if it is up."""
@@ -405,12 +397,15 @@
                                 suspects.make_fingerprint(_CRASHING), trial,
                                 self.time.at)
 
-    def test_trials_without_an_outcome_block(self):
-        self._suspect_by_burst()
+    def _send_three_trials(self) -> None:
         for number in range(3):
             self.assertIs(self._check(), _SUSPECT)
             self.time.advance(1_000.0)
             self._send_trial(f't{number}')
+
+    def test_trials_without_an_outcome_block(self):
+        self._suspect_by_burst()
+        self._send_three_trials()
         self.assertIs(self._check(), _BLOCKED)
 
     def test_a_trial_that_two_entries_report_counts_once(self):
@@ -422,9 +417,7 @@
 
     def test_a_clean_run_forgets_earlier_trials(self):
         fingerprint = self._suspect_by_burst()
-        for number in range(3):
-            self.time.advance(1_000.0)
-            self._send_trial(f't{number}')
+        self._send_three_trials()
         self.time.advance(1.0)
         quarantine.report_clean_run(self.forwarder.suspects, fingerprint, 's9',
                                     self.time.at)
@@ -432,9 +425,7 @@
 
     def test_other_entries_count_the_same_trials(self):
         fingerprint = self._suspect_by_burst()
-        for number in range(3):
-            self.time.advance(1_000.0)
-            self._send_trial(f't{number}')
+        self._send_three_trials()
         evidence = quarantine.list_evidence(self.forwarder.suspects,
                                             fingerprint, self.time.at)
         self.forwarder = self._make_forwarder()
--- a/tests/trialworlds.py
+++ b/tests/trialworlds.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from lentilmoor import clocks
+from lentilmoor import connections
 from lentilmoor import logs
 from lentilmoor import quarantine
 from lentilmoor.edge import arrivals
@@ -35,6 +36,26 @@
                             'h', target, target, {}, b'', None, 0.0)
 
 
+def make_forwarder(
+        time: clocks.ManualTime,
+        control: str,
+        rules: connections.PoolLimits | None = None) -> requests.Forwarder:
+    """Returns the state of an entry with an empty quarantine.
+
+    Args:
+      time: Its clock, which tests advance.
+      control: Address on which other entries reach it.
+      rules: Limits of its connection pools, if it opens connections.
+    """
+    platform = mock.Mock()
+    platform.settings.control = control
+    return requests.Forwarder(time.clock(),
+                              platform,
+                              logs.make_logger('test', io.StringIO()),
+                              rules,
+                              suspects=suspects.make_quarantine())
+
+
 _REQUEST = make_request('/bad')
 _FINGERPRINT = suspects.make_fingerprint(_REQUEST)
 _STEP_MS = 500.0
@@ -101,15 +122,9 @@
         self.runs = 0
 
     def _make_entry(self, number: int) -> requests.Forwarder:
-        platform = mock.Mock()
-        platform.settings.control = f'e{number}'
-        platform.settings.seeds = tuple(
+        entry = make_forwarder(self.time, f'e{number}')
+        entry.platform.settings.seeds = tuple(
             f'e{other}' for other in range(self._scope.entries))
-        entry = requests.Forwarder(self.time.clock(),
-                                   platform,
-                                   logs.make_logger('test', io.StringIO()),
-                                   mock.Mock(),
-                                   suspects=suspects.make_quarantine())
         entry.trials.send_request = self._send_request
         entry.learning.ask_entry = self._ask_entry
         entry.snapshot = dataclasses.replace(entry.snapshot,
