Signal test: wait for the first record before the signal is sent

Cause: it said 'ready' before it waited for signals, and was starved of the interpreter lock by eight threads. A signal sent before the first record leaves nothing recorded, which is right, and the program ended with IndexError.

The signal now follows the first record, which has to exist and be no later than the signal, as before. A second test sends it earlier and checks that what is recorded, if anything, is no later.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -34,6 +34,7 @@
 '''
 
 # Prints the last recorded time without a signal, while other threads compute.
+# Says when it watches for signals and when it has recorded the first time.
 _STARVED_PROGRAM = '''
 import signal
 import threading
@@ -45,13 +46,18 @@
         sum(range(1000))
 
 absent = []
+def record(now):
+    absent.append(now)
+    if len(absent) == 1:
+        print('recorded', flush=True)
+
 signals.block(signal.SIGTERM)
 for _ in range(8):
     threading.Thread(target=compute, daemon=True).start()
 arrived = signals.watch(signal.SIGTERM)
-print('ready', flush=True)
-signals.receive(arrived, clocks.Clock(), absent.append)
-print(absent[-1], flush=True)
+print('watching', flush=True)
+signals.receive(arrived, clocks.Clock(), record)
+print('last', *absent[-1:], flush=True)
 '''
 
 
@@ -68,13 +74,30 @@
         for stopped_s in (0.0, 0.3):
             for delay_s in (0.05, 0.21, 0.4):
                 with self.subTest(stopped_s=stopped_s, delay_s=delay_s):
-                    self._check_time(stopped_s, delay_s)
+                    sent_at, recorded = self._send('recorded', stopped_s,
+                                                   delay_s)
+                    self.assertEqual(len(recorded), 1)
+                    self.assertLessEqual(recorded[0], sent_at)
+
+    def test_signal_before_the_first_record_is_not_recorded_as_absent(self):
+        for stopped_s in (0.0, 0.3):
+            with self.subTest(stopped_s=stopped_s):
+                sent_at, recorded = self._send('watching', stopped_s, 0.0)
+                for time_ms in recorded:
+                    self.assertLessEqual(time_ms, sent_at)
 
-    def _check_time(self, stopped_s: float, delay_s: float) -> None:
+    def _send(self, event: str, stopped_s: float,
+              delay_s: float) -> tuple[float, list[float]]:
+        """Sends SIGTERM some time after an event of the starved program.
+
+        Returns:
+          When it was sent, ms, and the time recorded last, if any, ms.
+        """
         command = [sys.executable, '-c', _STARVED_PROGRAM]
-        with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        with subprocess.Popen(command, stdout=subprocess.PIPE,
+                              text=True) as process:
             try:
-                self.assertEqual(process.stdout.readline(), b'ready\n')
+                self._read_until(process, event)
                 time.sleep(delay_s)
                 if stopped_s:
                     process.send_signal(signal.SIGSTOP)
@@ -83,10 +106,18 @@
                 process.send_signal(signal.SIGTERM)
                 time.sleep(stopped_s)
                 process.send_signal(signal.SIGCONT)
-                self.assertLessEqual(float(process.stdout.readline()), sent_at)
+                times = self._read_until(process, 'last')
+                return sent_at, [float(time_ms) for time_ms in times]
             finally:
                 process.kill()
 
+    def _read_until(self, process: subprocess.Popen, event: str) -> list[str]:
+        for line in process.stdout:
+            name, *values = line.split()
+            if name == event:
+                return values
+        return self.fail(f'ended before it said {event}')
+
 
 if __name__ == '__main__':
     unittest.main()
