Quarantine: try a blocked request again by what explains its own crashes

Cause: a block was tried once more if other servers had crashed beside those that the request was on. Crashes that another suspect caused were among them unless that one was blocked, so the trial went to requests that had crashed all their servers themselves; and one whose every crash was shared with a request that causes crashes never got one.

Change: the trial is granted if too few crashes remain without those that may have another cause: another request with two crashes on the same server, or servers that crashed at that time without such a request.

--- a/lentilmoor/causes.py
+++ b/lentilmoor/causes.py
@@ -6,10 +6,9 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
-import math
 
 from lentilmoor import crashes
 from lentilmoor import quarantine
@@ -47,6 +46,30 @@
                                        _is_only_cause(table, suspect, involved))
 
 
+def may_have_other_cause(table: quarantine.Quarantine,
+                         fingerprint: bytes) -> bool:
+    """Returns whether other causes leave too few crashes to block a request.
+
+    Args:
+      table: The quarantine.
+      fingerprint: Fingerprint of a blocked request.
+    """
+    with table.lock:
+        suspect = table.suspects.get(fingerprint)
+        if suspect is None:
+            return False
+        involved = _find_involved(table)
+        is_uncaused = _make_uncaused_check(table, suspect.service, involved)
+
+    def is_unexplained(crash: crashes.Crash) -> bool:
+        return len(involved[crash.server]) <= 1 and not is_uncaused(crash)
+
+    weight = sum(
+        min(_MAX_GROUP_WEIGHT, count)
+        for count in _count_in_groups(suspect, is_unexplained))
+    return weight < suspect.policy.threshold
+
+
 def _find_involved(table: quarantine.Quarantine) -> _Involved:
     involved = collections.defaultdict(list)
     for suspect in table.suspects.values():
@@ -60,18 +83,17 @@
 def _is_only_cause(table: quarantine.Quarantine, suspect: crashes.Suspect,
                    involved: _Involved) -> bool:
     servers = frozenset(crash.server for crash in suspect.crashes)
-    others_at = _list_uncaused(table, suspect.service, involved)
+    is_uncaused = _make_uncaused_check(table, suspect.service, involved)
 
-    def is_explained(crash: crashes.Crash) -> bool:
+    def is_unexplained(crash: crashes.Crash) -> bool:
         # Of crashes read from the store it is unknown what else happened.
-        return (crash.server not in table.server_crashes or
-                _is_caused_by_others(servers, involved[crash.server]) or
-                _find_distance(crash.at, others_at) <= _CONCURRENT_CRASH_MS)
-
-    weight = 0
-    for group in crashes.list_groups(suspect.crashes, suspect.policy):
-        unexplained = sum(not is_explained(crash) for crash in group)
-        weight += max(1, min(_MAX_GROUP_WEIGHT, unexplained))
+        return (crash.server in table.server_crashes and
+                not _is_caused_by_others(servers, involved[crash.server]) and
+                not is_uncaused(crash))
+
+    weight = sum(
+        max(1, min(_MAX_GROUP_WEIGHT, count))
+        for count in _count_in_groups(suspect, is_unexplained))
     return weight >= suspect.policy.threshold
 
 
@@ -91,17 +113,29 @@
             causes.count(servers) > 1)
 
 
-def _list_uncaused(table: quarantine.Quarantine, service: str,
-                   involved: _Involved) -> list[float]:
-    """Returns when servers of a service crashed that no request crashed, ms."""
-    return [
+def _make_uncaused_check(
+        table: quarantine.Quarantine, service: str,
+        involved: _Involved) -> Callable[[crashes.Crash], bool]:
+    """Returns a check whether a crash may have had no request as its cause.
+
+    Its servers are those of a service. They may share the cause of another
+    server's crash at that time, if no request can have crashed that one.
+    """
+    uncaused_at = [
         crash.at
         for server, crash in table.server_crashes.items()
         if crash.service == service and server not in involved and
         not crash.is_refuted
     ]
+    return lambda crash: any(
+        abs(crash.at - at) <= _CONCURRENT_CRASH_MS for at in uncaused_at)
 
 
-def _find_distance(at: float, others_at: Iterable[float]) -> float:
-    """Returns the time between one crash and the nearest other, ms."""
-    return min((abs(at - other_at) for other_at in others_at), default=math.inf)
+def _count_in_groups(suspect: crashes.Suspect,
+                     is_counted: Callable[[crashes.Crash], bool]) -> list[int]:
+    """Counts crashes in each group that may have a cause in common."""
+    return [
+        sum(is_counted(crash)
+            for crash in group)
+        for group in crashes.list_groups(suspect.crashes, suspect.policy)
+    ]
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -46,8 +46,8 @@
 _CHECK_INTERVAL_MS = 250.0
 # Answers that a server sent before it crashed arrive within this time.
 _LATE_ANSWER_MS = 250.0
-# Delay before a blocked request is tried on one more server, if crashes that it
-# was not involved in suggest another cause.
+# Delay before a blocked request is tried on one more server, if its crashes may
+# have another cause.
 TRIAL_DELAY_MS = 5_000.0
 # Time after which the caller of a blocked request may retry.
 RETRY_AFTER_MS = 30_000
@@ -156,7 +156,7 @@
     is_first = suspect.blocked_until <= last_at + crashes.BLOCK_MS
     return (is_first and now >= last_at + TRIAL_DELAY_MS and
             crashes.has_trials_left(suspect) and
-            quarantine.has_concurrent_crashes(table, fingerprint))
+            causes.may_have_other_cause(table, fingerprint))
 
 
 def is_undecided(forwarder: requests.Forwarder, fingerprint: bytes) -> bool:
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -34,8 +34,6 @@
 _MAX_CHANGES_PER_MESSAGE = 64
 # Maximum number of changes in a table.
 MAX_CHANGES = _MAX_SUSPECTS + _MAX_SERVER_CRASHES
-# Crashes of servers within this time may have a common cause.
-_CONCURRENT_CRASH_MS = 1_000.0
 
 
 class Verdict(enum.Enum):
@@ -445,27 +443,6 @@
             make_evidence(fingerprint, suspect, now)))
 
 
-def has_concurrent_crashes(table: Quarantine, fingerprint: bytes) -> bool:
-    """Returns whether other servers crashed together with a request's servers.
-
-    The cause of those crashes may also have crashed the servers that ran the
-    request.
-    """
-    with table.lock:
-        suspect = table.suspects.get(fingerprint)
-        if suspect is None or not suspect.crashes:
-            return False
-        known = {
-            crash.server
-            for crash in (*suspect.crashes, *table.attributed_crashes)
-        }
-        return any(other.service == suspect.service and server not in known and
-                   not other.is_refuted and any(
-                       abs(other.at - crash.at) <= _CONCURRENT_CRASH_MS
-                       for crash in suspect.crashes)
-                   for server, other in table.server_crashes.items())
-
-
 def make_evidence(fingerprint: bytes, suspect: crashes.Suspect,
                   now: float) -> Iterator[Evidence]:
     """Returns the evidence that a suspect consists of."""
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -409,7 +409,7 @@
     def _block_harmless_request(self) -> None:
         for _ in range(3):
             self._crash_server(_HARMLESS)
-            self._crash_server(_CRASHING)
+            self._report_server_crash()
             self.time.advance(1_000.0)
 
     def test_one_entry_grants_one_trial_if_other_servers_crashed_too(self):
@@ -424,6 +424,32 @@
         trials.step(self.forwarder)
         self.assertFalse(self._try(_HARMLESS))
 
+    def test_no_trial_beside_crashes_that_another_request_caused(self):
+        # Crashes beside it were taken for another cause of a block, though
+        # another request was known to be theirs.
+        for _ in range(3):
+            self._crash_server(_CRASHING)
+            self._crash_server(_HARMLESS)
+            self.time.advance(1_000.0)
+        self._grant_trials()
+        self.time.advance(suspects.TRIAL_DELAY_MS)
+        self.assertIs(self._check(), _BLOCKED)
+        self.assertFalse(self._try(_CRASHING))
+
+    def test_blocked_request_lost_with_the_servers_of_another_is_tried(self):
+        # No trial was granted, as it was in flight at all crashes.
+        for _ in range(3):
+            self._crash_server(_CRASHING, _HARMLESS)
+            self.time.advance(1_000.0)
+        self._grant_trials()
+        self.assertIs(self._check(_HARMLESS), _BLOCKED)
+        self.time.advance(suspects.TRIAL_DELAY_MS)
+        self.assertTrue(self._try(_HARMLESS))
+        server, _ = self._add_server(True)
+        self._answer_request(_HARMLESS, server, self.time.at)
+        self.assertIs(self._check(_HARMLESS), _CLEAR)
+        self.assertIs(self._check(), _BLOCKED)
+
     def test_a_crash_during_the_trial_ends_all_trials(self):
         self._block_harmless_request()
         self._crash_server(_HARMLESS)
