Causes: judge only suspects that are not blocked anyway

Cause: each change of the table had all suspects with three crashes judged again, also those that three independent crashes block, for which the result is of no use. No change of behaviour: test_edge_suspects and test_edge_trials pass.

--- a/lentilmoor/causes.py
+++ b/lentilmoor/causes.py
@@ -41,11 +41,17 @@
         table.judged_version = table.version
         involved = _find_involved(table)
         for suspect in table.suspects.values():
-            if len(suspect.crashes) >= suspect.policy.threshold:
+            if _needs_judgement(suspect):
                 crashes.set_only_cause(suspect,
                                        _is_only_cause(table, suspect, involved))
 
 
+def _needs_judgement(suspect: crashes.Suspect) -> bool:
+    is_blocked_anyway = suspect.blocked_until and not suspect.is_only_cause
+    return (not is_blocked_anyway and
+            len(suspect.crashes) >= suspect.policy.threshold)
+
+
 def may_have_other_cause(table: quarantine.Quarantine,
                          fingerprint: bytes) -> bool:
     """Returns whether other causes leave too few crashes to block a request.
--- a/lentilmoor/crashes.py
+++ b/lentilmoor/crashes.py
@@ -1,8 +1,8 @@
 """Crashes attributed to one fingerprint, and the block that they cause.
 
 All decisions depend only on the times of crashes, trials, clean runs and
-releases, so entries with the same observations of a request reach the same
-decision.
+releases, and on what `causes` concludes from those of other requests, so
+entries with the same observations reach the same decision.
 """
 
 from collections.abc import Iterable
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -26,9 +26,10 @@
 
 # The threshold is three, because harmless requests can be in flight at two
 # crashes in a row when servers are lost. Servers that are lost together count
-# as one. A crash stays a suspicion against every request that was in flight: a
-# clean trial clears those that did not cause it. Trials that are rejected or
-# not answered prove nothing, but each has reached a server.
+# as one, or as two if the request is their only known cause (see `causes`). A
+# crash stays a suspicion against every request that was in flight: a clean
+# trial clears those that did not cause it. Trials that are rejected or not
+# answered prove nothing, but each has reached a server.
 BLOCK_POLICY = crashes.BlockPolicy(threshold=3,
                                    duplicate_window_ms=math.inf,
                                    common_cause_window_ms=500.0,
--- a/lentilmoor/edge/trials.py
+++ b/lentilmoor/edge/trials.py
@@ -1,13 +1,14 @@
 """Trials: single runs of requests that may crash their servers.
 
 A request that was in flight at the crashes of several servers either crashed
-them or was lost with them. The times of the crashes can't tell these apart, so
-such a suspect runs as a trial: one run at a time in the whole fleet, the next
-one only when the outcome of the last is known and late enough for its crash to
+them or was lost with them. The crashes alone may not tell these apart, so such
+a suspect runs as a trial: one run at a time in the whole fleet, the next one
+only when the outcome of the last is known and late enough for its crash to
 count as independent. A trial reaches one server, once. A clean trial clears the
 request; each crash adds one to the independent crashes that block it. Once all
 entries know of the suspect, at most `BLOCK_POLICY.threshold` - 1 trials can
-therefore crash a server before it is blocked, however its copies arrive. Trials
+therefore crash a server before it is blocked, however its copies arrive, and
+one fewer if the request is the only known cause of the first crashes. Trials
 that servers reject or don't answer prove nothing, so they are counted too:
 `BLOCK_POLICY.max_trials` without a clean run block the request. A trial that
 has reached no server counts for nothing.
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -9,7 +9,8 @@
 The state of a fingerprint depends only on its crashes, its last clean run and
 its last release. Entries exchange these by gossip, so they reach the same state
 and count no crash twice. Where suspects can't be run one at a time,
-`crashes.BlockPolicy` requires more crashes.
+`crashes.BlockPolicy` requires more crashes, and `causes` compares those of
+different fingerprints.
 
 Request threads and the control actor share the table, so each change holds its
 lock; `check` acquires no lock.
