--- a/lentilmoor/causes.py
+++ b/lentilmoor/causes.py
@@ -64,15 +64,11 @@
         suspect = table.suspects.get(fingerprint)
         if suspect is None:
             return False
-        involved = _find_involved(table)
-        is_uncaused = _make_uncaused_check(table, suspect.service, involved)
-
-    def is_unexplained(crash: crashes.Crash) -> bool:
-        return len(involved[crash.server]) <= 1 and not is_uncaused(crash)
-
-    weight = sum(
-        min(_MAX_GROUP_WEIGHT, count)
-        for count in _count_in_groups(suspect, is_unexplained))
+        is_explained = _make_explanation_check(table, suspect,
+                                               _find_involved(table))
+    unexplained = _count_in_groups(suspect,
+                                   lambda crash: not is_explained(crash))
+    weight = sum(min(_MAX_GROUP_WEIGHT, count) for count in unexplained)
     return weight < suspect.policy.threshold
 
 
@@ -88,19 +84,36 @@
 
 def _is_only_cause(table: quarantine.Quarantine, suspect: crashes.Suspect,
                    involved: _Involved) -> bool:
+    is_explained = _make_explanation_check(table, suspect, involved)
+    # Of crashes read from the store it is unknown what else happened.
+    unexplained = _count_in_groups(
+        suspect, lambda crash: crash.server in table.server_crashes and
+        not is_explained(crash))
+    weight = sum(max(1, min(_MAX_GROUP_WEIGHT, count)) for count in unexplained)
+    return weight >= suspect.policy.threshold
+
+
+def _make_explanation_check(
+        table: quarantine.Quarantine, suspect: crashes.Suspect,
+        involved: _Involved) -> Callable[[crashes.Crash], bool]:
+    """Returns a check whether a crash may have another cause than a suspect.
+
+    That is another request, or whatever crashed another server of the service
+    at that time that no request can have crashed.
+    """
     servers = frozenset(crash.server for crash in suspect.crashes)
-    is_uncaused = _make_uncaused_check(table, suspect.service, involved)
+    uncaused_at = [
+        crash.at
+        for server, crash in table.server_crashes.items()
+        if crash.service == suspect.service and server not in involved and
+        not crash.is_refuted
+    ]
 
-    def is_unexplained(crash: crashes.Crash) -> bool:
-        # Of crashes read from the store it is unknown what else happened.
-        return (crash.server in table.server_crashes and
-                not _is_caused_by_others(servers, involved[crash.server]) and
-                not is_uncaused(crash))
+    def is_explained(crash: crashes.Crash) -> bool:
+        return (_is_caused_by_others(servers, involved[crash.server]) or any(
+            abs(crash.at - at) <= _CONCURRENT_CRASH_MS for at in uncaused_at))
 
-    weight = sum(
-        max(1, min(_MAX_GROUP_WEIGHT, count))
-        for count in _count_in_groups(suspect, is_unexplained))
-    return weight >= suspect.policy.threshold
+    return is_explained
 
 
 def _is_caused_by_others(servers: frozenset[str],
@@ -119,24 +132,6 @@
             causes.count(servers) > 1)
 
 
-def _make_uncaused_check(
-        table: quarantine.Quarantine, service: str,
-        involved: _Involved) -> Callable[[crashes.Crash], bool]:
-    """Returns a check whether a crash may have had no request as its cause.
-
-    Its servers are those of a service. They may share the cause of another
-    server's crash at that time, if no request can have crashed that one.
-    """
-    uncaused_at = [
-        crash.at
-        for server, crash in table.server_crashes.items()
-        if crash.service == service and server not in involved and
-        not crash.is_refuted
-    ]
-    return lambda crash: any(
-        abs(crash.at - at) <= _CONCURRENT_CRASH_MS for at in uncaused_at)
-
-
 def _count_in_groups(suspect: crashes.Suspect,
                      is_counted: Callable[[crashes.Crash], bool]) -> list[int]:
     """Counts crashes in each group that may have a cause in common."""
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -436,6 +436,15 @@
         self.assertIs(self._check(), _BLOCKED)
         self.assertFalse(self._try(_CRASHING))
 
+    def test_no_trial_beside_a_request_that_was_lost_with_its_servers(self):
+        # A sound request that had not been cleared gave another trial to the
+        # one with which it had been lost.
+        self._crash_together(_CRASHING, _HARMLESS)
+        self._crash_server(_CRASHING)
+        self._grant_trials()
+        self.time.advance(suspects.TRIAL_DELAY_MS)
+        self.assertIs(self._check(), _BLOCKED)
+
     def test_blocked_request_lost_with_the_servers_of_another_is_tried(self):
         # No trial was granted, as it was in flight at all crashes.
         for _ in range(3):
