Suspects: store that a request was blocked as the only cause of its crashes

Cause: a request that nothing else explains is blocked by a burst and one crash more. The store holds its crashes, which don't block by themselves, and what else happened at that time is known to no entry any more. So it was a suspect again, and got a trial.

Change: the judgement is stored with the crashes, and stands for an entry that does not know what else happened. One that does judges by that. Records without it, by earlier releases, read as before.

--- a/lentilmoor/causes.py
+++ b/lentilmoor/causes.py
@@ -1,8 +1,8 @@
-"""Whether a request is the only known cause of the crashes of its servers.
+"""Causes of crashes: a request alone, or something else that is known.
 
-Servers may be lost together, and a request that crashes them takes down others
-that were in flight beside it. What is known of other requests and servers tells
-such a crash from one that the request alone accounts for.
+Servers may be lost together, and a request that crashes them is in flight
+beside others. What is known of other requests and servers tells such a crash
+from one that the request alone accounts for.
 """
 
 import collections
@@ -22,8 +22,8 @@
 # Crashes of servers within this time may have a common cause.
 _CONCURRENT_CRASH_MS = 1_000.0
 
-# For each server, the ids of the servers that each request may have crashed
-# that may have crashed this one.
+# By server id, for each request that may have crashed it: the ids of all
+# servers that the request may have crashed.
 _Involved = Mapping[str, Sequence[frozenset[str]]]
 
 
@@ -46,6 +46,34 @@
                                        _is_only_cause(table, suspect, involved))
 
 
+def restore_block(table: quarantine.Quarantine, fingerprint: bytes) -> None:
+    """Blocks a request that was stored as the only cause of its crashes.
+
+    Does nothing if it is known what else happened when the servers crashed:
+    `update_blocks` judges the request by that.
+
+    Args:
+      table: The quarantine, with the stored crashes; updated.
+      fingerprint: Fingerprint of the request.
+    """
+    with table.lock:
+        suspect = table.suspects.get(fingerprint)
+        if (suspect is not None and
+                len(suspect.crashes) >= suspect.policy.threshold and
+                _has_unknown_crashes(table, suspect)):
+            crashes.set_only_cause(suspect, True)
+
+
+def _has_unknown_crashes(table: quarantine.Quarantine,
+                         suspect: crashes.Suspect) -> bool:
+    """Returns whether crashes were read from the store.
+
+    It is unknown what else happened when they did.
+    """
+    return any(
+        crash.server not in table.server_crashes for crash in suspect.crashes)
+
+
 def _needs_judgement(suspect: crashes.Suspect) -> bool:
     is_blocked_anyway = suspect.blocked_until and not suspect.is_only_cause
     return (not is_blocked_anyway and
@@ -84,8 +112,9 @@
 
 def _is_only_cause(table: quarantine.Quarantine, suspect: crashes.Suspect,
                    involved: _Involved) -> bool:
+    if suspect.is_only_cause and _has_unknown_crashes(table, suspect):
+        return True
     is_explained = _make_explanation_check(table, suspect, involved)
-    # Of crashes read from the store it is unknown what else happened.
     unexplained = _count_in_groups(
         suspect, lambda crash: crash.server in table.server_crashes and
         not is_explained(crash))
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -134,6 +134,7 @@
       crashes: Crashes of these servers.
       trials: When its trials without a clean run were sent, ms, by id.
       revision: Store revision at which it was saved; 0 if it isn't saved yet.
+      is_only_cause: Whether it was blocked as the only cause of its crashes.
     """
 
     fingerprint: bytes
@@ -141,6 +142,7 @@
     crashes: tuple[crashes.Crash, ...]
     trials: Mapping[str, float] = dataclasses.field(default_factory=dict)
     revision: int = 0
+    is_only_cause: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/edge/savedsuspects.py
+++ b/lentilmoor/edge/savedsuspects.py
@@ -3,6 +3,7 @@
 An entry that starts while no other entry is running reads them from there.
 """
 
+from lentilmoor import causes
 from lentilmoor import crashes
 from lentilmoor import outcomes
 from lentilmoor import quarantine
@@ -29,6 +30,8 @@
         suspects.merge(
             context.forwarder,
             quarantine.make_evidence(saved.fingerprint, suspect, now), now)
+        if saved.is_only_cause:
+            causes.restore_block(context.forwarder.suspects, saved.fingerprint)
 
 
 def update_store(context: controlstate.Context, now: float) -> None:
@@ -67,12 +70,13 @@
 
 def _has_news(suspect: crashes.Suspect,
               stored: ports.SavedSuspect | None) -> bool:
-    """Returns whether a suspect has crashes or trials that aren't stored."""
+    """Returns whether a suspect has more than what is stored of it."""
     if stored is None:
         return True
     servers = {crash.server for crash in stored.crashes}
     return (any(crash.server not in servers for crash in suspect.crashes) or
-            bool(suspect.trials.keys() - stored.trials.keys()))
+            bool(suspect.trials.keys() - stored.trials.keys()) or
+            suspect.is_only_cause and not stored.is_only_cause)
 
 
 def _find_gravity(suspect: crashes.Suspect) -> tuple[bool, int, int]:
@@ -87,7 +91,7 @@
     revision = 0 if stored is None else stored.revision
     record = ports.SavedSuspect(fingerprint, suspect.service,
                                 tuple(suspect.crashes), dict(suspect.trials),
-                                revision)
+                                revision, suspect.is_only_cause)
     context.logger.info('suspect_saved',
                         fingerprint=fingerprint.hex(),
                         crashes=len(record.crashes),
--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -106,6 +106,7 @@
     crashes: list[_Crash]
     # Unix ms, by id; earlier releases write none.
     trials: dict[str, float] = {}
+    is_only_cause: bool = False
 
 
 # The store has validated the configuration, so numbers in text and 5.0 for 5
@@ -220,7 +221,7 @@
             for item in suspect.crashes
         ], {
             trial: at + wall_offset_ms for trial, at in suspect.trials.items()
-        }))
+        }, suspect.is_only_cause))
 
 
 def read_suspect(fingerprint: bytes, data: bytes, revision: int,
@@ -245,4 +246,4 @@
             for item in model.crashes), {
                 trial: min(now, at - wall_offset_ms)
                 for trial, at in model.trials.items()
-            }, revision)
+            }, revision, model.is_only_cause)
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -597,6 +597,26 @@
             _CRASHING)]
         self.assertEqual(list(suspect.trials), ['t1'])
 
+    def test_the_only_cause_of_a_burst_stays_blocked_when_it_is_loaded(self):
+        # The store had its crashes, which don't block without what else is
+        # known.
+        self.forwarder = self._make_forwarder()
+        for _ in range(3):
+            self._crash_server(_CRASHING)
+        self._grant_trials()
+        self.context = self._make_context(self.forwarder)
+        self._update_store()
+        self._crash_server(_CRASHING)
+        self._update_store()
+        self.assertIs(self._check(), _BLOCKED)
+        stored = self._update_store()
+        self.forwarder = self._make_forwarder()
+        savedsuspects.merge_stored(self._make_context(self.forwarder), None,
+                                   stored)
+        self.assertIs(self._check(), _BLOCKED)
+        self._report_server_crash()
+        self.assertIs(self._check(), _BLOCKED)
+
     def test_what_explains_a_burst_is_unknown_after_it_was_loaded(self):
         # Crashes of servers without a request aren't stored.
         self.forwarder = self._make_forwarder()
