Quarantine: one condition where there were two, and no work without a reader

No change of behaviour. Found on reading the change again:

- Crashes that blocked requests account for were listed at each step in entries that don't use them, since the only reader there is gone (`has_concurrent_crashes`).
The policy is now asked where they are listed, not by each reader.
- `suspects.may_retry` looked up and counted what `count_crashes` counts, and fingerprinted requests while there were no suspects.
- `causes.may_have_other_cause` takes the suspect that its caller has, and `restore_block` uses `_needs_judgement`.

Evidence: lint; test_edge_suspects, test_quarantine, test_edge_learning, test_platform_documents (98), test_edge_trials, test_platform_quarantine (14) and test_soak pass. The whole suite was not run on this commit.

--- a/lentilmoor/causes.py
+++ b/lentilmoor/causes.py
@@ -58,8 +58,7 @@
     """
     with table.lock:
         suspect = table.suspects.get(fingerprint)
-        if (suspect is not None and
-                len(suspect.crashes) >= suspect.policy.threshold and
+        if (suspect is not None and _needs_judgement(suspect) and
                 _has_unknown_crashes(table, suspect)):
             crashes.set_only_cause(suspect, True)
 
@@ -81,17 +80,14 @@
 
 
 def may_have_other_cause(table: quarantine.Quarantine,
-                         fingerprint: bytes) -> bool:
+                         suspect: crashes.Suspect) -> bool:
     """Returns whether other causes leave too few crashes to block a request.
 
     Args:
       table: The quarantine.
-      fingerprint: Fingerprint of a blocked request.
+      suspect: Its state of a blocked request.
     """
     with table.lock:
-        suspect = table.suspects.get(fingerprint)
-        if suspect is None:
-            return False
         is_explained = _make_explanation_check(table, suspect,
                                                _find_involved(table))
     unexplained = _count_in_groups(suspect,
--- a/lentilmoor/crashes.py
+++ b/lentilmoor/crashes.py
@@ -135,7 +135,7 @@
     """Sets the block that the crashes and trials of a suspect cause."""
     surplus = count_independent(suspect.crashes,
                                 suspect.policy) - suspect.policy.threshold
-    if (surplus < 0 and has_trials_left(suspect) and not suspect.is_only_cause):
+    if surplus < 0 and has_trials_left(suspect) and not suspect.is_only_cause:
         suspect.blocked_until = 0.0
         return
     doublings = min(max(0, surplus), _MAX_DOUBLINGS)
--- a/lentilmoor/edge/suspects.py
+++ b/lentilmoor/edge/suspects.py
@@ -137,7 +137,7 @@
         return quarantine.Verdict.CLEAR
     causes.update_blocks(table)
     if (not suspect.blocked_until or now >= suspect.blocked_until or
-            _may_have_other_cause(table, fingerprint, suspect, now)):
+            _may_try_blocked(table, suspect, now)):
         return quarantine.Verdict.SUSPECT
     return quarantine.Verdict.BLOCKED
 
@@ -150,14 +150,14 @@
     return 0 if suspect is None else len(suspect.crashes)
 
 
-def _may_have_other_cause(table: quarantine.Quarantine, fingerprint: bytes,
-                          suspect: crashes.Suspect, now: float) -> bool:
+def _may_try_blocked(table: quarantine.Quarantine, suspect: crashes.Suspect,
+                     now: float) -> bool:
     """Returns whether a request's first block may have another cause."""
     last_at = max((crash.at for crash in suspect.crashes), default=now)
     is_first = suspect.blocked_until <= last_at + crashes.BLOCK_MS
     return (is_first and now >= last_at + TRIAL_DELAY_MS and
             crashes.has_trials_left(suspect) and
-            causes.may_have_other_cause(table, fingerprint))
+            causes.may_have_other_cause(table, suspect))
 
 
 def is_undecided(forwarder: requests.Forwarder, fingerprint: bytes) -> bool:
@@ -182,8 +182,7 @@
     """
     if run.trial is not None:
         return False
-    suspect = forwarder.suspects.suspects.get(find_fingerprint(run))
-    return suspect is None or len(suspect.crashes) < SUSPECT_CRASHES
+    return count_crashes(forwarder, run) < SUSPECT_CRASHES
 
 
 def note_lost_request(forwarder: requests.Forwarder, run: requests.Run,
--- a/lentilmoor/quarantine.py
+++ b/lentilmoor/quarantine.py
@@ -103,7 +103,8 @@
         server id.
       unconfirmed_crashes: Time of the newest crash that the server may still
         refute by an answer, ms, by server id.
-      attributed_crashes: Crashes that a blocked request accounts for.
+      attributed_crashes: Crashes that a blocked request accounts for; empty
+        unless the policy clears others of them.
       refused_count: Number of requests refused because they were blocked.
       evicted_count: Number of suspects removed because the table was full.
       policy: When requests are blocked.
@@ -506,13 +507,14 @@
     # requests were in flight at both crashes. A recent crash is therefore not
     # attributed to a blocked request yet.
     settled = now - crashes.DUPLICATE_WINDOW_MS
-    table.attributed_crashes = [
-        crash for suspect in table.suspects.values()
-        if suspect.blocked_until > now for crash in suspect.crashes
-        if crash.at < settled
-    ]
+    if table.policy.clears_attributed:
+        table.attributed_crashes = [
+            crash for suspect in table.suspects.values()
+            if suspect.blocked_until > now for crash in suspect.crashes
+            if crash.at < settled
+        ]
     for fingerprint, suspect in list(table.suspects.items()):
-        if not suspect.blocked_until and table.policy.clears_attributed:
+        if not suspect.blocked_until:
             _remove_attributed(table, suspect)
         if crashes.is_expired(suspect, now):
             del table.suspects[fingerprint]
@@ -538,8 +540,7 @@
 def _add_crash(table: Quarantine, fingerprint: bytes, service: str,
                crash: crashes.Crash) -> None:
     """Adds a crash to a suspect unless it is known, outdated or attributed."""
-    attributed = (table.policy.clears_attributed and
-                  _is_attributed(table, crash))
+    attributed = _is_attributed(table, crash)
     if fingerprint not in table.suspects and attributed:
         return
     suspect = _get_or_add_suspect(table, fingerprint, service)
