Tests: one copy of a burst, of a start from the store, and of a late crash

Two tests of the store had the same six lines, four the same start of an entry: `_become_hub`, `_load`. `_suspect_by_burst` was `_crash_together` again. The fingerprint of the crashing request was made anew in each test. `find_late` returns nothing for fewer than four crashes, so its two users need no guard. The model looks up a suspect once for its signature, not three times.

No assertion, bound or scope has changed.

--- a/standins/deadly_request.py
+++ b/standins/deadly_request.py
@@ -114,9 +114,9 @@
 
 
 def find_late(crashes: list[float], stable_s: float) -> list[float]:
-    """Returns the crashes that came so long after the third one."""
+    """Returns the crashes that came so long after the third one, if any."""
     crashes = sorted(crashes)
-    return [at for at in crashes if at > crashes[2] + stable_s]
+    return [at for at in crashes[3:] if at > crashes[2] + stable_s]
 
 
 def _hold_port(port: int, held: contextlib.ExitStack) -> None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -489,8 +489,7 @@
             for entry in self._deployment.entries:
                 with contextlib.suppress(OSError, http.client.HTTPException):
                     entry.call(path)
-            late = (deadly_request.find_late(crashes, STABLE_S)
-                    if len(crashes) > 2 else [])
+            late = deadly_request.find_late(crashes, STABLE_S)
             if len(late) > _MOST_LATE_CRASHES:
                 ages = [round(at - crashes[0], 1) for at in sorted(crashes)]
                 self._note(f'{len(late)} servers crashed by {path} later than '
--- a/tests/test_edge_suspects.py
+++ b/tests/test_edge_suspects.py
@@ -34,6 +34,7 @@
 _CONTROL = '127.0.0.1:1'
 _CRASHING = trialworlds.make_request('/bad')
 _HARMLESS = trialworlds.make_request('/sound')
+_FINGERPRINT = suspects.make_fingerprint(_CRASHING)
 
 
 class SuspectsCase(unittest.TestCase):
@@ -98,6 +99,12 @@
         self._prove_path()
         return server
 
+    def _crash_together(self, *lost_requests: requests.Request) -> None:
+        """Has three servers crash with the same requests in flight."""
+        for _ in range(3):
+            self._crash_server(*lost_requests)
+        self.time.advance(1_000.0)
+
     def _report_server_crash(self) -> None:
         """Has a server crash with no known request in flight."""
         self.server_count += 1
@@ -309,12 +316,6 @@
         self._answer_request(_HARMLESS, server, self.time.at)
         self.assertIs(self._check(_HARMLESS), _CLEAR)
 
-    def _crash_together(self, *requests_in_flight: requests.Request) -> None:
-        """Has three servers crash with the same requests in flight."""
-        for _ in range(3):
-            self._crash_server(*requests_in_flight)
-        self.time.advance(1_000.0)
-
     def test_one_crash_more_blocks_the_only_cause_of_a_burst(self):
         # Every request needed three crashes that were independent of each
         # other, even if it had crashed twelve servers within 0.4 s.
@@ -350,9 +351,8 @@
         self._crash_together(_HARMLESS)
         self._crash_server(_HARMLESS)
         self.assertIs(self._check(_HARMLESS), _BLOCKED)
-        fingerprint = suspects.make_fingerprint(_CRASHING)
         evidence = [
-            quarantine.Evidence(fingerprint, 'orders', 1, 1_000.0, server)
+            quarantine.Evidence(_FINGERPRINT, 'orders', 1, 1_000.0, server)
             for server in ('s1', 's2', 's3', 's9')
         ]
         suspects.merge(self.forwarder, evidence, self.time.at)
@@ -369,8 +369,7 @@
     def test_a_burst_larger_than_the_table_displaces_no_other(self):
         for _ in range(3):
             for number in range(crashes.MAX_CRASHES + 1):
-                quarantine.report_crash(self.forwarder.suspects,
-                                        suspects.make_fingerprint(_CRASHING),
+                quarantine.report_crash(self.forwarder.suspects, _FINGERPRINT,
                                         'orders',
                                         f's{number} at {self.time.at}',
                                         self.time.at)
@@ -380,14 +379,12 @@
 
     def test_a_clean_run_reported_by_another_entry_clears(self):
         self._block_request()
-        clean = quarantine.Evidence(suspects.make_fingerprint(_CRASHING),
-                                    'orders', 0, 0.0, 's9')
+        clean = quarantine.Evidence(_FINGERPRINT, 'orders', 0, 0.0, 's9')
         suspects.merge(self.forwarder, [clean], self.time.at)
         self.assertIs(self._check(), _CLEAR)
 
     def test_a_clean_run_reported_first_clears_an_earlier_crash(self):
-        clean = quarantine.Evidence(suspects.make_fingerprint(_CRASHING),
-                                    'orders', 0, 0.0, 's9')
+        clean = quarantine.Evidence(_FINGERPRINT, 'orders', 0, 0.0, 's9')
         crash = dataclasses.replace(clean, crashes=1, age_ms=500.0)
         suspects.merge(self.forwarder, [clean, crash], self.time.at)
         self.assertEqual(self._count_crashes(), 0)
@@ -476,15 +473,8 @@
         self._answer_request(_HARMLESS, server, self.time.at)
         self.assertIs(self._check(_HARMLESS), _CLEAR)
 
-    def _suspect_by_burst(self) -> bytes:
-        """Makes the request a suspect by three crashes that count as one."""
-        for _ in range(3):
-            self._crash_server(_CRASHING)
-        return suspects.make_fingerprint(_CRASHING)
-
     def _send_trial(self, trial: str) -> None:
-        quarantine.report_trial(self.forwarder.suspects,
-                                suspects.make_fingerprint(_CRASHING), trial,
+        quarantine.report_trial(self.forwarder.suspects, _FINGERPRINT, trial,
                                 self.time.at)
 
     def _send_three_trials(self) -> None:
@@ -494,30 +484,29 @@
             self._send_trial(f't{number}')
 
     def test_trials_without_an_outcome_block(self):
-        self._suspect_by_burst()
+        self._crash_together(_CRASHING)
         self._send_three_trials()
         self.assertIs(self._check(), _BLOCKED)
 
     def test_a_trial_that_two_entries_report_counts_once(self):
-        self._suspect_by_burst()
-        self.time.advance(1_000.0)
+        self._crash_together(_CRASHING)
         for _ in range(3):
             self._send_trial('t1')
         self.assertIs(self._check(), _SUSPECT)
 
     def test_a_clean_run_forgets_earlier_trials(self):
-        fingerprint = self._suspect_by_burst()
+        self._crash_together(_CRASHING)
         self._send_three_trials()
         self.time.advance(1.0)
-        quarantine.report_clean_run(self.forwarder.suspects, fingerprint, 's9',
+        quarantine.report_clean_run(self.forwarder.suspects, _FINGERPRINT, 's9',
                                     self.time.at)
         self.assertIs(self._check(), _CLEAR)
 
     def test_other_entries_count_the_same_trials(self):
-        fingerprint = self._suspect_by_burst()
+        self._crash_together(_CRASHING)
         self._send_three_trials()
         evidence = quarantine.list_evidence(self.forwarder.suspects,
-                                            fingerprint, self.time.at)
+                                            _FINGERPRINT, self.time.at)
         self.forwarder = self._make_forwarder()
         suspects.merge(self.forwarder, evidence, self.time.at)
         self.assertIs(self._check(), _BLOCKED)
@@ -531,8 +520,7 @@
     def test_a_crash_before_the_start_of_the_clock_counts(self):
         self.time.at = 1_000.0
         evidence = [
-            quarantine.Evidence(suspects.make_fingerprint(_CRASHING), 'orders',
-                                1, age_ms, f's{age_ms}')
+            quarantine.Evidence(_FINGERPRINT, 'orders', 1, age_ms, f's{age_ms}')
             for age_ms in (5_000.0, 6_000.0, 7_000.0)
         ]
         suspects.merge(self.forwarder, evidence, self.time.at)
@@ -550,6 +538,10 @@
         for _ in range(3):
             self._crash_server(_CRASHING)
             self.time.advance(1_000.0)
+        self._become_hub()
+
+    def _become_hub(self) -> None:
+        """Makes the entry the one that writes to the store."""
         self._grant_trials()
         self.context = self._make_context(self.forwarder)
 
@@ -570,28 +562,26 @@
         savedsuspects.update_store(self.context, self.time.at)
         return self.platform.load()
 
-    def test_an_entry_that_starts_alone_loads_blocked_requests(self):
-        stored = self._update_store()
+    def _load(self, stored: ports.StoreSnapshot) -> None:
+        """Has an entry start that knows no more than the store."""
         self.forwarder = self._make_forwarder()
         savedsuspects.merge_stored(self._make_context(self.forwarder), None,
                                    stored)
+
+    def test_an_entry_that_starts_alone_loads_blocked_requests(self):
+        stored = self._update_store()
+        self._load(stored)
         self.assertIs(self._check(), _BLOCKED)
 
     def test_an_entry_that_starts_alone_loads_unblocked_suspects(self):
         # Only blocked requests were written.
         self.forwarder = self._make_forwarder()
-        for _ in range(3):
-            self._crash_server(_CRASHING)
-        self.time.advance(1_000.0)
-        quarantine.report_trial(self.forwarder.suspects,
-                                suspects.make_fingerprint(_CRASHING), 't1',
+        self._crash_together(_CRASHING)
+        quarantine.report_trial(self.forwarder.suspects, _FINGERPRINT, 't1',
                                 self.time.at)
-        self._grant_trials()
-        self.context = self._make_context(self.forwarder)
+        self._become_hub()
         stored = self._update_store()
-        self.forwarder = self._make_forwarder()
-        savedsuspects.merge_stored(self._make_context(self.forwarder), None,
-                                   stored)
+        self._load(stored)
         self.assertIs(self._check(), _SUSPECT)
         suspect = self.forwarder.suspects.suspects[suspects.make_fingerprint(
             _CRASHING)]
@@ -601,18 +591,14 @@
         # The store had its crashes, which don't block without what else is
         # known.
         self.forwarder = self._make_forwarder()
-        for _ in range(3):
-            self._crash_server(_CRASHING)
-        self._grant_trials()
-        self.context = self._make_context(self.forwarder)
+        self._crash_together(_CRASHING)
+        self._become_hub()
         self._update_store()
         self._crash_server(_CRASHING)
         self._update_store()
         self.assertIs(self._check(), _BLOCKED)
         stored = self._update_store()
-        self.forwarder = self._make_forwarder()
-        savedsuspects.merge_stored(self._make_context(self.forwarder), None,
-                                   stored)
+        self._load(stored)
         self.assertIs(self._check(), _BLOCKED)
         self._report_server_crash()
         self.assertIs(self._check(), _BLOCKED)
@@ -621,17 +607,12 @@
         # Crashes of servers without a request aren't stored.
         self.forwarder = self._make_forwarder()
         self._report_server_crash()
-        for _ in range(3):
-            self._crash_server(_CRASHING)
-        self.time.advance(1_000.0)
+        self._crash_together(_CRASHING)
         self._crash_server(_CRASHING)
         self.assertIs(self._check(), _SUSPECT)
-        self._grant_trials()
-        self.context = self._make_context(self.forwarder)
+        self._become_hub()
         stored = self._update_store()
-        self.forwarder = self._make_forwarder()
-        savedsuspects.merge_stored(self._make_context(self.forwarder), None,
-                                   stored)
+        self._load(stored)
         self.assertEqual(self._count_crashes(), 4)
         self.assertIs(self._check(), _SUSPECT)
 
@@ -648,8 +629,7 @@
 
     def test_a_cleared_block_is_deleted(self):
         self.assertEqual(len(self._update_store().suspects), 1)
-        quarantine.release(self.forwarder.suspects,
-                           suspects.make_fingerprint(_CRASHING), 'orders',
+        quarantine.release(self.forwarder.suspects, _FINGERPRINT, 'orders',
                            self.time.at)
         self.assertEqual(self._update_store().suspects, {})
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -51,8 +51,6 @@
         self._assert_few_late(deadly.crashes)
 
     def _assert_few_late(self, crashes: list[float]) -> None:
-        if len(crashes) < 3:
-            return
         late = deadly_request.find_late(crashes, _BLOCK_DELAY_S)
         self.assertLessEqual(
             len(late), _MAX_LATE_CRASHES,
--- a/tests/trialworlds.py
+++ b/tests/trialworlds.py
@@ -284,14 +284,12 @@
         """Returns all that decides what may follow."""
         now = self.time.at
         entries = tuple(
-            (tuple((crash.server, crash.at - now)
-                   for crash in self._list_crashes(entry)),
+            (self._find_ages(entry),
              tuple((granted.trial in entry.trials.held,
                     round(granted.ends_at - now))
                    for granted in entry.trials.granted.values()),
              tuple(trial.running
                    for trial in entry.trials.held.values()),
-             self._find_clean_age(entry), self._find_trial_ages(entry),
              learning.is_recent(entry), tuple(sorted(entry.learning.unjudged)))
             for entry in self._entries)
         flights = tuple(
@@ -299,18 +297,16 @@
         return (entries, flights, self._issuer, self._handovers, self._restarts,
                 self._rejections, self.runs)
 
-    def _list_crashes(self, entry: requests.Forwarder) -> list:
+    def _find_ages(self, entry: requests.Forwarder) -> tuple:
+        """Returns the ages of what an entry has observed of the request."""
         suspect = entry.suspects.suspects.get(_FINGERPRINT)
-        return [] if suspect is None else suspect.crashes
-
-    def _find_trial_ages(self, entry: requests.Forwarder) -> tuple[float, ...]:
-        suspect = entry.suspects.suspects.get(_FINGERPRINT)
-        return () if suspect is None else tuple(
-            self.time.at - at for at in suspect.trials.values())
-
-    def _find_clean_age(self, entry: requests.Forwarder) -> float:
-        suspect = entry.suspects.suspects.get(_FINGERPRINT)
-        return 0.0 if suspect is None else suspect.clean_run_at - self.time.at
+        if suspect is None:
+            return ()
+        now = self.time.at
+        return (tuple(
+            (crash.server, now - crash.at) for crash in suspect.crashes),
+                tuple(now - sent_at for sent_at in suspect.trials.values()),
+                now - suspect.clean_run_at)
 
 
 def _replay(scope: Scope, course: tuple[Event, ...]) -> World:
