--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -115,6 +115,8 @@
                        if name in os.environ}
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         environment['PYTHONDONTWRITEBYTECODE'] = '1'
+        # As the C library has it on a machine with one core.
+        environment['MALLOC_ARENA_MAX'] = '8'
         environment['LENTILMOOR_BOOT'] = str(self.settings)
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(find_command(), cwd=ROOT,
