--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -241,8 +241,19 @@
         self.stage, self.entry, self.deadline_ms = stage, entry, deadline_ms
         self.channel = None
 
-    def send(self, method, path, key=None, body=b'', keep=True):
-        """Sends one request; returns (id, status, headers, body) or None."""
+    def send(self, method, path, key=None, body=b'', keep=True,
+             patience_ms=None):
+        """Sends one request; returns (id, status, headers, body) or None.
+
+        Args:
+          method: HTTP method.
+          path: Path of the request.
+          key: Its key.
+          body: Its body.
+          keep: Whether the connection is used again.
+          patience_ms: When it is given up; a second after its time limit if
+            None.
+        """
         attempt = uuid.uuid4().hex[:16]
         lines = [f'{method} {path} HTTP/1.1', f'Host: {HOST}',
                  f'Lentilmoor-Attempt-Id: {attempt}',
@@ -255,7 +266,8 @@
         record = self.stage.record
         try:
             self.open()
-            self.channel.settimeout(self.deadline_ms / 1000.0 + 1.0)
+            self.channel.settimeout(
+                (patience_ms or self.deadline_ms + 1000) / 1000.0)
             record.note('sent', id=attempt, method=method, path=path,
                         entry=self.entry.number)
             self.channel.sendall(data)
