--- a/lentilmoor/boundedreads.py
+++ b/lentilmoor/boundedreads.py
@@ -16,6 +16,7 @@
 
 from urllib3 import connection as http_connection
 
+from lentilmoor import answerheads
 from lentilmoor import clocks
 
 # Status line and headers of an answer, and of interim answers before it.
@@ -173,15 +174,53 @@
         self._on_end()
 
 
+class _RecordingReader:
+    """Keeps the lines that are read from another reader."""
+
+    def __init__(self, reader):
+        self._reader = reader
+        self.lines: list[bytes] = []
+
+    def readline(self, size: int = -1) -> bytes:
+        """Reads a line."""
+        self.lines.append(self._reader.readline(size))
+        return self.lines[-1]
+
+    def close(self) -> None:
+        """Closes the other reader."""
+        self._reader.close()
+
+
 class _FinalResponse(http.client.HTTPResponse):
-    """An answer; all interim answers before it are skipped, not only 100."""
+    """An answer; all interim answers before it are skipped, not only 100.
+
+    Attributes:
+      fault: What is wrong with the head; '' if nothing.
+    """
+
+    fault = ''
 
     def begin(self) -> None:
         """Reads the status line and the headers."""
-        super().begin()
+        self._begin_recorded()
         while self.status in _INTERIM_STATUSES:
             self.headers = None
+            self._begin_recorded()
+
+    def _begin_recorded(self) -> None:
+        reader = self.fp
+        self.fp = recording = _RecordingReader(reader)
+        try:
             super().begin()
+        finally:
+            if self.fp is recording:
+                self.fp = reader
+        try:
+            answerheads.parse_head(
+                answerheads.read_lines(io.BytesIO(b''.join(recording.lines))),
+                self._method)
+        except http.client.HTTPException as error:
+            self.fault = str(error)
 
 
 class BoundedConnection(http_connection.HTTPConnection):
@@ -209,6 +248,7 @@
         self._max_body_bytes = max_body_bytes
         self._answer_buffer: io.BufferedReader | None = None
         self._is_reading_head = False
+        self._response: _FinalResponse | None = None
         self.reader: SocketReader | None = None
 
     def connect(self) -> None:
@@ -218,9 +258,19 @@
         self.reader = SocketReader(self.sock, self._clock)
         self._answer_buffer = io.BufferedReader(self.reader)
         self.response_class = functools.partial(
-            _make_response,
+            self._make_response,
             _SharedReader(self._answer_buffer, self._finish_answer))
 
+    def _make_response(self, shared: _SharedReader, unused_sock, *args,
+                       **kwargs) -> http.client.HTTPResponse:
+        self._response = _FinalResponse(shared, *args, **kwargs)
+        return self._response
+
+    @property
+    def head_fault(self) -> str:
+        """What is wrong with the head of the last answer; '' if nothing."""
+        return self._response.fault if self._response else ''
+
     def getresponse(self):
         """Reads the status line and the headers of an answer."""
         reader = self.reader
@@ -286,8 +336,3 @@
                                                     None)
         if buffer is not None:
             buffer.close()
-
-
-def _make_response(shared: _SharedReader, unused_sock, *args,
-                   **kwargs) -> http.client.HTTPResponse:
-    return _FinalResponse(shared, *args, **kwargs)
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -70,6 +70,21 @@
         default_factory=bytebudgets.Usage)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What shows whether an answer is whole and this request's.
+
+    Attributes:
+      fault: What is wrong with its head; '' if nothing.
+      skipped: Number of answers to other requests that came before it.
+      reused: Whether its connection had carried another request.
+    """
+
+    fault: str
+    skipped: int
+    reused: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerAnswer:
     """A server's answer.
@@ -78,11 +93,13 @@
       answer: The answer to forward to the caller.
       fields: The values parsed from its headers.
       connection_opened_at: When the connection it came over was opened, ms.
+      evidence: What is known of its origin.
     """
 
     answer: transport.Answer
     fields: ports.AnswerHeaders
     connection_opened_at: float = math.inf
+    evidence: Evidence | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -272,11 +289,13 @@
     connection.http.reader.wait = _make_wait(watch)
     response = connection.http.getresponse()
     fields = parse_answer_headers(response.status, response.headers)
+    skipped = 0
     for _ in range(MAX_SKIPPED_ANSWERS):
         if not outgoing.request_id or fields.request_id in (
                 '', outgoing.request_id):
             break
         _skip_body(response)
+        skipped += 1
         response = _read_next_response(connection, outgoing.method)
         fields = parse_answer_headers(response.status, response.headers)
         fields = dataclasses.replace(fields, closes_connection=True)
@@ -284,7 +303,9 @@
         pool.discard(connection)
         return outcomes.Unknown(_Reason.ANSWER_CUT,
                                 'only answers to other requests were received')
-    return _read_body(pool, connection, outgoing, response, fields)
+    evidence = Evidence(connection.http.head_fault, skipped, connection.reused)
+    result = _read_body(pool, connection, outgoing, response, fields)
+    return dataclasses.replace(result, evidence=evidence)
 
 
 def _set_timeout(connection: connections.Connection, outgoing: OutgoingRequest,
@@ -309,7 +330,7 @@
 
 def _read_body(pool: connections.Pool, connection: connections.Connection,
                outgoing: OutgoingRequest, response: urllib3.HTTPResponse,
-               fields: ports.AnswerHeaders) -> Result:
+               fields: ports.AnswerHeaders) -> ServerAnswer:
     headers = [(name, value)
                for name, value in response.headers.items()
                if name.lower() not in header_names.HOP_BY_HOP]
