Answers count only if their head is whole and their length unambiguous

Cause: the standard library ends a head at its empty line or at the end of the stream, takes what follows a line without a colon for the body, and the end of the stream for the end of trailers. Lengths that stood after the break are gone, so the body ends with the connection.

Change: answerheads reads the lines up to the empty line and has httptools (llhttp) parse them; a length beside a coding, two lengths, codings other than chunks and bodies after 204 are refused. Chunks are decoded by chunks.ChunkedBody, which takes CR LF alone. An answer that is refused is ANSWER_CUT, and its connection is reset. A connection whose buffer holds bytes behind an answer is not reused by any pool. The line answer_unproved has no use any more.

--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -1,8 +1,8 @@
 """Reads the heads of HTTP/1 answers.
 
 A head is proved whole by its empty line, and every line before it must be a
-header field. How the body ends must follow from it in one way only. Anything
-else is no answer: `MalformedAnswerError` tells why.
+header. How the body ends must follow from it in one way only. Anything else is
+no answer: `MalformedAnswerError` tells why.
 """
 
 import dataclasses
@@ -11,16 +11,14 @@
 import re
 from typing import BinaryIO
 
+import httptools
+
 _MAX_LINE_BYTES = 64 * 1024
-_MAX_FIELDS = 100
-# Digits of the largest length; longer ones are no lengths of bodies.
-_MAX_LENGTH_DIGITS = 18
+_MAX_HEADERS = 100
 
+# The parser accepts other protocols, and control characters in the reason.
 _STATUS_LINE = re.compile(
-    rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?')
-_FIELD_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
-_LENGTH = re.compile(r'[0-9]{1,%d}' % _MAX_LENGTH_DIGITS)
+    rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n')
 
 _INTERIM_STATUSES = range(100, 200)
 # After it, the bytes of the connection are of another protocol.
@@ -34,10 +32,9 @@
 
     HEAD_CUT = 'head-cut'
     HEAD_TOO_LARGE = 'head-too-large'
-    STATUS_LINE = 'status-line'
-    HEADER_LINE = 'header-line'
-    FRAMING = 'framing'
-    CHUNK = 'chunk'
+    MALFORMED_HEAD = 'malformed-head'
+    AMBIGUOUS_LENGTH = 'ambiguous-length'
+    MALFORMED_CHUNK = 'malformed-chunk'
     BODY_CUT = 'body-cut'
 
 
@@ -56,33 +53,42 @@
 class Framing(enum.Enum):
     """How the end of a body is found."""
 
-    EMPTY = 'empty'
+    NO_BODY = 'no-body'
     LENGTH = 'length'
     CHUNKS = 'chunks'
     CLOSE = 'close'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Head:
     """A complete head.
 
     Attributes:
-      version: 10 or 11, as `http.client` has it.
       status: HTTP status.
+      version: 10 or 11, as `http.client` has it.
       reason: Reason phrase.
-      fields: Name and value pairs, in order.
+      headers: Name and value pairs, in order.
       framing: How the body ends.
-      length: Bytes of the body, if `framing` is EMPTY or LENGTH.
+      length: Bytes of the body, if `framing` is LENGTH.
       closes: Whether the peer closes the connection after the answer.
     """
 
-    version: int
-    status: int
-    reason: str
-    fields: list[tuple[str, str]]
-    framing: Framing
-    length: int | None
-    closes: bool
+    status: int = 0
+    version: int = 11
+    reason: str = ''
+    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    framing: Framing = Framing.NO_BODY
+    length: int = 0
+    closes: bool = False
+
+    def on_status(self, reason: bytes) -> None:
+        """Receives the reason phrase from the parser."""
+        self.reason = reason.decode('latin-1')
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Receives a header from the parser."""
+        self.headers.append(
+            (name.decode('ascii'), value.strip(b' \t').decode('latin-1')))
 
 
 def read_head(reader: BinaryIO, method: str) -> Head:
@@ -97,127 +103,111 @@
       http.client.RemoteDisconnected: The connection ended before its first
         byte.
     """
-    lines = read_lines(reader)
-    while (status := _read_status(lines)) in _INTERIM_STATUSES:
-        if status == _SWITCHING_PROTOCOLS:
-            raise MalformedAnswerError(Fault.STATUS_LINE,
-                                       'the peer switches protocols')
-        parse_head(lines, method)
-        lines = read_lines(reader)
-    return parse_head(lines, method)
+    head = parse_head(read_lines(reader), method)
+    while head.status in _INTERIM_STATUSES:
+        head = parse_head(read_lines(reader), method)
+    return head
 
 
 def read_lines(reader: BinaryIO) -> list[bytes]:
-    """Reads a head; returns its lines without their ends and the empty line.
+    """Reads lines until the empty line, which ends them and is included.
 
     Raises:
-      MalformedAnswerError: The head does not end with an empty line.
-      http.client.RemoteDisconnected: The connection ended before its first
+      MalformedAnswerError: There is no empty line, or there are too many.
+      http.client.RemoteDisconnected: The connection ended before the first
         byte.
     """
     lines: list[bytes] = []
     while True:
         line = reader.readline(_MAX_LINE_BYTES + 1)
+        lines.append(line)
         if line == b'\r\n':
             return lines
-        if not line and not lines:
-            raise http.client.RemoteDisconnected(
-                'the connection ended without an answer')
-        if line[-2:] != b'\r\n':
-            raise _describe_line_end(line)
-        if len(lines) > _MAX_FIELDS:
+        if line[-1:] != b'\n':
+            raise _describe_cut(lines)
+        if len(lines) > _MAX_HEADERS + 1:
             raise MalformedAnswerError(Fault.HEAD_TOO_LARGE,
-                                       f'more than {_MAX_FIELDS} headers')
-        lines.append(line[:-2])
+                                       f'more than {_MAX_HEADERS} headers')
 
 
-def _describe_line_end(line: bytes) -> MalformedAnswerError:
-    """Returns the error for a line that does not end with CR LF."""
-    if len(line) > _MAX_LINE_BYTES:
+def _describe_cut(lines: list[bytes]) -> http.client.HTTPException:
+    """Returns the error for a last line without an end."""
+    if lines == [b'']:
+        return http.client.RemoteDisconnected(
+            'the connection ended without an answer')
+    if len(lines[-1]) > _MAX_LINE_BYTES:
         return MalformedAnswerError(Fault.HEAD_TOO_LARGE, 'a line is too long')
-    if line[-1:] == b'\n':
-        return MalformedAnswerError(
-            Fault.HEADER_LINE, f'a line ends with LF alone: {line[:80]!r}')
-    return MalformedAnswerError(
-        Fault.HEAD_CUT, f'the connection ended after {line[-40:]!r} in a head')
-
-
-def _read_status(lines: list[bytes]) -> int:
-    match = _STATUS_LINE.fullmatch(lines[0]) if lines else None
-    if match is None:
-        raise MalformedAnswerError(
-            Fault.STATUS_LINE,
-            f'no status line: {lines[0][:80]!r}' if lines else 'no status line')
-    return int(match[2])
+    received = b''.join(lines)[-40:]
+    return MalformedAnswerError(Fault.HEAD_CUT,
+                                f'the connection ended after {received!r}')
 
 
 def parse_head(lines: list[bytes], method: str) -> Head:
-    """Parses the lines of a complete head.
+    """Parses a complete head.
 
     Args:
-      lines: The status line and the header lines.
+      lines: Its lines, with their ends and the empty line.
       method: Method of the request that the answer is for.
 
     Raises:
       MalformedAnswerError: A line is no header, or the framing is ambiguous.
     """
-    status = _read_status(lines)
-    match = _STATUS_LINE.fullmatch(lines[0])
-    version = 10 + int(match[1])
-    fields = [_parse_field(line) for line in lines[1:]]
-    framing, length = _find_framing(version, status, method, fields)
-    return Head(version, status, (match[3] or
-                                  b'').decode('latin-1'), fields, framing,
-                length, framing is Framing.CLOSE or _closes(version, fields))
-
-
-def _parse_field(line: bytes) -> tuple[str, str]:
-    name, colon, value = line.partition(b':')
-    value = value.strip(b' \t')
-    if (not colon or not _FIELD_NAME.fullmatch(name) or
-            _CONTROL_CHARACTER.search(value)):
-        raise MalformedAnswerError(Fault.HEADER_LINE,
-                                   f'no header: {line[:80]!r}')
-    return name.decode('ascii'), value.decode('latin-1')
-
-
-def _list_values(fields: list[tuple[str, str]], name: str) -> list[str]:
-    return [value for key, value in fields if key.lower() == name]
-
-
-def _find_framing(version: int, status: int, method: str,
-                  fields: list[tuple[str, str]]) -> tuple[Framing, int | None]:
-    lengths = _list_values(fields, 'content-length')
-    codings = _list_values(fields, 'transfer-encoding')
+    if not _STATUS_LINE.fullmatch(lines[0]):
+        raise MalformedAnswerError(Fault.MALFORMED_HEAD,
+                                   f'no status line: {lines[0][:80]!r}')
+    head = Head()
+    parser = httptools.HttpResponseParser(head)
+    try:
+        parser.feed_data(b''.join(lines))
+    except httptools.HttpParserUpgrade as error:
+        raise MalformedAnswerError(Fault.MALFORMED_HEAD,
+                                   'the peer switches protocols') from error
+    except httptools.HttpParserError as error:
+        raise MalformedAnswerError(Fault.MALFORMED_HEAD, str(error)) from error
+    head.status = parser.get_status_code()
+    head.version = 10 if parser.get_http_version() == '1.0' else 11
+    _find_framing(head, method)
+    head.closes = (head.framing is Framing.CLOSE or _announces_close(head))
+    return head
+
+
+def _list_values(head: Head, name: str) -> list[str]:
+    return [value for key, value in head.headers if key.lower() == name]
+
+
+def _find_framing(head: Head, method: str) -> None:
+    lengths = _list_values(head, 'content-length')
+    codings = _list_values(head, 'transfer-encoding')
+    is_coded = bool(codings)
     if len(lengths) + len(codings) > 1:
+        raise MalformedAnswerError(Fault.AMBIGUOUS_LENGTH,
+                                   f'{lengths} and {codings}'[:200])
+    if is_coded and (codings[0].lower() != 'chunked' or head.version == 10):
         raise MalformedAnswerError(
-            Fault.FRAMING,
-            f'lengths {lengths} and transfer codings {codings}'[:200])
-    if lengths and not _LENGTH.fullmatch(lengths[0]):
-        raise MalformedAnswerError(Fault.FRAMING,
-                                   f'no length: {lengths[0][:80]!r}')
-    if codings and (codings[0].lower() != 'chunked' or version == 10):
-        raise MalformedAnswerError(
-            Fault.FRAMING, f'transfer coding {codings[0][:80]!r}, '
-            f'HTTP version {version}')
-    if method == 'HEAD' or status == _NOT_MODIFIED:
-        return Framing.EMPTY, 0
-    if status == _NO_CONTENT or status in _INTERIM_STATUSES:
-        if codings or lengths and int(lengths[0]):
-            raise MalformedAnswerError(Fault.FRAMING,
-                                       f'a body after status {status}')
-        return Framing.EMPTY, 0
-    if codings:
-        return Framing.CHUNKS, None
-    if lengths:
-        return Framing.LENGTH, int(lengths[0])
-    return Framing.CLOSE, None
-
-
-def _closes(version: int, fields: list[tuple[str, str]]) -> bool:
+            Fault.AMBIGUOUS_LENGTH,
+            f'transfer coding {codings[0][:80]!r} of HTTP/{head.version / 10}')
+    head.length = int(lengths[0]) if lengths else 0
+    if head.status == _SWITCHING_PROTOCOLS:
+        raise MalformedAnswerError(Fault.MALFORMED_HEAD,
+                                   'the peer switches protocols')
+    if method == 'HEAD' or head.status == _NOT_MODIFIED:
+        head.framing = Framing.NO_BODY
+    elif head.status == _NO_CONTENT or head.status in _INTERIM_STATUSES:
+        if is_coded or head.length:
+            raise MalformedAnswerError(Fault.AMBIGUOUS_LENGTH,
+                                       f'a body after status {head.status}')
+        head.framing = Framing.NO_BODY
+    elif is_coded:
+        head.framing = Framing.CHUNKS
+    else:
+        head.framing = Framing.LENGTH if lengths else Framing.CLOSE
+
+
+def _announces_close(head: Head) -> bool:
     options = {
         option.strip()
-        for value in _list_values(fields, 'connection')
+        for value in _list_values(head, 'connection')
         for option in value.lower().split(',')
     }
-    return 'close' in options or version == 10 and 'keep-alive' not in options
+    return 'close' in options or (head.version == 10 and
+                                  'keep-alive' not in options)
--- a/lentilmoor/boundedreads.py
+++ b/lentilmoor/boundedreads.py
@@ -17,6 +17,7 @@
 from urllib3 import connection as http_connection
 
 from lentilmoor import answerheads
+from lentilmoor import chunks
 from lentilmoor import clocks
 
 # Status line and headers of an answer, and of interim answers before it.
@@ -25,7 +26,7 @@
 # of its chunks. Bodies have their own limits; this one ends what is skipped.
 _MAX_FRAMING_FACTOR = 4
 
-_INTERIM_STATUSES = range(100, 200)
+_READ_BYTES = 64 * 1024
 
 Wait = Callable[[socket.socket, float], None]
 """Waits until a socket is readable or ms have passed; may raise."""
@@ -174,53 +175,66 @@
         self._on_end()
 
 
-class _RecordingReader:
-    """Keeps the lines that are read from another reader."""
+class _ChunkedAnswer:
+    """Decodes a body in chunked coding for `http.client`."""
 
-    def __init__(self, reader):
+    def __init__(self, reader: _AnswerReader):
         self._reader = reader
-        self.lines: list[bytes] = []
+        self._body = chunks.ChunkedBody(reader)
+        self.closed = False
+
+    def read(self, size: int = -1) -> bytes:
+        """Returns `size` bytes, or all up to the end of the body if it is less.
 
-    def readline(self, size: int = -1) -> bytes:
-        """Reads a line."""
-        self.lines.append(self._reader.readline(size))
-        return self.lines[-1]
+        Raises:
+          MalformedAnswerError: The body is malformed or ends early.
+        """
+        blocks, remaining = [], math.inf if size < 0 else size
+        while remaining and (block := self.read1(min(remaining, _READ_BYTES))):
+            blocks.append(block)
+            remaining -= len(block)
+        return b''.join(blocks)
+
+    def read1(self, size: int) -> bytes:
+        """Returns at most `size` bytes; b'' at the end of the body."""
+        try:
+            return self._body.read(size)
+        except ValueError as error:
+            raise answerheads.MalformedAnswerError(
+                answerheads.Fault.MALFORMED_CHUNK, str(error)) from error
+
+    def flush(self) -> None:
+        """Does nothing, as a reader has no pending writes."""
 
     def close(self) -> None:
-        """Closes the other reader."""
+        """Ends the answer."""
+        self.closed = True
         self._reader.close()
 
 
 class _FinalResponse(http.client.HTTPResponse):
-    """An answer; all interim answers before it are skipped, not only 100.
-
-    Attributes:
-      fault: What is wrong with the head; '' if nothing.
-    """
-
-    fault = ''
+    """An answer whose head is proved whole; interim answers are skipped."""
 
     def begin(self) -> None:
-        """Reads the status line and the headers."""
-        self._begin_recorded()
-        while self.status in _INTERIM_STATUSES:
-            self.headers = None
-            self._begin_recorded()
-
-    def _begin_recorded(self) -> None:
-        reader = self.fp
-        self.fp = recording = _RecordingReader(reader)
-        try:
-            super().begin()
-        finally:
-            if self.fp is recording:
-                self.fp = reader
-        try:
-            answerheads.parse_head(
-                answerheads.read_lines(io.BytesIO(b''.join(recording.lines))),
-                self._method)
-        except http.client.HTTPException as error:
-            self.fault = str(error)
+        """Reads the status line and the headers.
+
+        Raises:
+          MalformedAnswerError: They are no complete head.
+        """
+        head = answerheads.read_head(self.fp, self._method)
+        self.status = head.status
+        self.version, self.reason = head.version, head.reason
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in head.headers:
+            self.headers[name] = value
+        self.will_close = head.closes
+        # Chunks are decoded by `_ChunkedAnswer`.
+        self.chunked = False
+        self.length = (head.length if head.framing
+                       in (answerheads.Framing.LENGTH,
+                           answerheads.Framing.NO_BODY) else None)
+        if head.framing is answerheads.Framing.CHUNKS:
+            self.fp = _ChunkedAnswer(self.fp)
 
 
 class BoundedConnection(http_connection.HTTPConnection):
@@ -248,7 +262,6 @@
         self._max_body_bytes = max_body_bytes
         self._answer_buffer: io.BufferedReader | None = None
         self._is_reading_head = False
-        self._response: _FinalResponse | None = None
         self.reader: SocketReader | None = None
 
     def connect(self) -> None:
@@ -258,19 +271,9 @@
         self.reader = SocketReader(self.sock, self._clock)
         self._answer_buffer = io.BufferedReader(self.reader)
         self.response_class = functools.partial(
-            self._make_response,
+            _make_response,
             _SharedReader(self._answer_buffer, self._finish_answer))
 
-    def _make_response(self, shared: _SharedReader, unused_sock, *args,
-                       **kwargs) -> http.client.HTTPResponse:
-        self._response = _FinalResponse(shared, *args, **kwargs)
-        return self._response
-
-    @property
-    def head_fault(self) -> str:
-        """What is wrong with the head of the last answer; '' if nothing."""
-        return self._response.fault if self._response else ''
-
     def getresponse(self):
         """Reads the status line and the headers of an answer."""
         reader = self.reader
@@ -304,6 +307,15 @@
         response.begin()
         return response
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether a request may be sent: nothing of an answer is unread.
+
+        An extra answer may have been read into the buffer with the one before
+        it, where polling the socket doesn't show it.
+        """
+        return super().is_connected and not self.has_unread_data()
+
     def has_unread_data(self) -> bool:
         """Returns whether data follows the answer that was read."""
         if self.reader is None or self.sock is None:
@@ -336,3 +348,8 @@
                                                     None)
         if buffer is not None:
             buffer.close()
+
+
+def _make_response(shared: _SharedReader, unused_sock, *args,
+                   **kwargs) -> http.client.HTTPResponse:
+    return _FinalResponse(shared, *args, **kwargs)
--- a/lentilmoor/chunks.py
+++ b/lentilmoor/chunks.py
@@ -1,4 +1,4 @@
-"""Reader of request bodies in chunked coding (RFC 9112, section 7.1).
+"""Reader of bodies in chunked coding (RFC 9112, section 7.1).
 
 cheroot's own reader holds a whole chunk in memory, whatever its size; this one
 reads no more than the requested number of bytes.
@@ -9,12 +9,12 @@
 
 _MAX_LINE_BYTES = 4_096
 _MAX_TRAILERS = 64
-_SIZE_LINE = re.compile(rb'([0-9a-fA-F]{1,16})[ \t]*(;.*)?\r?\n')
-_BLANK_LINES = (b'\r\n', b'\n')
+_SIZE_LINE = re.compile(rb'([0-9a-fA-F]{1,16})[ \t]*(;[^\r\n]*)?\r\n')
+_BLANK_LINE = b'\r\n'
 
 
 class ChunkedBody:
-    """The body of one request in chunked coding.
+    """The body of one message in chunked coding.
 
     Attributes:
       finished: Whether the body and its trailers were read completely.
@@ -46,8 +46,8 @@
         if not data:
             raise ValueError('the body ended within a chunk')
         self._remaining_bytes -= len(data)
-        if not self._remaining_bytes and self._source.readline(
-                3) not in _BLANK_LINES:
+        if not self._remaining_bytes and self._source.read(
+                len(_BLANK_LINE)) != _BLANK_LINE:
             raise ValueError('a chunk is longer than its size')
         return data
 
@@ -60,8 +60,8 @@
     def _read_trailers(self) -> None:
         for _ in range(_MAX_TRAILERS):
             line = self._source.readline(_MAX_LINE_BYTES)
-            if line in _BLANK_LINES:
+            if line == _BLANK_LINE:
                 return
-            if not line.endswith(b'\n'):
+            if not line.endswith(_BLANK_LINE):
                 break
         raise ValueError('malformed trailers')
--- a/lentilmoor/edge/attemptresults.py
+++ b/lentilmoor/edge/attemptresults.py
@@ -65,7 +65,6 @@
     """
     now = forwarder.clock.now()
     status, fields = reply.answer.status, reply.fields
-    _log_if_unproved(forwarder, run, server, reply)
     state.answered_at = now
     ran = fields.has_proof and not fields.not_run
     suspects.note_answer(forwarder, run, server, reply.connection_opened_at,
@@ -111,24 +110,6 @@
     return reply.answer
 
 
-def _log_if_unproved(forwarder: requests.Forwarder, run: requests.Run,
-                     server: tables.Server,
-                     reply: exchange.ServerAnswer) -> None:
-    """Logs an answer that may not be whole, or may be another request's."""
-    evidence = reply.evidence
-    if evidence is None or not (evidence.fault or evidence.skipped or
-                                not reply.fields.request_id):
-        return
-    forwarder.logger.warning('answer_unproved',
-                             request=run.request.fields.request_id,
-                             server=server.id,
-                             status=reply.answer.status,
-                             fault=evidence.fault,
-                             skipped=evidence.skipped,
-                             reused=evidence.reused,
-                             has_id=bool(reply.fields.request_id))
-
-
 def _record_availability(forwarder: requests.Forwarder, server: tables.Server,
                          state: placement.ServerState,
                          fields: ports.AnswerHeaders, now: float) -> None:
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -20,6 +20,7 @@
 import urllib3
 import urllib3.exceptions
 
+from lentilmoor import answerheads
 from lentilmoor import boundedreads
 from lentilmoor import bytebudgets
 from lentilmoor import clocks
@@ -70,21 +71,6 @@
         default_factory=bytebudgets.Usage)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
-    """What shows whether an answer is whole and this request's.
-
-    Attributes:
-      fault: What is wrong with its head; '' if nothing.
-      skipped: Number of answers to other requests that came before it.
-      reused: Whether its connection had carried another request.
-    """
-
-    fault: str
-    skipped: int
-    reused: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerAnswer:
     """A server's answer.
@@ -93,13 +79,11 @@
       answer: The answer to forward to the caller.
       fields: The values parsed from its headers.
       connection_opened_at: When the connection it came over was opened, ms.
-      evidence: What is known of its origin.
     """
 
     answer: transport.Answer
     fields: ports.AnswerHeaders
     connection_opened_at: float = math.inf
-    evidence: Evidence | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,8 +225,10 @@
                                 'timed out before the answer was complete')
     except _CONNECTION_ERRORS as error:
         pool.discard(connection)
-        return outcomes.Unknown(_Reason.CONNECTION_LOST,
-                                f'{type(error).__name__}: {error}'[:200])
+        is_malformed = isinstance(error, answerheads.MalformedAnswerError)
+        return outcomes.Unknown(
+            (_Reason.ANSWER_CUT if is_malformed else _Reason.CONNECTION_LOST),
+            f'{type(error).__name__}: {error}'[:200])
 
 
 def try_connect(pool: connections.Pool,
@@ -289,13 +275,11 @@
     connection.http.reader.wait = _make_wait(watch)
     response = connection.http.getresponse()
     fields = parse_answer_headers(response.status, response.headers)
-    skipped = 0
     for _ in range(MAX_SKIPPED_ANSWERS):
         if not outgoing.request_id or fields.request_id in (
                 '', outgoing.request_id):
             break
         _skip_body(response)
-        skipped += 1
         response = _read_next_response(connection, outgoing.method)
         fields = parse_answer_headers(response.status, response.headers)
         fields = dataclasses.replace(fields, closes_connection=True)
@@ -303,9 +287,7 @@
         pool.discard(connection)
         return outcomes.Unknown(_Reason.ANSWER_CUT,
                                 'only answers to other requests were received')
-    evidence = Evidence(connection.http.head_fault, skipped, connection.reused)
-    result = _read_body(pool, connection, outgoing, response, fields)
-    return dataclasses.replace(result, evidence=evidence)
+    return _read_body(pool, connection, outgoing, response, fields)
 
 
 def _set_timeout(connection: connections.Connection, outgoing: OutgoingRequest,
--- a/lentilmoor/transport.py
+++ b/lentilmoor/transport.py
@@ -212,7 +212,8 @@
 def _stream(pool: connections.Pool, connection: connections.Connection,
             response: urllib3.HTTPResponse) -> Iterator[bytes]:
     try:
-        yield from response.stream(CHUNK_BYTES, decode_content=False)
+        while data := response.read(CHUNK_BYTES, decode_content=False):
+            yield data
     except _CONNECTION_ERRORS as error:
         raise TruncatedAnswerError(str(error)) from error
     pool.release(connection)
