A request that is sent again avoids the connections that have carried it

Cause: a server that has just started rejects an order with 421, and the entry sends the same attempt there again, over the same connection. A second copy of the 421 that arrives then has the id of the attempt, so it counted as the answer to the second send; the order had begun to run and was sent a third time.

Change: a request remembers the connections to servers and to entries that have carried it, and `connections.Pool.acquire` leaves these idle. The pool notifies all threads that wait, as one of them may have to avoid the connection that is released, and a thread that may replace an idle connection waits no longer than until one may be opened.

--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -5,12 +5,15 @@
 timeout on one connection makes stale all that have not answered since it was
 acquired; a new connection then shows whether the server itself is down. A
 request that is not idempotent goes only on a connection that answered recently
-or on a new one. The number and the rate of new connections are limited, so
-closing stale connections can't cause a connection storm. The rules are plain
-functions of the pool's limits and state; `Pool` applies them.
+or on a new one. A request that is sent again avoids the connections that have
+carried it, where a late copy of an earlier answer can't be told from its own.
+The number and the rate of new connections are limited, so closing stale
+connections can't cause a connection storm. The rules are plain functions of the
+pool's limits and state; `Pool` applies them.
 """
 
 import collections
+from collections.abc import Collection
 import dataclasses
 import socket
 import struct
@@ -98,7 +101,7 @@
     wait_count: int = 0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Connection:
     """One open connection; times in ms.
 
@@ -219,14 +222,20 @@
         self.limits = limits
         self.state = PoolState()
 
-    def acquire(self, idempotent: bool, new_only: bool,
-                timeout_ms: float) -> Connection | outcomes.Failed:
+    def acquire(
+        self,
+        idempotent: bool,
+        new_only: bool,
+        timeout_ms: float,
+        avoided: Collection[Connection] = ()
+    ) -> Connection | outcomes.Failed:
         """Returns a connection for one request.
 
         Args:
           idempotent: Whether the request may be run more than once.
           new_only: Whether only a new connection may be used.
           timeout_ms: Longest time to wait for a connection.
+          avoided: Connections that must not be used.
 
         Returns:
           A connection, which must be passed to `release` or `discard`; or the
@@ -238,12 +247,14 @@
         started_at = self.clock.now()
         deadline = started_at + timeout_ms
         with self._state_changed:
-            connection = None if new_only else self._pop_idle(idempotent)
+            connection = (None if new_only else self._pop_idle(
+                idempotent, avoided))
             while connection is None and not self._reserve_slot():
                 failure = self._wait_for_change(started_at, deadline, new_only)
                 if failure is not None:
                     return failure
-                connection = None if new_only else self._pop_idle(idempotent)
+                connection = (None if new_only else self._pop_idle(
+                    idempotent, avoided))
         if connection is None:
             connection = self._open(deadline)
         if isinstance(connection, Connection):
@@ -262,7 +273,8 @@
                 self._close(connection)
             else:
                 self._idle.append(connection)
-            self._state_changed.notify()
+            # One of the waiting threads may have to avoid this connection.
+            self._state_changed.notify_all()
 
     def discard(self, connection: Connection, timed_out: bool = False) -> None:
         """Resets a connection that must not be reused.
@@ -295,11 +307,16 @@
             while self._idle:
                 self._close(self._idle.pop())
 
-    def _pop_idle(self, idempotent: bool) -> Connection | None:
-        """Returns the idle connection that answered last, if it is usable."""
+    def _pop_idle(self, idempotent: bool,
+                  avoided: Collection[Connection]) -> Connection | None:
+        """Returns the idle connection that answered last, if it is usable.
+
+        Connections to avoid are left out and stay idle.
+        """
         now = self.clock.now()
-        while self._idle:
-            connection = self._idle[-1]
+        for connection in reversed(list(self._idle)):
+            if connection in avoided:
+                continue
             if is_stale(self.limits, self.state, connection, now):
                 self.state.stale_closed_count += (connection.answered_at
                                                   <= self.state.stale_before)
@@ -307,8 +324,10 @@
                 if not may_reuse(self.limits, self.state, connection,
                                  idempotent, now):
                     return None
-                return self._idle.pop()
-            self._close(self._idle.pop())
+                self._idle.remove(connection)
+                return connection
+            self._idle.remove(connection)
+            self._close(connection)
         return None
 
     def _reserve_slot(self) -> bool:
@@ -343,7 +362,8 @@
         if is_connect_failing(self.state):
             wait_ms = min(wait_ms,
                           started_at + self.limits.connect_timeout_ms - now)
-        if self.state.open_count < self.limits.max_open:
+        # A new connection may take the place of one that is idle.
+        if self.state.open_count < self.limits.max_open or self._idle:
             wait_ms = min(wait_ms, find_open_delay(self.limits, self.state,
                                                    now))
         self._state_changed.wait(wait_ms / clocks.MS_PER_S)
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -5,7 +5,8 @@
 server's connection is closed, which makes the server stop. An answer ends by
 the deadline of the request and has a limited size. An answer with the request
 id of another request is skipped. A connection is reused only if the last answer
-was read completely and nothing follows it.
+was read completely and nothing follows it, and never for a request that it has
+carried before: a late second copy of the first answer has the same id.
 """
 
 from collections.abc import Callable
@@ -58,6 +59,8 @@
       idempotent: Whether the request may be run more than once.
       deadline_at: When the exchange times out, ms.
       memory: Where the bytes of the answer are reserved.
+      used_connections: Connections that have carried the request; `send` adds
+        its own.
     """
 
     request_id: str
@@ -69,6 +72,8 @@
     deadline_at: float
     memory: bytebudgets.Usage = dataclasses.field(
         default_factory=bytebudgets.Usage)
+    used_connections: set[connections.Connection] = dataclasses.field(
+        default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -206,13 +211,15 @@
       clock: The clock of `outgoing.deadline_at`.
     """
     connection = pool.acquire(outgoing.idempotent, False,
-                              outgoing.deadline_at - clock.now())
+                              outgoing.deadline_at - clock.now(),
+                              outgoing.used_connections)
     if isinstance(connection, outcomes.Failed):
         return NotSent(connection.reason, connection.detail)
     headers = outgoing.make_headers()
     if headers is None:
         pool.discard(connection)
         return Withheld()
+    outgoing.used_connections.add(connection)
     try:
         return _exchange(pool, connection, outgoing, headers, watch,
                          parse_answer_headers, clock)
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -377,7 +377,8 @@
                                         request.method, request.target,
                                         make_headers, request.body,
                                         run.idempotent, attempt_deadline_at,
-                                        request.memory)
+                                        request.memory,
+                                        request.used_connections)
     result = _exchange(forwarder, run, pool, outgoing)
     now = forwarder.clock.now()
     run.server = ''
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -146,7 +146,8 @@
                                 request.max_delay_ms))
     outgoing = exchange.OutgoingRequest('', 'POST', proxytables.PATH,
                                         make_headers, body, False, deadline_at,
-                                        request.memory)
+                                        request.memory,
+                                        request.used_connections)
     result = exchange.send(_find_pool(forwarder,
                                       address), outgoing, request.watch,
                            proxytables.parse_answer_headers, clock)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -55,6 +55,8 @@
       memory: Where the bytes of its body and of its answers are reserved.
       max_delay_ms: How long before `arrived_at` it may have arrived, at most.
       may_have_run: Whether another entry may have sent it to a server.
+      used_connections: Connections to servers and to other entries that have
+        carried it.
     """
 
     fields: ports.CallerHeaders
@@ -72,6 +74,8 @@
     max_delay_ms: float = 0.0
     memory: bytebudgets.Usage = dataclasses.field(
         default_factory=bytebudgets.Usage)
+    used_connections: set[connections.Connection] = dataclasses.field(
+        default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -15,6 +15,7 @@
 from lentilmoor import clocks
 from lentilmoor import connections
 from lentilmoor import outcomes
+from tests import waits
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _TIMEOUT_MS = 5_000.0
@@ -78,8 +79,12 @@
         self.addCleanup(pool.close)
         return pool
 
-    def _acquire(self, idempotent=True, new_only=False, timeout_ms=_TIMEOUT_MS):
-        taken = self.pool.acquire(idempotent, new_only, timeout_ms)
+    def _acquire(self,
+                 idempotent=True,
+                 new_only=False,
+                 timeout_ms=_TIMEOUT_MS,
+                 avoided=()):
+        taken = self.pool.acquire(idempotent, new_only, timeout_ms, avoided)
         if isinstance(taken, connections.Connection):
             self.addCleanup(taken.http.close)
         return taken
@@ -103,6 +108,49 @@
         self.assertEqual(self._send_request(again), b'ok')
         self.assertEqual(self.pool.state.opened_count, 1)
 
+    def test_avoided_connection_stays_for_other_requests(self):
+        self._use_connections(2)
+        newest = self._acquire()
+        self.pool.release(newest)
+        other = self._acquire(avoided=(newest,))
+        self.assertIsNot(other, newest)
+        self.assertTrue(other.reused)
+        self.assertIs(self._acquire(), newest)
+        self.assertEqual(self.pool.state.opened_count, 2)
+
+    def test_connection_is_opened_if_all_idle_ones_are_avoided(self):
+        self.pool = self._make_pool(max_open=1, burst=1, opens_per_s=20.0)
+        self._use_connections(1)
+        used = self._acquire()
+        self.pool.release(used)
+        self.assertFalse(self._acquire(avoided=(used,)).reused)
+        self.assertEqual(self.pool.state.opened_count, 2)
+        self.assertEqual(self.pool.state.open_count, 1)
+
+    def test_waiting_thread_gets_a_connection_that_another_one_avoids(self):
+        self.pool = self._make_pool(max_open=1, burst=1, opens_per_s=0.001)
+        used = self._acquire()
+        self._send_request(used)
+        taken = []
+        threads = [
+            threading.Thread(target=self._acquire_into,
+                             args=(taken, avoided, timeout_ms))
+            for avoided, timeout_ms in (((used,), 500.0), ((), _TIMEOUT_MS))
+        ]
+        for count, thread in enumerate(threads, 1):
+            thread.start()
+            waits.wait_for(
+                lambda count=count: self.pool.state.wait_count >= count)
+        self.pool.release(used)
+        for thread in threads:
+            thread.join()
+        # The one that avoids it doesn't delay the other.
+        self.assertEqual([getattr(item, 'reason', item) for item in taken],
+                         [used, outcomes.Reason.OVERLOADED])
+
+    def _acquire_into(self, taken, avoided, timeout_ms):
+        taken.append(self._acquire(timeout_ms=timeout_ms, avoided=avoided))
+
     def test_silent_connection_is_distinguished_from_a_dead_server(self):
         self._use_connections(3)
         self.server.silence_open_connections()
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -1,5 +1,6 @@
 """Tests of forwarding requests to stand-ins of the users' servers."""
 
+import contextlib
 import dataclasses
 import math
 import socket
@@ -82,10 +83,15 @@
         self.addCleanup(self._close_pools)
         self._publish(self.old_owner.id)
 
-    def _publish(self, owner: str, attempts: int = 3) -> None:
-        route = tables.Route('stock', 'h', '/', tables.RepeatPolicy.IDEMPOTENT,
-                             False, (tables.RouteTarget('catalog', 1.0),),
-                             attempts, 3_000.0, 500.0, 1)
+    def _publish(
+            self,
+            owner: str,
+            attempts: int = 3,
+            repeat: tables.RepeatPolicy = tables.RepeatPolicy.IDEMPOTENT
+    ) -> None:
+        route = tables.Route('stock', 'h', '/', repeat, False,
+                             (tables.RouteTarget('catalog', 1.0),), attempts,
+                             3_000.0, 500.0, 1)
         configuration = tables.Configuration(
             1, {'stock': route},
             {'catalog': tables.Service('catalog', True, 100, 0.0)},
@@ -121,6 +127,62 @@
         return forwarding.forward(self.forwarder, request)
 
 
+class LateCopyTest(ForwardingTestCase):
+    """The owner rejects an order, then runs it; its rejection comes twice."""
+
+    _REJECTION = (b'HTTP/1.1 421 Misdirected\r\nLentilmoor-Attempt-Id: r1\r\n'
+                  b'Content-Length: 0\r\n\r\n')
+    _ANSWER = (b'HTTP/1.1 200 OK\r\nLentilmoor-Attempt-Id: r1\r\n'
+               b'Lentilmoor-Upstream-Seal: s\r\nContent-Length: 2\r\n\r\nok')
+
+    def setUp(self):
+        super().setUp()
+        self._run_count = 0
+        self._arrival_count = 0
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        threading.Thread(target=self._accept, args=(listener,),
+                         daemon=True).start()
+        self.forwarder.pools[self.old_owner.id] = connections.Pool(
+            f'127.0.0.1:{listener.getsockname()[1]}', _RULES,
+            self.forwarder.clock)
+
+    def _accept(self, listener: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                threading.Thread(target=self._serve,
+                                 args=(connection,),
+                                 daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        rejected = False
+        with contextlib.suppress(OSError), connection:
+            while connection.recv(65_536):
+                self._arrival_count += 1
+                if self._arrival_count == 1:
+                    rejected = True
+                    connection.sendall(self._REJECTION)
+                    continue
+                if rejected:
+                    connection.sendall(self._REJECTION)
+                self._run_count += 1
+                connection.sendall(self._ANSWER)
+
+    def test_late_copy_of_a_rejection_is_no_answer_to_the_next_send(self):
+        self._publish(self.old_owner.id, repeat=tables.RepeatPolicy.ONCE)
+        outcome = self._forward()
+        self.assertIsInstance(outcome, transport.Answer)
+        self.assertEqual((outcome.status, self._run_count), (200, 1))
+
+    def test_other_requests_use_the_connection_that_one_avoids(self):
+        self._publish(self.old_owner.id, repeat=tables.RepeatPolicy.ONCE)
+        self._forward()
+        self._forward()
+        pool = self.forwarder.pools[self.old_owner.id]
+        self.assertEqual(pool.state.opened_count, 2)
+
+
 class LostPathTest(ForwardingTestCase):
     """The owner of a key refuses connections; another entry may reach it."""
 
