An operator sees which server's answers are refused, and why

A body cut within its chunks or its length was reported as connection-lost, and no line named a server that sends malformed answers. Such a server also looked like one that can't be reached, and like one that has crashed if its registration ended next: its requests then were suspects.

Cause: the exchange looked at the class of the error alone, and urllib3 wraps those of bodies; whatever was no answer was noted as a failure to reach the server.

Change: a refused answer is `exchange.RefusedAnswer`, ANSWER_CUT with the fault's word first. A refused answer is no sign of a lost path. Unless a crash may have cut it, it shows that the server is alive. The request stays lost, so a server that refuses connections or is replaced later is still held against it.

--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -12,6 +12,7 @@
 from typing import BinaryIO
 
 import httptools
+import urllib3.exceptions
 
 _MAX_LINE_BYTES = 64 * 1024
 _MAX_HEADERS = 100
@@ -36,6 +37,11 @@
     AMBIGUOUS_LENGTH = 'ambiguous-length'
     MALFORMED_CHUNK = 'malformed-chunk'
     BODY_CUT = 'body-cut'
+    OTHER_REQUEST = 'other-request'
+
+
+# Faults that a peer which crashes while it sends an answer causes, too.
+CUT_FAULTS = frozenset((Fault.HEAD_CUT, Fault.BODY_CUT, Fault.MALFORMED_CHUNK))
 
 
 class MalformedAnswerError(http.client.HTTPException):
@@ -50,6 +56,23 @@
         self.fault = fault
 
 
+def find_malformed(error: Exception) -> MalformedAnswerError | None:
+    """Returns how an error shows that an answer isn't whole.
+
+    Args:
+      error: An error of reading an answer; urllib3 wraps those of bodies.
+
+    Returns:
+      The error that states the fault; None if the error states none, such as
+      that of a connection that was reset.
+    """
+    if isinstance(error, urllib3.exceptions.ProtocolError):
+        error = error.__cause__ or error
+    if isinstance(error, http.client.IncompleteRead):
+        return MalformedAnswerError(Fault.BODY_CUT, str(error))
+    return error if isinstance(error, MalformedAnswerError) else None
+
+
 class Framing(enum.Enum):
     """How the end of a body is found."""
 
--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -38,6 +38,7 @@
 from lentilmoor.edge import proxying
 from lentilmoor.edge import proxytables
 from lentilmoor.edge import reachability
+from lentilmoor.edge import refusedanswers
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requestmetrics
@@ -363,7 +364,9 @@
     }
     calls = entry.platform.store.count_calls()
     gauges |= {f'store_calls_{kind}': float(calls[kind]) for kind in calls}
-    return 200, entry.metrics.render(gauges), 'text/plain; version=0.0.4'
+    refused = refusedanswers.list_counts(entry.forwarder.refused_answers)
+    return (200, entry.metrics.render(gauges,
+                                      refused), 'text/plain; version=0.0.4')
 
 
 def _find_caller_limits(entry: Entry) -> tables.CallerLimits:
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -37,6 +37,7 @@
 # Answers to earlier requests that are skipped before the connection is closed.
 MAX_SKIPPED_ANSWERS = 3
 _READ_BYTES = 64 * 1024
+_MAX_DETAIL_CHARS = 200
 
 _Reason = outcomes.Reason
 _CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException,
@@ -84,11 +85,24 @@
       answer: The answer to forward to the caller.
       fields: The values parsed from its headers.
       connection_opened_at: When the connection it came over was opened, ms.
+      skipped_count: Answers to other requests that came before it.
     """
 
     answer: transport.Answer
     fields: ports.AnswerHeaders
     connection_opened_at: float = math.inf
+    skipped_count: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedAnswer(outcomes.Unknown):
+    """The server sent bytes that are no whole answer to the request.
+
+    Attributes:
+      fault: What is wrong with them; the first word of `detail`.
+    """
+
+    fault: answerheads.Fault = dataclasses.field(kw_only=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -232,10 +246,18 @@
                                 'timed out before the answer was complete')
     except _CONNECTION_ERRORS as error:
         pool.discard(connection)
-        is_malformed = isinstance(error, answerheads.MalformedAnswerError)
-        return outcomes.Unknown(
-            (_Reason.ANSWER_CUT if is_malformed else _Reason.CONNECTION_LOST),
-            f'{type(error).__name__}: {error}'[:200])
+        return _describe_error(error)
+
+
+def _describe_error(error: Exception) -> outcomes.Unknown:
+    malformed = answerheads.find_malformed(error)
+    if malformed is not None:
+        return RefusedAnswer(_Reason.ANSWER_CUT,
+                             str(malformed)[:_MAX_DETAIL_CHARS],
+                             fault=malformed.fault)
+    return outcomes.Unknown(
+        _Reason.CONNECTION_LOST,
+        f'{type(error).__name__}: {error}'[:_MAX_DETAIL_CHARS])
 
 
 def try_connect(pool: connections.Pool,
@@ -280,21 +302,10 @@
                                 'timed out before the answer began')
     _set_timeout(connection, outgoing, clock)
     connection.http.reader.wait = _make_wait(watch)
-    response = connection.http.getresponse()
-    fields = parse_answer_headers(response.status, response.headers)
-    for _ in range(MAX_SKIPPED_ANSWERS):
-        if not outgoing.request_id or fields.request_id in (
-                '', outgoing.request_id):
-            break
-        _skip_body(response)
-        response = _read_next_response(connection, outgoing.method)
-        fields = parse_answer_headers(response.status, response.headers)
-        fields = dataclasses.replace(fields, closes_connection=True)
-    else:
-        pool.discard(connection)
-        return outcomes.Unknown(_Reason.ANSWER_CUT,
-                                'only answers to other requests were received')
-    return _read_body(pool, connection, outgoing, response, fields)
+    response, fields, skipped_count = _read_own_head(connection, outgoing,
+                                                     parse_answer_headers)
+    answer = _read_body(pool, connection, outgoing, response, fields)
+    return dataclasses.replace(answer, skipped_count=skipped_count)
 
 
 def _set_timeout(connection: connections.Connection, outgoing: OutgoingRequest,
@@ -304,6 +315,36 @@
     connection.http.sock.settimeout(remaining_s)
 
 
+def _read_own_head(
+    connection: connections.Connection, outgoing: OutgoingRequest,
+    parse_answer_headers: ParseAnswerHeaders
+) -> tuple[urllib3.HTTPResponse, ports.AnswerHeaders, int]:
+    """Reads the head of the answer to a request; skips other answers.
+
+    Returns:
+      The answer, what its headers state, and the number of skipped answers.
+
+    Raises:
+      MalformedAnswerError: No answer is known to belong to the request.
+    """
+    response = connection.http.getresponse()
+    fields = parse_answer_headers(response.status, response.headers)
+    skipped_count = 0
+    while outgoing.request_id and fields.request_id not in (
+            '', outgoing.request_id):
+        if skipped_count == MAX_SKIPPED_ANSWERS:
+            raise answerheads.MalformedAnswerError(
+                answerheads.Fault.OTHER_REQUEST,
+                f'{skipped_count + 1} answers to other requests')
+        skipped_count += 1
+        _skip_body(response)
+        response = _read_next_response(connection, outgoing.method)
+        fields = parse_answer_headers(response.status, response.headers)
+    if skipped_count:
+        fields = dataclasses.replace(fields, closes_connection=True)
+    return response, fields, skipped_count
+
+
 def _read_next_response(connection: connections.Connection,
                         method: str) -> urllib3.HTTPResponse:
     """Reads the answer after one that belonged to another request."""
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 
+from lentilmoor import answerheads
 from lentilmoor import connections
 from lentilmoor import outcomes
 from lentilmoor import quarantine
@@ -23,6 +24,7 @@
 from lentilmoor.edge import proxying
 from lentilmoor.edge import ratelimits
 from lentilmoor.edge import reachability
+from lentilmoor.edge import refusedanswers
 from lentilmoor.edge import requests
 from lentilmoor.edge import retrybudgets
 from lentilmoor.edge import selection
@@ -407,17 +409,40 @@
         run.excluded_servers.add(server.id)
         return None
     run.sent_to.add(server.id)
-    if isinstance(result, outcomes.Unknown):
+    if isinstance(result, exchange.RefusedAnswer):
+        _note_refused(forwarder, run, server, state, result)
+    elif isinstance(result, outcomes.Unknown):
         reachability.note_failure(forwarder, server.id)
+    if isinstance(result, outcomes.Unknown):
         suspects.note_lost_request(forwarder, run, server, pool, result.reason
                                    is _Reason.TIMED_OUT)
         return attemptresults.handle_loss(forwarder, run, choice, state, result,
                                           now - sent_at)
+    if result.skipped_count:
+        refusedanswers.note(forwarder.refused_answers, forwarder.logger,
+                            request.fields.request_id, server.id,
+                            answerheads.Fault.OTHER_REQUEST,
+                            f'{result.skipped_count} before its own answer')
     reachability.note_answer(forwarder)
     return attemptresults.handle_answer(forwarder, run, server, state, result,
                                         now - sent_at)
 
 
+def _note_refused(forwarder: requests.Forwarder, run: requests.Run,
+                  server: tables.Server, state: placement.ServerState,
+                  refused: exchange.RefusedAnswer) -> None:
+    """Records an answer that was refused.
+
+    The server was reached, and is alive unless its end has cut the answer. The
+    request counts as lost all the same, as it may crash the server yet.
+    """
+    refusedanswers.note(forwarder.refused_answers, forwarder.logger,
+                        run.request.fields.request_id, server.id, refused.fault,
+                        refused.detail)
+    if refused.fault not in answerheads.CUT_FAULTS:
+        state.answered_at = forwarder.clock.now()
+
+
 def _may_send(forwarder: requests.Forwarder, run: requests.Run,
               choice: placement.Choice) -> bool:
     """Returns whether a request may still be sent to a server."""
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -24,6 +24,7 @@
 from lentilmoor.edge import exchange
 from lentilmoor.edge import ports
 from lentilmoor.edge import proxytables
+from lentilmoor.edge import refusedanswers
 from lentilmoor.edge import requests
 
 # Entries that are asked to take a request.
@@ -151,6 +152,10 @@
     result = exchange.send(_find_pool(forwarder,
                                       address), outgoing, request.watch,
                            proxytables.parse_answer_headers, clock)
+    if isinstance(result, exchange.RefusedAnswer):
+        refusedanswers.note(forwarder.refused_answers, forwarder.logger,
+                            request.fields.request_id, address, result.fault,
+                            result.detail)
     outcome = _read_result(result, address)
     is_lost = isinstance(result, outcomes.Unknown)
     _note_willing(forwarder, address, outcome is not None and not is_lost)
--- a/lentilmoor/edge/requestmetrics.py
+++ b/lentilmoor/edge/requestmetrics.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Mapping
 import threading
 
 from lentilmoor import clocks
@@ -23,6 +24,7 @@
         self._registry = None
         self._requests = None
         self._request_ms = None
+        self._refused = None
         self._gauges: dict = {}
 
     def record(self, outcome: str, reason: str, ms: float) -> None:
@@ -38,11 +40,13 @@
             self._counts[outcome, reason] += 1
             self._times.append((outcome, ms))
 
-    def render(self, gauges: dict[str, float]) -> bytes:
+    def render(self, gauges: dict[str, float], refused: Mapping[tuple[str, str],
+                                                                int]) -> bytes:
         """Returns the metrics in the Prometheus text format.
 
         Args:
           gauges: Current values of gauges, by name without prefix.
+          refused: Counts of refused answers, by server and fault.
         """
         # Imported on first use, see the module's doc comment.
         # pylint: disable-next=import-outside-toplevel
@@ -55,6 +59,14 @@
             self._request_ms = self._registry.summary(
                 'lentilmoor_request_ms', 'Time from arrival to outcome.',
                 'outcome')
+            self._refused = self._registry.counter(
+                'lentilmoor_refused_answers',
+                'Answers of servers that are no whole answers.', 'server',
+                'fault')
+        self._refused.keep(refused)
+        for labels, count in refused.items():
+            child = self._refused.labeled(*labels)
+            child.add(count - child.read())
         with self._lock:
             counts, self._counts = self._counts, collections.Counter()
             times = list(self._times)
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -22,6 +22,7 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import proxytables
 from lentilmoor.edge import ratelimits
+from lentilmoor.edge import refusedanswers
 from lentilmoor.edge import reports
 from lentilmoor.edge import retrybudgets
 from lentilmoor.edge import serverpaths
@@ -127,6 +128,7 @@
       coordinated: State that this entry reports to the others for each service
         that it coordinates; replaced as a whole.
       reachability: What this entry observes of its paths to servers.
+      refused_answers: Answers of faulty servers.
       proxies: Requests that pass through other entries.
       suspects: Requests that crash servers (see `suspects`).
       lost_requests: Requests that servers have not answered, by server id.
@@ -194,6 +196,8 @@
         default_factory=dict)
     reachability: serverpaths.Reachability = dataclasses.field(
         default_factory=serverpaths.Reachability)
+    refused_answers: refusedanswers.RefusedAnswers = dataclasses.field(
+        default_factory=refusedanswers.RefusedAnswers)
     proxies: proxytables.ProxyTable = dataclasses.field(
         default_factory=proxytables.ProxyTable)
     suspects: quarantine.Quarantine = dataclasses.field(
--- a/lentilmoor/metrics.py
+++ b/lentilmoor/metrics.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 import threading
@@ -201,6 +202,12 @@
         with self._lock:
             return list(self._children.items())
 
+    def keep(self, kept: Collection[tuple[str, ...]]) -> None:
+        """Removes the metrics of all other label values."""
+        with self._lock:
+            for values in self._children.keys() - kept:
+                del self._children[values]
+
     def _add(self, values: tuple[str, ...]) -> _Metric:
         if len(values) != len(self.labels):
             raise ValueError(
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -5,11 +5,15 @@
 import threading
 import unittest
 
+from lentilmoor import answerheads
 from lentilmoor import clocks
 from lentilmoor import connections
+from lentilmoor import outcomes
 from lentilmoor.edge import exchange
 from lentilmoor.platform import headerformat
 
+_Fault = answerheads.Fault
+
 _CLOCK = clocks.make_suspend_clock()
 _TIMEOUT_MS = 1_000.0
 _PARSE = headerformat.make_header_format().parse_answer_headers
@@ -149,5 +153,58 @@
                              b'Transfer-Encoding: gzip')
 
 
+class FaultTest(CutAnswerCase):
+
+    def test_refused_answer_states_its_fault(self):
+        head, body = _make_answer('length')
+        chunks_head, chunks_body = _make_answer('chunks')
+        for fault, answer in ((_Fault.HEAD_CUT, head[:-2]),
+                              (_Fault.MALFORMED_HEAD, b'odd\r\n\r\n'),
+                              (_Fault.AMBIGUOUS_LENGTH,
+                               chunks_head.replace(b'chunked', b'gzip')),
+                              (_Fault.BODY_CUT,
+                               head + body[:-1]), (_Fault.BODY_CUT, head),
+                              (_Fault.MALFORMED_CHUNK,
+                               chunks_head + chunks_body[:-3]),
+                              (_Fault.MALFORMED_CHUNK,
+                               chunks_head + b'odd\r\n' + chunks_body)):
+            with self.subTest(fault=fault, answer=answer[-30:]):
+                result = self._send_once(answer)
+                self.assertIsInstance(result, exchange.RefusedAnswer)
+                self.assertIs(result.reason, outcomes.Reason.ANSWER_CUT)
+                self.assertIs(result.fault, fault)
+                self.assertEqual(result.detail.split(':')[0], fault.value)
+
+    def test_connection_that_ends_without_a_byte_is_lost(self):
+        result = self._send_once(b'')
+        self.assertIs(result.reason, outcomes.Reason.CONNECTION_LOST)
+
+
+class OtherAnswerTest(CutAnswerCase):
+    """Answers that can't be told from those to other requests."""
+
+    def _make_other(self, request_id: bytes) -> bytes:
+        return b''.join(_make_answer('length')).replace(b'r1', request_id)
+
+    def _assert_refused(self, result: exchange.Result, fault: str) -> None:
+        self.assertIsInstance(result, outcomes.Unknown)
+        self.assertIs(result.reason, outcomes.Reason.ANSWER_CUT)
+        self.assertEqual(result.detail.split(':')[0], fault)
+        self.assertEqual(self._pool.state.open_count, 0)
+
+    def test_only_answers_to_other_requests_are_no_answer(self):
+        self._assert_refused(
+            self._send_once(
+                self._make_other(b'r0') * (exchange.MAX_SKIPPED_ANSWERS + 1)),
+            'other-request')
+
+    def test_connection_is_not_used_again_after_an_answer_was_skipped(self):
+        result = self._send_once(
+            self._make_other(b'r0') + b''.join(_make_answer('length')))
+        self.assertIsInstance(result, exchange.ServerAnswer)
+        self.assertEqual(result.answer.body, _BODY)
+        self.assertEqual(self._pool.state.open_count, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -24,9 +24,11 @@
 from lentilmoor.edge import placement
 from lentilmoor.edge import ports
 from lentilmoor.edge import proxying
+from lentilmoor.edge import refusedanswers
 from lentilmoor.edge import requests
 from lentilmoor.edge import retrybudgets
 from lentilmoor.edge import staleness
+from lentilmoor.edge import suspects
 from lentilmoor.edge import tables
 from lentilmoor.platform import headerformat
 from standins import platform_server
@@ -130,10 +132,10 @@
 class LateCopyTest(ForwardingTestCase):
     """The owner rejects an order, then runs it; its rejection comes twice."""
 
-    _REJECTION = (b'HTTP/1.1 421 Misdirected\r\nLentilmoor-Attempt-Id: r1\r\n'
-                  b'Content-Length: 0\r\n\r\n')
-    _ANSWER = (b'HTTP/1.1 200 OK\r\nLentilmoor-Attempt-Id: r1\r\n'
-               b'Lentilmoor-Upstream-Seal: s\r\nContent-Length: 2\r\n\r\nok')
+    REJECTION = (b'HTTP/1.1 421 Misdirected\r\nLentilmoor-Attempt-Id: r1\r\n'
+                 b'Content-Length: 0\r\n\r\n')
+    ANSWER = (b'HTTP/1.1 200 OK\r\nLentilmoor-Attempt-Id: r1\r\n'
+              b'Lentilmoor-Upstream-Seal: s\r\nContent-Length: 2\r\n\r\nok')
 
     def setUp(self):
         super().setUp()
@@ -162,12 +164,12 @@
                 self._arrival_count += 1
                 if self._arrival_count == 1:
                     rejected = True
-                    connection.sendall(self._REJECTION)
+                    connection.sendall(self.REJECTION)
                     continue
                 if rejected:
-                    connection.sendall(self._REJECTION)
+                    connection.sendall(self.REJECTION)
                 self._run_count += 1
-                connection.sendall(self._ANSWER)
+                connection.sendall(self.ANSWER)
 
     def test_late_copy_of_a_rejection_is_no_answer_to_the_next_send(self):
         self._publish(self.old_owner.id, repeat=tables.RepeatPolicy.ONCE)
@@ -183,6 +185,83 @@
         self.assertEqual(pool.state.opened_count, 2)
 
 
+class FaultyServerTest(ForwardingTestCase):
+    """The owner sends bytes that are no whole answer, and lives on."""
+
+    _WORK_S = 0.3
+
+    def _forward_to_faulty_owner(self, *answers: bytes) -> requests.Outcome:
+        """Sends a request to an owner that answers so on its connections."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def serve() -> None:
+            for answer in answers:
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65_536)
+                    time.sleep(self._WORK_S)
+                    connection.sendall(answer)
+
+        threading.Thread(target=serve, daemon=True).start()
+        self.forwarder.pools[self.old_owner.id] = connections.Pool(
+            f'127.0.0.1:{listener.getsockname()[1]}', _RULES,
+            self.forwarder.clock)
+        self._publish(self.old_owner.id, repeat=tables.RepeatPolicy.ONCE)
+        self.forwarder.logger = mock.Mock()
+        return self._forward()
+
+    def _end_registration(self) -> None:
+        suspects.note_unlisted(
+            self.forwarder,
+            self.forwarder.snapshot.servers['catalog'][self.old_owner.id])
+
+    def _list_lines(self, event: str) -> list[dict]:
+        return [
+            call.kwargs
+            for call in self.forwarder.logger.info.call_args_list
+            if call.args == (event,)
+        ]
+
+    def test_operator_sees_the_server_and_its_fault(self):
+        outcome = self._forward_to_faulty_owner(
+            b'HTTP/1.1 200 OK\r\nodd\r\n\r\n')
+        self.assertIs(outcome.reason, outcomes.Reason.ANSWER_CUT)
+        line, = self._list_lines('answer_refused')
+        self.assertEqual((line['request'], line['server'], line['fault']),
+                         ('r1', self.old_owner.id, 'malformed-head'))
+        self.assertEqual(
+            refusedanswers.list_counts(self.forwarder.refused_answers),
+            {(self.old_owner.id, 'malformed-head'): 1})
+
+    def test_operator_sees_answers_to_other_requests(self):
+        self._forward_to_faulty_owner(
+            LateCopyTest.ANSWER.replace(b'r1', b'r0') + LateCopyTest.ANSWER)
+        self.assertEqual(
+            refusedanswers.list_counts(self.forwarder.refused_answers),
+            {(self.old_owner.id, 'other-request'): 1})
+
+    def test_server_that_leaves_after_a_malformed_answer_has_not_crashed(self):
+        self._forward_to_faulty_owner(b'odd\r\n\r\n')
+        self.assertEqual(self.forwarder.reachability.failures, {})
+        self._end_registration()
+        self.assertEqual(self._list_lines('server_crashed'), [])
+
+    def test_request_whose_answer_was_cut_by_a_crash_is_a_suspect(self):
+        self._forward_to_faulty_owner(LateCopyTest.ANSWER[:-1])
+        self._end_registration()
+        self.assertEqual(len(self._list_lines('server_crashed')), 1)
+        self.assertEqual(len(self.forwarder.suspects.suspects), 1)
+
+    def test_request_that_crashes_after_a_malformed_answer_is_a_suspect(self):
+        # The malformed bytes may be older than the request.
+        self._forward_to_faulty_owner(b'odd\r\n\r\n')
+        suspects.note_process_replaced(
+            self.forwarder,
+            self.forwarder.snapshot.servers['catalog'][self.old_owner.id])
+        self.assertEqual(len(self.forwarder.suspects.suspects), 1)
+
+
 class LostPathTest(ForwardingTestCase):
     """The owner of a key refuses connections; another entry may reach it."""
 
--- a/tests/test_edge_reports.py
+++ b/tests/test_edge_reports.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest import mock
 
+from lentilmoor import answerheads
 from lentilmoor import clocks
 from lentilmoor import httpclient
 from lentilmoor import linequeue
@@ -21,6 +22,7 @@
 from lentilmoor.edge import loads
 from lentilmoor.edge import ports
 from lentilmoor.edge import rebalancing
+from lentilmoor.edge import refusedanswers
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
 from lentilmoor.edge import requestmetrics
@@ -535,7 +537,7 @@
         found = requestmetrics.RequestMetrics(clocks.Clock())
         found.record('answered', '200', 12.0)
         found.record('not-run', 'overloaded', 0.0)
-        text = found.render({'entries': 3.0}).decode()
+        text = found.render({'entries': 3.0}, {}).decode()
         self.assertIn(
             'lentilmoor_requests_total{outcome="answered",reason="200"} 1.0',
             text)
@@ -543,6 +545,25 @@
         self.assertIn('lentilmoor_request_ms_count{outcome="answered"} 1.0',
                       text)
 
+    def test_metrics_name_the_servers_whose_answers_were_refused(self):
+        found = requestmetrics.RequestMetrics(clocks.Clock())
+        table = refusedanswers.RefusedAnswers()
+        for number in range(refusedanswers.MAX_SERVERS + 1):
+            for server in (f's{number}', 'faulty'):
+                refusedanswers.note(table, logs.make_logger('e1'), 'r1', server,
+                                    answerheads.Fault.HEAD_CUT, '')
+            found.render({}, refusedanswers.list_counts(table))
+        text = found.render({}, refusedanswers.list_counts(table)).decode()
+        lines = [
+            line for line in text.splitlines()
+            if line.startswith('lentilmoor_refused_answers_total{')
+        ]
+        self.assertEqual(len(lines), refusedanswers.MAX_SERVERS)
+        self.assertIn(
+            'lentilmoor_refused_answers_total{fault="head-cut",server="faulty"}'
+            f' {refusedanswers.MAX_SERVERS + 1}.0', lines)
+        self.assertNotIn('"s0"', text)
+
 
 if __name__ == '__main__':
     unittest.main()
