An answer with a Content-Encoding is no answer

Callers got it as a success, with the header: they ask for no coding, so it is not the server's body.

Change: it is refused, fault coded-body, and its connection is reset.

--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -38,6 +38,7 @@
     MALFORMED_CHUNK = 'malformed-chunk'
     BODY_CUT = 'body-cut'
     OTHER_REQUEST = 'other-request'
+    CODED_BODY = 'coded-body'
 
 
 # Faults that a peer which crashes while it sends an answer causes, too.
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -361,6 +361,12 @@
 def _read_body(pool: connections.Pool, connection: connections.Connection,
                outgoing: OutgoingRequest, response: urllib3.HTTPResponse,
                fields: ports.AnswerHeaders) -> ServerAnswer:
+    coding = response.headers.get('Content-Encoding')
+    if coding is not None:
+        # Callers ask for none, so these aren't the bytes of the server.
+        raise answerheads.MalformedAnswerError(
+            answerheads.Fault.CODED_BODY,
+            f'the body has content coding {coding!r}')
     headers = [(name, value)
                for name, value in response.headers.items()
                if name.lower() not in header_names.HOP_BY_HOP]
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -153,6 +153,21 @@
                              b'Transfer-Encoding: gzip')
 
 
+class CodedBodyTest(CutAnswerCase):
+    """Callers ask for no coding, so a coded body is not the server's."""
+
+    def test_answer_with_a_content_encoding_is_no_answer(self):
+        for status in (b'200 OK', b'404 Not Found', b'503 Busy'):
+            for value in (b'gzip', b'identity', b''):
+                head, body = _make_answer('length', status=status)
+                line = b'content-encoding: ' + value + b'\r\n'
+                with self.subTest(status=status, value=value):
+                    result = self._send_once(head[:-2] + line + b'\r\n' + body)
+                    self.assertIsInstance(result, exchange.RefusedAnswer)
+                    self.assertIs(result.fault, _Fault.CODED_BODY)
+                    self.assertEqual(self._pool.state.open_count, 0)
+
+
 class FaultTest(CutAnswerCase):
 
     def test_refused_answer_states_its_fault(self):
