The older path states why an answer is refused, too

Malformed heads and bodies that were cut were connection-lost, or answer-cut without what was seen.

Change: transport gives them as answer-cut with the fault's word first, like the edge's exchange.

Measured: test_a_refused_answer_states_its_fault, three faults: three failures before, none now. A connection with bytes behind an answer was not reused before either; it has a test now.

--- a/lentilmoor/transport.py
+++ b/lentilmoor/transport.py
@@ -14,6 +14,7 @@
 import urllib3
 import urllib3.exceptions
 
+from lentilmoor import answerheads
 from lentilmoor import bodies
 from lentilmoor import boundedreads
 from lentilmoor import clocks
@@ -147,7 +148,7 @@
         return outcomes.Unknown(_Reason.TIMED_OUT, 'no answer in time')
     except _CONNECTION_ERRORS as error:
         pool.discard(connection)
-        return outcomes.Unknown(_Reason.CONNECTION_LOST, type(error).__name__)
+        return _describe_error(error, _Reason.CONNECTION_LOST)
     reader.deadline_at = deadline_at
     reader.remaining_bytes = math.inf  # Long answers are streamed.
     reader.idle_timeout_ms = STREAM_IDLE_TIMEOUT_MS
@@ -201,10 +202,9 @@
                       lambda: pool.discard(connection))
     try:
         body = response.read(decode_content=False)
-    except _CONNECTION_ERRORS:
+    except _CONNECTION_ERRORS as error:
         pool.discard(connection)
-        return outcomes.Unknown(_Reason.ANSWER_CUT,
-                                'the answer ended before its declared length')
+        return _describe_error(error, _Reason.ANSWER_CUT)
     pool.release(connection)
     return make_complete_answer(response.status, headers, body)
 
@@ -219,5 +219,14 @@
     pool.release(connection)
 
 
+def _describe_error(error: Exception,
+                    reason: outcomes.Reason) -> outcomes.Unknown:
+    """Returns the outcome of an error, with its fault or for a reason."""
+    malformed = answerheads.find_malformed(error)
+    if malformed is not None:
+        return outcomes.Unknown(_Reason.ANSWER_CUT, str(malformed))
+    return outcomes.Unknown(reason, type(error).__name__)
+
+
 def _do_nothing_on_close() -> None:
     """Replaces `Answer.close` where there is no connection to close."""
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -103,6 +103,23 @@
         self._assert_unknown(transport.send_request(pool, _make_request()),
                              _Reason.ANSWER_CUT)
 
+    def test_a_refused_answer_states_its_fault(self):
+        head = pathhelp.HEAD + b'Content-Length: 9\r\n'
+        for fault, answer in (('malformed-head', b'odd\r\n\r\n'),
+                              ('head-cut', head), ('body-cut',
+                                                   head + b'\r\nhalf')):
+            with self.subTest(fault=fault):
+                _, pool = self._start_server(answer + b'CUT')
+                attempt = transport.send_request(pool, _make_request())
+                self._assert_unknown(attempt, _Reason.ANSWER_CUT)
+                self.assertEqual(attempt.result.detail.split(':')[0], fault)
+
+    def test_a_connection_with_bytes_behind_an_answer_is_not_reused(self):
+        _, pool = self._start_server(_COMPLETE_ANSWER + _COMPLETE_ANSWER,
+                                     _COMPLETE_ANSWER)
+        transport.send_request(pool, _make_request())
+        self.assertFalse(transport.send_request(pool, _make_request()).reused)
+
     def test_a_lost_connection_after_sending_is_unknown(self):
         _, pool = self._start_server(b'CUT')
         self._assert_unknown(transport.send_request(pool, _make_request()),
