Requests count only if each line of their head is proved and unambiguous

Of a head with two hosts, two lengths, a length beside chunks, folded lines or repeated ids, callers' requests were forwarded with one of the meanings, and pages were called. Content-Length was taken as +16, 1_6 or -16, the version as 1.0_1, and chunks of HTTP/1.0 were left for the next request.

Cause: cheroot overwrites repeated headers, joins folded lines, strips spaces around names, and reads numbers as Python does.

Change: requestheads.Request, used by all listeners, matches each line against the grammar of RFC 9112 before cheroot parses it, and refuses repeated or ambiguous framing with 400 and a log line. HeaderFormat.single_headers names the platform's headers that may stand only once. Other repeated headers are taken as before. The refusal of a chunked request whose body isn't read closes the connection. Error logs have warnings too, without traceback.

--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -16,6 +16,7 @@
 from lentilmoor import problems
 from lentilmoor import readychecks
 from lentilmoor import requestconnections
+from lentilmoor import requestheads
 from lentilmoor import responses
 from lentilmoor import shutdowns
 from lentilmoor import transport
@@ -154,6 +155,8 @@
                   traceback: bool = False) -> None:
         if level >= logging.ERROR:
             logger.error('request_error', error=message, exc_info=traceback)
+        elif level >= logging.WARNING:
+            logger.warning('request_error', error=message)
 
     return log_error
 
@@ -266,8 +269,8 @@
             length = int(self.req.inheaders.get(b'Content-Length', 0))
             if length > MAX_PAGE_BODY_BYTES:
                 return 413, b'', 'text/plain'
-            if length < 0 or not bytebudgets.reserve(usage, length):
-                return 400 if length < 0 else 503, b'', 'text/plain'
+            if not bytebudgets.reserve(usage, length):
+                return 503, b'', 'text/plain'
             self.req.conn.limit_body(clock.now() + PAGE_BODY_TIMEOUT_MS)
             body = self.req.rfile.read(length) if length else b''
             if watched is None:
@@ -283,6 +286,9 @@
         max_bytes: int, clock: clocks.Clock,
         memory: bytebudgets.Usage) -> requests.Request | outcomes.NotRun:
     arrived_at = clock.now()
+    repeated = request.repeated_headers & header_format.single_headers
+    if repeated:
+        return _refuse(request, f'repeated headers: {sorted(repeated)}')
     fields = header_format.parse_caller_headers(request.inheaders)
     request.conn.limit_body(
         arrived_at +
@@ -307,22 +313,32 @@
 
 def _read_body(request: cheroot_server.HTTPRequest, max_bytes: int,
                memory: bytebudgets.Usage) -> bytes | outcomes.NotRun:
-    length = _find_declared_length(request)
-    if isinstance(length, outcomes.NotRun):
-        return length
+    length = None
+    if request.chunked_read:
+        request.rfile = chunks.ChunkedBody(request.conn.rfile)
+    else:
+        length = int(request.inheaders.get(b'Content-Length', 0))
+        if length > max_bytes:
+            return outcomes.NotRun(_Reason.BODY_TOO_LARGE,
+                                   f'expected at most {max_bytes} bytes')
     try:
         body = _collect_body(request, max_bytes, memory)
     except TimeoutError:
         return outcomes.NotRun(_Reason.DEADLINE_PASSED,
                                'the body did not arrive in time')
     except (OSError, ValueError) as error:
-        return outcomes.NotRun(_Reason.BAD_REQUEST, str(error))
+        return _refuse(request, str(error))
     if (isinstance(body, bytes) and length is not None and len(body) != length):
-        return outcomes.NotRun(_Reason.BAD_REQUEST,
-                               'the body is shorter than its Content-Length')
+        return _refuse(request, 'the body is shorter than its Content-Length')
     return body
 
 
+def _refuse(request: cheroot_server.HTTPRequest,
+            detail: str) -> outcomes.NotRun:
+    requestheads.log_refusal(request, detail)
+    return outcomes.NotRun(_Reason.BAD_REQUEST, detail)
+
+
 def _collect_body(request: cheroot_server.HTTPRequest, max_bytes: int,
                   memory: bytebudgets.Usage) -> bytes | outcomes.NotRun:
     blocks, byte_count = [], 0
@@ -339,22 +355,6 @@
     return b''.join(blocks)
 
 
-def _find_declared_length(
-        request: cheroot_server.HTTPRequest) -> int | None | outcomes.NotRun:
-    """Returns the declared length of a body; None if it is chunked."""
-    if not request.chunked_read:
-        length = int(request.inheaders.get(b'Content-Length', 0))
-        if length < 0:
-            return outcomes.NotRun(_Reason.BAD_REQUEST,
-                                   'negative Content-Length')
-        return length
-    request.rfile = chunks.ChunkedBody(request.conn.rfile)
-    if b'Content-Length' in request.inheaders:
-        return outcomes.NotRun(_Reason.BAD_REQUEST,
-                               'Content-Length with a chunked body')
-    return None
-
-
 def _copy_headers(request: cheroot_server.HTTPRequest,
                   header_format: ports.HeaderFormat,
                   body: bytes) -> dict[str, str]:
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -347,12 +347,15 @@
         state.
       dropped_headers: Names, in lower case, of request headers that are not
         passed on to servers.
+      single_headers: Names, in title case, of request headers that may stand
+        only once.
     """
 
     parse_caller_headers: Callable[[Mapping[bytes, bytes]], CallerHeaders]
     add_server_headers: Callable[[dict[str, str], str, float], None]
     parse_answer_headers: Callable[[int, Mapping[str, str]], AnswerHeaders]
     dropped_headers: frozenset[str]
+    single_headers: frozenset[bytes]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lentilmoor/headers.py
+++ b/lentilmoor/headers.py
@@ -1,4 +1,10 @@
-"""Names of HTTP headers of requests and responses."""
+"""Names of HTTP headers of requests and responses, and how a line reads."""
+
+import re
+
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+# The name and the value, with the spaces around it (RFC 9112, section 5).
+LINE = re.compile(rb'(' + TOKEN + rb'):([\t\x20-\x7e\x80-\xff]*)\r\n')
 
 # Sent by a caller to an entry.
 KEY = 'Lentilmoor-Key'
--- a/lentilmoor/platform/headerformat.py
+++ b/lentilmoor/platform/headerformat.py
@@ -26,12 +26,15 @@
 _DROPPED_HEADERS = header_names.HOP_BY_HOP | frozenset(
     name.lower()
     for name in ('Content-Length', 'Expect', _EXPECTED_SERVER, _TIMEOUT_MS))
+_SINGLE_HEADERS = frozenset(
+    name.title().encode() for name in (_REQUEST_ID, _TIMEOUT_MS, _KEY))
 
 
 def make_header_format() -> ports.HeaderFormat:
     """Returns the functions that parse and write the platform's headers."""
     return ports.HeaderFormat(_parse_caller_headers, _add_server_headers,
-                              _parse_answer_headers, _DROPPED_HEADERS)
+                              _parse_answer_headers, _DROPPED_HEADERS,
+                              _SINGLE_HEADERS)
 
 
 def _parse_caller_headers(
--- a/lentilmoor/requestconnections.py
+++ b/lentilmoor/requestconnections.py
@@ -1,4 +1,4 @@
-"""Connections of callers whose requests are read within deadlines.
+"""Connections of callers whose requests are read strictly, within deadlines.
 
 cheroot applies a timeout to each read, so a caller that sends a byte now and
 then would keep a thread for as long as it liked.
@@ -12,6 +12,7 @@
 
 from lentilmoor import boundedreads
 from lentilmoor import clocks
+from lentilmoor import requestheads
 
 # Time from the first byte of a request to the end of its head, unless a
 # configuration sets a limit.
@@ -40,6 +41,8 @@
       watched_at: When waiting for its next request began, ms.
     """
 
+    RequestHandlerClass = requestheads.Request
+
     def __init__(self, server: cheroot_server.HTTPServer, sock: socket.socket,
                  *unused_makefile):
         """Takes over a connection that was accepted."""
--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -97,7 +97,8 @@
     """
     source = request.rfile
     if request.chunked_read:
-        unread = not source.finished
+        # cheroot's own reader doesn't tell.
+        unread = not getattr(source, 'finished', False)
     else:
         unread = not 0 <= source.remaining <= bodies.BUFFER_BYTES
     request.close_connection |= unread
--- a/lentilmoor/wirings.py
+++ b/lentilmoor/wirings.py
@@ -42,7 +42,10 @@
     def log_error(message: str = '',
                   level: int = logging.INFO,
                   traceback: bool = False) -> None:
+        if level < logging.WARNING:
+            return
         if level < logging.ERROR:
+            base.logger.warning('request_error', error=message)
             return
         errors.add()
         base.logger.error('request_error', error=message, exc_info=traceback)
