Pages are called only with a whole body

A request for a page whose connection ended within its body was passed to the page's handler with a part of the body; a chunked one with an empty body, even if it was whole.

Cause: the gateway of pages read once and didn't compare the length, and left chunks to cheroot.

Change: it reads bodies as the gateway of callers does. A body that is cut gets 400, one that comes too slowly 408, a log line, and the connection is closed.

--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -46,6 +46,13 @@
 # to follow when all threads are busy.
 EXTRA_THREADS = 4
 
+_PAGE_STATUSES = {
+    _Reason.BAD_REQUEST: 400,
+    _Reason.DEADLINE_PASSED: 408,
+    _Reason.BODY_TOO_LARGE: 413,
+    _Reason.OVERLOADED: 503,
+}
+
 ForwardRequest = Callable[[requests.Request], requests.Outcome]
 RecordOutcome = Callable[[requests.Request, requests.Outcome], None]
 PageHandler = Callable[[bytes], tuple[int, bytes, str]]
@@ -266,13 +273,11 @@
             watched = (watched_pages or {}).get(path)
             if path not in pages and watched is None:
                 return 404, b'', 'text/plain'
-            length = int(self.req.inheaders.get(b'Content-Length', 0))
-            if length > MAX_PAGE_BODY_BYTES:
-                return 413, b'', 'text/plain'
-            if not bytebudgets.reserve(usage, length):
-                return 503, b'', 'text/plain'
             self.req.conn.limit_body(clock.now() + PAGE_BODY_TIMEOUT_MS)
-            body = self.req.rfile.read(length) if length else b''
+            body = _read_body(self.req, MAX_PAGE_BODY_BYTES, usage)
+            if isinstance(body, outcomes.NotRun):
+                self.req.close_connection = True
+                return _PAGE_STATUSES[body.reason], b'', 'text/plain'
             if watched is None:
                 return pages[path](body)
             watch = exchange.CallerWatch(self.req.conn.socket)
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -172,6 +172,27 @@
                 self.assertEqual(self.reasons, [])
 
 
+class CutRequestTest(RequestCase):
+    """A request that breaks off was passed to pages with a part of its body."""
+
+    def _check_each_cut(self, request: bytes) -> None:
+        for count in range(len(request)):
+            self._check_refusal(request[:count], cut=True)
+        self._check_acceptance(request, [_BODY])
+
+    def test_body_with_a_length(self):
+        self._check_each_cut(_FIRST_LINE + _HOST + _OWN_HEADERS + _LENGTH +
+                             b'\r\n' + _BODY)
+
+    def test_body_in_chunks(self):
+        self._check_each_cut(_FIRST_LINE + _HOST + _OWN_HEADERS + _CHUNKED +
+                             b'\r\n' + _CHUNKS)
+
+    def test_framing_before_the_other_headers(self):
+        self._check_each_cut(_FIRST_LINE + _LENGTH + _OWN_HEADERS + _HOST +
+                             b'\r\n' + _BODY)
+
+
 class MalformedRequestTest(RequestCase):
     """Ambiguous heads were forwarded with one of their meanings."""
 
@@ -216,6 +237,22 @@
 class ProperRequestTest(RequestCase):
     """Requests that only look unusual are answered."""
 
+    def test_bytes_after_a_body_are_the_next_request(self):
+        for framing, body in ((_LENGTH, _BODY), (_CHUNKED, _CHUNKS)):
+            self._check_acceptance(
+                _FIRST_LINE + _HOST + framing + b'\r\n' + body + _NEXT_REQUEST,
+                [_BODY, b''])
+
+    def test_body_that_looks_like_a_request_is_a_body(self):
+        size = len(_NEXT_REQUEST)
+        head = _FIRST_LINE + _HOST
+        self._check_acceptance(
+            head + b'Content-Length: %d\r\n\r\n' % size + _NEXT_REQUEST,
+            [_NEXT_REQUEST])
+        self._check_acceptance(
+            head + _CHUNKED + b'\r\n%x\r\n' % size + _NEXT_REQUEST +
+            b'\r\n0\r\n\r\n', [_NEXT_REQUEST])
+
     def test_unusual_heads(self):
         for header in (b'Cookie: a=1\r\nCookie: b=2\r\n',
                        b'Accept: text/plain\r\nAccept: text/html\r\n',
@@ -226,6 +263,22 @@
                 _FIRST_LINE + _HOST + header + _LENGTH + b'\r\n' + _BODY,
                 [_BODY])
 
+    def test_unusual_framings(self):
+        for framing, body in ((b'content-length:16\r\n',
+                               _BODY), (b'Content-Length: 016 \r\n', _BODY),
+                              (b'Transfer-Encoding: Chunked\r\n', _CHUNKS),
+                              (_CHUNKED, b'8\r\n01234567\r\n008;a="b"\r\n'
+                               b'89abcdef\r\n0\r\nX-Sum: 1\r\n\r\n')):
+            self._check_acceptance(
+                _FIRST_LINE + _HOST + framing + b'\r\n' + body, [_BODY])
+
+    def test_chunks_for_a_page_that_is_unknown(self):
+        received = self._send(
+            'pages', b'POST /none HTTP/1.1\r\n' + _HOST + _CHUNKED + b'\r\n' +
+            _CHUNKS + _NEXT_REQUEST, False)
+        self.assertRegex(received, rb'\AHTTP/1\.1 404 ')
+        self.assertEqual(self.accepted, [])
+
     def test_empty_line_before_a_request(self):
         self._check_acceptance(b'\r\n' + _NEXT_REQUEST, [b''])
 
