Chunk sizes and trailers are read by the grammar alone

Chunk sizes with spaces behind them, extensions with control characters, and trailers that are no headers, such as a request in their place, were accepted in requests and in answers: the request was forwarded, and the one behind it was lost in the trailers.

Cause: chunks.ChunkedBody checked only the ends of trailers, and let any bytes but CR and LF follow a size.

Change: spaces only before an extension (RFC 9112, section 7.1.1), no control characters, each trailer a header.

--- a/lentilmoor/chunks.py
+++ b/lentilmoor/chunks.py
@@ -7,9 +7,12 @@
 import re
 from typing import BinaryIO
 
+from lentilmoor import headers
+
 _MAX_LINE_BYTES = 4_096
 _MAX_TRAILERS = 64
-_SIZE_LINE = re.compile(rb'([0-9a-fA-F]{1,16})[ \t]*(;[^\r\n]*)?\r\n')
+_SIZE_LINE = re.compile(rb'([0-9a-fA-F]{1,16})'
+                        rb'(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n')
 _BLANK_LINE = b'\r\n'
 
 
@@ -62,6 +65,6 @@
             line = self._source.readline(_MAX_LINE_BYTES)
             if line == _BLANK_LINE:
                 return
-            if not line.endswith(_BLANK_LINE):
+            if not headers.LINE.fullmatch(line):
                 break
         raise ValueError('malformed trailers')
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -70,6 +70,18 @@
     'no coding': b'Transfer-Encoding:\r\n',
     'list with an empty member': b'Transfer-Encoding: chunked,\r\n',
 }
+_MALFORMED_CHUNKS = {
+    'plus': b'+10\r\n',
+    'minus': b'-10\r\n',
+    'prefix': b'0x10\r\n',
+    'underscore': b'1_0\r\n',
+    'space before': b' 10\r\n',
+    'space after': b'10 \r\n',
+    'none': b'\r\n',
+    'line feed alone': b'10\n',
+    'nul in an extension': b'10;a\0b\r\n',
+    'too long': b'0' * 17 + b'10\r\n',
+}
 _MALFORMED_FIRST_LINES = {
     'space before': b' POST /page HTTP/1.1\r\n',
     'space after': b'POST /page HTTP/1.1 \r\n',
@@ -216,6 +228,21 @@
                             b'\r\n' + _HOST + _CHUNKED + b'\r\n' + _CHUNKS +
                             _NEXT_REQUEST)
 
+    def test_chunk_sizes(self):
+        for name, size in _MALFORMED_CHUNKS.items():
+            with self.subTest(name):
+                self._check_refusal(_FIRST_LINE + _HOST + _CHUNKED + b'\r\n' +
+                                    size + _BODY + b'\r\n0\r\n\r\n' +
+                                    _NEXT_REQUEST)
+
+    def test_chunk_ends(self):
+        for body in (b'10\r\n' + _BODY + b'\n0\r\n\r\n',
+                     b'10\r\n' + _BODY + b'gh\r\n0\r\n\r\n',
+                     b'10\r\n' + _BODY + b'\r\n0\r\nNonsense\r\n\r\n',
+                     b'10\r\n' + _BODY + b'\r\n0\r\n' + _NEXT_REQUEST):
+            self._check_refusal(_FIRST_LINE + _HOST + _CHUNKED + b'\r\n' +
+                                body + _NEXT_REQUEST)
+
     def test_first_lines(self):
         for name, line in _MALFORMED_FIRST_LINES.items():
             with self.subTest(name):
