Answers to HEAD, and those of status 204 and 304, have no body

Callers who asked with HEAD got the body of an error response or of a page behind its head, where the next answer of the connection begins.

Cause: responses wrote each body it was given, whatever the method and status.

Change: _write_complete drops the body after HEAD, 204 and 304.

Measured: test_written_answers on the code before: 4 checks failed (an own error, a page, 204, 304), none now. A caller who stops reading within an answer of 30 MB gets a part of it and the end of the connection, before and now.

--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -29,6 +29,7 @@
 _OUTCOME = problems.OUTCOME_HEADER.encode()
 _ANSWERED = problems.Outcome.ANSWERED.value.encode()
 _REQUEST_ID = header_names.REQUEST_ID.encode()
+_STATUSES_WITHOUT_BODY = frozenset((b'204', b'304'))
 _GENERATED_HEADERS = frozenset((b'date', b'server', b'connection'))
 
 
@@ -70,6 +71,8 @@
 def _write_complete(request: _Request, status: bytes, headers: list[_Header],
                     body: bytes) -> None:
     _close_if_body_unread(request)
+    if request.method == b'HEAD' or status[:3] in _STATUSES_WITHOUT_BODY:
+        body = b''
     if not _can_write_directly(request):
         _send_headers(request, status, headers)
         request.write(body)
