The id of a request is returned in the bytes in which it came

A caller whose id of a request had bytes beyond ASCII got another id back.

Cause: responses encoded ids in UTF-8, though heads are decoded from Latin-1.

Change: ids are encoded in Latin-1, as the values of servers' headers are.

Measured: test_id_is_written_as_it_came fails on the code before, passes now.

--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -39,7 +39,7 @@
     headers = [(name.encode('latin-1'), value.encode('latin-1'))
                for name, value in answer.headers]
     headers.append((_OUTCOME, _ANSWERED))
-    headers.append((_REQUEST_ID, request_id.encode()))
+    headers.append((_REQUEST_ID, request_id.encode('latin-1')))
     status = _STATUS_LINES.get(answer.status, str(answer.status).encode())
     try:
         if answer.remaining_chunks is None:
@@ -63,7 +63,7 @@
     headers = [(name.encode(), value.encode('latin-1'))
                for name, value in problem.headers]
     if request_id:
-        headers.append((_REQUEST_ID, request_id.encode()))
+        headers.append((_REQUEST_ID, request_id.encode('latin-1')))
     _write_complete(request, problem.status_line.encode(), headers,
                     problem.body)
 
--- a/tests/test_written_answers.py
+++ b/tests/test_written_answers.py
@@ -50,7 +50,7 @@
 
 
 class HeaderValueTest(test_request_framing.RequestCase):
-    """Values of servers' headers may have bytes beyond ASCII."""
+    """Ids of requests were encoded in UTF-8, so callers didn't know them."""
 
     def test_values_are_written_as_they_came(self):
         value = b'gr\xfc\xdfe \xc3\xa4'
@@ -60,6 +60,12 @@
         received = self._send('callers', _GET_REQUEST, True)
         self.assertIn(b'\r\nX-One: ' + value + b'\r\n', received)
 
+    def test_id_is_written_as_it_came(self):
+        received = self._send('callers',
+                              _GET_REQUEST.replace(b'Id: r1', b'Id: r\xfc1'),
+                              True)
+        self.assertIn(b'Id: r\xfc1\r\n', received)
+
 
 class StalledCallerTest(test_request_framing.RequestCase):
     """A caller that reads too slowly gets no answer that looks whole."""
