Calls with repeated headers are refused, and refused bodies are logged

The gateway of calls took the last of two keys, deadlines, callers or relay headers, and no log line told that a call had broken off within its body.

Change: a repeated header of these gets 400, a log line, and the end of the connection. The check of lengths in gateways has no use any more, as requestheads refuses such heads.

Measured: test_headers_that_stand_twice_are_refused and test_a_request_that_breaks_off_is_never_dispatched (for its log lines) failed on the code before, pass now.

--- a/lentilmoor/gateways.py
+++ b/lentilmoor/gateways.py
@@ -21,6 +21,7 @@
 from lentilmoor import outcomes
 from lentilmoor import problems
 from lentilmoor import requestconnections
+from lentilmoor import requestheads
 from lentilmoor import responses
 from lentilmoor import shutdowns
 from lentilmoor import traces
@@ -33,8 +34,14 @@
 _EMPTY = b''
 _STARTING = outcomes.NotRun(_Reason.STARTING,
                             'this entry does not know all services yet', 500)
-_BAD_LENGTH = outcomes.NotRun(
-    _Reason.BAD_REQUEST, 'Content-Length: expected one length of at least 0')
+_REPEATED = outcomes.NotRun(_Reason.BAD_REQUEST,
+                            'a header that may stand only once is repeated')
+_SINGLE_HEADERS = frozenset(
+    name.title().encode()
+    for name in (header_names.KEY, header_names.CLASS, header_names.CALLER,
+                 header_names.DEADLINE_MS, header_names.IDEMPOTENCY_KEY,
+                 header_names.RELAY_SECRET, header_names.RELAY_SERVER,
+                 header_names.RELAY_SUSPECT, header_names.RELAY_REQUEST_ID))
 
 DispatchCall = Callable[[calls.Call, bodies.Body, traces.Span],
                         transport.Result]
@@ -113,11 +120,14 @@
         responses.write_problem(request,
                                 problems.make(refusal, dispatcher.instance))
         return
-    raw = _read_raw(request)
-    if _has_bad_length(request, raw):
+    repeated = request.repeated_headers & _SINGLE_HEADERS
+    if repeated:
+        requestheads.log_refusal(request,
+                                 f'repeated headers: {sorted(repeated)}')
         request.close_connection = True
-        _refuse(request, dispatcher, _BAD_LENGTH)
+        _refuse(request, dispatcher, _REPEATED)
         return
+    raw = _read_raw(request)
     call = calls.read_call(raw, dispatcher.snapshot.find_settings, began)
     if isinstance(call, outcomes.NotRun):
         if call.reason is _Reason.UNKNOWN_SERVICE and not dispatcher.informed:
@@ -152,18 +162,12 @@
         reason = _Reason.BAD_REQUEST
         if 'at most' in str(error):
             reason = _Reason.BODY_TOO_LARGE
+        else:
+            requestheads.log_refusal(request, str(error))
         return outcomes.NotRun(reason, str(error))
     return dispatch_call(call, body, span)
 
 
-def _has_bad_length(request: cheroot_server.HTTPRequest,
-                    raw: calls.RawRequest) -> bool:
-    """Returns whether the end of the body can't be told for sure."""
-    if request.chunked_read:
-        return b'Content-Length' in request.inheaders
-    return raw.length < 0
-
-
 def _is_peer(request: cheroot_server.HTTPRequest, secret: str) -> bool:
     given = request.inheaders.get(header_names.RELAY_SECRET.title().encode(),
                                   _EMPTY)
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import logging
 import socket
 import threading
 import time
@@ -40,6 +41,7 @@
         self.calls = []
         self.answer = lambda call, body: pathhelp.make_answer()
         self.errors = []
+        self.warnings = []
         self.count = shutdowns.RequestCount()
         dispatcher = pathhelp.make_dispatcher(
             pathhelp.make_snapshot(_SETTINGS, pathhelp.make_route()),
@@ -64,8 +66,10 @@
 
     def _note(self, message='', level=20, traceback=False):
         del traceback
-        if level >= 40:
+        if level >= logging.ERROR:
             self.errors.append(message)
+        elif level >= logging.WARNING:
+            self.warnings.append(message)
 
     def _connect(self):
         connection = http.client.HTTPConnection('127.0.0.1',
@@ -217,6 +221,35 @@
         self.assertRegex(status, rb'^HTTP/1.1 400')
         self.assertEqual(self.calls, [])
 
+    def test_a_request_that_breaks_off_is_never_dispatched(self):
+        head = f'POST {_PATH} HTTP/1.1\r\nHost: x\r\nLentilmoor-Key: k\r\n'
+        for framing, body in (('Content-Length: 5', 'hello'),
+                              ('Transfer-Encoding: chunked',
+                               '5\r\nhello\r\n0\r\n\r\n')):
+            request = f'{head}{framing}\r\n\r\n{body}'.encode()
+            for count in range(len(request)):
+                got = self._send_raw(request[:count])
+                self.assertRegex(got, rb'\A(HTTP/1.1 400 |\Z)', count)
+                self.assertEqual(bool(self.warnings), count > 0, count)
+                self.warnings.clear()
+        self.assertEqual(self.calls, [])
+
+    def test_headers_that_stand_twice_are_refused(self):
+        for line in ('Lentilmoor-Key: k2', 'Lentilmoor-Key: k', 'Host: y',
+                     'Lentilmoor-Deadline-Ms: 1\r\nlentilmoor-deadline-ms: 2',
+                     'Idempotency-Key: a\r\nIdempotency-Key: b',
+                     'Lentilmoor-Caller: a\r\nLentilmoor-Caller: b',
+                     'Lentilmoor-Class: a\r\nLentilmoor-Class: b'):
+            for body in ('', 'Content-Length: 2\r\n\r\nok',
+                         'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'):
+                got = self._send_raw(
+                    (f'POST {_PATH} HTTP/1.1\r\nHost: x\r\nLentilmoor-Key: k'
+                     f'\r\n{line}\r\n{body or chr(13) + chr(10)}').encode())
+                self.assertRegex(got, rb'\AHTTP/1.1 400 ', line)
+                self.assertNotEqual(self.warnings, [], line)
+                self.warnings.clear()
+        self.assertEqual(self.calls, [])
+
     def test_a_length_below_zero_is_refused_at_once(self):
         status = self._send_head(f'POST {_PATH} HTTP/1.1', 'Host: x',
                                  'Lentilmoor-Key: k', 'Content-Length: -1')
