--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -29,6 +29,7 @@
 _OUTCOME = problems.OUTCOME_HEADER.encode()
 _ANSWERED = problems.Outcome.ANSWERED.value.encode()
 _REQUEST_ID = header_names.REQUEST_ID.encode()
+_STATUSES_WITHOUT_BODY = frozenset((b'204', b'304'))
 _GENERATED_HEADERS = frozenset((b'date', b'server', b'connection'))
 
 
@@ -38,7 +39,7 @@
     headers = [(name.encode('latin-1'), value.encode('latin-1'))
                for name, value in answer.headers]
     headers.append((_OUTCOME, _ANSWERED))
-    headers.append((_REQUEST_ID, request_id.encode()))
+    headers.append((_REQUEST_ID, request_id.encode('latin-1')))
     status = _STATUS_LINES.get(answer.status, str(answer.status).encode())
     try:
         if answer.remaining_chunks is None:
@@ -62,7 +63,7 @@
     headers = [(name.encode(), value.encode('latin-1'))
                for name, value in problem.headers]
     if request_id:
-        headers.append((_REQUEST_ID, request_id.encode()))
+        headers.append((_REQUEST_ID, request_id.encode('latin-1')))
     _write_complete(request, problem.status_line.encode(), headers,
                     problem.body)
 
@@ -70,6 +71,8 @@
 def _write_complete(request: _Request, status: bytes, headers: list[_Header],
                     body: bytes) -> None:
     _close_if_body_unread(request)
+    if request.method == b'HEAD' or status[:3] in _STATUSES_WITHOUT_BODY:
+        body = b''
     if not _can_write_directly(request):
         _send_headers(request, status, headers)
         request.write(body)
@@ -97,7 +100,8 @@
     """
     source = request.rfile
     if request.chunked_read:
-        unread = not source.finished
+        # cheroot's own reader doesn't tell.
+        unread = not getattr(source, 'finished', False)
     else:
         unread = not 0 <= source.remaining <= bodies.BUFFER_BYTES
     request.close_connection |= unread
