A second answer to one control call never counts as the next call's

Cause: an answer to a control call has no id. A connection is refused if bytes lie behind an answer when it is used again, but a second copy may also come when the next call has been sent.

Change: each release, probe and health check has a connection that carries no other call (`httpclient.Client(single_use=True)`). A grant has an id of its own: an answer with another id, or with bytes behind it, is no answer to it, and the connection is reset; grant_unanswered tells why. Where no id is echoed, a connection isn't used again after a refusal. Only a success hands over. Replies of other calls: a connection with bytes behind one is closed, not pooled.

--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -2,7 +2,8 @@
 
 A connection that timed out or failed is never reused, and neither are the idle
 connections to the same address: a network device that dropped the state of one
-may have dropped that of all.
+may have dropped that of all. Neither is one that holds bytes behind a reply:
+they could count as the reply to the next call.
 """
 
 import dataclasses
@@ -63,9 +64,20 @@
 
 
 class _ConnectionPool(urllib3.HTTPConnectionPool):
-    """Connections whose replies are read within bounds."""
+    """Connections whose replies are read within bounds.
+
+    Attributes:
+      single_use: Whether a connection carries one call only.
+    """
 
     ConnectionCls = boundedreads.BoundedConnection
+    single_use = False
+
+    def _put_conn(self, conn: boundedreads.BoundedConnection | None) -> None:
+        """Returns a connection to the pool; a closed one is opened anew."""
+        if conn is not None and (self.single_use or conn.has_unread_data()):
+            conn.close()
+        super()._put_conn(conn)
 
 
 class Client:
@@ -79,7 +91,8 @@
                  clock: clocks.Clock,
                  idle_connections: int,
                  socket_options: tuple = (),
-                 max_reply_bytes: int = MAX_REPLY_BYTES):
+                 max_reply_bytes: int = MAX_REPLY_BYTES,
+                 single_use: bool = False):
         """Makes a client without connections.
 
         Args:
@@ -88,10 +101,13 @@
           socket_options: Socket options of each connection; urllib3's defaults
             if empty.
           max_reply_bytes: Size of the largest reply.
+          single_use: Whether each call has a connection of its own, for peers
+            whose replies don't tell which call they belong to.
         """
         self._clock = clock
         self._idle_connections = idle_connections
         self._max_reply_bytes = max_reply_bytes
+        self._single_use = single_use
         self._memory = bytebudgets.ByteBudget(_MAX_LARGE_REPLIES *
                                               max_reply_bytes)
         self._connection_options = {
@@ -174,6 +190,7 @@
                                        int(port),
                                        maxsize=self._idle_connections,
                                        **self._connection_options)
+                pool.single_use = self._single_use
                 self._pools[address] = pool
             return pool
 
--- a/lentilmoor/platform/headerformat.py
+++ b/lentilmoor/platform/headerformat.py
@@ -7,7 +7,7 @@
 from lentilmoor import headers as header_names
 from lentilmoor.edge import ports
 
-_REQUEST_ID = 'Lentilmoor-Attempt-Id'
+REQUEST_ID = 'Lentilmoor-Attempt-Id'
 _TIMEOUT_MS = 'Lentilmoor-Deadline-Ms'  # A duration, not a point in time.
 _KEY = 'Lentilmoor-Shard-Key'
 _EXPECTED_SERVER = 'Lentilmoor-Expect-Instance'
@@ -36,7 +36,7 @@
 
 def _parse_caller_headers(
         headers: Mapping[bytes, bytes]) -> ports.CallerHeaders:
-    request_id = headers.get(_REQUEST_ID.title().encode(), b'')
+    request_id = headers.get(REQUEST_ID.title().encode(), b'')
     key = _parse_number(headers.get(_KEY.title().encode()))
     return ports.CallerHeaders(
         request_id.decode('latin-1'),
@@ -54,7 +54,7 @@
                           headers: Mapping[str, str]) -> ports.AnswerHeaders:
     keep_alive = _KEEP_ALIVE_TIMEOUT.search(headers.get('Keep-Alive', ''))
     return ports.AnswerHeaders(
-        request_id=headers.get(_REQUEST_ID, ''),
+        request_id=headers.get(REQUEST_ID, ''),
         not_run=_NOT_RUN in headers or status == _MISDIRECTED,
         has_proof=_PROOF in headers,
         load=_parse_load(headers.get(_LOAD, '')),
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -48,7 +48,8 @@
     times = store.make_watch_times(settings.limits, settings.link_mbps)
     platform = ports.Platform(
         settings, store.connect_store(address, clock, logger, times),
-        servers.connect_servers(clock), headerformat.make_header_format())
+        servers.connect_servers(clock, logger),
+        headerformat.make_header_format())
     entry.run(platform, instance, clock, logger, store.KEEPALIVE_OPTIONS,
               callers, started_at)
     lines.close()
--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -3,22 +3,28 @@
 from collections.abc import Mapping
 import http.client
 import json
+import secrets
 
 import urllib3.exceptions
 
 from lentilmoor import boundedreads
 from lentilmoor import clocks
 from lentilmoor import httpclient
+from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor.edge import ownership
 from lentilmoor.edge import ports
 from lentilmoor.edge import tables
 from lentilmoor.platform import grantconnections
+from lentilmoor.platform import headerformat
 
 _GRANT = '/-/grant'
 _RELEASE = '/-/release'
 _HANDOVER_TOKEN_HEADER = 'Lentilmoor-Handover'
 _HEADERS = {'Content-Type': 'application/json'}
+_ATTEMPT_ID_BYTES = 8
+_DONE = 200
+_REFUSED = 409
 # A server answers a release once its requests for those keys have ended.
 RELEASE_TIMEOUT_MS = 2_500.0
 
@@ -27,17 +33,27 @@
                       OSError)
 
 
-def connect_servers(clock: clocks.Clock) -> ports.ServerCalls:
+class _ForeignAnswerError(http.client.HTTPException):
+    """Bytes on a connection aren't proved to be the grant's answer."""
+
+
+def connect_servers(clock: clocks.Clock,
+                    logger: logs.Logger) -> ports.ServerCalls:
     """Returns the functions that make the control calls.
 
     Args:
       clock: This process's clock.
+      logger: Receives a log line for each grant without a proved answer.
     """
     pool = grantconnections.GrantConnectionPool(clock)
-    caller = httpclient.Client(clock, 4, grantconnections.SOCKET_OPTIONS,
-                               httpclient.MAX_SHORT_REPLY_BYTES)
-    checker = httpclient.Client(clock, 1, grantconnections.SOCKET_OPTIONS,
-                                httpclient.MAX_SHORT_REPLY_BYTES)
+    # An answer to these calls has no id, so only a connection that carried no
+    # other call proves whose it is. An old connection may also live on behind a
+    # partition, where a check would find it open.
+    caller = httpclient.Client(clock,
+                               1,
+                               grantconnections.SOCKET_OPTIONS,
+                               httpclient.MAX_SHORT_REPLY_BYTES,
+                               single_use=True)
 
     def call_release(address: str, fields: Mapping,
                      timeout_ms: float) -> httpclient.Reply | outcomes.Failed:
@@ -49,16 +65,16 @@
         with pool.reserve(action) as connection:
             if isinstance(connection, _Outcome):
                 return ownership.GrantResult(connection)
-            return _send_grant(pool, connection, action, clock)
+            return _send_grant(pool, connection, action, clock, logger)
 
     def release(action: ownership.Release) -> tuple[ownership.CallOutcome, str]:
         keys = action.key_range
         fields = {'From': keys.first, 'To': keys.last, 'fence': keys.fence}
         reply = call_release(action.server.address, fields, RELEASE_TIMEOUT_MS)
-        token = ''
-        if isinstance(reply, httpclient.Reply):
+        outcome, token = _classify_reply(reply), ''
+        if outcome is _Outcome.DONE:
             token = reply.headers.get(_HANDOVER_TOKEN_HEADER, '')
-        return _classify_reply(reply), token
+        return outcome, token
 
     def probe(action: ownership.Probe) -> ownership.CallOutcome:
         # A probe releases key 0. The keys of a probed server are about to move,
@@ -69,10 +85,8 @@
                          ownership.GRANT_TIMEOUT_MS))
 
     def check(server: tables.Server, path: str, timeout_ms: float) -> bool:
-        # Over a new connection: an old one may live on behind a partition.
-        reply = checker.call(server.address, httpclient.Request('GET', path),
-                             timeout_ms)
-        checker.discard_connections(server.address)
+        reply = caller.call(server.address, httpclient.Request('GET', path),
+                            timeout_ms)
         return isinstance(reply, httpclient.Reply)
 
     return ports.ServerCalls(grant, release, probe, check)
@@ -80,8 +94,8 @@
 
 def _send_grant(pool: grantconnections.GrantConnectionPool,
                 connection: grantconnections.GrantConnection,
-                action: ownership.Grant,
-                clock: clocks.Clock) -> ownership.GrantResult:
+                action: ownership.Grant, clock: clocks.Clock,
+                logger: logs.Logger) -> ownership.GrantResult:
     """Sends a grant over a connection whose lock the caller holds."""
     deadline_at = clock.now() + ownership.GRANT_TIMEOUT_MS
     if connection.http is not None and not connection.http.is_connected:
@@ -95,22 +109,39 @@
         return ownership.GrantResult(_Outcome.NOT_SENT)
     number = connection.number
     try:
-        status = _post_grant(connection.http, _encode_grant(action),
-                             deadline_at, clock)
-    except _CONNECTION_ERRORS:
+        status, is_reusable = _post_grant(connection.http,
+                                          _encode_grant(action), deadline_at,
+                                          clock)
+    except _CONNECTION_ERRORS as error:
         connection.close()
+        logger.info('grant_unanswered',
+                    server=action.server.id,
+                    reason=type(error).__name__,
+                    detail=str(error))
         return ownership.GrantResult(_Outcome.UNKNOWN, number)
+    if not is_reusable:
+        connection.close()
     return ownership.GrantResult(_classify_status(status), number)
 
 
 def _post_grant(connection: boundedreads.BoundedConnection, body: bytes,
-                deadline_at: float, clock: clocks.Clock) -> int:
-    """Sends a grant; returns the status code of the answer."""
+                deadline_at: float, clock: clocks.Clock) -> tuple[int, bool]:
+    """Sends a grant.
+
+    Returns:
+      The status of the answer, and whether the connection may carry another
+      grant. Without an id, a second copy of a refusal could count as the answer
+      to the next grant.
+
+    Raises:
+      _ForeignAnswerError: The answer isn't proved to be the grant's.
+    """
+    attempt_id = secrets.token_hex(_ATTEMPT_ID_BYTES)
     connection.timeout = grantconnections.find_remaining_s(clock, deadline_at)
     connection.request('POST',
                        _GRANT,
                        body,
-                       _HEADERS,
+                       _HEADERS | {headerformat.REQUEST_ID: attempt_id},
                        preload_content=False,
                        decode_content=False)
     connection.timeout = grantconnections.find_remaining_s(clock, deadline_at)
@@ -118,7 +149,13 @@
     if len(response.read(grantconnections.MAX_ANSWER_BYTES)
           ) == grantconnections.MAX_ANSWER_BYTES:
         raise boundedreads.MessageTooLargeError('the answer is too large')
-    return response.status
+    echoed_id = response.headers.get(headerformat.REQUEST_ID)
+    if echoed_id not in (None, attempt_id):
+        raise _ForeignAnswerError('the answer is to another call')
+    # `http.client` closes a connection that the server announced to close.
+    if connection.sock is not None and connection.has_unread_data():
+        raise _ForeignAnswerError('bytes follow the answer')
+    return response.status, echoed_id is not None or response.status == _DONE
 
 
 def _encode_grant(action: ownership.Grant) -> bytes:
@@ -143,9 +180,9 @@
 
 
 def _classify_status(status: int) -> ownership.CallOutcome:
-    if status == 200:
+    if status == _DONE:
         return _Outcome.DONE
-    if status == 409:
+    if status == _REFUSED:
         return _Outcome.REFUSED
     # Another process answered at this address, or the server rejected the call
     # for another reason than its fence.
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -1,6 +1,7 @@
 """Tests that messages without end are read within their deadline and size."""
 
 import functools
+import io
 import math
 import socket
 import threading
@@ -12,6 +13,7 @@
 from lentilmoor import clocks
 from lentilmoor import connections
 from lentilmoor import httpclient
+from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor import shutdowns
 from lentilmoor import transport
@@ -185,7 +187,8 @@
         self.assertLess(_CLOCK.now() - started_at, 5_000.0)
 
     def test_grant_to_a_server_of_each_form_is_unknown(self):
-        calls = servers.connect_servers(_CLOCK)
+        calls = servers.connect_servers(_CLOCK,
+                                        logs.make_logger('a', io.StringIO()))
         forms = dict(endlesspeers.ANSWERS)
         # The status is read from the head of the first of these.
         del forms['other answers']
--- a/tests/test_platform_grants.py
+++ b/tests/test_platform_grants.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import http.server
+import io
 import itertools
 import json
 import queue
@@ -11,6 +12,7 @@
 import unittest
 
 from lentilmoor import clocks
+from lentilmoor import logs
 from lentilmoor.edge import coordination
 from lentilmoor.edge import keyloads
 from lentilmoor.edge import keyranges
@@ -79,7 +81,8 @@
 
     def __init__(self, address: str, ranges: int):
         self.clock = clocks.make_suspend_clock()
-        self.calls = servers.connect_servers(self.clock)
+        self.calls = servers.connect_servers(
+            self.clock, logs.make_logger('a', io.StringIO()))
         self.items = _divide(ranges)
         began = self.clock.now()
         self.state = coordination.start_coordination(
