Replies between entries and of the store need a proved end

A reply without a length that broke off counted as whole, and a grant's answer that lacked the last bytes of its body counted as an acceptance.

Cause: such a body ends with its connection, which proves nothing; and reads of a number of bytes don't tell that a body is shorter than its length.

Change: `httpclient.Client` refuses replies with neither a length nor chunks, except over connections that carry one call: servers may send answers without a length to these, of which only the status and the headers are used. A grant's body is read to its end.

--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -102,7 +102,9 @@
             if empty.
           max_reply_bytes: Size of the largest reply.
           single_use: Whether each call has a connection of its own, for peers
-            whose replies don't tell which call they belong to.
+            whose replies don't tell which call they belong to. Only then may a
+            reply end with its connection: its status and headers are whole, its
+            body isn't proved to be.
         """
         self._clock = clock
         self._idle_connections = idle_connections
@@ -196,7 +198,16 @@
 
     def _read_body(self, response: urllib3.BaseHTTPResponse, deadline: float,
                    memory: bytebudgets.Usage) -> bytes | None:
-        """Returns the body, or None if it takes too long or is too large."""
+        """Returns the body, or None if it takes too long or is too large.
+
+        Raises:
+          urllib3.exceptions.ProtocolError: The end of the body isn't proved.
+        """
+        if (not self._single_use and not response.chunked and
+                response.length_remaining is None):
+            response.close()
+            raise urllib3.exceptions.ProtocolError(
+                'the reply has neither a length nor chunks')
         chunks = []
         while chunk := response.read1(_READ_BYTES):
             chunks.append(chunk)
--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -146,9 +146,11 @@
                        decode_content=False)
     connection.timeout = grantconnections.find_remaining_s(clock, deadline_at)
     response = connection.getresponse()
-    if len(response.read(grantconnections.MAX_ANSWER_BYTES)
-          ) == grantconnections.MAX_ANSWER_BYTES:
-        raise boundedreads.MessageTooLargeError('the answer is too large')
+    size = 0
+    while block := response.read1(grantconnections.MAX_ANSWER_BYTES):
+        size += len(block)
+        if size >= grantconnections.MAX_ANSWER_BYTES:
+            raise boundedreads.MessageTooLargeError('the answer is too large')
     echoed_id = response.headers.get(headerformat.REQUEST_ID)
     if echoed_id not in (None, attempt_id):
         raise _ForeignAnswerError('the answer is to another call')
