Replies of the store must have the fields of their call

A reply of the store without its fields ended the thread that follows the store (KeyError 'events'), and a nested one raised RecursionError.

Cause: the body of a reply was read as any JSON, an empty one as {}, and its fields were used unchecked.

Change: each kind of call has a model (storereplies); a reply that doesn't fit is a failure with CONNECTION_LOST, so that a write counts as unknown and is settled by its repetition, and store_reply_refused tells why. So are refusals (412) of writes, and items of other keys aren't taken for the own write. The header of the era must be ASCII digits, 19 at most.

--- a/lentilmoor/edge/revisions.py
+++ b/lentilmoor/edge/revisions.py
@@ -8,7 +8,8 @@
 """
 
 _NUMBER_BITS = 40
-_NUMBER_MASK = (1 << _NUMBER_BITS) - 1
+# The largest number of a change.
+MAX_NUMBER = (1 << _NUMBER_BITS) - 1
 # A revision must fit a signed 64-bit integer.
 MAX_ERA = (1 << 63 - _NUMBER_BITS) - 1
 
@@ -35,4 +36,4 @@
 
 def find_number(revision: int) -> int:
     """Returns the number that the store assigned to a revision in its era."""
-    return revision & _NUMBER_MASK
+    return revision & MAX_NUMBER
--- a/lentilmoor/platform/pages.py
+++ b/lentilmoor/platform/pages.py
@@ -2,28 +2,33 @@
 
 from collections.abc import Callable
 import dataclasses
+from typing import Generic
+from typing import TypeVar
 import urllib.parse
 
 from lentilmoor import outcomes
 from lentilmoor.edge import revisions
+from lentilmoor.platform import storereplies
 from lentilmoor.platform import views
 
 # Bounds a full read, should the store report pages without end.
 _MAX_PAGES = 1_000
 ALLOW_STALE = 'AllowStale'
 
+_T = TypeVar('_T')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StoreAnswer:
+class StoreAnswer(Generic[_T]):
     """A successful answer of the store.
 
     Attributes:
       era: The store's era.
-      fields: The fields of the answer's JSON body.
+      reply: The decoded body.
     """
 
     era: int
-    fields: dict
+    reply: _T
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,7 +44,8 @@
     revision: int
 
 
-def read_all(call: Callable[[str], StoreAnswer | outcomes.Failed],
+def read_all(call: Callable[[str],
+                            StoreAnswer[storereplies.Page] | outcomes.Failed],
              prefix: str = '',
              stale: bool = False) -> FullRead | outcomes.Failed:
     """Reads all items whose keys have a prefix.
@@ -63,16 +69,15 @@
         answer = call('/-/kv-range?' + urllib.parse.urlencode(query))
         if isinstance(answer, outcomes.Failed):
             return answer
-        era, fields = answer.era, answer.fields
+        era, page = answer.era, answer.reply
         if full_read is None:
-            full_read = FullRead([], revisions.combine(era,
-                                                       fields['CurrentRev']))
+            full_read = FullRead([], revisions.combine(era, page.current_rev))
         elif era != revisions.find_era(full_read.revision):
             return outcomes.Failed(outcomes.Reason.CONFLICT,
                                    'the store was restored from an older copy')
         full_read.items.extend(
-            views.read_item(row, era) for row in fields['items'])
-        if not fields.get('Truncated'):
+            storereplies.make_item(row, era) for row in page.items)
+        if not page.truncated:
             break
-        after = fields['items'][-1]['Key']
+        after = page.items[-1].key
     return full_read
--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -7,9 +7,11 @@
 import dataclasses
 import functools
 import json
+import re
 import secrets
 import socket
 import threading
+from typing import TypeVar
 import urllib.parse
 
 from lentilmoor import clocks
@@ -22,6 +24,7 @@
 from lentilmoor.edge import staleness
 from lentilmoor.platform import documents
 from lentilmoor.platform import pages
+from lentilmoor.platform import storereplies
 from lentilmoor.platform import views
 
 # The store usually answers in 4 ms, and 60 times slower on its slow days.
@@ -58,7 +61,9 @@
 _STALE_PAGE_KIND = 'read_stale_page'
 # A counter that rises each time that the store is restored from an older copy.
 _ERA_HEADER = 'Store-Era'
+_ERA_FORMAT = re.compile('[0-9]{1,19}')
 
+_T = TypeVar('_T')
 _Reason = outcomes.Reason
 _REASONS = {
     404: _Reason.NOT_FOUND,
@@ -72,13 +77,13 @@
 class _Conflict(outcomes.Failed):
     """A conditional write that found another revision than it expected.
 
-    The detail is the answer's body.
-
     Attributes:
       era: The store's era that the answer reported.
+      items: The items as they are.
     """
 
     era: int = 0
+    items: list[storereplies.State] = dataclasses.field(default_factory=list)
 
 
 class _Client:
@@ -109,10 +114,19 @@
         self,
         method: str,
         target: str,
+        decode: Callable[[bytes], _T | outcomes.Failed],
         body: Mapping | None = None,
         timeout_ms: float = CALL_TIMEOUT_MS
-    ) -> pages.StoreAnswer | outcomes.Failed:
-        """Sends a call; returns the answer if its status is 200."""
+    ) -> pages.StoreAnswer[_T] | outcomes.Failed:
+        """Sends a call; returns the answer if its status is 200.
+
+        Args:
+          method: HTTP method.
+          target: Path and query.
+          decode: Decodes the body of the answer.
+          body: Fields to send, or None.
+          timeout_ms: Timeout of the call.
+        """
         self.counts[_find_kind(target)] += 1
         data = None if body is None else json.dumps(body).encode()
         caller = (self._caller
@@ -133,18 +147,30 @@
             self.unanswered_at = None
         era = self._read_era(reply)
         if era is None:
-            return outcomes.Failed(_Reason.INVALID,
-                                   f'invalid {_ERA_HEADER} header')
-        if reply.status == 200:
-            try:
-                return pages.StoreAnswer(era, json.loads(reply.body or b'{}'))
-            except ValueError:
-                return outcomes.Failed(_Reason.CONNECTION_LOST,
-                                       'the answer is not JSON')
+            return self._refuse(
+                target,
+                outcomes.Failed(_Reason.INVALID,
+                                f'invalid {_ERA_HEADER} header'))
         reason = _REASONS.get(reply.status, _Reason.STORE_UNAVAILABLE)
-        if reason is _Reason.CONFLICT:
-            return _Conflict(reason, reply.body.decode('utf-8', 'replace'), era)
-        return outcomes.Failed(reason, reply.body.decode('utf-8', 'replace'))
+        if reply.status == 200:
+            found = decode(reply.body)
+        elif reason is _Reason.CONFLICT:
+            found = storereplies.read_conflict(reply.body)
+        else:
+            return outcomes.Failed(reason,
+                                   reply.body.decode('utf-8', 'replace'))
+        if isinstance(found, outcomes.Failed):
+            return self._refuse(target, found)
+        if isinstance(found, storereplies.Conflict):
+            return _Conflict(reason, '', era, found.items)
+        return pages.StoreAnswer(era, found)
+
+    def _refuse(self, target: str, failed: outcomes.Failed) -> outcomes.Failed:
+        """Logs a reply that isn't one to the call; returns the failure."""
+        self._logger.warning('store_reply_refused',
+                             call=_find_kind(target),
+                             reason=failed.detail)
+        return failed
 
     def _record_unanswered_call(self, sent_at: float) -> None:
         with self._lock:
@@ -165,7 +191,7 @@
         text = reply.headers.get(_ERA_HEADER)
         if text is None:
             return self.era or 0
-        if not text.isdecimal() or int(text) > revisions.MAX_ERA:
+        if not _ERA_FORMAT.fullmatch(text) or int(text) > revisions.MAX_ERA:
             return None
         self._record_era(int(text))
         return int(text)
@@ -222,20 +248,23 @@
                 return outcomes.Failed(
                     _Reason.CONFLICT,
                     'the store was restored from an older copy')
-            answer = self.call('POST', '/-/kv-txn', body)
+            answer = self.call('POST', '/-/kv-txn', storereplies.read_written,
+                               body)
             if not isinstance(answer, outcomes.Failed):
-                return revisions.combine(answer.era, answer.fields['Rev'])
+                return revisions.combine(answer.era, answer.reply.rev)
             if isinstance(answer, _Conflict):
-                own_write = _find_own(answer, value)
+                own_write = _find_own(answer, key, value)
                 if own_write is None:
                     return outcomes.Failed(
                         _Reason.CONFLICT, 'another client wrote the key first')
-                if own_write.get('Lease', 0) == lease:
-                    return revisions.combine(answer.era, own_write['Rev'])
+                if own_write.lease == lease:
+                    return revisions.combine(answer.era, own_write.rev)
                 # A restored store may hold our write under a lease that has
                 # ended: write it again.
-                body['ExpectRev'][0]['Rev'] = own_write['Rev']
+                body['ExpectRev'][0]['Rev'] = own_write.rev
                 continue
+            if answer.reason is _Reason.INVALID:
+                answer = outcomes.Failed(_Reason.CONNECTION_LOST, answer.detail)
             if answer.reason not in (_Reason.TIMED_OUT,
                                      _Reason.CONNECTION_LOST):
                 # A rejected attempt says nothing about an earlier unanswered
@@ -251,7 +280,7 @@
             return outcomes.Failed(_Reason.CONFLICT,
                                    'the store was restored from an older copy')
         row = {'Key': key, 'Rev': revisions.find_number(revision)}
-        answer = self.call('POST', '/-/kv-txn', {
+        answer = self.call('POST', '/-/kv-txn', storereplies.ignore_body, {
             'ExpectRev': [row],
             'Writes': [],
             'Delete': [key]
@@ -266,31 +295,36 @@
     return _STALE_PAGE_KIND if stale else kind
 
 
-def _find_own(conflict: outcomes.Failed, value: bytes) -> dict | None:
+def _find_own(conflict: _Conflict, key: str,
+              value: bytes) -> storereplies.State | None:
     """Finds this client's own earlier write whose answer was lost.
 
     Args:
       conflict: The failure of a repeated write.
+      key: The key to write.
       value: The value to write.
 
     Returns:
-      The key's item if it holds the value; None if another client wrote it.
+      The key's state if it holds the value; None if another client wrote it.
     """
-    try:
-        items = json.loads(conflict.detail)['items']
-    except (ValueError, KeyError):
-        return None
-    return next((row for row in items
-                 if row.get('Rev') and views.read_item(row).value == value),
-                None)
+    return next((item for item in conflict.items
+                 if item.rev and item.key == key and item.value == value), None)
+
+
+def _read_page(
+        client: _Client,
+        target: str) -> pages.StoreAnswer[storereplies.Page] | outcomes.Failed:
+    return client.call('GET',
+                       target,
+                       storereplies.read_page,
+                       timeout_ms=PAGE_TIMEOUT_MS)
 
 
 def _read_entries(client: _Client,
                   view: views.View) -> list[ports.Peer] | outcomes.Failed:
-    full_read = pages.read_all(
-        lambda target: client.call('GET', target, timeout_ms=PAGE_TIMEOUT_MS),
-        views.ENTRIES,
-        stale=True)
+    full_read = pages.read_all(functools.partial(_read_page, client),
+                               views.ENTRIES,
+                               stale=True)
     if isinstance(full_read, outcomes.Failed):
         return full_read
     return view.read_peers(full_read.items)
@@ -354,16 +388,19 @@
         })
         answer = client.call('GET',
                              f'/-/kv-watch?{query}',
+                             storereplies.read_events,
                              timeout_ms=times.timeout_ms)
         if isinstance(answer, outcomes.Failed):
             return answer
         if answer.era != revisions.find_era(snapshot.revision):
             return outcomes.Failed(_Reason.NOT_FOUND,
                                    'the store was restored from an older copy')
-        fields = answer.fields
-        items = [views.read_item(row, answer.era) for row in fields['events']]
-        return view.apply(items,
-                          revisions.combine(answer.era, fields['CurrentRev']))
+        reply = answer.reply
+        items = [
+            storereplies.make_item(row, answer.era) for row in reply.events
+        ]
+        return view.apply(items, revisions.combine(answer.era,
+                                                   reply.current_rev))
 
     return watch
 
@@ -387,8 +424,7 @@
     view = views.View(clock, logger)
 
     def load() -> ports.StoreSnapshot | outcomes.Failed:
-        full_read = pages.read_all(lambda target: client.call(
-            'GET', target, timeout_ms=PAGE_TIMEOUT_MS))
+        full_read = pages.read_all(functools.partial(_read_page, client))
         if isinstance(full_read, outcomes.Failed):
             return full_read
         known_revision = view.find_revision()
@@ -403,23 +439,28 @@
         query = urllib.parse.urlencode({'Key': views.CONFIGURATION})
         answer = client.call('GET',
                              f'/-/kv-key?{query}',
+                             storereplies.read_row,
                              timeout_ms=PAGE_TIMEOUT_MS)
         if isinstance(answer, outcomes.Failed):
             return answer
-        return view.apply([views.read_item(answer.fields, answer.era)], 0)
+        return view.apply([storereplies.make_item(answer.reply, answer.era)], 0)
 
     def open_lease(ttl_ms: float) -> ports.Lease | outcomes.Failed:
-        answer = client.call('POST', '/-/kv-lease', {'TtlMs': int(ttl_ms)})
+        answer = client.call('POST', '/-/kv-lease',
+                             storereplies.read_opened_lease,
+                             {'TtlMs': int(ttl_ms)})
         if isinstance(answer, outcomes.Failed):
             return answer
-        return ports.Lease(answer.fields['Lease'], answer.fields['TtlMs'])
+        return ports.Lease(answer.reply.lease, answer.reply.ttl_ms)
 
     def keep_lease(lease: ports.Lease) -> outcomes.Failed | None:
-        answer = client.call('POST', f'/-/kv-keep/{lease.id}')
+        answer = client.call('POST', f'/-/kv-keep/{lease.id}',
+                             storereplies.ignore_body)
         return answer if isinstance(answer, outcomes.Failed) else None
 
     def end_lease(lease: ports.Lease) -> outcomes.Failed | None:
-        answer = client.call('DELETE', f'/-/kv-lease-end/{lease.id}')
+        answer = client.call('DELETE', f'/-/kv-lease-end/{lease.id}',
+                             storereplies.ignore_body)
         return answer if isinstance(answer, outcomes.Failed) else None
 
     def claim_role(service: str, coordinator: ports.Peer, lease: ports.Lease,
@@ -445,11 +486,11 @@
     def load_assignment(
             service: str) -> ports.SavedAssignment | None | outcomes.Failed:
         query = urllib.parse.urlencode({'Key': views.ASSIGNMENTS + service})
-        answer = client.call('GET', f'/-/kv-key?{query}')
+        answer = client.call('GET', f'/-/kv-key?{query}', storereplies.read_row)
         if isinstance(answer, outcomes.Failed):
             is_absent = answer.reason is _Reason.NOT_FOUND
             return None if is_absent else answer
-        item = views.read_item(answer.fields, answer.era)
+        item = storereplies.make_item(answer.reply, answer.era)
         return views.make_assignment_reader(item)(item.value)
 
     return ports.Store(load=load,
