The outcome of a request passed to another entry names its request

An entry took any outcome that arrived on the connection for that of the request it had passed on, a status of 70000 or -1 included, and logged none that it refused.

Cause: ProxiedOutcome was tied to no request.

Change: it has the request's id, and another id is refused, as is a status that isn't one; proxied_outcome_refused tells it. An entry of an earlier release sends no id, which is accepted.

Measured: test_proxied_outcomes, foreign, odd and cut outcomes: before, 2 errors and 5 failures in 4 tests (two tests use the new argument); now none.

--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -150,7 +150,8 @@
     result = exchange.send(_find_pool(forwarder,
                                       address), outgoing, request.watch,
                            proxytables.parse_answer_headers, clock)
-    outcome = _read_result(result, address)
+    outcome = _read_result(forwarder, result, address,
+                           request.fields.request_id)
     is_lost = isinstance(result, outcomes.Unknown)
     _note_willing(forwarder, address, outcome is not None and not is_lost)
     forwarder.logger.info('request_proxied',
@@ -171,16 +172,23 @@
                                       counted, may_have_run)
 
 
-def _read_result(result: exchange.Result,
-                 address: str) -> requests.Outcome | None:
+def _read_result(forwarder: requests.Forwarder, result: exchange.Result,
+                 address: str, request_id: str) -> requests.Outcome | None:
     """Returns the outcome of a request; None if it was not accepted."""
     if isinstance(result, exchange.CallerDisconnected):
         return dataclasses.replace(result, where=address)
     if (not isinstance(result, exchange.ServerAnswer) or
             result.answer.status != _ACCEPTED):
         return None
-    return proxytables.decode_outcome(result.answer.body) or outcomes.Unknown(
-        _Reason.PEER_UNAVAILABLE, f'{address} sent an invalid outcome')
+    outcome = proxytables.decode_outcome(result.answer.body, request_id)
+    if outcome is not None:
+        return outcome
+    forwarder.logger.warning('proxied_outcome_refused',
+                             request=request_id,
+                             entry=address,
+                             body_bytes=len(result.answer.body))
+    return outcomes.Unknown(_Reason.PEER_UNAVAILABLE,
+                            f'{address} sent no outcome of the request')
 
 
 def _find_pool(forwarder: requests.Forwarder, address: str) -> connections.Pool:
@@ -236,7 +244,7 @@
             forwarder.proxies.accepted_count -= 1
     if isinstance(outcome, exchange.CallerDisconnected):
         return _UNAVAILABLE, b''  # Nobody reads it.
-    return _ACCEPTED, proxytables.encode_outcome(outcome)
+    return _ACCEPTED, proxytables.encode_outcome(outcome, message.request_id)
 
 
 def _accept(forwarder: requests.Forwarder) -> bool:
--- a/lentilmoor/edge/proxytables.py
+++ b/lentilmoor/edge/proxytables.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import threading
+from typing import Annotated
 
 import msgspec
 
@@ -57,15 +58,17 @@
       detail: A sentence for people.
       retry_after_ms: As in the outcome.
       may_have_run: Whether the request may have run.
+      request_id: Id of the request; empty from an entry of an earlier release.
     """
 
-    status: int = 0
+    status: Annotated[int, msgspec.Meta(ge=0, le=599)] = 0
     headers: list[tuple[str, str]] = []
     body: bytes = b''
     reason: str = ''
     detail: str = ''
     retry_after_ms: int = 0
     may_have_run: bool = False
+    request_id: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,38 +103,49 @@
     """Returns a decoded request, or None if it is invalid."""
     try:
         return _decode_request(data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
 
 
 def decode_outcome(
-    data: bytes
+    data: bytes, request_id: str
 ) -> transport.Answer | outcomes.NotRun | outcomes.Unknown | None:
-    """Returns a decoded outcome, or None if it is invalid."""
+    """Returns a decoded outcome, or None if it is invalid or foreign.
+
+    Args:
+      data: The encoded outcome.
+      request_id: Id of the request that was passed on. Entries of an earlier
+        release don't say whose outcome it is, which is accepted.
+    """
     try:
         message = _decode_outcome(data)
+        if message.request_id not in ('', request_id):
+            return None
         if message.status:
             return transport.make_complete_answer(message.status,
                                                   message.headers, message.body)
         kind = outcomes.Unknown if message.may_have_run else outcomes.NotRun
         return kind(outcomes.Reason(message.reason), message.detail,
                     message.retry_after_ms)
-    except (msgspec.MsgspecError, ValueError):
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
 
 
-def encode_outcome(
-        outcome: transport.Answer | outcomes.NotRun | outcomes.Unknown
-) -> bytes:
-    """Returns an encoded outcome."""
+def encode_outcome(outcome: transport.Answer | outcomes.NotRun |
+                   outcomes.Unknown, request_id: str) -> bytes:
+    """Returns the encoded outcome of a request."""
     if isinstance(outcome, transport.Answer):
         return encode(
-            ProxiedOutcome(outcome.status, outcome.headers, outcome.body))
+            ProxiedOutcome(outcome.status,
+                           outcome.headers,
+                           outcome.body,
+                           request_id=request_id))
     return encode(
         ProxiedOutcome(reason=outcome.reason.value,
                        detail=outcome.detail,
                        retry_after_ms=outcome.retry_after_ms,
-                       may_have_run=isinstance(outcome, outcomes.Unknown)))
+                       may_have_run=isinstance(outcome, outcomes.Unknown),
+                       request_id=request_id))
 
 
 def parse_answer_headers(unused_status, unused_headers) -> ports.AnswerHeaders:
