Replies between entries that don't fit are refused and logged

A nested reply between entries raised RecursionError, which ends the thread that reports; replies that don't fit were dropped without a log line; and an entry that sent no evidence, or a status other than 200, counted as ended, so that the table of suspects could count as recent without its evidence.

Cause: the decoders caught other errors only, and the callers logged failed calls alone. Whatever wasn't a timeout counted as the end of the process.

Change: the decoders catch RecursionError; each call logs invalid-reply; evidence counts in a reply with status 200 only, and only a connection that is refused or lost shows that a process has ended.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -190,7 +190,7 @@
     forwarder.trials = trialtables.make_trial_table(clock, logger,
                                                     socket_options)
     forwarder.learning = learningtables.make_learning_table(
-        clock, socket_options)
+        clock, logger, socket_options)
     entry = Entry(platform, clock, logger, forwarder, shutdowns.RequestCount(),
                   requestmetrics.RequestMetrics(clock))
     owned = controlstate.ControlState(instance)
--- a/lentilmoor/edge/learning.py
+++ b/lentilmoor/edge/learning.py
@@ -46,6 +46,8 @@
 RETRY_AFTER_MS = 120
 
 _Reason = outcomes.Reason
+# Failures of calls to an entry whose process has ended.
+_ENDED = (_Reason.CONNECT_FAILED, _Reason.CONNECTION_LOST)
 
 
 def find_max_age(interval_ms: float) -> float:
@@ -200,7 +202,7 @@
             for call in concurrent.futures.as_completed(calls):
                 reply = call.result()
                 if isinstance(reply, outcomes.Failed):
-                    has_ended &= reply.reason is not _Reason.TIMED_OUT
+                    has_ended &= reply.reason in _ENDED
                     continue
                 suspects.merge(forwarder, reply.evidence, asked_at)
                 if reply.recent:
--- a/lentilmoor/edge/learningtables.py
+++ b/lentilmoor/edge/learningtables.py
@@ -7,6 +7,7 @@
 
 from lentilmoor import clocks
 from lentilmoor import httpclient
+from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor.edge import reports
 
@@ -25,7 +26,8 @@
 
     Attributes:
       ask_entry: Asks the entry at an address for its evidence; returns its
-        reply or the failure, CONNECT_FAILED if no process listens there.
+        reply or the failure: CONNECT_FAILED if no process listens there,
+        PEER_UNAVAILABLE if one has replied, but not with its evidence.
       recent_at: When the table was last known to lack nothing that other
         entries knew, ms; -inf before that.
       max_age_ms: Maximum age of a recent table.
@@ -50,12 +52,13 @@
         default_factory=threading.Condition)
 
 
-def make_learning_table(clock: clocks.Clock,
+def make_learning_table(clock: clocks.Clock, logger: logs.Logger,
                         socket_options: tuple) -> LearningTable:
     """Returns the table of a process that has started and knows nothing.
 
     Args:
       clock: Clock of this process.
+      logger: Receives a log line for each failed call.
       socket_options: Set on connections to other entries.
     """
     caller = httpclient.Client(clock, 1, socket_options,
@@ -65,12 +68,17 @@
         asked_at = clock.now()
         result = caller.call(address, httpclient.Request('POST', PATH, b''),
                              CALL_TIMEOUT_MS)
-        if isinstance(result, outcomes.Failed):
-            # A machine that is frozen or cut off doesn't refuse connections.
-            if clock.now() - asked_at >= CALL_TIMEOUT_MS:
-                return outcomes.Failed(outcomes.Reason.TIMED_OUT, result.detail)
-            return result
-        return reports.decode_suspects_reply(result.body) or outcomes.Failed(
-            outcomes.Reason.PEER_UNAVAILABLE, f'status {result.status}')
+        reason = httpclient.find_failure(result)
+        reply = None if reason else reports.decode_suspects_reply(result.body)
+        if reply is not None:
+            return reply
+        reason = reason or httpclient.INVALID_REPLY
+        logger.info('evidence_request_failed', entry=address, reason=reason)
+        if not isinstance(result, outcomes.Failed):
+            return outcomes.Failed(outcomes.Reason.PEER_UNAVAILABLE, reason)
+        # A machine that is frozen or cut off doesn't refuse connections.
+        if clock.now() - asked_at >= CALL_TIMEOUT_MS:
+            return outcomes.Failed(outcomes.Reason.TIMED_OUT, result.detail)
+        return result
 
     return LearningTable(ask_entry, max_age_ms=MAX_AGE_MS)
--- a/lentilmoor/edge/permits.py
+++ b/lentilmoor/edge/permits.py
@@ -82,12 +82,13 @@
                                      reports.encode_permit(message))
         result = caller.call(issuer, request, REQUEST_TIMEOUT_MS)
         reason = httpclient.find_failure(result)
-        if not reason:
-            return reports.decode_permit_reply(result.body)
+        reply = None if reason else reports.decode_permit_reply(result.body)
+        if reply is not None:
+            return reply
         logger.info('permit_request_failed',
                     issuer=issuer,
                     server=message.server,
-                    reason=reason)
+                    reason=reason or httpclient.INVALID_REPLY)
         return None
 
     return PermitTable(address, send_request)
--- a/lentilmoor/edge/reporting.py
+++ b/lentilmoor/edge/reporting.py
@@ -356,7 +356,11 @@
         address, httpclient.Request('POST', STATE_PATH,
                                     str(since).encode()), STATE_TIMEOUT_MS,
         TIMEOUT_MS)
-    if httpclient.find_failure(result):
+    reason = httpclient.find_failure(result)
+    if reason:
+        reporter.forwarder.logger.info('state_lost',
+                                       entry=address,
+                                       reason=reason)
         return None
     return reporter.forwarder.platform.store.restore(result.body)
 
@@ -377,7 +381,12 @@
                               clock.now() - sent_at, result)
     if httpclient.find_failure(result):
         return None
-    return reports.decode_report_reply(result.body)
+    reply = reports.decode_report_reply(result.body)
+    if reply is None:
+        reporter.forwarder.logger.info('report_lost',
+                                       hub=peer.instance,
+                                       reason=httpclient.INVALID_REPLY)
+    return reply
 
 
 def _log_failed_or_slow_reply(
--- a/lentilmoor/edge/reports.py
+++ b/lentilmoor/edge/reports.py
@@ -317,7 +317,7 @@
 def _decode(read: Callable[[bytes], _T], data: bytes) -> _T | None:
     try:
         return read(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
 
 
--- a/lentilmoor/edge/subscriptions.py
+++ b/lentilmoor/edge/subscriptions.py
@@ -14,7 +14,6 @@
 
 from lentilmoor import clocks
 from lentilmoor import httpclient
-from lentilmoor import outcomes
 from lentilmoor.edge import relays
 from lentilmoor.edge import reporting
 from lentilmoor.edge import reports
@@ -202,16 +201,13 @@
     result = reporter.caller.call(
         address, httpclient.Request('POST', PATH, data),
         max_wait_ms + forwarder.age_limits.poll_reply_ms, CONNECT_TIMEOUT_MS)
-    failed = isinstance(result, outcomes.Failed)
-    reply = None
-    if not failed and result.status == 200:
-        reply = reports.decode_news_reply(result.body)
+    reason = httpclient.find_failure(result)
+    reply = None if reason else reports.decode_news_reply(result.body)
     if reply is None:
-        follower.logger.info(
-            'news_lost',
-            parent=address,
-            reason=result.reason.value if failed else str(result.status),
-            took_ms=round(follower.clock.now() - asked_at))
+        follower.logger.info('news_lost',
+                             parent=address,
+                             reason=reason or httpclient.INVALID_REPLY,
+                             took_ms=round(follower.clock.now() - asked_at))
         return None
     # Ages in the reply count from when it was written. Apart from the time for
     # which the request was held, all the time may have been spent on the way
--- a/lentilmoor/edge/trialtables.py
+++ b/lentilmoor/edge/trialtables.py
@@ -94,12 +94,13 @@
             httpclient.Request('POST', PATH, reports.encode_trial(message)),
             CALL_TIMEOUT_MS)
         reason = httpclient.find_failure(result)
-        if not reason:
-            return reports.decode_trial_reply(result.body)
+        reply = None if reason else reports.decode_trial_reply(result.body)
+        if reply is not None:
+            return reply
         logger.info('trial_request_failed',
                     hub=address,
                     fingerprint=message.fingerprint.hex(),
-                    reason=reason)
+                    reason=reason or httpclient.INVALID_REPLY)
         return None
 
     return TrialTable(send_request)
--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -22,6 +22,8 @@
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 # The same for calls whose replies are short.
 MAX_SHORT_REPLY_BYTES = 1024 * 1024
+# Why a reply counts as none although its status is 200, for logs.
+INVALID_REPLY = 'invalid-reply'
 # Replies of the largest size that a client holds at once, which allows for
 # calls in several threads.
 _MAX_LARGE_REPLIES = 2
