Stand-ins break answers in their heads, and to control calls

The stand-in servers sent no answer that breaks off in its head, carries an odd line or a second length, or follows the repeated answer before it; the store's answers never broke off. Now they do, as often as is said, drawn from a seed; answers to grants and releases may be doubled or broken in the same ways.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import http.server
+import io
 import json
 import random
 import socket
@@ -17,6 +18,8 @@
 import time
 import uuid
 
+from standins import broken_answers
+
 _MS_PER_S = 1000.0
 
 
@@ -39,16 +42,42 @@
 
     Attributes:
       answer: What becomes of the next answers: 'lost', 'cut', 'double',
-        'spoiled', 'unframed', 'failed', 'endless' or 'endless head'; '' is
-        whole.
+        'spoiled', 'unframed', 'failed', 'endless', 'endless head' or one of
+        `broken_answers.FORMS`; '' is whole.
       count: How many answers it befalls.
+      control: What becomes of the next answers to grants and releases:
+        'double' or one of `broken_answers.FORMS`; '' is whole.
+      control_count: How many answers to them it befalls.
+      share: Part of the other answers to requests that are broken.
+      drawn: Decides which answers of that part are broken, and how.
       late_grant_s: Grants are applied so much later, and not answered.
     """
 
     answer: str = ''
     count: int = 0
+    control: str = ''
+    control_count: int = 0
+    share: float = 0.0
+    drawn: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(0))
     late_grant_s: float = 0.0
 
+    def take_answer_fault(self) -> str:
+        """Returns what becomes of the next answer to a request."""
+        if self.count > 0:
+            self.count -= 1
+            return self.answer
+        if self.share and self.drawn.random() < self.share:
+            return self.drawn.choice(broken_answers.FORMS)
+        return ''
+
+    def take_control_fault(self) -> str:
+        """Returns what becomes of the next answer to a control call."""
+        if self.control_count <= 0:
+            return ''
+        self.control_count -= 1
+        return self.control
+
 
 class PlatformServer:
     """A server; `address` is where it listens."""
@@ -260,6 +289,8 @@
         """Answers requests and control calls."""
 
         protocol_version = 'HTTP/1.1'
+        # The answer before on this connection, whatever was sent of it.
+        _previous = b''
 
         def setup(self) -> None:
             """Remembers the connection."""
@@ -286,7 +317,7 @@
                 self._grant(json.loads(body))
             elif self.path == '/-/release':
                 server.release(json.loads(body))
-                self._send(200, b'', {'Lentilmoor-Handover': 'token'})
+                self._send_control(200, {'Lentilmoor-Handover': 'token'})
             else:
                 self._serve(body)
 
@@ -297,7 +328,13 @@
                 time.sleep(1.0)
                 self.close_connection = True
                 return
-            self._send(server.grant(fields, time.monotonic()), b'')
+            self._send_control(server.grant(fields, time.monotonic()))
+
+        def _send_control(self,
+                          status: int,
+                          headers: dict | None = None) -> None:
+            fault = server.faults.take_control_fault()
+            self._send_with_fault(fault, status, b'', headers)
 
         def _serve(self, body: bytes) -> None:
             server.arrivals += 1
@@ -355,10 +392,7 @@
             return True
 
         def _reply(self, request_id: str) -> None:
-            faults, fault = server.faults, ''
-            if faults.count > 0:
-                faults.count -= 1
-                fault = faults.answer
+            fault = server.faults.take_answer_fault()
             body = f'{server.id} {self.path}'.encode()
             headers = {
                 'Lentilmoor-Attempt-Id': request_id,
@@ -381,9 +415,34 @@
                 self._send(200, body, headers | {'Connection': 'close'}, -1)
                 self.close_connection = True
             else:
-                self._send(200, body, headers)
-                if fault == 'double':
-                    self._send(200, body, headers)
+                self._send_with_fault(fault, 200, body, headers)
+
+        def _send_with_fault(self, fault: str, status: int, body: bytes,
+                             headers: dict | None) -> None:
+            """Sends an answer whole, twice or broken."""
+            answer = self._render(status, body, headers)
+            parts, closes = [answer], False
+            if fault == 'double':
+                parts = [answer, answer]
+            elif fault:
+                broken, closes = broken_answers.make(fault, answer,
+                                                     self._previous,
+                                                     server.faults.drawn)
+                parts = [broken]
+            self.close_connection |= closes
+            self._previous = answer
+            with contextlib.suppress(OSError):  # The caller may be gone.
+                for part in parts:
+                    self.wfile.write(part)
+
+        def _render(self, *args) -> bytes:
+            """Returns what `_send` would send."""
+            wfile, self.wfile = self.wfile, io.BytesIO()
+            try:
+                self._send(*args)
+                return self.wfile.getvalue()
+            finally:
+                self.wfile = wfile
 
         def _send_endlessly(self, is_head_complete: bool) -> None:
             """Sends a body, or a header, until the caller closes."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -10,11 +10,15 @@
 import contextlib
 import dataclasses
 import http.server
+import io
 import json
+import random
 import threading
 import time
 import urllib.parse
 
+from standins import broken_answers
+
 _MS_PER_S = 1000.0
 # Keys that the operator and backend servers write.
 _OUTSIDE_PREFIXES = ('op/', 'servers/')
@@ -29,12 +33,17 @@
       refused: Ports of callers' listeners that are turned away; see `call`.
       lose_answers: Writes that are done and not answered.
       late_s: Writes are done so much later and not answered; 0: at once.
+      cut_share: Part of the answers that break off in their head.
+      drawn: Decides which answers these are, and where they break off.
     """
 
     away: str = ''
     refused: frozenset[str] = frozenset()
     lose_answers: int = 0
     late_s: float = 0.0
+    cut_share: float = 0.0
+    drawn: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(0))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -315,6 +324,23 @@
             self._send(status, fields)
 
         def _send(self, status: int, fields: dict) -> None:
+            faults = store.faults
+            if not faults.cut_share or faults.drawn.random(
+            ) >= faults.cut_share:
+                self._send_whole(status, fields)
+                return
+            wfile, self.wfile = self.wfile, io.BytesIO()
+            try:
+                self._send_whole(status, fields)
+                answer = self.wfile.getvalue()
+            finally:
+                self.wfile = wfile
+            cut, self.close_connection = broken_answers.make(
+                broken_answers.CUT, answer, b'', faults.drawn)
+            with contextlib.suppress(OSError):
+                self.wfile.write(cut)
+
+        def _send_whole(self, status: int, fields: dict) -> None:
             data = json.dumps(fields).encode()
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
