Soak: each success is checked for its proof and its body

The soak looked at statuses alone, so an answer whose proof or body was cut short passed for a success.

Change: in spells, servers break 2 to 10 of 100 answers, in their heads, by odd lines, second lengths and the answer before sent once more, and the store breaks off in as many of its heads. Each 2xx that a caller gets must bear the proof for its own id, and the whole body of a server that ran it. An entry that ends by itself, and an exception in an entry's log, are breaches too. The stand-in that crashes servers lists those that it started again, as they answer too.

--- a/standins/deadly_request.py
+++ b/standins/deadly_request.py
@@ -15,6 +15,7 @@
     Attributes:
       path: Of the request.
       crashes: When servers crashed, s (monotonic).
+      restarted: The servers that followed those that crashed.
     """
 
     def __init__(self,
@@ -43,7 +44,7 @@
         self._silent = silent or powerless
         self._powerless = powerless
         self._lock = threading.Lock()
-        self._restarted: list[platform_server.PlatformServer] = []
+        self.restarted: list[platform_server.PlatformServer] = []
         self._restarting: list[threading.Thread] = []
         self._closed = False
 
@@ -66,7 +67,7 @@
             self._closed = True
         for thread in self._restarting:
             thread.join()
-        for server in self._restarted:
+        for server in self.restarted:
             server.close()
 
     def _make_hook(self, server: platform_server.PlatformServer):
@@ -109,7 +110,7 @@
                                                  server.service,
                                                  server.keyed,
                                                  port=server.port)
-            self._restarted.append(new)
+            self.restarted.append(new)
         self.attach([new])
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,10 @@
 `python -m tests.soak --soak_seed=1 --soak_seconds=60`. Entries are killed,
 frozen, cut from servers and asked to end, the store is away, comes back from an
 older copy and revokes the registrations of entries, servers leave and come, and
-the configuration changes, one soon after the other.
+the configuration changes, one soon after the other. In spells, servers break
+off in heads of answers, add odd lines to them and send answers late once more,
+and the store breaks off in its heads. Each success is checked for its proof and
+body.
 All the while requests come that crash each server that runs them, a service
 rejects most of its requests, so that they are retried, and another one answers
 without end. Prints what was broken.
@@ -28,6 +31,7 @@
 from standins import platform_store
 from standins import server_links
 from tests import platformhelp
+from tests import soakanswers
 from tests import soakloads
 
 _SEED = flags.DEFINE_integer('soak_seed', 1, 'Of all that is drawn.')
@@ -58,6 +62,8 @@
 _CRASHES = ({}, {'silent': True}, {'powerless': True})
 # Copies that may crash servers later than STABLE_S after the third.
 _MOST_LATE_CRASHES = 3
+_BROKEN_SHARES = (0.02, 0.1)
+_BROKEN_S = (1.0, 6.0)
 _COPY_S = 0.5
 _MOST_COPIES = 12
 _CALLERS = 3
@@ -116,8 +122,13 @@
             **self._random.choice(_CRASHES))
         self._other_crashes = self._deadly.add_path(_OTHER_DEADLY_PATH)
         self._deadly.attach(self._frail)
-        self._retried = soakloads.RetriedLoad(self._store, seed)
-        self._endless = soakloads.EndlessLoad(self._store, seed)
+        self.answers = soakanswers.AnswerChecks()
+        self._retried = soakloads.RetriedLoad(self._store, seed, self.answers)
+        self._endless = soakloads.EndlessLoad(self._store, seed, self.answers)
+        for servers in (self._deployment.catalogs, self._deployment.orders,
+                        self._slow, self._frail, self._deadly.restarted,
+                        self._retried.servers):
+            self.answers.add_servers(servers)
         self._copies: list[platform_store.Copy] = []
         self._store_calm_at = time.monotonic() + STABLE_S
         # When each entry is bound again, s.
@@ -127,6 +138,8 @@
         self._version = 2
         # Entries that were killed or frozen may cut what they answer.
         self._harmed: set[platformhelp.Entry] = set()
+        # Entries that were killed or asked to end.
+        self._told_to_end: set[platformhelp.Entry] = set()
         self._ending: list[threading.Thread] = []
         self._replacing = threading.Lock()
         self._ends_at = 0.0
@@ -173,6 +186,9 @@
             self._note(breach)
         self._check_history()
         self._check_crashes()
+        self._check_entries()
+        for breach in self.answers.breaches:
+            self._note(breach)
 
     def close(self) -> None:
         """Ends all processes and servers."""
@@ -195,6 +211,9 @@
             ('revoke', self._revoke),
             ('revoke', self._revoke),
             ('cut from servers', self._cut_from_servers),
+            ('broken answers', self._break_answers),
+            ('broken answers', self._break_answers),
+            ('broken answers of the store', self._break_store_answers),
             ('replace server', self._replace_server),
             ('add route', self._add_route),
             ('add route', self._add_route),
@@ -231,6 +250,7 @@
         index = self._pick_entry()
         old = self._deployment.entries[index]
         self._harmed.add(old)
+        self._told_to_end.add(old)
         old.process.kill()
         self._replace(index, old)
 
@@ -251,6 +271,7 @@
         """Asks an entry to end; other faults come meanwhile."""
         index = self._pick_entry()
         entry = self._deployment.entries[index]
+        self._told_to_end.add(entry)
         entry.stop()
         self._ending.append(
             threading.Thread(target=self._replace, args=(index, entry)))
@@ -289,6 +310,28 @@
         time.sleep(self._random.uniform(0.5, 6.0))
         self._partition.end()
 
+    def _break_answers(self) -> None:
+        """Has servers break a part of their answers for some time."""
+        servers = [*self._deployment.catalogs, *self._deployment.orders]
+        share = self._random.uniform(*_BROKEN_SHARES)
+        for server in servers:
+            server.faults.drawn.seed(self._random.random())
+            server.faults.share = share
+        time.sleep(self._random.uniform(*_BROKEN_S))
+        for server in servers:
+            server.faults.share = 0.0
+
+    def _break_store_answers(self) -> None:
+        """Has the store break off in some of its heads for some time."""
+        seconds = self._random.uniform(*_BROKEN_S)
+        self._disturb_store(seconds)
+        faults = self._store.faults
+        faults.drawn.seed(self._random.random())
+        faults.cut_share = self._random.uniform(*_BROKEN_SHARES)
+        time.sleep(seconds)
+        faults.cut_share = 0.0
+        self._disturb_store(0.0)
+
     def _replace_server(self) -> None:
         """Has a server leave, and another one of its service come."""
         staying = [
@@ -362,9 +405,10 @@
             key = drawn.choice(KEYS) if kind == 'stock' else None
             sent = Sent(uuid.uuid4().hex[:16])
             with contextlib.suppress(OSError, http.client.HTTPException):
-                sent.status = entry.call(f'/{kind}/x',
-                                         key,
-                                         request_id=sent.request_id)[0]
+                sent.status = self.answers.call(entry,
+                                                f'/{kind}/x',
+                                                key,
+                                                request_id=sent.request_id)[0]
             if kind == 'order':
                 self.orders.append(sent)
             time.sleep(0.005)
@@ -388,12 +432,14 @@
         sent = Sent(uuid.uuid4().hex[:16])
         self.orders.append(sent)
         try:
-            sent.status, headers, _ = entry.call(f'/{_SLOW}/x',
-                                                 method='POST',
-                                                 body=b'1',
-                                                 patience_ms=_SLOW_LIMIT_MS,
-                                                 request_id=sent.request_id,
-                                                 connection=connection)
+            sent.status, headers, _ = self.answers.call(
+                entry,
+                f'/{_SLOW}/x',
+                method='POST',
+                body=b'1',
+                patience_ms=_SLOW_LIMIT_MS,
+                request_id=sent.request_id,
+                connection=connection)
         except (OSError, http.client.HTTPException) as error:
             begun = any(
                 sent.request_id in server.begun for server in self._slow)
@@ -428,7 +474,7 @@
     def _send_frail(self, drawn: random.Random, path: str) -> None:
         entry = drawn.choice(self._deployment.entries)
         with contextlib.suppress(OSError, http.client.HTTPException):
-            entry.call(path, request_id=uuid.uuid4().hex[:16])
+            self.answers.call(entry, path)
 
     def _watch_owners(self) -> None:
         while time.monotonic() < self._ends_at:
@@ -452,7 +498,7 @@
             if now <= route.due_at:
                 continue
             with contextlib.suppress(OSError, http.client.HTTPException):
-                status = entry.call(route.path + 'x')[0]
+                status = self.answers.call(entry, route.path + 'x')[0]
                 if status == 404 and now >= self._calm_at[index]:
                     self._note(f'{route.path} is not served by entry {index}')
 
@@ -475,7 +521,7 @@
             for path, key in paths:
                 status = 0
                 with contextlib.suppress(OSError, http.client.HTTPException):
-                    status = entry.call(path, key)[0]
+                    status = self.answers.call(entry, path, key)[0]
                 if status != 200:
                     missing.append(f'{status} of entry {index} for {path}')
         with self._store.changed:
@@ -520,13 +566,22 @@
                               (_OTHER_DEADLY_PATH, self._other_crashes)):
             for entry in self._deployment.entries:
                 with contextlib.suppress(OSError, http.client.HTTPException):
-                    entry.call(path)
+                    self.answers.call(entry, path)
             late = deadly_request.find_late(crashes, STABLE_S)
             if len(late) > _MOST_LATE_CRASHES:
                 ages = [round(at - crashes[0], 1) for at in sorted(crashes)]
                 self._note(f'{len(late)} servers crashed by {path} later than '
                            f'{STABLE_S} s after the third: {ages}')
 
+    def _check_entries(self) -> None:
+        """Checks that none ended by itself, or logged an exception."""
+        for entry in (*self._deployment.entries, *self._deployment.ended):
+            code = entry.process.poll()
+            if code is not None and entry not in self._told_to_end:
+                self._note(f'an entry ended by itself, with code {code}')
+            for text in soakanswers.list_log_errors(entry.read_log()):
+                self._note(f'an entry logged an exception: {text}')
+
     def _note(self, text: str) -> None:
         self.breaches.append(f'{text} (after {self.events[-1:]})')
 
@@ -548,6 +603,7 @@
         print('BROKEN:', breach)
     answered = sum(sent.status == 200 for sent in soak.orders)
     print(f'seed {_SEED.value}: {len(soak.orders)} orders, {answered} answered,'
+          f' {soak.answers.successes} successes checked,'
           f' {len(soak.breaches)} broken')
     sys.exit(1 if soak.breaches else 0)
 
--- a/tests/soakloads.py
+++ b/tests/soakloads.py
@@ -14,6 +14,7 @@
 from standins import platform_server
 from standins import platform_store
 from tests import platformhelp
+from tests import soakanswers
 
 _RETRIED = 'retried'
 _REJECT_SHARE = 0.6
@@ -40,11 +41,13 @@
       servers: Its servers.
     """
 
-    def __init__(self, store: platform_store.PlatformStore, seed: int):
+    def __init__(self, store: platform_store.PlatformStore, seed: int,
+                 answers: soakanswers.AnswerChecks):
         self.servers = [
             platform_server.PlatformServer(store, _RETRIED) for _ in range(3)
         ]
         self._random = random.Random(seed)
+        self._answers = answers
         for server in self.servers:
             server.reject_share = _REJECT_SHARE
         self._sent: list[tuple[float, str]] = []
@@ -78,8 +81,9 @@
             request_id = uuid.uuid4().hex[:16]
             self._sent.append((time.monotonic(), request_id))
             with contextlib.suppress(OSError, http.client.HTTPException):
-                self._random.choice(entries).call(f'/{_RETRIED}/x',
-                                                  request_id=request_id)
+                self._answers.call(self._random.choice(entries),
+                                   f'/{_RETRIED}/x',
+                                   request_id=request_id)
             time.sleep(self._find_pause())
 
     def _find_pause(self) -> float:
@@ -138,11 +142,13 @@
       servers: Its servers.
     """
 
-    def __init__(self, store: platform_store.PlatformStore, seed: int):
+    def __init__(self, store: platform_store.PlatformStore, seed: int,
+                 answers: soakanswers.AnswerChecks):
         self.servers = [
             platform_server.PlatformServer(store, _ENDLESS) for _ in range(2)
         ]
         self._random = random.Random(seed)
+        self._answers = answers
         for server, answer in zip(self.servers, ('endless', 'endless head'),
                                   strict=True):
             server.faults.answer, server.faults.count = answer, 1_000_000
@@ -165,7 +171,9 @@
             entry = self._random.choice(entries)
             began = time.monotonic()
             with contextlib.suppress(OSError, http.client.HTTPException):
-                entry.call(f'/{_ENDLESS}/x', patience_ms=_ENDLESS_LIMIT_MS)
+                self._answers.call(entry,
+                                   f'/{_ENDLESS}/x',
+                                   patience_ms=_ENDLESS_LIMIT_MS)
                 self._longest_s = max(self._longest_s, time.monotonic() - began)
             self._most_memory_kb = max(self._most_memory_kb,
                                        _read_memory_kb(entry))
