Stand-in links: a connection is passed on while an entry starts

A thread of the links ended with "Set changed size during iteration" and its connection was lost, as the soak adds the process of an entry that it starts.

The processes are copied before they are looked through.

--- a/standins/server_links.py
+++ b/standins/server_links.py
@@ -93,7 +93,8 @@
     def find_owner(self, port: int, peer_port: int) -> int | None:
         """Returns the process that opened a loopback connection."""
         inode = _find_inode(port, peer_port)
-        return next((process for process in self.processes
+        # Entries that start meanwhile are added by another thread.
+        return next((process for process in list(self.processes)
                      if inode and _has_socket(process, inode)), None)
 
 
