--- a/lentilmoor/platform/headerformat.py
+++ b/lentilmoor/platform/headerformat.py
@@ -27,7 +27,7 @@
     name.lower()
     for name in ('Content-Length', 'Expect', _EXPECTED_SERVER, _TIMEOUT_MS))
 _SINGLE_HEADERS = frozenset(
-    name.title().encode() for name in (_REQUEST_ID, _TIMEOUT_MS, _KEY))
+    name.title().encode() for name in (REQUEST_ID, _TIMEOUT_MS, _KEY))
 
 
 def make_header_format() -> ports.HeaderFormat:
