An odd key, value, news or dump doesn't end the thread that reads it

An entry's thread ended, or the entry relayed and parsed megabytes, after another writer had put odd values or keys in the store: keys that aren't ASCII can't be sent in headers or reports, news with a nested list or a row that is no object raised beyond what `merge_news` and `restore` catch, and a few hundred kB that unpack to hundreds of MB were unpacked whole.

Change: a key is printable ASCII with a name of at most 512 characters; a registration has at most 64 KiB, a blocked request 1 MiB, an assignment 16 MiB, and a larger value is neither parsed nor sent to other entries. News and dumps unpack to at most 32 MiB, and any of their rows that can't be decoded refuses them whole: without it the rest isn't all that changed, so the store is read. An assignment counts only for the service in its key. A refusal is logged once for each key and reason, with a reason of at most 200 characters.

--- a/lentilmoor/platform/documents.py
+++ b/lentilmoor/platform/documents.py
@@ -161,6 +161,8 @@
     decode = msgspec.json.Decoder(model, strict=strict).decode
 
     def read(data: bytes) -> object:
+        if not data:
+            raise ValueError('the value is empty or too large')
         try:
             return decode(data)
         except RecursionError as error:
--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 import dataclasses
 import json
+import re
 import threading
 import zlib
 
@@ -44,9 +45,33 @@
 COMPRESSION_THRESHOLD_BYTES = 1_000
 # Most entries ask for the same news, so the latest encodings are cached.
 MAX_CACHED_NEWS = 8
+# Registrations of servers and entries that are larger are refused unread.
+MAX_RECORD_BYTES = 64 * 1024
+MAX_SUSPECT_BYTES = 1024 * 1024
+# An assignment of one range per key is smaller, and so is any item that the
+# store returns.
+MAX_VALUE_BYTES = 16 * 1024 * 1024
+# Size of news or of a dump, unpacked.
+MAX_UNPACKED_BYTES = 32 * 1024 * 1024
+MAX_REVISION = 2**63 - 1
+MAX_KEY_LENGTH = 512
+# Longer reasons are cut in log lines.
+MAX_REASON_LENGTH = 200
+# Keys whose last refusal is kept, so that it is logged once.
+MAX_REFUSALS = 1_000
 # The end of a warm-up that heartbeats report varies with their latency.
 WARMUP_TOLERANCE_MS = 1_000.0
 
+_MAX_BYTES = {
+    SERVERS: MAX_RECORD_BYTES,
+    COORDINATORS: MAX_RECORD_BYTES,
+    ENTRIES: MAX_RECORD_BYTES,
+    SUSPECTS: MAX_SUSPECT_BYTES,
+    ASSIGNMENTS: MAX_VALUE_BYTES
+}
+# Names in keys are sent in headers. A key that ends with a slash has no name.
+_KEY_PATTERN = re.compile(rf'[!-~]{{0,{MAX_KEY_LENGTH - 1}}}[!-.0-~]')
+
 _EMPTY_SNAPSHOT = ports.StoreSnapshot(None, {}, {}, {}, {}, 0)
 
 
@@ -72,13 +97,49 @@
       row: The item, as the store or another entry encoded it.
       era: The store's era. Other entries send revisions that include the era;
         for their items it is 0.
+
+    Raises:
+      ValueError: The item can't be decoded.
     """
+    try:
+        return _decode_item(row, era)
+    except (zlib.error, KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f'no item: {error!r}') from error
+
+
+def _decode_item(row: Mapping, era: int) -> Item:
+    key, revision = row['Key'], row['Rev']
+    if not isinstance(key, str):
+        raise ValueError('the key is no text')
+    _check_revision(revision)
     value = None
     if 'Packed' in row:
-        value = zlib.decompress(base64.b64decode(row['Packed']))
+        value = _unpack(base64.b64decode(row['Packed']), MAX_VALUE_BYTES)
     elif not row.get('Tombstone'):
         value = base64.b64decode(row.get('Value', ''))
-    return Item(row['Key'], value, revisions.combine(era, row['Rev']))
+    return Item(key, value, revisions.combine(era, revision))
+
+
+def _check_revision(revision: object) -> None:
+    if (not isinstance(revision, int) or isinstance(revision, bool) or
+            not 0 <= revision <= MAX_REVISION):
+        raise ValueError('the revision is no number of 63 bits')
+
+
+def _unpack(data: bytes, max_bytes: int) -> bytes:
+    """Decompresses data, which may be made to become too large.
+
+    Raises:
+      ValueError: It is larger than `max_bytes`, or incomplete.
+      zlib.error: It isn't compressed.
+    """
+    decompressor = zlib.decompressobj()
+    unpacked = decompressor.decompress(data, max_bytes + 1)
+    if len(unpacked) > max_bytes:
+        raise ValueError(f'unpacked, it has more than {max_bytes} bytes')
+    if not decompressor.eof:
+        raise ValueError('the compressed data is incomplete')
+    return unpacked
 
 
 def write_item(item: Item) -> dict[str, object]:
@@ -112,6 +173,8 @@
         # outlives the deletion of the key.
         self._servers_by_name: dict[str, tables.Server] = {}
         self._items: dict[str, Item] = {}
+        # The reason of the last refusal, by key.
+        self._refusals: dict[str, str] = {}
         self._deleted_revisions: collections.OrderedDict[
             str, int] = collections.OrderedDict()
         # The news, and the revision since which they are complete.
@@ -182,8 +245,10 @@
                 if item.key == CONFIGURATION:
                     updated = self._apply_configuration(updated, item)
                     continue
-                self._store_item(item)
-                updated = self._apply_item(updated, item)
+                item = self._screen(item)
+                if item is not None:
+                    self._store_item(item)
+                    updated = self._apply_item(updated, item)
             self._snapshot = updated
             return updated
 
@@ -233,8 +298,9 @@
         """Applies another entry's news; returns None if it doesn't parse."""
         try:
             items = _decode_news(data)
-        except (zlib.error, ValueError, KeyError, TypeError) as error:
-            self._logger.warning('news_refused', reason=str(error))
+        except (zlib.error, ValueError) as error:
+            self._logger.warning('news_refused',
+                                 reason=str(error)[:MAX_REASON_LENGTH])
             return None
         return self.apply(items, revision)
 
@@ -270,11 +336,10 @@
           or begins later than this copy ends.
         """
         try:
-            fields = json.loads(zlib.decompress(data))
-            items = [read_item(row) for row in fields['items']]
-            revision, since = fields['CurrentRev'], fields.get('Since')
-        except (zlib.error, ValueError, KeyError, TypeError) as error:
-            self._logger.warning('dump_refused', reason=str(error))
+            items, revision, since = _decode_dump(data)
+        except (zlib.error, ValueError) as error:
+            self._logger.warning('dump_refused',
+                                 reason=str(error)[:MAX_REASON_LENGTH])
             return None
         with self._lock:
             known_revision = self._snapshot.revision
@@ -296,6 +361,26 @@
             item.key, 0)
         return item.revision <= revision
 
+    def _screen(self, item: Item) -> Item | None:
+        """Returns an item that may be kept and sent to other entries.
+
+        Returns:
+          None if the key is invalid. A value that is too large is left out:
+          nothing accepts an empty one.
+        """
+        if not _KEY_PATTERN.fullmatch(item.key):
+            if item.value is not None:
+                self._log_refusal('key_refused',
+                                  item,
+                                  'an invalid key',
+                                  key=item.key[:MAX_REASON_LENGTH])
+            return None
+        max_bytes = next((size for prefix, size in _MAX_BYTES.items()
+                          if item.key.startswith(prefix)), MAX_VALUE_BYTES)
+        if item.value is not None and len(item.value) > max_bytes:
+            return dataclasses.replace(item, value=b'')
+        return item
+
     def _store_item(self, item: Item) -> None:
         if item.value is not None:
             self._deleted_revisions.pop(item.key, None)
@@ -376,11 +461,9 @@
         """
         found = documents.parse_configuration(item.value)
         if isinstance(found, str):
-            self._logger.error('configuration_refused',
-                               revision=revisions.format_revision(
-                                   item.revision),
-                               reason=found)
+            self._log_refusal('configuration_refused', item, found)
             return before
+        self._refusals.pop(item.key, None)
         if before is not None and found.version < before.version:
             self._logger.warning('configuration_older',
                                  version=found.version,
@@ -401,11 +484,9 @@
         try:
             entries[name] = read(item.value)
         except ValueError as error:
-            self._logger.error('entry_refused',
-                               key=item.key,
-                               revision=revisions.format_revision(
-                                   item.revision),
-                               reason=str(error))
+            self._log_refusal('entry_refused', item, str(error), key=item.key)
+        else:
+            self._refusals.pop(item.key, None)
 
     def _apply_server(self, servers: dict[str, tables.Server],
                       item: Item) -> bool:
@@ -421,7 +502,7 @@
         now = self._clock.now()
         server = documents.parse_server(name, item.value, now)
         if isinstance(server, str):
-            self._log_refused_server(name, item, server)
+            self._log_refusal('server_entry_refused', item, server, server=name)
             return known is not None and servers.pop(known.id, None) is not None
         if known is not None and known.id == server.id:
             # A restored store may hold a registration from before the server
@@ -435,11 +516,14 @@
             if _is_heartbeat(known, server, now):
                 server = known
         elif known is not None and tables.has_replaced(known, server):
-            self._log_refused_server(name, item,
-                                     'registered by an earlier process')
+            self._log_refusal('server_entry_refused',
+                              item,
+                              'registered by an earlier process',
+                              server=name)
             return False
         elif known is not None:
             servers.pop(known.id, None)
+        self._refusals.pop(item.key, None)
         changed = servers.get(server.id) is not server
         self._servers_by_name[name] = servers[server.id] = server
         return changed
@@ -461,15 +545,24 @@
           items: The items; the copy doesn't change.
         """
         peers: dict[str, ports.Peer] = {}
-        for item in items:
-            self._apply_entry(peers, item, ENTRIES, documents.read_peer)
+        with self._lock:
+            for item in filter(None, map(self._screen, items)):
+                self._apply_entry(peers, item, ENTRIES, documents.read_peer)
         return list(peers.values())
 
-    def _log_refused_server(self, name: str, item: Item, reason: str) -> None:
-        self._logger.error('server_entry_refused',
-                           server=name,
-                           revision=revisions.format_revision(item.revision),
-                           reason=reason)
+    def _log_refusal(self, event: str, item: Item, reason: str,
+                     **fields: object) -> None:
+        """Logs why an item is refused, unless the last line of its key did."""
+        reason, key = reason[:MAX_REASON_LENGTH], item.key[:MAX_KEY_LENGTH]
+        if self._refusals.pop(key, None) != reason:
+            self._logger.error(event,
+                               revision=revisions.format_revision(
+                                   item.revision),
+                               reason=reason,
+                               **fields)
+        self._refusals[key] = reason
+        if len(self._refusals) > MAX_REFUSALS:
+            del self._refusals[next(iter(self._refusals))]
 
 
 def _is_heartbeat(known: tables.Server, found: tables.Server,
@@ -508,10 +601,48 @@
 
 
 def _decode_news(data: bytes) -> list[Item]:
-    """Decodes news; entries of an earlier release send them uncompressed."""
+    """Decodes news; entries of an earlier release send them uncompressed.
+
+    Raises:
+      ValueError: The news or one of their items can't be decoded. Without it,
+        the rest isn't all that changed.
+      zlib.error: The news can't be unpacked.
+    """
     if data and data[:1] != b'[':
-        data = zlib.decompress(data)
-    return [read_item(row) for row in json.loads(data or b'[]')]
+        data = _unpack(data, MAX_UNPACKED_BYTES)
+    rows = _parse_json(data or b'[]')
+    if not isinstance(rows, list):
+        raise ValueError('the news are no list')
+    return [read_item(row) for row in rows]
+
+
+def _decode_dump(data: bytes) -> tuple[list[Item], int, int | None]:
+    """Decodes a dump.
+
+    Returns:
+      The items, the revision, and the revision from which these are all
+      changes; None if these are all items.
+
+    Raises:
+      ValueError: The dump or one of its items can't be decoded.
+      zlib.error: The dump can't be unpacked.
+    """
+    fields = _parse_json(_unpack(data, MAX_UNPACKED_BYTES))
+    if not isinstance(fields, dict) or not isinstance(fields.get('items'),
+                                                      list):
+        raise ValueError('the dump has no items')
+    revision, since = fields.get('CurrentRev'), fields.get('Since')
+    _check_revision(revision)
+    if since is not None:
+        _check_revision(since)
+    return [read_item(row) for row in fields['items']], revision, since
+
+
+def _parse_json(data: bytes) -> object:
+    try:
+        return json.loads(data)
+    except RecursionError as error:
+        raise ValueError('nested too deeply') from error
 
 
 def make_assignment_reader(
@@ -519,8 +650,10 @@
     """Returns a parser of an assignment that sets its revision."""
 
     def read(data: bytes) -> ports.SavedAssignment:
-        return ports.SavedAssignment(documents.read_assignment(data),
-                                     item.revision)
+        assignment = documents.read_assignment(data)
+        if assignment.service != item.key.removeprefix(ASSIGNMENTS):
+            raise ValueError('the key is that of another service')
+        return ports.SavedAssignment(assignment, item.revision)
 
     return read
 
