Soak: answers to grants are doubled and broken too

In the spells of broken answers, up to 19 answers of each server to grants and releases come twice, break off in their head or bear an odd line.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,8 +5,8 @@
 older copy and revokes the registrations of entries, servers leave and come, and
 the configuration changes, one soon after the other. In spells, servers break
 off in heads of answers, add odd lines to them and send answers late once more,
-and the store breaks off in its heads. Each success is checked for its proof and
-body.
+double and break those to grants, and the store breaks off in its heads. Each
+success is checked for its proof and body.
 All the while requests come that crash each server that runs them, a service
 rejects most of its requests, so that they are retried, and another one answers
 without end. Prints what was broken.
@@ -26,6 +26,7 @@
 from absl import app
 from absl import flags
 
+from standins import broken_answers
 from standins import deadly_request
 from standins import platform_server
 from standins import platform_store
@@ -63,6 +64,8 @@
 # Copies that may crash servers later than STABLE_S after the third.
 _MOST_LATE_CRASHES = 3
 _BROKEN_SHARES = (0.02, 0.1)
+_BROKEN_CONTROL = ('double', broken_answers.CUT, broken_answers.ODD_LINE)
+_MOST_BROKEN_CONTROL = 20
 _BROKEN_S = (1.0, 6.0)
 _COPY_S = 0.5
 _MOST_COPIES = 12
@@ -317,9 +320,12 @@
         for server in servers:
             server.faults.drawn.seed(self._random.random())
             server.faults.share = share
+            server.faults.control = self._random.choice(_BROKEN_CONTROL)
+            server.faults.control_count = self._random.randrange(
+                _MOST_BROKEN_CONTROL)
         time.sleep(self._random.uniform(*_BROKEN_S))
         for server in servers:
-            server.faults.share = 0.0
+            server.faults.share, server.faults.control_count = 0.0, 0
 
     def _break_store_answers(self) -> None:
         """Has the store break off in some of its heads for some time."""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -139,6 +139,16 @@
                                               body=grant)
                     self.assertEqual(received.count(b'\r\n\r\n'), answers)
 
+    def test_answer_to_a_control_call_comes_late_once_more(self):
+        connection = self._connect(self.server.address)
+        body = json.dumps({'From': 0, 'To': 9, 'fence': 1}).encode()
+        first = self._exchange(connection, '/-/release', body=body)
+        faults = self.server.faults
+        faults.control, faults.control_count = broken_answers.LATE_DOUBLE, 1
+        received = self._exchange(connection, '/-/release', body=body)
+        self.assertTrue(received.startswith(first))
+        self.assertEqual(received.count(b'HTTP/1.1'), 2)
+
     def test_store_breaks_off_in_a_share_of_its_heads(self):
         self.store.faults.cut_share = 0.5
         whole = 0
