--- a/lentilmoor/platform/headerformat.py
+++ b/lentilmoor/platform/headerformat.py
@@ -1,7 +1,6 @@
 """Headers that callers and backend servers exchange with an entry."""
 
 from collections.abc import Mapping
-import math
 import re
 
 from lentilmoor import headers as header_names
@@ -20,7 +19,10 @@
 
 _MISDIRECTED = 421
 _RETRY_AFTER_STATUSES = frozenset((429, 503))
-_KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
+_KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=([0-9]{1,9})(?![^\s,;])')
+# Bounded, so that no header makes a number that other parts can't hold.
+_NUMBER = re.compile(r'[0-9]{1,15}(?:\.[0-9]{1,15})?')
+_COUNT = re.compile(r'[0-9]{1,9}')
 _MS_PER_S = 1000.0
 
 _DROPPED_HEADERS = header_names.HOP_BY_HOP | frozenset(
@@ -40,11 +42,16 @@
 def _parse_caller_headers(
         headers: Mapping[bytes, bytes]) -> ports.CallerHeaders:
     request_id = headers.get(REQUEST_ID.title().encode(), b'')
-    key = _parse_number(headers.get(_KEY.title().encode()))
-    return ports.CallerHeaders(
-        request_id.decode('latin-1'),
-        _parse_number(headers.get(_TIMEOUT_MS.title().encode())),
-        None if key is None else int(key))
+    key = _parse_caller_number(headers, _KEY)
+    return ports.CallerHeaders(request_id.decode('latin-1'),
+                               _parse_caller_number(headers, _TIMEOUT_MS),
+                               None if key is None else int(key))
+
+
+def _parse_caller_number(headers: Mapping[bytes, bytes],
+                         name: str) -> float | None:
+    return _parse_number(
+        headers.get(name.title().encode(), b'').decode('latin-1'))
 
 
 def _add_server_headers(headers: dict[str, str], server_name: str,
@@ -59,11 +66,11 @@
     return ports.AnswerHeaders(
         request_id=headers.get(REQUEST_ID, ''),
         not_run=_NOT_RUN in headers or status == _MISDIRECTED,
-        has_proof=_PROOF in headers,
+        has_proof=bool(headers.get(_PROOF)),
         load=_parse_load(headers.get(_LOAD, '')),
         keep_alive_ms=int(keep_alive[1]) * _MS_PER_S if keep_alive else None,
         closes_connection='close' in headers.get('Connection', '').lower(),
-        rate_limit=_parse_nonnegative_number(headers.get(_RATE_LIMIT, '')),
+        rate_limit=_parse_number(headers.get(_RATE_LIMIT, '')),
         draining=headers.get(_DRAINING, '').strip() not in ('', '0'),
         retry_after_ms=_parse_retry_after(status, headers))
 
@@ -71,31 +78,18 @@
 def _parse_retry_after(status: int, headers: Mapping[str, str]) -> float | None:
     if status not in _RETRY_AFTER_STATUSES:
         return None
-    seconds = _parse_nonnegative_number(headers.get(_RETRY_AFTER, ''))
+    seconds = _parse_number(headers.get(_RETRY_AFTER, ''))
     return None if seconds is None else seconds * _MS_PER_S
 
 
 def _parse_load(text: str) -> ports.ServerLoad | None:
-    values = text.split(',')
-    try:
-        running, waiting, slots = (int(value) for value in values)
-    except ValueError:
+    values = [value.strip() for value in text.split(',')]
+    if len(values) != 3 or not all(map(_COUNT.fullmatch, values)):
         return None
+    running, waiting, slots = map(int, values)
     return ports.ServerLoad(running, waiting, max(1, slots))
 
 
-def _parse_nonnegative_number(text: str) -> float | None:
-    try:
-        rate = float(text)
-    except ValueError:
-        return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
-
-
-def _parse_number(value: bytes | None) -> float | None:
-    if not value:
-        return None
-    try:
-        return float(value)
-    except ValueError:
-        return None
+def _parse_number(text: str) -> float | None:
+    text = text.strip()
+    return float(text) if _NUMBER.fullmatch(text) else None
