--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -375,9 +375,11 @@
                                   'an invalid key',
                                   key=item.key[:MAX_REASON_LENGTH])
             return None
+        if item.value is None or len(item.value) <= MAX_RECORD_BYTES:
+            return item
         max_bytes = next((size for prefix, size in _MAX_BYTES.items()
                           if item.key.startswith(prefix)), MAX_VALUE_BYTES)
-        if item.value is not None and len(item.value) > max_bytes:
+        if len(item.value) > max_bytes:
             return dataclasses.replace(item, value=b'')
         return item
 
