A streamed answer that breaks off resets the connection of HTTP/1.0 callers

A caller of HTTP/1.0 whose answer had no length got its first part and the end of the connection, which ends a whole answer in that version.

Cause: the connection was closed in order, as that of HTTP/1.1, whose callers miss the last chunk.

Change: while such an answer is streamed, closing its connection resets it.

Measured: test_a_cut_answer_without_a_length_is_not_ended_as_a_whole_one fails on the code before, passes now.

--- a/lentilmoor/requestconnections.py
+++ b/lentilmoor/requestconnections.py
@@ -6,6 +6,7 @@
 
 import math
 import socket
+import struct
 
 from cheroot import makefile
 from cheroot import server as cheroot_server
@@ -18,6 +19,8 @@
 # configuration sets a limit.
 HEAD_TIMEOUT_MS = 10_000.0
 
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 
 class _RequestStream(makefile.StreamReader):
     """The buffered requests of one connection, read by a `SocketReader`."""
@@ -39,6 +42,8 @@
       reader: Reads the socket.
       empty_at: The last known time at which no unread byte had arrived, ms.
       watched_at: When waiting for its next request began, ms.
+      is_reset: Whether closing it resets it, so that what was sent can't pass
+        for a whole answer.
     """
 
     RequestHandlerClass = requestheads.Request
@@ -49,6 +54,7 @@
         self.reader = boundedreads.BlockingSocketReader(sock, server.clock)
         self.empty_at = server.find_empty_at()
         self.watched_at = math.inf
+        self.is_reset = False
         super().__init__(server, sock, self._make_file)
 
     def _make_file(self, sock: socket.socket, mode: str, buffer_bytes: int):
@@ -70,6 +76,13 @@
             reader.first_byte_timeout_ms = None
         return super().communicate()
 
+    def _close_kernel_socket(self) -> None:
+        if self.is_reset:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                   _RESET_ON_CLOSE)
+        else:
+            super()._close_kernel_socket()
+
     def limit_body(self, deadline_at: float) -> None:
         """Sets the time by which the body must have arrived, ms."""
         self.reader.deadline_at = deadline_at
--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -133,9 +133,12 @@
 
 
 def _stream(request: _Request, answer: transport.Answer) -> None:
+    # Callers of HTTP/1.0 take the end of the connection for the answer's.
+    request.conn.is_reset = request.response_protocol == 'HTTP/1.0'
     try:
         for chunk in answer.remaining_chunks:
             request.write(chunk)
+        request.conn.is_reset = False
     except transport.TruncatedAnswerError:
         _abort(request)
 
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -340,6 +340,18 @@
             self.assertTrue(closed.wait(pathhelp.TIMEOUT_S))
         self.assertEqual(self.errors, [])
 
+    def test_a_cut_answer_without_a_length_is_not_ended_as_a_whole_one(self):
+
+        def cut():
+            yield b'begun'
+            raise transport.TruncatedAnswerError('cut')
+
+        self.answer = lambda call, body: transport.Answer(
+            200, [], b'', cut(), lambda: None)
+        request = f'GET {_PATH} HTTP/1.0\r\nLentilmoor-Key: k\r\n\r\n'
+        with self.assertRaises(ConnectionResetError):
+            self._send_raw(request.encode())
+
     def test_a_caller_that_goes_ends_the_stream(self):
 
         def forever():
