--- a/lentilmoor/platform/store.py
+++ b/lentilmoor/platform/store.py
@@ -491,7 +491,13 @@
             is_absent = answer.reason is _Reason.NOT_FOUND
             return None if is_absent else answer
         item = storereplies.make_item(answer.reply, answer.era)
-        return views.make_assignment_reader(item)(item.value)
+        try:
+            return views.make_assignment_reader(item)(item.value or b'')
+        except ValueError as error:
+            logger.warning('assignment_refused',
+                           service=service,
+                           reason=str(error))
+            return outcomes.Failed(_Reason.INVALID, str(error))
 
     return ports.Store(load=load,
                        load_configuration=load_configuration,
--- a/lentilmoor/platform/storereplies.py
+++ b/lentilmoor/platform/storereplies.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import json
 from typing import Annotated
 from typing import TypeVar
 
@@ -115,13 +116,13 @@
 
 def make_decoder(model: type[_T]) -> Callable[[bytes], _T | outcomes.Failed]:
     """Returns a function that decodes replies with the fields of a model."""
-    read = msgspec.json.Decoder(model).decode
 
     def decode(data: bytes) -> _T | outcomes.Failed:
         try:
-            return read(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError,
-                RecursionError) as error:
+            # The JSON decoder of msgspec would refuse all items for one whose
+            # key has half of a surrogate pair.
+            return msgspec.convert(json.loads(data), model)
+        except (ValueError, RecursionError) as error:
             # A call without a proved reply may have been executed.
             return outcomes.Failed(outcomes.Reason.CONNECTION_LOST, str(error))
 
