An answer without a request id counts only on a new connection

Servers echo the id in all answers. One without it counted as the answer to whatever request was waiting, so a late one of another request was passed on.

Change: it counts only if its connection has carried no other request and no other answer came before it. Otherwise it is refused, fault no-request-id, and the connection is reset. The requests of test_edge_forwarding carry their id as those of callers do, as the stand-in echoes what it gets.

--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -38,6 +38,7 @@
     MALFORMED_CHUNK = 'malformed-chunk'
     BODY_CUT = 'body-cut'
     OTHER_REQUEST = 'other-request'
+    NO_REQUEST_ID = 'no-request-id'
     CODED_BODY = 'coded-body'
 
 
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -4,9 +4,11 @@
 connection is polled too. If the caller disconnects, the exchange ends and the
 server's connection is closed, which makes the server stop. An answer ends by
 the deadline of the request and has a limited size. An answer with the request
-id of another request is skipped. A connection is reused only if the last answer
-was read completely and nothing follows it, and never for a request that it has
-carried before: a late second copy of the first answer has the same id.
+id of another request is skipped; one without an id counts only if nothing else
+can have been answered on its connection. A connection is reused only if the
+last answer was read completely and nothing follows it, and never for a request
+that it has carried before: a late second copy of the first answer has the same
+id.
 """
 
 from collections.abc import Callable
@@ -330,8 +332,13 @@
     response = connection.http.getresponse()
     fields = parse_answer_headers(response.status, response.headers)
     skipped_count = 0
-    while outgoing.request_id and fields.request_id not in (
-            '', outgoing.request_id):
+    while outgoing.request_id and fields.request_id != outgoing.request_id:
+        if not fields.request_id:
+            if not connection.reused and not skipped_count:
+                break
+            raise answerheads.MalformedAnswerError(
+                answerheads.Fault.NO_REQUEST_ID,
+                f'status {response.status} on a connection with other requests')
         if skipped_count == MAX_SKIPPED_ANSWERS:
             raise answerheads.MalformedAnswerError(
                 answerheads.Fault.OTHER_REQUEST,
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -198,6 +198,9 @@
 class OtherAnswerTest(CutAnswerCase):
     """Answers that can't be told from those to other requests."""
 
+    _WITHOUT_ID = (b'HTTP/1.1 200 OK\r\nLentilmoor-Upstream-Seal: s\r\n'
+                   b'Content-Length: 2\r\n\r\nok')
+
     def _make_other(self, request_id: bytes) -> bytes:
         return b''.join(_make_answer('length')).replace(b'r1', request_id)
 
@@ -207,6 +210,22 @@
         self.assertEqual(result.detail.split(':')[0], fault)
         self.assertEqual(self._pool.state.open_count, 0)
 
+    def test_late_answer_without_an_id_is_no_answer(self):
+        # Its request is unknown, as the connection has carried two.
+        self._serve(b''.join(_make_answer('length')), self._WITHOUT_ID)
+        self.assertIsInstance(self._send(), exchange.ServerAnswer)
+        self._assert_refused(self._send('r2'), 'no-request-id')
+
+    def test_answer_without_an_id_behind_another_one_is_no_answer(self):
+        self._assert_refused(
+            self._send_once(self._make_other(b'r0') + self._WITHOUT_ID),
+            'no-request-id')
+
+    def test_answer_without_an_id_counts_on_a_new_connection(self):
+        result = self._send_once(self._WITHOUT_ID)
+        self.assertIsInstance(result, exchange.ServerAnswer)
+        self.assertEqual(result.answer.body, b'ok')
+
     def test_only_answers_to_other_requests_are_no_answer(self):
         self._assert_refused(
             self._send_once(
--- a/tests/test_edge_forwarding.py
+++ b/tests/test_edge_forwarding.py
@@ -121,9 +121,12 @@
         entry_socket, caller_socket = socket.socketpair()
         self.addCleanup(entry_socket.close)
         self.addCleanup(caller_socket.close)
+        headers = {
+            'Lentilmoor-Attempt-Id': 'r1',
+            'Lentilmoor-Shard-Key': str(_KEY)
+        }
         request = requests.Request(ports.CallerHeaders('r1', 2_000.0, _KEY),
-                                   'GET', 'h', '/x', '/x',
-                                   {'Lentilmoor-Shard-Key': str(_KEY)}, b'',
+                                   'GET', 'h', '/x', '/x', headers, b'',
                                    exchange.CallerWatch(entry_socket),
                                    self.forwarder.clock.now(), **fields)
         return forwarding.forward(self.forwarder, request)
