An entry without a start time ends no server that states its own

Cause: an entry without a start time at a server's address, new to this entry, counted as proof that the server's process had ended, and only servers without a start time are ever reinstated. Under the server's own name it was the other way round: a server that states its start was refused after an entry without one.

Change: such an entry proves nothing about a server that states its start, and isn't used while one is listed at its address. Two servers without start times are told apart as before, by the order of their entries.

--- a/lentilmoor/edge/lifetimes.py
+++ b/lentilmoor/edge/lifetimes.py
@@ -22,7 +22,9 @@
 
     A record that reappears after its process has ended was written late and
     replaces no server. If two servers without start times are new in the same
-    snapshot, it is unknown which is older, so neither replaces the other.
+    snapshot, it is unknown which is older, so neither replaces the other. A
+    server without a start time isn't used beside one that states its own at the
+    same address.
 
     Args:
       owned: The control state, before the snapshot is applied.
@@ -35,6 +37,13 @@
     if not new:
         return
     known = [*owned.servers.values(), *owned.departed_servers.values()]
+    stated = [
+        server for name, server in snapshot.servers.items()
+        if server.started_at is not None and name not in owned.ended_servers
+    ]
+    owned.ended_servers.update(
+        unstated.id for unstated in new if unstated.started_at is None and any(
+            tables.has_replaced(server, unstated) for server in stated))
     for server in new:
         others = known if server.started_at is None else known + new
         owned.ended_servers.update(
--- a/lentilmoor/edge/tables.py
+++ b/lentilmoor/edge/tables.py
@@ -166,10 +166,13 @@
     No two processes have the same address or the same name at the same time.
     If the start times of both are known, the later one has replaced the other;
     a process whose entry was written late but that started earlier proves
-    nothing.
+    nothing. Nor does an entry without a start time about a process that states
+    its own: another writer may have written it.
     """
     if server.id == other.id:
         return False
+    if server.started_at is None and other.started_at is not None:
+        return False
     same = server.address == other.address or (server.name and
                                                server.name == other.name)
     if server.started_at is None or other.started_at is None:
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -103,6 +103,16 @@
             ('lentilmoor/assignment/y', oddvalues.KINDS[3].valid))
         self.assertFalse(found.assignments)
 
+    def test_a_name_passes_to_the_process_that_states_its_start(self):
+        stated = oddvalues.KINDS[0].valid
+        unstated = stated.replace(b', "born": 5', b'')
+        self.assertNotEqual(stated, unstated)
+        self._apply(('servers/i', unstated))
+        found = self._apply(('servers/i', stated))
+        self.assertEqual(list(found.servers), ['i@5'])
+        found = self._apply(('servers/i', unstated))
+        self.assertEqual(list(found.servers), ['i@5'])
+
     def test_a_value_refused_again_and_again_is_logged_once(self):
         for _ in range(5):
             self._apply(('servers/i', b'{'))
