Stand-ins: servers echo a request's id in all answers

PROTOCOL says that servers echo it in their responses; the stand-in left it out of its rejections and of its answers to grants, so that a rejection over a used connection counted as no answer.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -465,7 +465,9 @@
                 self.send_header('Server-Limit', str(server.rate_limit))
             if server.leaving:
                 self.send_header('Server-Leaving', '1')
-            for name, value in (headers or {}).items():
+            request_id = self.headers.get('Lentilmoor-Attempt-Id')
+            echoed = {'Lentilmoor-Attempt-Id': request_id} if request_id else {}
+            for name, value in (echoed | (headers or {})).items():
                 self.send_header(name, value)
             if length != -1:
                 length = len(body) if length is None else length
