A request that an entry failed on is not passed to another one

An order could run twice (TWICE): any status but 200 counted as not accepted, so a 500 of an entry whose handler failed after the server had run the order had it sent to the next entry. Only statuses that surely mean not accepted do now; a reply to a caller that left is 500. Found by review; the test has it run at two entries without, at one with.

--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -46,6 +46,9 @@
                                       burst=16.0)
 _ACCEPTED = 200
 _UNAVAILABLE = 503
+_FAILED = 500
+# Statuses by which an entry, or the reader of its requests, accepts none.
+_NOT_ACCEPTED = frozenset((400, 404, 408, 413, _UNAVAILABLE))
 
 _Reason = outcomes.Reason
 
@@ -180,12 +183,17 @@
 
 def _read_result(forwarder: requests.Forwarder, result: exchange.Result,
                  address: str, request_id: str) -> requests.Outcome | None:
-    """Returns the outcome of a request; None if it was not accepted."""
+    """Returns the outcome of a request; None if it was surely not accepted."""
     if isinstance(result, exchange.CallerDisconnected):
         return dataclasses.replace(result, where=address)
     if (not isinstance(result, exchange.ServerAnswer) or
-            result.answer.status != _ACCEPTED):
+            result.answer.status in _NOT_ACCEPTED):
         return None
+    if result.answer.status != _ACCEPTED:
+        # A handler that failed may have had the request run before.
+        return outcomes.Unknown(
+            _Reason.PEER_UNAVAILABLE,
+            f'{address} replied with status {result.answer.status}')
     outcome = proxytables.decode_outcome(result.answer.body, request_id)
     if outcome is not None:
         return outcome
@@ -249,7 +257,7 @@
         with forwarder.proxies.lock:
             forwarder.proxies.accepted_count -= 1
     if isinstance(outcome, exchange.CallerDisconnected):
-        return _UNAVAILABLE, b''  # Nobody reads it.
+        return _FAILED, b''  # Nobody reads it; the request may have run.
     return _ACCEPTED, proxytables.encode_outcome(outcome, message.request_id)
 
 
--- a/tests/test_edge_proxying.py
+++ b/tests/test_edge_proxying.py
@@ -120,6 +120,16 @@
             self.assertEqual(self._pass_on(), expected)
             self.forwarder.snapshot.entries.clear()
 
+    def test_order_is_not_sent_again_after_an_entry_failed(self):
+
+        def fail(unused_request) -> None:
+            raise RuntimeError('failed after the run')
+
+        entries = [self._add_entry(fail) for _ in range(2)]
+        outcome = self._pass_on()
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.assertEqual(sum(len(entry.taken) for entry in entries), 1)
+
     def test_proxied_request_is_not_passed_on_again(self):
         entry = self._add_entry()
         self.request = mock.Mock(proxied=True)
