--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -219,6 +219,8 @@
         self.clock = clock
         self._idle: collections.deque[Connection] = collections.deque()
         self._state_changed = threading.Condition()
+        # Threads in `acquire` that have to avoid connections.
+        self._avoiding_count = 0
         self.limits = limits
         self.state = PoolState()
 
@@ -247,14 +249,19 @@
         started_at = self.clock.now()
         deadline = started_at + timeout_ms
         with self._state_changed:
-            connection = (None if new_only else self._pop_idle(
-                idempotent, avoided))
-            while connection is None and not self._reserve_slot():
-                failure = self._wait_for_change(started_at, deadline, new_only)
-                if failure is not None:
-                    return failure
+            self._avoiding_count += bool(avoided)
+            try:
                 connection = (None if new_only else self._pop_idle(
                     idempotent, avoided))
+                while connection is None and not self._reserve_slot():
+                    failure = self._wait_for_change(started_at, deadline,
+                                                    new_only)
+                    if failure is not None:
+                        return failure
+                    connection = (None if new_only else self._pop_idle(
+                        idempotent, avoided))
+            finally:
+                self._avoiding_count -= bool(avoided)
         if connection is None:
             connection = self._open(deadline)
         if isinstance(connection, Connection):
@@ -273,8 +280,11 @@
                 self._close(connection)
             else:
                 self._idle.append(connection)
-            # One of the waiting threads may have to avoid this connection.
-            self._state_changed.notify_all()
+            if self._avoiding_count:
+                # The thread that is woken may have to avoid this connection.
+                self._state_changed.notify_all()
+            else:
+                self._state_changed.notify()
 
     def discard(self, connection: Connection, timed_out: bool = False) -> None:
         """Resets a connection that must not be reused.
