Bytes that merge with a whole answer are refused; so are endless lengths

Three ways found by review, each with a test that fails without (7 sub-tests): - A copy of an answer that breaks off in its head, without a close, and the whole answer behind it were one head: 421 in its first line and the server's own 200 in a reason phrase or a header's value. An order ran twice, a failure became a success. A status line within a line makes it no head. - A Content-Length of 5,000 digits raised ValueError, which calls of the control side don't catch. It is no length. - A request without an id took any answer on a used connection.

--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -21,6 +21,12 @@
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n')
 
+# A head that breaks off, followed by a whole one, may have only lines that are
+# headers.
+_INNER_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-9][0-9]{2}')
+# The parser accepts any number of leading zeros.
+_LENGTH = re.compile(r'[0-9]{1,18}')
+
 _INTERIM_STATUSES = range(100, 200)
 # After it, the bytes of the connection are of another protocol.
 _SWITCHING_PROTOCOLS = 101
@@ -180,6 +186,10 @@
     if not _STATUS_LINE.fullmatch(lines[0]):
         raise MalformedAnswerError(Fault.MALFORMED_HEAD,
                                    f'no status line: {lines[0][:80]!r}')
+    for line in lines:
+        if _INNER_STATUS_LINE.search(line, 1):
+            raise MalformedAnswerError(Fault.MALFORMED_HEAD,
+                                       f'a second status line: {line[:80]!r}')
     head = Head()
     parser = httptools.HttpResponseParser(head)
     try:
@@ -207,6 +217,9 @@
     if len(lengths) + len(codings) > 1:
         raise MalformedAnswerError(Fault.AMBIGUOUS_LENGTH,
                                    f'{lengths} and {codings}'[:200])
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        raise MalformedAnswerError(Fault.AMBIGUOUS_LENGTH,
+                                   f'Content-Length {lengths[0][:80]}')
     if is_coded and (codings[0].lower() != 'chunked' or head.version == 10):
         raise MalformedAnswerError(
             Fault.AMBIGUOUS_LENGTH,
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -332,7 +332,7 @@
     response = connection.http.getresponse()
     fields = parse_answer_headers(response.status, response.headers)
     skipped_count = 0
-    while outgoing.request_id and fields.request_id != outgoing.request_id:
+    while fields.request_id != outgoing.request_id:
         if not fields.request_id:
             if not connection.reused and not skipped_count:
                 break
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -146,6 +146,14 @@
         self._assert_refused(b'\x00\xff odd', b'HTTP/1.1 200 OK', b': none',
                              b' folded', b'A : b', b'A: b\rC: d', b'A: b\nC: d')
 
+    def test_length_of_thousands_of_digits_makes_no_answer(self):
+        head = b'HTTP/1.1 200 OK\r\n' + _OWN_HEADERS
+        for digits in (b'0' * 5_000, b'0' * 5_000 + b'2', b'9' * 5_000):
+            with self.subTest(digits=digits[-3:]):
+                result = self._send_once(head + b'Content-Length: ' + digits +
+                                         b'\r\n\r\nok')
+                self.assertIsInstance(result, exchange.RefusedAnswer)
+
     def test_ambiguous_length_makes_no_answer(self):
         self._assert_refused(b'Content-Length: 7',
                              b'Content-Length: %d' % len(_BODY),
@@ -239,6 +247,24 @@
         self.assertEqual(result.answer.body, _BODY)
         self.assertEqual(self._pool.state.open_count, 0)
 
+    def test_answer_to_another_request_is_not_that_of_one_without_an_id(self):
+        self._serve(b''.join(_make_answer('length')),
+                    self._make_other(b'r1') + self._WITHOUT_ID)
+        self.assertIsInstance(self._send(), exchange.ServerAnswer)
+        result = self._send('')
+        self.assertIsInstance(result, exchange.ServerAnswer)
+        self.assertEqual(result.answer.body, b'ok')
+
+    def test_head_that_breaks_off_before_a_whole_answer_is_no_answer(self):
+        whole = b''.join(_make_answer('length'))
+        for cut in (b'HTTP/1.1 421 Mis',
+                    b'HTTP/1.1 503 Busy\r\nLentilmoor-Not-Executed: 1',
+                    b'HTTP/1.1 200 O',
+                    b'HTTP/1.1 200 OK\r\nLentilmoor-Upstream-Seal: 3e1b.07'):
+            with self.subTest(cut=cut):
+                self._assert_refused(self._send_once(cut + whole),
+                                     'malformed-head')
+
 
 if __name__ == '__main__':
     unittest.main()
