Grants have no request id: a server of another service ran them as requests

Grants had an id of their own since, so that the answer could be told from another's. At an address that a server of another service has taken over, the call is no grant but a request, which that server runs if it has an id and rejects with 400 if not.

Change: no call of the control side has an id. The answer to a grant counts only if nothing follows it, and a connection is kept only after a 200.

--- a/lentilmoor/platform/servers.py
+++ b/lentilmoor/platform/servers.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 import http.client
 import json
-import secrets
 
 import urllib3.exceptions
 
@@ -16,13 +15,11 @@
 from lentilmoor.edge import ports
 from lentilmoor.edge import tables
 from lentilmoor.platform import grantconnections
-from lentilmoor.platform import headerformat
 
 _GRANT = '/-/grant'
 _RELEASE = '/-/release'
 _HANDOVER_TOKEN_HEADER = 'Lentilmoor-Handover'
 _HEADERS = {'Content-Type': 'application/json'}
-_ATTEMPT_ID_BYTES = 8
 _DONE = 200
 _REFUSED = 409
 # A server answers a release once its requests for those keys have ended.
@@ -130,18 +127,18 @@
 
     Returns:
       The status of the answer, and whether the connection may carry another
-      grant. Without an id, a second copy of a refusal could count as the answer
-      to the next grant.
+      grant: a second copy of a refusal could count as the answer to the next.
+      A grant has no request id, as a server of another service that listens at
+      the address would run a call with one as a request.
 
     Raises:
       _ForeignAnswerError: The answer isn't proved to be the grant's.
     """
-    attempt_id = secrets.token_hex(_ATTEMPT_ID_BYTES)
     connection.timeout = grantconnections.find_remaining_s(clock, deadline_at)
     connection.request('POST',
                        _GRANT,
                        body,
-                       _HEADERS | {headerformat.REQUEST_ID: attempt_id},
+                       _HEADERS,
                        preload_content=False,
                        decode_content=False)
     connection.timeout = grantconnections.find_remaining_s(clock, deadline_at)
@@ -151,13 +148,10 @@
         size += len(block)
         if size >= grantconnections.MAX_ANSWER_BYTES:
             raise boundedreads.MessageTooLargeError('the answer is too large')
-    echoed_id = response.headers.get(headerformat.REQUEST_ID)
-    if echoed_id not in (None, attempt_id):
-        raise _ForeignAnswerError('the answer is to another call')
     # `http.client` closes a connection that the server announced to close.
     if connection.sock is not None and connection.has_unread_data():
         raise _ForeignAnswerError('bytes follow the answer')
-    return response.status, echoed_id is not None or response.status == _DONE
+    return response.status, response.status == _DONE
 
 
 def _encode_grant(action: ownership.Grant) -> bytes:
