Stand-in links: what a reset connection had sent is not passed on

A link looks up which process opened a connection; while many are opened this takes longer than a grant waits. The entry had reset the connection by then, but the link passed the grant on, and the server counted its time from there.

Change: a link checks for a reset before it passes bytes on, not only after it had to wait for a cut path.

--- a/standins/server_links.py
+++ b/standins/server_links.py
@@ -77,18 +77,13 @@
         """Returns whether new connections of a process are reset now."""
         return self._refuses and self.is_cut(process)
 
-    def wait_for_path(self, process: int | None, is_new: bool) -> bool:
-        """Waits until bytes of a process's connection may pass.
-
-        Returns:
-          Whether they had to wait.
-        """
+    def wait_for_path(self, process: int | None, is_new: bool) -> None:
+        """Waits until bytes of a process's connection may pass."""
         if not self.is_cut(process) or (not is_new and
                                         self._open is OpenConnections.LIVE):
-            return False
+            return
         with self._changed:
             self._changed.wait_for(lambda: not self.is_cut(process))
-        return True
 
     def find_owner(self, port: int, peer_port: int) -> int | None:
         """Returns the process that opened a loopback connection."""
@@ -164,8 +159,8 @@
               process: int | None) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(_BLOCK_BYTES):
-                if self._partition.wait_for_path(process,
-                                                 False) and _is_reset(source):
+                self._partition.wait_for_path(process, False)
+                if _is_reset(source):
                     break
                 sink.sendall(data)
         for end in (source, sink):
