--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -186,14 +186,15 @@
     if not _STATUS_LINE.fullmatch(lines[0]):
         raise MalformedAnswerError(Fault.MALFORMED_HEAD,
                                    f'no status line: {lines[0][:80]!r}')
-    for line in lines:
-        if _INNER_STATUS_LINE.search(line, 1):
-            raise MalformedAnswerError(Fault.MALFORMED_HEAD,
-                                       f'a second status line: {line[:80]!r}')
+    data = b''.join(lines)
+    inner = _INNER_STATUS_LINE.search(data, 1)
+    if inner is not None:
+        raise MalformedAnswerError(Fault.MALFORMED_HEAD,
+                                   f'a second status line: {inner[0]!r}')
     head = Head()
     parser = httptools.HttpResponseParser(head)
     try:
-        parser.feed_data(b''.join(lines))
+        parser.feed_data(data)
     except httptools.HttpParserUpgrade as error:
         raise MalformedAnswerError(Fault.MALFORMED_HEAD,
                                    'the peer switches protocols') from error
--- a/lentilmoor/platform/headerformat.py
+++ b/lentilmoor/platform/headerformat.py
@@ -6,7 +6,7 @@
 from lentilmoor import headers as header_names
 from lentilmoor.edge import ports
 
-REQUEST_ID = 'Lentilmoor-Attempt-Id'
+_REQUEST_ID = 'Lentilmoor-Attempt-Id'
 _TIMEOUT_MS = 'Lentilmoor-Deadline-Ms'  # A duration, not a point in time.
 _KEY = 'Lentilmoor-Shard-Key'
 _EXPECTED_SERVER = 'Lentilmoor-Expect-Instance'
@@ -29,7 +29,7 @@
     name.lower()
     for name in ('Content-Length', 'Expect', _EXPECTED_SERVER, _TIMEOUT_MS))
 _SINGLE_HEADERS = frozenset(
-    name.title().encode() for name in (REQUEST_ID, _TIMEOUT_MS, _KEY))
+    name.title().encode() for name in (_REQUEST_ID, _TIMEOUT_MS, _KEY))
 
 
 def make_header_format() -> ports.HeaderFormat:
@@ -41,7 +41,7 @@
 
 def _parse_caller_headers(
         headers: Mapping[bytes, bytes]) -> ports.CallerHeaders:
-    request_id = headers.get(REQUEST_ID.title().encode(), b'')
+    request_id = headers.get(_REQUEST_ID.title().encode(), b'')
     key = _parse_caller_number(headers, _KEY)
     return ports.CallerHeaders(request_id.decode('latin-1'),
                                _parse_caller_number(headers, _TIMEOUT_MS),
@@ -64,7 +64,7 @@
                           headers: Mapping[str, str]) -> ports.AnswerHeaders:
     keep_alive = _KEEP_ALIVE_TIMEOUT.search(headers.get('Keep-Alive', ''))
     return ports.AnswerHeaders(
-        request_id=headers.get(REQUEST_ID, ''),
+        request_id=headers.get(_REQUEST_ID, ''),
         not_run=_NOT_RUN in headers or status == _MISDIRECTED,
         has_proof=bool(headers.get(_PROOF)),
         load=_parse_load(headers.get(_LOAD, '')),
--- a/tests/fuzzreaders.py
+++ b/tests/fuzzreaders.py
@@ -11,7 +11,6 @@
 import io
 import json
 import random
-import re
 import socket
 import threading
 import zlib
@@ -52,9 +51,6 @@
 _PARSE = headerformat.make_header_format().parse_answer_headers
 _WHOLE_SHARE = 0.1
 _KEPT_CALLS = 4
-# Stands in an answer for the id of the call that it answers.
-_ECHOED_ID = 'echoed-id'
-_SENT_ID = re.compile(rb'(?i)lentilmoor-attempt-id: *([^\r\n]+)')
 _BODIES = (b'', b'0123456789abcdef', b'HTTP/1.1 200 OK\r\n\r\n', b'\r\n\r\n')
 _STATUSES = (200, 200, 200, 409, 421, 503, 204, 404)
 # Revisions fit a signed 64-bit integer.
@@ -112,12 +108,8 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
             connection.settimeout(2.0)
-            while request := _receive_request(connection):
-                found = _SENT_ID.search(request)
-                answer = self.answers.pop(0)
-                if found:
-                    answer = answer.replace(_ECHOED_ID.encode(), found[1])
-                connection.sendall(answer)
+            while _receive_request(connection):
+                connection.sendall(self.answers.pop(0))
 
 
 class Peer:
@@ -370,15 +362,13 @@
                        statuses: list[int]) -> list[bytes]:
     """Returns bytes for each call, in which its whole answer comes once.
 
-    An answer to another request may only come before it if its id tells;
-    without ids of its own, a call's id is echoed.
+    An answer to another request may only come before it if its id tells.
     """
     previous, sent = b'', []
     for number, status in enumerate(statuses):
         body = b'body-%d' % number
         while True:
-            answer = fuzzmessages.draw_answer(
-                drawn, f'r{number}' if has_ids else _ECHOED_ID, body, status)
+            answer = fuzzmessages.draw_answer(drawn, f'r{number}', body, status)
             if not fuzzmessages.read_answer(answer).ends_with_connection:
                 break
         late = previous if has_ids and drawn.random() < 0.3 else b''
