A repeated request id, or none, shares no connection with its other answers

Callers could get the answer to another request: two requests without an id, or with the same id, over one connection, whose server sent the first answer once more where the second was due. For a request that must run once, such a copy of a rejection counts as "not run" while the request runs.

Cause: an exchange tells answers apart by the id alone. `used_connections` covers the sends of one request, but not another request with its id, and '' equals '' for requests without one, also between entries.

Change: a connection remembers the hashes of the last 32 ids that it has carried, and the pool passes it over for these. A request without an id goes over a new connection, which isn't kept (servers answer such requests with 400). `OutgoingRequest.carried_id` states the id also where the body names the request, as between entries.

--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -5,8 +5,9 @@
 timeout on one connection makes stale all that have not answered since it was
 acquired; a new connection then shows whether the server itself is down. A
 request that is not idempotent goes only on a connection that answered recently
-or on a new one. A request that is sent again avoids the connections that have
-carried it, where a late copy of an earlier answer can't be told from its own.
+or on a new one. A request avoids the connections that have carried it, or
+another one with its id, where a late copy of an earlier answer can't be told
+from its own.
 The number and the rate of new connections are limited, so closing stale
 connections can't cause a connection storm. The rules are plain functions of the
 pool's limits and state; `Pool` applies them.
@@ -34,6 +35,10 @@
 # partition ends.
 ABORT_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
 
+# Ids of requests that a connection remembers. A copy of an answer that comes
+# after this many others is no longer told from the answer to a repeated id.
+MAX_REMEMBERED_IDS = 32
+
 _NEVER = float('-inf')
 # Fraction of a server's connections left for probes and operators.
 _RESERVED_FRACTION = 0.1
@@ -112,6 +117,7 @@
       acquired_at: When it was last acquired for a request.
       use_count: Number of requests it was acquired for.
       keep_alive_ms: How long the server keeps it open without a request.
+      carried_ids: Hashes of the ids of the last requests that it carried.
     """
 
     http: boundedreads.BoundedConnection
@@ -120,12 +126,22 @@
     acquired_at: float = _NEVER
     use_count: int = 0
     keep_alive_ms: float = float('inf')
+    carried_ids: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_REMEMBERED_IDS))
 
     @property
     def reused(self) -> bool:
         """Whether it carried another request before the current one."""
         return self.use_count > 1
 
+    def note_carried(self, request_id: str) -> None:
+        """Remembers the id of a request that is sent over it."""
+        self.carried_ids.append(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether it may have carried a request with an id lately."""
+        return hash(request_id) in self.carried_ids
+
 
 def compute_connection_share(connections: int, entries: int) -> int:
     """Returns how many connections an entry may open to a server.
@@ -224,13 +240,12 @@
         self.limits = limits
         self.state = PoolState()
 
-    def acquire(
-        self,
-        idempotent: bool,
-        new_only: bool,
-        timeout_ms: float,
-        avoided: Collection[Connection] = ()
-    ) -> Connection | outcomes.Failed:
+    def acquire(self,
+                idempotent: bool,
+                new_only: bool,
+                timeout_ms: float,
+                avoided: Collection[Connection] = (),
+                request_id: str = '') -> Connection | outcomes.Failed:
         """Returns a connection for one request.
 
         Args:
@@ -238,6 +253,8 @@
           new_only: Whether only a new connection may be used.
           timeout_ms: Longest time to wait for a connection.
           avoided: Connections that must not be used.
+          request_id: Id of the request; connections that have carried it
+            aren't used.
 
         Returns:
           A connection, which must be passed to `release` or `discard`; or the
@@ -249,19 +266,21 @@
         started_at = self.clock.now()
         deadline = started_at + timeout_ms
         with self._state_changed:
-            self._avoiding_count += bool(avoided)
+            avoids = bool(avoided) or any(
+                item.has_carried(request_id) for item in self._idle)
+            self._avoiding_count += avoids
             try:
                 connection = (None if new_only else self._pop_idle(
-                    idempotent, avoided))
+                    idempotent, avoided, request_id))
                 while connection is None and not self._reserve_slot():
                     failure = self._wait_for_change(started_at, deadline,
                                                     new_only)
                     if failure is not None:
                         return failure
                     connection = (None if new_only else self._pop_idle(
-                        idempotent, avoided))
+                        idempotent, avoided, request_id))
             finally:
-                self._avoiding_count -= bool(avoided)
+                self._avoiding_count -= avoids
         if connection is None:
             connection = self._open(deadline)
         if isinstance(connection, Connection):
@@ -317,15 +336,15 @@
             while self._idle:
                 self._close(self._idle.pop())
 
-    def _pop_idle(self, idempotent: bool,
-                  avoided: Collection[Connection]) -> Connection | None:
+    def _pop_idle(self, idempotent: bool, avoided: Collection[Connection],
+                  request_id: str) -> Connection | None:
         """Returns the idle connection that answered last, if it is usable.
 
         Connections to avoid are left out and stay idle.
         """
         now = self.clock.now()
         for connection in reversed(list(self._idle)):
-            if connection in avoided:
+            if connection in avoided or connection.has_carried(request_id):
                 continue
             if is_stale(self.limits, self.state, connection, now):
                 self.state.stale_closed_count += (connection.answered_at
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -8,7 +8,7 @@
 can have been answered on its connection. A connection is reused only if the
 last answer was read completely and nothing follows it, and never for a request
 that it has carried before: a late second copy of the first answer has the same
-id.
+id. A request whose answer can't name it has a connection of its own.
 """
 
 from collections.abc import Callable
@@ -64,6 +64,9 @@
       memory: Where the bytes of the answer are reserved.
       used_connections: Connections that have carried the request; `send` adds
         its own.
+      carried_id: The id of the request that is sent, also if the answer names
+        it in its body; '' if nothing tells its answer from others, so that it
+        has a connection of its own.
     """
 
     request_id: str
@@ -77,6 +80,7 @@
         default_factory=bytebudgets.Usage)
     used_connections: set[connections.Connection] = dataclasses.field(
         default_factory=set)
+    carried_id: str = dataclasses.field(kw_only=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,9 +230,9 @@
         `ports.HeaderFormat`).
       clock: The clock of `outgoing.deadline_at`.
     """
-    connection = pool.acquire(outgoing.idempotent, False,
+    connection = pool.acquire(outgoing.idempotent, not outgoing.carried_id,
                               outgoing.deadline_at - clock.now(),
-                              outgoing.used_connections)
+                              outgoing.used_connections, outgoing.carried_id)
     if isinstance(connection, outcomes.Failed):
         return NotSent(connection.reason, connection.detail)
     headers = outgoing.make_headers()
@@ -236,6 +240,8 @@
         pool.discard(connection)
         return Withheld()
     outgoing.used_connections.add(connection)
+    if outgoing.carried_id:
+        connection.note_carried(outgoing.carried_id)
     try:
         return _exchange(pool, connection, outgoing, headers, watch,
                          parse_answer_headers, clock)
@@ -387,7 +393,8 @@
             item for item in headers if item[0].lower() != 'content-length'
         ]
         headers.append(('Content-Length', str(len(body))))
-    if (has_defined_length and not fields.closes_connection and
+    if (has_defined_length and outgoing.carried_id and
+            not fields.closes_connection and
             not connection.http.has_unread_data()):
         if fields.keep_alive_ms is not None:
             connection.keep_alive_ms = fields.keep_alive_ms
--- a/lentilmoor/edge/forwarding.py
+++ b/lentilmoor/edge/forwarding.py
@@ -376,11 +376,15 @@
         return headers
 
     outgoing = exchange.OutgoingRequest(request.fields.request_id,
-                                        request.method, request.target,
-                                        make_headers, request.body,
-                                        run.idempotent, attempt_deadline_at,
+                                        request.method,
+                                        request.target,
+                                        make_headers,
+                                        request.body,
+                                        run.idempotent,
+                                        attempt_deadline_at,
                                         request.memory,
-                                        request.used_connections)
+                                        request.used_connections,
+                                        carried_id=request.fields.request_id)
     result = _exchange(forwarder, run, pool, outgoing)
     now = forwarder.clock.now()
     run.server = ''
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -148,10 +148,16 @@
                                 caller_timeout_ms=remaining_ms - _DELIVERY_MS,
                                 age_ms=clock.now() - request.arrived_at +
                                 request.max_delay_ms))
-    outgoing = exchange.OutgoingRequest('', 'POST', proxytables.PATH,
-                                        make_headers, body, False, deadline_at,
+    outgoing = exchange.OutgoingRequest('',
+                                        'POST',
+                                        proxytables.PATH,
+                                        make_headers,
+                                        body,
+                                        False,
+                                        deadline_at,
                                         request.memory,
-                                        request.used_connections)
+                                        request.used_connections,
+                                        carried_id=request.fields.request_id)
     result = exchange.send(_find_pool(forwarder,
                                       address), outgoing, request.watch,
                            proxytables.parse_answer_headers, clock)
--- a/tests/test_edge_proxying.py
+++ b/tests/test_edge_proxying.py
@@ -1,5 +1,6 @@
 """Tests of requests that entries pass to other entries."""
 
+import dataclasses
 import functools
 import io
 import socket
@@ -113,6 +114,18 @@
         self.assertLess(taken.fields.caller_timeout_ms, _TIMEOUT_MS)
         self.assertTrue(taken.proxied)
 
+    def test_requests_without_an_id_share_no_connection(self):
+        self._add_entry(transport.make_complete_answer(200, [], b'ok'))
+        for request_id, opened_count in (('', 1), ('', 2), ('r1', 3), ('r2',
+                                                                       3)):
+            self.request = dataclasses.replace(self.request,
+                                               fields=ports.CallerHeaders(
+                                                   request_id, _TIMEOUT_MS, 7),
+                                               used_connections=set())
+            self.assertEqual(self._pass_on().status, 200)
+            pool = list(self.forwarder.proxies.pools.values())[0]
+            self.assertEqual(pool.state.opened_count, opened_count)
+
     def test_refusal_and_unknown_outcome(self):
         for kind in (outcomes.NotRun, outcomes.Unknown):
             expected = kind(outcomes.Reason.OVERLOADED, 'detail', 120)
