An answer whose status HTTP doesn't have is no answer, for any reader

Cause: the status line was taken with any three digits of which the first is none of 0. RFC 9110, section 15, has 100 to 599. The same reader serves the store, other entries and control calls, where such a status counted as a reply that declines; a grant, a release or a probe may have been carried out.

Change: `answerheads` takes 100 to 599 alone; its search for a second status line finds any three digits. An outcome from another entry with an interim status is refused. The command line reads its answers with the same reader, as the standard library's took 0200 for 200.

The fuzzing's reference reader takes 100 to 599, too.

--- a/lentilmoor/answerheads.py
+++ b/lentilmoor/answerheads.py
@@ -17,13 +17,14 @@
 _MAX_LINE_BYTES = 64 * 1024
 _MAX_HEADERS = 100
 
-# The parser accepts other protocols, and control characters in the reason.
+# The parser accepts other protocols, control characters in the reason, and
+# statuses that HTTP doesn't have (RFC 9110, section 15).
 _STATUS_LINE = re.compile(
-    rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n')
+    rb'HTTP/1\.[01] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n')
 
 # A head that breaks off, followed by a whole one, may have only lines that are
 # headers.
-_INNER_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-9][0-9]{2}')
+_INNER_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [0-9]{3}')
 # The parser accepts any number of leading zeros.
 _LENGTH = re.compile(r'[0-9]{1,18}')
 
--- a/lentilmoor/clients.py
+++ b/lentilmoor/clients.py
@@ -6,6 +6,8 @@
 
 import urllib3
 
+from lentilmoor import boundedreads
+from lentilmoor import clocks
 from lentilmoor import outcomes
 from lentilmoor import problems
 
@@ -82,16 +84,16 @@
     """
     sent = {'Authorization': f'Bearer {target.token}'} if target.token else {}
     try:
-        response = urllib3.request(method,
-                                   f'http://{target.address}{path}',
-                                   body=body.encode(),
-                                   headers=sent | (headers or {}),
-                                   preload_content=False,
-                                   redirect=False,
-                                   retries=False,
-                                   timeout=target.timeout_s)
-        data = response.read(_MAX_ANSWER_BYTES)
-        response.release_conn()
+        with _make_pool(target) as pool:
+            response = pool.urlopen(method,
+                                    path,
+                                    body=body.encode(),
+                                    headers=sent | (headers or {}),
+                                    preload_content=False,
+                                    redirect=False,
+                                    retries=False)
+            data = response.read(_MAX_ANSWER_BYTES)
+            response.release_conn()
     except (urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
             urllib3.exceptions.LocationParseError) as error:
@@ -108,6 +110,21 @@
                   data.decode(errors='replace'))
 
 
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    """Connections whose answers are proved whole."""
+
+    ConnectionCls = boundedreads.BoundedConnection
+
+
+def _make_pool(target: Target) -> _ConnectionPool:
+    url = urllib3.util.parse_url(f'http://{target.address}')
+    return _ConnectionPool(url.host,
+                           url.port,
+                           timeout=target.timeout_s,
+                           clock=clocks.Clock(),
+                           max_body_bytes=_MAX_ANSWER_BYTES)
+
+
 def _lost(method: str, detail: str) -> outcomes.NotRun | outcomes.Unknown:
     if method == 'GET':
         return outcomes.NotRun(_Reason.CONNECTION_LOST, detail)
--- a/lentilmoor/edge/proxytables.py
+++ b/lentilmoor/edge/proxytables.py
@@ -12,6 +12,8 @@
 from lentilmoor.edge import ports
 
 PATH = '/proxy'
+# Lower ones belong to interim answers.
+_MIN_FINAL_STATUS = 200
 
 
 class ProxiedRequest(msgspec.Struct, frozen=True):
@@ -121,6 +123,8 @@
         message = _decode_outcome(data)
         if message.request_id not in ('', request_id):
             return None
+        if 0 < message.status < _MIN_FINAL_STATUS:
+            return None
         if message.status:
             return transport.make_complete_answer(message.status,
                                                   message.headers, message.body)
--- a/tests/fuzzmessages.py
+++ b/tests/fuzzmessages.py
@@ -113,7 +113,7 @@
 
 
 _STATUS_LINE = re.compile(
-    rb'HTTP/(1\.[01]) ([1-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?')
+    rb'HTTP/(1\.[01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?')
 _HEADER = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):"
                      rb'([\t\x20-\x7e\x80-\xff]*)')
 _CHUNK = re.compile(rb'([0-9a-fA-F]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n')
