A copy of the store keeps the last change of each key, not the last 500

Cause: the news for other entries were the last 500 changes with their values, though of each key only the last is ever sent.

Change: the news hold the last change of each key, which is the item that the copy holds anyway. 500 limits keys now, so news are complete for longer, too.

Test: test_copied_values.OldVersionTest, 20 versions of 105 kB: 2.1 MB in blocks of that size before, less than four versions now. test_edge_following's test that old revisions get no news changes 505 keys in place of one key 505 times.

--- a/lentilmoor/platform/views.py
+++ b/lentilmoor/platform/views.py
@@ -32,8 +32,8 @@
 ENTRIES = 'lentilmoor/entry/'
 SUSPECTS = 'lentilmoor/suspect/'
 
-# Changes that are kept as news for other entries: some minutes' worth at a busy
-# time.
+# Keys whose last change is kept as news for other entries: some minutes' worth
+# at a busy time.
 MAX_NEWS = 500
 # Deleted keys whose revision is kept, so that an older change that arrives late
 # can't restore them.
@@ -177,8 +177,9 @@
         self._refusals: dict[str, str] = {}
         self._deleted_revisions: collections.OrderedDict[
             str, int] = collections.OrderedDict()
-        # The news, and the revision since which they are complete.
-        self._news: collections.deque[Item] = collections.deque()
+        # The last change of each key, in the order in which they were applied,
+        # and the revision since which they are complete.
+        self._news: dict[str, Item] = {}
         self._news_base_revision = 0
         self._encoded_news: dict[tuple[int, float, bool], bytes] = {}
         self._lock = threading.RLock()
@@ -276,7 +277,7 @@
             news = self._encoded_news.get(
                 (after, max_configuration_bytes, needs_configuration))
             if news is None:
-                items = _find_last_changes(self._news, after)
+                items = _find_last_changes(self._news.values(), after)
                 if needs_configuration and all(
                         item.key != CONFIGURATION for item in items):
                     items.append(self._items[CONFIGURATION])
@@ -326,7 +327,7 @@
             item for key, item in self._items.items()
             if key.startswith(ASSIGNMENTS)
         ]
-        return _find_last_changes((*self._news, *assignments), after)
+        return _find_last_changes((*self._news.values(), *assignments), after)
 
     def restore(self, data: bytes) -> ports.StoreSnapshot | None:
         """Applies another entry's dump.
@@ -419,10 +420,18 @@
                                        item.revision))
 
     def _add_news(self, item: Item) -> None:
+        """Adds a change to the news.
+
+        An earlier one of its key is dropped, as it would never be sent; large
+        values that change often would fill the memory.
+        """
         self._encoded_news.clear()
-        self._news.append(item)
+        previous = self._news.pop(item.key, None)
+        if previous is not None and previous.revision > item.revision:
+            item = previous
+        self._news[item.key] = item
         while len(self._news) > MAX_NEWS:
-            dropped = self._news.popleft()
+            dropped = self._news.pop(next(iter(self._news)))
             self._news_base_revision = max(self._news_base_revision,
                                            dropped.revision)
 
