Large bodies are held once, and freed memory goes back to the system

Faulty servers that send bytes without end, and servers whose whole answers have 16 MB, took an entry beyond the 300 MB of its machine, where the platform kills it with the requests of all its callers (LOST).

Cause: 48 MB are reserved for bodies, but each was held up to five times: as blocks, joined, in one string with its head, and in cheroot's writer, which copies the rest again for each write. And glibc kept what was freed: its threshold for returning blocks rises with each large block, and each few threads have a heap of their own.

Change: a body grows in place while it is read, and is written from there in blocks of 64 KiB. `allocator` fixes the threshold at 128 KiB and the heaps at one. The copies that proxying makes are reserved. 64 KiB of each request don't count, so that requests of a usual size have room while others use up the budget; of replies to calls, 256 KiB don't count, and one of the largest size is held at a time in place of two.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -69,6 +69,9 @@
 # or more.
 MAX_CALLER_MEMORY_BYTES = 48 * 1024 * 1024
 MAX_PEER_MEMORY_BYTES = 32 * 1024 * 1024
+# What each request may use beyond that, so that large bodies leave room for
+# those of a usual size.
+OWN_MEMORY_BYTES = 64 * 1024
 # How long after SIGTERM new connections may still arrive: the load balancer
 # checks readiness once a second and needs two failed checks.
 BALANCER_NOTICE_MS = 3_100.0
@@ -225,7 +228,7 @@
             functools.partial(forwarding.forward, forwarder),
             functools.partial(_record_outcome, entry), entry.request_count,
             lambda: _find_caller_limits(entry).max_body_bytes, clock,
-            bytebudgets.ByteBudget(MAX_CALLER_MEMORY_BYTES)),
+            bytebudgets.ByteBudget(MAX_CALLER_MEMORY_BYTES, OWN_MEMORY_BYTES)),
         CALLER_THREAD_LIMITS, log_error, clock)
     ready = listening.make_listener(
         platform.settings.ready,
@@ -264,7 +267,7 @@
                     functools.partial(
                         proxying.handle_request, forwarder,
                         functools.partial(forwarding.forward, forwarder))
-            }, bytebudgets.ByteBudget(MAX_PEER_MEMORY_BYTES)),
+            }, bytebudgets.ByteBudget(MAX_PEER_MEMORY_BYTES, OWN_MEMORY_BYTES)),
         PEER_THREAD_LIMITS, log_error, clock)
     entry.listeners = [callers, ready, peers]
     return entry
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -73,7 +73,7 @@
     method: str
     target: str
     make_headers: Callable[[], dict[str, str] | None]
-    body: bytes
+    body: bytes | bytearray
     idempotent: bool
     deadline_at: float
     memory: bytebudgets.Usage = dataclasses.field(
@@ -406,7 +406,7 @@
 
 
 def _collect_body(response: urllib3.HTTPResponse,
-                  memory: bytebudgets.Usage) -> bytes:
+                  memory: bytebudgets.Usage) -> bytes | bytearray:
     """Reads a body into memory.
 
     Raises:
@@ -415,17 +415,16 @@
     if (response.length_remaining or 0) > MAX_ANSWER_BYTES:
         raise boundedreads.MessageTooLargeError(
             f'the answer has {response.length_remaining} bytes')
-    blocks, byte_count = [], 0
-    while block := response.read(_READ_BYTES, decode_content=False):
-        blocks.append(block)
-        byte_count += len(block)
-        if byte_count > MAX_ANSWER_BYTES:
-            raise boundedreads.MessageTooLargeError(
-                f'the answer has more than {MAX_ANSWER_BYTES} bytes')
-        if not bytebudgets.reserve(memory, len(block)):
-            raise boundedreads.MessageTooLargeError(
-                'the answers in memory leave no room for this one')
-    return b''.join(blocks)
+    body = bytebudgets.collect(
+        lambda: response.read(_READ_BYTES, decode_content=False), memory,
+        MAX_ANSWER_BYTES)
+    if body is bytebudgets.Excess.TOO_LARGE:
+        raise boundedreads.MessageTooLargeError(
+            f'the answer has more than {MAX_ANSWER_BYTES} bytes')
+    if body is bytebudgets.Excess.NO_MEMORY:
+        raise boundedreads.MessageTooLargeError(
+            'the answers in memory leave no room for this one')
+    return body
 
 
 def _skip_body(response: urllib3.HTTPResponse) -> None:
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -316,8 +316,9 @@
                             memory=memory)
 
 
-def _read_body(request: cheroot_server.HTTPRequest, max_bytes: int,
-               memory: bytebudgets.Usage) -> bytes | outcomes.NotRun:
+def _read_body(
+        request: cheroot_server.HTTPRequest, max_bytes: int,
+        memory: bytebudgets.Usage) -> bytes | bytearray | outcomes.NotRun:
     length = None
     if request.chunked_read:
         request.rfile = chunks.ChunkedBody(request.conn.rfile)
@@ -333,7 +334,8 @@
                                'the body did not arrive in time')
     except (OSError, ValueError) as error:
         return _refuse(request, str(error))
-    if (isinstance(body, bytes) and length is not None and len(body) != length):
+    if (not isinstance(body, outcomes.NotRun) and length is not None and
+            len(body) != length):
         return _refuse(request, 'the body is shorter than its Content-Length')
     return body
 
@@ -344,20 +346,19 @@
     return outcomes.NotRun(_Reason.BAD_REQUEST, detail)
 
 
-def _collect_body(request: cheroot_server.HTTPRequest, max_bytes: int,
-                  memory: bytebudgets.Usage) -> bytes | outcomes.NotRun:
-    blocks, byte_count = [], 0
-    while block := request.rfile.read(_READ_BLOCK_BYTES):
-        blocks.append(block)
-        byte_count += len(block)
-        if byte_count > max_bytes:
-            return outcomes.NotRun(_Reason.BODY_TOO_LARGE,
-                                   f'expected at most {max_bytes} bytes')
-        if not bytebudgets.reserve(memory, len(block)):
-            return outcomes.NotRun(_Reason.OVERLOADED,
-                                   'no memory is left for the body',
-                                   MEMORY_RETRY_AFTER_MS)
-    return b''.join(blocks)
+def _collect_body(
+        request: cheroot_server.HTTPRequest, max_bytes: int,
+        memory: bytebudgets.Usage) -> bytes | bytearray | outcomes.NotRun:
+    body = bytebudgets.collect(lambda: request.rfile.read(_READ_BLOCK_BYTES),
+                               memory, max_bytes)
+    if body is bytebudgets.Excess.TOO_LARGE:
+        return outcomes.NotRun(_Reason.BODY_TOO_LARGE,
+                               f'expected at most {max_bytes} bytes')
+    if body is bytebudgets.Excess.NO_MEMORY:
+        return outcomes.NotRun(_Reason.OVERLOADED,
+                               'no memory is left for the body',
+                               MEMORY_RETRY_AFTER_MS)
+    return body
 
 
 def _copy_headers(request: cheroot_server.HTTPRequest,
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -21,6 +21,7 @@
 from lentilmoor import bytebudgets
 from lentilmoor import connections
 from lentilmoor import outcomes
+from lentilmoor import transport
 from lentilmoor.edge import exchange
 from lentilmoor.edge import ports
 from lentilmoor.edge import proxytables
@@ -50,6 +51,8 @@
 # Statuses by which an entry, or the reader of its requests, accepts none.
 _NOT_ACCEPTED = frozenset((400, 404, 408, 413, _UNAVAILABLE))
 
+_NO_MEMORY = 'no memory is left for the answer'
+
 _Reason = outcomes.Reason
 
 
@@ -77,7 +80,9 @@
       Its outcome; None if no entry has taken it, so that it has not run.
     """
     now = forwarder.clock.now()
-    if request.proxied or now < forwarder.proxies.asked_again_at:
+    # The message holds a copy of the body.
+    if (request.proxied or now < forwarder.proxies.asked_again_at or
+            not bytebudgets.reserve(request.memory, len(request.body))):
         return None
     lost: outcomes.Unknown | None = None
     for address in _pick_entries(forwarder, now):
@@ -165,8 +170,7 @@
         refusedanswers.note(forwarder.refused_answers, forwarder.logger,
                             request.fields.request_id, address, result.fault,
                             result.detail)
-    outcome = _read_result(forwarder, result, address,
-                           request.fields.request_id)
+    outcome = _read_result(forwarder, result, address, request)
     is_lost = isinstance(result, outcomes.Unknown)
     _note_willing(forwarder, address, outcome is not None and not is_lost)
     forwarder.logger.info('request_proxied',
@@ -188,7 +192,8 @@
 
 
 def _read_result(forwarder: requests.Forwarder, result: exchange.Result,
-                 address: str, request_id: str) -> requests.Outcome | None:
+                 address: str,
+                 request: requests.Request) -> requests.Outcome | None:
     """Returns the outcome of a request; None if it was surely not accepted."""
     if isinstance(result, exchange.CallerDisconnected):
         return dataclasses.replace(result, where=address)
@@ -200,13 +205,17 @@
         return outcomes.Unknown(
             _Reason.PEER_UNAVAILABLE,
             f'{address} replied with status {result.answer.status}')
-    outcome = proxytables.decode_outcome(result.answer.body, request_id)
+    encoded = result.answer.body
+    if not bytebudgets.reserve(request.memory, len(encoded)):
+        return outcomes.Unknown(_Reason.OVERLOADED, _NO_MEMORY)
+    request_id = request.fields.request_id
+    outcome = proxytables.decode_outcome(encoded, request_id)
     if outcome is not None:
         return outcome
     forwarder.logger.warning('proxied_outcome_refused',
                              request=request_id,
                              entry=address,
-                             body_bytes=len(result.answer.body))
+                             body_bytes=len(encoded))
     return outcomes.Unknown(_Reason.PEER_UNAVAILABLE,
                             f'{address} sent no outcome of the request')
 
@@ -251,6 +260,9 @@
     Returns:
       Status and body of the reply.
     """
+    # The decoded request holds a copy of its body.
+    if not bytebudgets.reserve(memory, len(body)):
+        return _UNAVAILABLE, b''
     message = proxytables.decode_request(body)
     if message is None:
         return 400, b''
@@ -264,6 +276,9 @@
             forwarder.proxies.accepted_count -= 1
     if isinstance(outcome, exchange.CallerDisconnected):
         return _FAILED, b''  # Nobody reads it; the request may have run.
+    if (isinstance(outcome, transport.Answer) and
+            not bytebudgets.reserve(memory, len(outcome.body))):
+        outcome = outcomes.Unknown(_Reason.OVERLOADED, _NO_MEMORY)
     return _ACCEPTED, proxytables.encode_outcome(outcome, message.request_id)
 
 
--- a/lentilmoor/edge/requests.py
+++ b/lentilmoor/edge/requests.py
@@ -66,7 +66,7 @@
     path: str
     target: str
     headers: Mapping[str, str]
-    body: bytes
+    body: bytes | bytearray
     watch: exchange.CallerWatch
     arrived_at: float
     proxied: bool = False
--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -24,9 +24,8 @@
 MAX_SHORT_REPLY_BYTES = 1024 * 1024
 # Why a reply counts as none although its status is 200, for logs.
 INVALID_REPLY = 'invalid-reply'
-# Replies of the largest size that a client holds at once, which allows for
-# calls in several threads.
-_MAX_LARGE_REPLIES = 2
+# What each call may use although another one holds a reply of the largest size.
+_OWN_MEMORY_BYTES = 256 * 1024
 _READ_BYTES = 256 * 1024
 
 _Reason = outcomes.Reason
@@ -55,7 +54,7 @@
 
     status: int
     headers: urllib3.HTTPHeaderDict
-    body: bytes
+    body: bytes | bytearray
 
 
 def find_failure(result: Reply | outcomes.Failed) -> str:
@@ -112,8 +111,8 @@
         self._idle_connections = idle_connections
         self._max_reply_bytes = max_reply_bytes
         self._single_use = single_use
-        self._memory = bytebudgets.ByteBudget(_MAX_LARGE_REPLIES *
-                                              max_reply_bytes)
+        self._memory = bytebudgets.ByteBudget(max_reply_bytes,
+                                              _OWN_MEMORY_BYTES)
         self._connection_options = {
             'clock': clock,
             'max_body_bytes': max_reply_bytes
@@ -175,7 +174,7 @@
             response.close()
             return outcomes.Failed(
                 _Reason.TIMED_OUT,
-                'the reply was not complete in time, or too large')
+                'the reply is too large, or there is no memory for it')
         return Reply(response.status, response.headers, body)
 
     def discard_connections(self, address: str) -> None:
@@ -199,8 +198,8 @@
             return pool
 
     def _read_body(self, response: urllib3.BaseHTTPResponse, deadline: float,
-                   memory: bytebudgets.Usage) -> bytes | None:
-        """Returns the body, or None if it takes too long or is too large.
+                   memory: bytebudgets.Usage) -> bytes | bytearray | None:
+        """Returns the body, or None if it is too large.
 
         Raises:
           urllib3.exceptions.ProtocolError: The end of the body isn't proved.
@@ -210,15 +209,18 @@
             response.close()
             raise urllib3.exceptions.ProtocolError(
                 'the reply has neither a length nor chunks')
-        chunks = []
-        while chunk := response.read1(_READ_BYTES):
-            chunks.append(chunk)
-            if (self._clock.now() > deadline or
-                    not bytebudgets.reserve(memory, len(chunk)) or
-                    memory.used_bytes > self._max_reply_bytes):
-                return None
+
+        def read_block() -> bytes:
+            if self._clock.now() > deadline:
+                response.close()
+                raise urllib3.exceptions.TimeoutError('timed out')
+            return response.read1(_READ_BYTES)
+
+        body = bytebudgets.collect(read_block, memory, self._max_reply_bytes)
+        if isinstance(body, bytebudgets.Excess):
+            return None
         response.release_conn()
-        return b''.join(chunks)
+        return body
 
 
 def _make_timeout(timeout_ms: float,
--- a/lentilmoor/platform/program.py
+++ b/lentilmoor/platform/program.py
@@ -5,6 +5,7 @@
 import socket
 import sys
 
+from lentilmoor import allocator
 from lentilmoor import clocks
 from lentilmoor import exceptions
 from lentilmoor import linequeue
@@ -45,6 +46,8 @@
     instance = f'{settings.instance}.{secrets.token_hex(4)}'
     lines = linequeue.LineQueue(sys.stdout, clock)
     logger = logs.make_logger(instance, lines)
+    if not allocator.return_freed_memory():
+        logger.warning('freed_memory_kept')
     times = store.make_watch_times(settings.limits, settings.link_mbps)
     platform = ports.Platform(
         settings, store.connect_store(address, clock, logger, times),
--- a/lentilmoor/responses.py
+++ b/lentilmoor/responses.py
@@ -1,9 +1,10 @@
 """Writes answers of servers and error responses to a connection of cheroot.
 
-A complete answer is sent with a single write: each write to a socket releases
-the interpreter lock and lets other threads run, which costs a busy entry more
-than the bytes. A streamed answer that is truncated is never ended as if it were
-complete.
+A complete answer of a usual size is sent with a single write: each write to a
+socket releases the interpreter lock and lets other threads run, which costs a
+busy entry more than the bytes. A larger body is written from where it is, as
+cheroot's writer would copy it, and its rest again after each write. A streamed
+answer that is truncated is never ended as if it were complete.
 """
 
 import email.utils
@@ -19,6 +20,9 @@
 from lentilmoor import problems
 from lentilmoor import transport
 
+# Bodies up to this size are copied behind their head.
+MAX_COPIED_BODY_BYTES = 64 * 1024
+
 _Request = cheroot_server.HTTPRequest
 _Header = tuple[bytes, bytes]
 
@@ -69,13 +73,13 @@
 
 
 def _write_complete(request: _Request, status: bytes, headers: list[_Header],
-                    body: bytes) -> None:
+                    body: bytes | bytearray) -> None:
     _close_if_body_unread(request)
     if request.method == b'HEAD' or status[:3] in _STATUSES_WITHOUT_BODY:
         body = b''
     if not _can_write_directly(request):
         _send_headers(request, status, headers)
-        request.write(body)
+        _write_in_blocks(request, body)
         return
     request.sent_headers = True
     lines = [b'HTTP/1.1 ' + status]
@@ -88,8 +92,20 @@
     if request.close_connection:
         lines.append(b'Connection: close')
     lines.append(b'')
-    lines.append(body)
+    if len(body) <= MAX_COPIED_BODY_BYTES:
+        lines.append(body)
+        request.conn.wfile.write(b'\r\n'.join(lines))
+        return
+    lines.append(b'')
     request.conn.wfile.write(b'\r\n'.join(lines))
+    _write_in_blocks(request, body)
+
+
+def _write_in_blocks(request: _Request, body: bytes | bytearray) -> None:
+    """Writes a body with a copy of no more than one block of it."""
+    view = memoryview(body)
+    for start in range(0, len(view), MAX_COPIED_BODY_BYTES):
+        request.write(bytes(view[start:start + MAX_COPIED_BODY_BYTES]))
 
 
 def _close_if_body_unread(request: _Request) -> None:
--- a/lentilmoor/transport.py
+++ b/lentilmoor/transport.py
@@ -58,7 +58,7 @@
 
     status: int
     headers: list[tuple[str, str]]
-    body: bytes
+    body: bytes | bytearray
     remaining_chunks: Iterator[bytes] | None
     close: Callable[[], None]
 
@@ -110,7 +110,7 @@
 
 
 def make_complete_answer(status: int, headers: list[tuple[str, str]],
-                         body: bytes) -> Answer:
+                         body: bytes | bytearray) -> Answer:
     """Returns an answer whose body has been received completely."""
     return Answer(status, headers, body, None, _do_nothing_on_close)
 
--- a/tests/platformhelp.py
+++ b/tests/platformhelp.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import http.client
+import io
 import json
 import math
 import os
@@ -13,9 +14,11 @@
 import sys
 import tempfile
 import time
+from unittest import mock
 import uuid
 
 from lentilmoor import clocks
+from lentilmoor import connections
 from lentilmoor import logs
 from lentilmoor.edge import entrycounts
 from lentilmoor.edge import ports
@@ -200,6 +203,15 @@
                                                      settling_since=-math.inf)
 
 
+def make_proxy_forwarder() -> requests.Forwarder:
+    """Returns the state of an entry that takes requests of other entries."""
+    platform = mock.Mock()
+    platform.settings.control, platform.settings.domain = 'self:1', 'a'
+    return requests.Forwarder(clocks.make_suspend_clock(), platform,
+                              logs.make_logger('test', io.StringIO()),
+                              connections.PoolLimits())
+
+
 def ask(port: int,
         path: str,
         key: int | None = None,
--- a/tests/test_edge_proxying.py
+++ b/tests/test_edge_proxying.py
@@ -2,15 +2,12 @@
 
 import dataclasses
 import functools
-import io
 import socket
 import threading
 import unittest
 from unittest import mock
 
 from lentilmoor import clocks
-from lentilmoor import connections
-from lentilmoor import logs
 from lentilmoor import outcomes
 from lentilmoor import transport
 from lentilmoor.edge import exchange
@@ -20,6 +17,7 @@
 from lentilmoor.edge import proxytables
 from lentilmoor.edge import requests
 from lentilmoor.edge import tables
+from tests import platformhelp
 from tests import waits
 
 _CLOCK = clocks.make_suspend_clock()
@@ -30,7 +28,7 @@
     """An entry that takes requests; `outcome` is what becomes of them."""
 
     def __init__(self, outcome=None):
-        self.forwarder = _make_forwarder()
+        self.forwarder = platformhelp.make_proxy_forwarder()
         self.outcome = outcome
         self.taken: list[requests.Request] = []
         with socket.create_server(('127.0.0.1', 0)) as free:
@@ -56,19 +54,11 @@
         self._listener.stop()
 
 
-def _make_forwarder() -> requests.Forwarder:
-    platform = mock.Mock()
-    platform.settings.control, platform.settings.domain = 'self:1', 'a'
-    return requests.Forwarder(_CLOCK, platform,
-                              logs.make_logger('test', io.StringIO()),
-                              connections.PoolLimits())
-
-
 class ProxyCase(unittest.TestCase):
 
     def setUp(self):
         super().setUp()
-        self.forwarder = _make_forwarder()
+        self.forwarder = platformhelp.make_proxy_forwarder()
         self.addCleanup(self._close_connections)
         caller, self.caller = socket.socketpair()
         self.addCleanup(caller.close)
