A pause of the process no longer prolongs its waits

Callers of an entry that was paused during its planned stop lost requests that servers were running: the connection was closed without an answer as the process ended (LOST). A request also outlived its deadline by the time of the pause.

Cause: a wait for a server was one poll for all the time that was left. On arm64 the C library makes `poll` of `ppoll`, which goes on with the rest of its timeout after a stop, so the stop doesn't count; measured: a poll of 2 s with two stops of 0.8 s takes 3.6 s. On any machine the time of a suspension doesn't count. The answer that is due shortly before the end came too late.

--- a/lentilmoor/boundedreads.py
+++ b/lentilmoor/boundedreads.py
@@ -28,8 +28,14 @@
 
 _READ_BYTES = 64 * 1024
 
+# Waits for data are no longer than this, so that a deadline is checked against
+# the clock: a suspension of the machine prolongs the timeout of a poll, and so
+# does a stop of the process where `poll` is made of `ppoll`, as on arm64.
+MAX_POLL_MS = 100.0
+
 Wait = Callable[[socket.socket, float], None]
-"""Waits until a socket is readable or ms have passed; may raise."""
+"""Waits until a socket is readable, or ms have passed, or for a shorter time;
+may raise."""
 
 
 class MessageTooLargeError(OSError):
@@ -37,10 +43,18 @@
 
 
 def wait_until_readable(sock: socket.socket, timeout_ms: float) -> None:
-    """Waits until a socket is readable, for at most `timeout_ms`."""
+    """Waits until a socket is readable, for at most `timeout_ms`.
+
+    It may return earlier, as it waits for `MAX_POLL_MS` at most.
+    """
     poll = select.poll()
     poll.register(sock, select.POLLIN)
-    poll.poll(max(0.0, timeout_ms) if timeout_ms < math.inf else None)
+    poll.poll(limit_poll(timeout_ms) if timeout_ms < math.inf else None)
+
+
+def limit_poll(timeout_ms: float) -> float:
+    """Returns how long one poll may take of a time that is left, ms."""
+    return min(max(0.0, timeout_ms), MAX_POLL_MS)
 
 
 class SocketReader(io.RawIOBase):
--- a/lentilmoor/edge/exchange.py
+++ b/lentilmoor/edge/exchange.py
@@ -176,7 +176,8 @@
 
         Args:
           server_socket: The socket of the connection to the server.
-          timeout_ms: How long to wait.
+          timeout_ms: How long to wait; it may be shorter, see
+            `boundedreads.MAX_POLL_MS`.
 
         Returns:
           What happened first; `TALKS` if the caller sent data, as a pipelined
@@ -186,7 +187,7 @@
         poll.register(server_socket, select.POLLIN)
         if not self.has_sent_data:
             poll.register(self._connection, select.POLLIN)
-        ready = dict(poll.poll(max(0.0, timeout_ms)))
+        ready = dict(poll.poll(boundedreads.limit_poll(timeout_ms)))
         if server_socket.fileno() in ready:
             return Event.ANSWER
         if not ready:
@@ -297,10 +298,7 @@
                             headers=headers,
                             preload_content=False,
                             decode_content=False)
-    event = Event.TALKS
-    while event is Event.TALKS:
-        event = watch.wait_for_event(connection.http.sock,
-                                     outgoing.deadline_at - clock.now())
+    event = _wait_for_answer(connection, outgoing, watch, clock)
     if event is Event.GONE:
         pool.discard(connection)
         return CallerDisconnected()
@@ -316,6 +314,19 @@
     return dataclasses.replace(answer, skipped_count=skipped_count)
 
 
+def _wait_for_answer(connection: connections.Connection,
+                     outgoing: OutgoingRequest, watch: CallerWatch,
+                     clock: clocks.Clock) -> Event:
+    """Waits until the answer begins, the caller leaves, or time is up."""
+    while True:
+        remaining_ms = outgoing.deadline_at - clock.now()
+        event = watch.wait_for_event(connection.http.sock, remaining_ms)
+        if event in (Event.ANSWER, Event.GONE):
+            return event
+        if remaining_ms <= 0:
+            return Event.TIMEOUT
+
+
 def _set_timeout(connection: connections.Connection, outgoing: OutgoingRequest,
                  clock: clocks.Clock) -> None:
     remaining_s = max(1.0, outgoing.deadline_at - clock.now()) / clocks.MS_PER_S
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -145,6 +145,22 @@
         self._assert_refused('/report/x', patience_ms=6_000)
 
 
+class PausedStopTest(LongRequestCase):
+    """A pause prolonged the wait of a request past the end of the process."""
+
+    def test_request_is_answered_before_the_end(self):
+        self.server.work_s = 5.2
+        process = self.entry.process
+        self.entry.stop()
+        sent_at = time.monotonic()
+        for delay_s, number in ((2.6, signal.SIGSTOP), (3.2, signal.SIGCONT)):
+            threading.Timer(delay_s, process.send_signal, (number,)).start()
+        _sleep_until(sent_at + 1.0)
+        status, _, _ = self.entry.call('/report/x', patience_ms=9_000)
+        self.assertEqual(status, 504, self.entry.read_log())
+        self.assertEqual(process.wait(sent_at + _GRACE_S - time.monotonic()), 0)
+
+
 class SlowBodyTest(LongRequestCase):
     """A request was sent although its body ended too late, and was aborted."""
 
