Connections without a request take no threads of an entry

Cause: cheroot passes each new connection to a thread before anything has arrived on it, and the thread waits for its first request.

Change: a new connection goes to a thread if something can be read from it, and otherwise waits in the selector, as between two requests.

Test: test_edge_listening .test_connections_without_a_request_take_no_threads; before, a request beside 40 idle connections had no answer within 5 s.

--- a/lentilmoor/boundedreads.py
+++ b/lentilmoor/boundedreads.py
@@ -148,8 +148,12 @@
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
 
+    def is_ready(self) -> bool:
+        """Returns whether data, or the end, can be read at once."""
+        return bool(self._poll.poll(0))
+
     def _receive(self, buffer) -> int | None:
-        return self._file.readinto(buffer) if self._poll.poll(0) else None
+        return self._file.readinto(buffer) if self.is_ready() else None
 
 
 class _SharedReader:
--- a/lentilmoor/edge/listening.py
+++ b/lentilmoor/edge/listening.py
@@ -120,6 +120,18 @@
             manager._selector, self, self.clock)  # pylint: disable=protected-access
         self.find_empty_at = lambda: selector.backlog_empty_at
 
+    def process_conn(self, conn: requestconnections.RequestConnection) -> None:
+        """Passes a connection to a thread once something has arrived on it.
+
+        cheroot passes on new connections at once, so that idle ones would take
+        all threads.
+        """
+        was_new, conn.is_new = conn.is_new, False
+        if was_new and not conn.reader.is_ready():
+            self._connections.put(conn)
+        else:
+            super().process_conn(conn)
+
     def bind(self, family, type, proto=0):  # pylint: disable=redefined-builtin
         """Uses `listening_socket`, or opens a socket if it is None."""
         if self.listening_socket is None:
--- a/lentilmoor/requestconnections.py
+++ b/lentilmoor/requestconnections.py
@@ -42,6 +42,7 @@
       reader: Reads the socket.
       empty_at: The last known time at which no unread byte had arrived, ms.
       watched_at: When waiting for its next request began, ms.
+      is_new: Whether it hasn't been passed to a thread or a selector yet.
       is_reset: Whether closing it resets it, so that what was sent can't pass
         for a whole answer.
     """
@@ -54,6 +55,7 @@
         self.reader = boundedreads.BlockingSocketReader(sock, server.clock)
         self.empty_at = server.find_empty_at()
         self.watched_at = math.inf
+        self.is_new = True
         self.is_reset = False
         super().__init__(server, sock, self._make_file)
 
--- a/tests/test_edge_listening.py
+++ b/tests/test_edge_listening.py
@@ -1,6 +1,8 @@
 """Tests of the threads that answer callers and other entries."""
 
+import socket
 import threading
+import time
 import unittest
 import urllib.request
 
@@ -84,6 +86,23 @@
         self.may_finish.set()
         threads[0].join(5.0)
 
+    def test_connections_without_a_request_take_no_threads(self):
+        # 64 of them stopped an entry for up to 20 s.
+        idle = [
+            socket.create_connection(self.listener.bind_addr, 5.0)
+            for _ in range(40)
+        ]
+        for connection in idle:
+            self.addCleanup(connection.close)
+        self.may_finish.set()
+        time.sleep(0.2)
+        started_at = time.monotonic()
+        self._send_requests(1)[0].join(5.0)
+        self.assertLess(time.monotonic() - started_at, 2.0)
+        for connection in (idle[0], idle[-1]):
+            connection.sendall(b'GET /wait HTTP/1.1\r\nHost: a.example\r\n\r\n')
+            self.assertTrue(connection.recv(64).startswith(b'HTTP/1.1 200'))
+
 
 if __name__ == '__main__':
     unittest.main()
