Memory for messages follows the machine's; connections to gone entries close

By reading, after an entry had been shown to exceed its memory:

- 48 MB for callers and 32 MB for other entries held on any machine, so that the sum of all bounds (docs/CAPACITY.md) stayed below 300 MB but not below the 200 MB of the smallest machines.
Each is now 0.16 of Limits.MemoryMb, and of 200 MB where the settings don't tell; a value that is no positive number is refused with the field's name.
- Connections to entries that are not listed any more stayed open, up to 16 each.
They are closed when a connection to another entry is opened.

Tests: test_platform_documents.SettingsTest; test_edge_proxying .test_connections_to_gone_entries_are_closed, which fails before.

--- a/lentilmoor/edge/entry.py
+++ b/lentilmoor/edge/entry.py
@@ -64,11 +64,10 @@
 REPLY_WRITE_TIMEOUT_MS = 1_000.0
 # Connections to another entry: one for reports, one for news.
 MAX_PEER_CONNECTIONS = 2
-# Memory for the bodies of callers' requests and their answers, and for the
-# messages of other entries and what is proxied for them. Machines have 200 MB
-# or more.
-MAX_CALLER_MEMORY_BYTES = 48 * 1024 * 1024
-MAX_PEER_MEMORY_BYTES = 32 * 1024 * 1024
+# Part of the machine's memory for the bodies of callers' requests and their
+# answers, and as much for the messages of other entries and what is proxied for
+# them. docs/CAPACITY.md has the sum of what is kept.
+MESSAGE_MEMORY_FRACTION = 0.16
 # What each request may use beyond that, so that large bodies leave room for
 # those of a usual size.
 OWN_MEMORY_BYTES = 64 * 1024
@@ -84,6 +83,7 @@
 # A slower write of a reply is logged: its reader occupied a thread.
 SLOW_WRITE_MS = 100.0
 _POLL_INTERVAL_MS = 50.0
+_BYTES_PER_MB = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -228,8 +228,8 @@
             functools.partial(forwarding.forward, forwarder),
             functools.partial(_record_outcome, entry), entry.request_count,
             lambda: _find_caller_limits(entry).max_body_bytes, clock,
-            bytebudgets.ByteBudget(MAX_CALLER_MEMORY_BYTES, OWN_MEMORY_BYTES)),
-        CALLER_THREAD_LIMITS, log_error, clock)
+            _make_budget(platform.settings)), CALLER_THREAD_LIMITS, log_error,
+        clock)
     ready = listening.make_listener(
         platform.settings.ready,
         listening.make_page_gateway(
@@ -267,12 +267,18 @@
                     functools.partial(
                         proxying.handle_request, forwarder,
                         functools.partial(forwarding.forward, forwarder))
-            }, bytebudgets.ByteBudget(MAX_PEER_MEMORY_BYTES, OWN_MEMORY_BYTES)),
-        PEER_THREAD_LIMITS, log_error, clock)
+            }, _make_budget(platform.settings)), PEER_THREAD_LIMITS, log_error,
+        clock)
     entry.listeners = [callers, ready, peers]
     return entry
 
 
+def _make_budget(settings: ports.Settings) -> bytebudgets.ByteBudget:
+    return bytebudgets.ByteBudget(
+        MESSAGE_MEMORY_FRACTION * settings.memory_mb * _BYTES_PER_MB,
+        OWN_MEMORY_BYTES)
+
+
 def _log_slow_write(logger: logs.Logger, peer: str, byte_count: int,
                     took_ms: float) -> None:
     """Logs a peer that reads its reply slowly and so occupies a thread."""
--- a/lentilmoor/edge/ports.py
+++ b/lentilmoor/edge/ports.py
@@ -47,6 +47,10 @@
     config_apply_ms: float = math.inf
 
 
+# Memory of the smallest machines.
+MIN_MEMORY_MB = 200.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """An entry's own settings.
@@ -64,6 +68,7 @@
       bounds: Bounds that the operator guarantees or expects.
       first_start: Whether the whole system starts for the first time, so that
         no earlier process of this entry has run.
+      memory_mb: Memory beyond which the process is killed, MB.
     """
 
     instance: str
@@ -77,6 +82,7 @@
     link_mbps: float
     bounds: Bounds
     first_start: bool = False
+    memory_mb: float = MIN_MEMORY_MB
 
     @property
     def small(self) -> bool:
--- a/lentilmoor/edge/proxying.py
+++ b/lentilmoor/edge/proxying.py
@@ -224,6 +224,7 @@
     with forwarder.proxies.lock:
         pool = forwarder.proxies.pools.get(address)
         if pool is None:
+            _close_pools_of_gone_entries(forwarder)
             limits = dataclasses.replace(
                 _POOL_LIMITS, socket_options=forwarder.rules.socket_options)
             pool = connections.Pool(address, limits, forwarder.clock)
@@ -231,6 +232,17 @@
         return pool
 
 
+def _close_pools_of_gone_entries(forwarder: requests.Forwarder) -> None:
+    """Closes the connections to entries that aren't listed any more.
+
+    The caller holds the table's lock.
+    """
+    pools = forwarder.proxies.pools
+    listed = {peer.address for peer in forwarder.snapshot.entries.values()}
+    for address in pools.keys() - listed:
+        pools.pop(address).close()
+
+
 def _note_willing(forwarder: requests.Forwarder, address: str,
                   willing: bool) -> None:
     table = forwarder.proxies
--- a/lentilmoor/platform/settings.py
+++ b/lentilmoor/platform/settings.py
@@ -44,7 +44,8 @@
                _parse_number(fields, 'Limits.Cores')),
         link_mbps=_parse_number(fields, 'Limits.LinkMbps'),
         bounds=bounds,
-        first_start=fields.get('Bootstrap', '').strip() == 'true')
+        first_start=fields.get('Bootstrap', '').strip() == 'true',
+        memory_mb=_read_memory(fields))
     staleness.make_limits(bounds.drain_ms, bounds.config_apply_ms)
     return settings, _require_address(fields, 'Platform.Addr')
 
@@ -70,6 +71,17 @@
                          if 'ConfigApplyMs' in values else math.inf))
 
 
+def _read_memory(fields: dict[str, str]) -> float:
+    name = 'Limits.MemoryMb'
+    if name not in fields:
+        return ports.MIN_MEMORY_MB
+    memory_mb = _parse_number(fields, name)
+    if not 0 < memory_mb < math.inf:
+        raise exceptions.SettingsError(
+            [f'{name}: expected a positive number, got {memory_mb}'])
+    return memory_mb
+
+
 def _require(fields: dict[str, str], name: str) -> str:
     value = fields.get(name, '').strip()
     if not value:
--- a/tests/test_edge_proxying.py
+++ b/tests/test_edge_proxying.py
@@ -116,6 +116,16 @@
             pool = list(self.forwarder.proxies.pools.values())[0]
             self.assertEqual(pool.state.opened_count, opened_count)
 
+    def test_connections_to_gone_entries_are_closed(self):
+        answer = transport.make_complete_answer(200, [], b'ok')
+        for _ in range(3):
+            self.forwarder.snapshot = tables.RoutingSnapshot(
+                None, {}, {}, {}, {})
+            entry = self._add_entry(answer)
+            self.assertEqual(self._pass_on().status, 200)
+            self.assertEqual(list(self.forwarder.proxies.pools),
+                             [entry.address])
+
     def test_refusal_and_unknown_outcome(self):
         for kind in (outcomes.NotRun, outcomes.Unknown):
             expected = kind(outcomes.Reason.OVERLOADED, 'detail', 120)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -67,6 +67,13 @@
         self.assertEqual((found.cores, found.link_mbps), (1.72, 1_000.0))
         self.assertEqual(found.seeds, ('10.0.0.1:82', '10.0.0.2:82'))
 
+    def test_memory_of_the_machine_is_read(self):
+        found, _ = settings.parse_settings(_SETTINGS)
+        self.assertEqual(found.memory_mb, 300.0)
+        found, _ = settings.parse_settings(
+            _SETTINGS.replace('Limits.MemoryMb=300\n', ''))
+        self.assertEqual(found.memory_mb, ports.MIN_MEMORY_MB)
+
     def test_the_bound_on_configurations_is_read(self):
         found, _ = settings.parse_settings(
             _SETTINGS.replace('New=1', 'ConfigApplyMs=2500'))
@@ -89,6 +96,10 @@
             ('10.0.0.1:81', 'here', 'Listen.Ready: expected host:port'),
             ('GraceS=6', 'GraceS=soon', 'Bounds: GraceS: expected a number'),
             ('LinkMbps=1000.0', 'LinkMbps=', 'Limits.LinkMbps: expected'),
+            ('MemoryMb=300', 'MemoryMb=all', 'Limits.MemoryMb: expected'),
+            ('MemoryMb=300', 'MemoryMb=0', 'Limits.MemoryMb: expected'),
+            ('MemoryMb=300', 'MemoryMb=nan', 'Limits.MemoryMb: expected'),
+            ('MemoryMb=300', 'MemoryMb=inf', 'Limits.MemoryMb: expected'),
         ):
             with self.assertRaisesRegex(exceptions.SettingsError, named):
                 settings.parse_settings(_SETTINGS.replace(before, after))
