--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -199,10 +199,11 @@
 
     def _read_body(self, response: urllib3.BaseHTTPResponse, deadline: float,
                    memory: bytebudgets.Usage) -> bytes | bytearray | None:
-        """Returns the body, or None if it is too large.
+        """Returns the body, or None if there is no room for it.
 
         Raises:
           urllib3.exceptions.ProtocolError: The end of the body isn't proved.
+          urllib3.exceptions.TimeoutError: It takes too long.
         """
         if (not self._single_use and not response.chunked and
                 response.length_remaining is None):
