--- a/tests/fuzzreaders.py
+++ b/tests/fuzzreaders.py
@@ -41,6 +41,7 @@
 from lentilmoor.platform import servers
 from lentilmoor.platform import store
 from lentilmoor.platform import views
+from tests import exchangehelp
 from tests import fuzzmessages
 from tests import platformhelp
 
@@ -297,14 +298,7 @@
 
 def _send(pool: connections.Pool, request_id: str) -> exchange.Result:
     mine, theirs = socket.socketpair()
-    outgoing = exchange.OutgoingRequest(request_id,
-                                        'GET',
-                                        '/x',
-                                        dict,
-                                        b'',
-                                        True,
-                                        _CLOCK.now() + _TIMEOUT_MS,
-                                        carried_id=request_id)
+    outgoing = exchangehelp.make_request(_CLOCK.now() + _TIMEOUT_MS, request_id)
     with mine, theirs:
         return exchange.send(pool, outgoing, exchange.CallerWatch(mine), _PARSE,
                              _CLOCK)
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -19,6 +19,7 @@
 from lentilmoor.edge import proxying
 from lentilmoor.edge import proxytables
 from lentilmoor.platform import headerformat
+from tests import exchangehelp
 from tests import platformhelp
 from tests import test_request_framing
 
@@ -69,14 +70,7 @@
         pool = connections.Pool(f'127.0.0.1:{listener.getsockname()[1]}',
                                 connections.PoolLimits(), _CLOCK)
         self.addCleanup(pool.close)
-        outgoing = exchange.OutgoingRequest('r1',
-                                            'GET',
-                                            '/x',
-                                            dict,
-                                            b'',
-                                            True,
-                                            _CLOCK.now() + _TIMEOUT_MS,
-                                            carried_id='r1')
+        outgoing = exchangehelp.make_request(_CLOCK.now() + _TIMEOUT_MS)
         results = []
         peak = self._measure_peak(lambda: results.append(
             exchange.send(
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -14,6 +14,7 @@
 from lentilmoor import outcomes
 from lentilmoor.edge import exchange
 from lentilmoor.platform import headerformat
+from tests import exchangehelp
 
 _Fault = answerheads.Fault
 
@@ -62,14 +63,8 @@
             request_id: str = 'r1',
             make_headers: Callable[[], dict[str,
                                             str]] = dict) -> exchange.Result:
-        outgoing = exchange.OutgoingRequest(request_id,
-                                            'GET',
-                                            '/x',
-                                            make_headers,
-                                            b'',
-                                            True,
-                                            _CLOCK.now() + _TIMEOUT_MS,
-                                            carried_id=request_id)
+        outgoing = exchangehelp.make_request(_CLOCK.now() + _TIMEOUT_MS,
+                                             request_id, make_headers)
         return exchange.send(self._pool, outgoing, self._watch, _PARSE, _CLOCK)
 
     def _serve(self, *answers: bytes, resets: bool = False) -> threading.Thread:
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -25,6 +25,7 @@
 from lentilmoor.platform import headerformat
 from lentilmoor.platform import servers
 from tests import endlesspeers
+from tests import exchangehelp
 from tests import waits
 
 _CLOCK = clocks.make_suspend_clock()
@@ -63,15 +64,8 @@
               memory: bytebudgets.Usage | None = None) -> exchange.Result:
         pool = connections.Pool(address, connections.PoolLimits(), _CLOCK)
         self.addCleanup(pool.close)
-        outgoing = exchange.OutgoingRequest('r1',
-                                            'GET',
-                                            '/x',
-                                            dict,
-                                            b'',
-                                            True,
-                                            _CLOCK.now() + timeout_ms,
-                                            memory or bytebudgets.Usage(),
-                                            carried_id='r1')
+        outgoing = exchangehelp.make_request(_CLOCK.now() + timeout_ms,
+                                             memory=memory)
         return exchange.send(pool, outgoing, self.watch,
                              _FORMAT.parse_answer_headers, _CLOCK)
 
--- a/tests/test_odd_statuses.py
+++ b/tests/test_odd_statuses.py
@@ -19,6 +19,7 @@
 from lentilmoor.platform import headerformat
 from lentilmoor.platform import servers
 from tests import bytepeers
+from tests import exchangehelp
 
 _CLOCK = clocks.make_suspend_clock()
 _TIMEOUT_MS = 1_000.0
@@ -60,14 +61,7 @@
         pool = self._make_pool()
 
         def send() -> exchange.Result:
-            outgoing = exchange.OutgoingRequest('r1',
-                                                'GET',
-                                                '/x',
-                                                dict,
-                                                b'',
-                                                True,
-                                                _CLOCK.now() + _TIMEOUT_MS,
-                                                carried_id='r1')
+            outgoing = exchangehelp.make_request(_CLOCK.now() + _TIMEOUT_MS)
             return exchange.send(
                 pool, outgoing, self._watch,
                 headerformat.make_header_format().parse_answer_headers, _CLOCK)
--- a/tests/test_paused_waits.py
+++ b/tests/test_paused_waits.py
@@ -26,10 +26,11 @@
     outgoing = exchange.OutgoingRequest(
         'r1', 'GET', '/x', dict, b'', False, clock.now() + 1_000.0,
         carried_id='r1')
-    caller, _ = pair = socket.socketpair()
-    return exchange.send(
-        pool, outgoing, exchange.CallerWatch(caller),
-        headerformat.make_header_format().parse_answer_headers, clock)
+    caller, other_end = socket.socketpair()
+    with caller, other_end:
+        return exchange.send(
+            pool, outgoing, exchange.CallerWatch(caller),
+            headerformat.make_header_format().parse_answer_headers, clock)
 
 def call():
     return httpclient.Client(clock, 1).call(
