Pool: a request that finds an idle connection looks no further

acquire looked through all idle connections for the request's id before it took one, which looks again; only a thread that waits needs to know. The wait has a method of its own, and the choice of an idle connection stands once.

Behaviour stays as it was.

--- a/lentilmoor/connections.py
+++ b/lentilmoor/connections.py
@@ -14,6 +14,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 import socket
@@ -265,22 +266,19 @@
         """
         started_at = self.clock.now()
         deadline = started_at + timeout_ms
+
+        def take_idle() -> Connection | None:
+            return (None if new_only else self._pop_idle(
+                idempotent, avoided, request_id))
+
         with self._state_changed:
-            avoids = bool(avoided) or any(
-                item.has_carried(request_id) for item in self._idle)
-            self._avoiding_count += avoids
-            try:
-                connection = (None if new_only else self._pop_idle(
-                    idempotent, avoided, request_id))
-                while connection is None and not self._reserve_slot():
-                    failure = self._wait_for_change(started_at, deadline,
-                                                    new_only)
-                    if failure is not None:
-                        return failure
-                    connection = (None if new_only else self._pop_idle(
-                        idempotent, avoided, request_id))
-            finally:
-                self._avoiding_count -= avoids
+            connection = take_idle()
+            if connection is None and not self._reserve_slot():
+                avoids = bool(avoided) or any(
+                    item.has_carried(request_id) for item in self._idle)
+                connection = self._wait_for_connection(take_idle, avoids,
+                                                       started_at, deadline,
+                                                       new_only)
         if connection is None:
             connection = self._open(deadline)
         if isinstance(connection, Connection):
@@ -371,6 +369,35 @@
         self.state.open_count += 1
         return True
 
+    def _wait_for_connection(
+            self, take_idle: Callable[[], Connection | None], avoids: bool,
+            started_at: float, deadline: float,
+            new_only: bool) -> Connection | outcomes.Failed | None:
+        """Waits for an idle connection, or for a slot to open one.
+
+        Args:
+          take_idle: Returns an idle connection that may be used, if there is.
+          avoids: Whether there are connections that it leaves out.
+          started_at: When the request asked for a connection, ms.
+          deadline: When the wait ends, ms.
+          new_only: Whether only a new connection may be used.
+
+        Returns:
+          The connection; None if a slot is reserved; or why neither is to be
+          had.
+        """
+        self._avoiding_count += avoids
+        try:
+            while True:
+                failure = self._wait_for_change(started_at, deadline, new_only)
+                if failure is not None:
+                    return failure
+                connection = take_idle()
+                if connection is not None or self._reserve_slot():
+                    return connection
+        finally:
+            self._avoiding_count -= avoids
+
     def _wait_for_change(self, started_at: float, deadline: float,
                          new_only: bool) -> outcomes.Failed | None:
         """Waits for a change of the pool; returns a failure if none helps."""
