--- a/lentilmoor/clients.py
+++ b/lentilmoor/clients.py
@@ -6,8 +6,8 @@
 
 import urllib3
 
-from lentilmoor import boundedreads
 from lentilmoor import clocks
+from lentilmoor import httpclient
 from lentilmoor import outcomes
 from lentilmoor import problems
 
@@ -110,19 +110,13 @@
                   data.decode(errors='replace'))
 
 
-class _ConnectionPool(urllib3.HTTPConnectionPool):
-    """Connections whose answers are proved whole."""
-
-    ConnectionCls = boundedreads.BoundedConnection
-
-
-def _make_pool(target: Target) -> _ConnectionPool:
+def _make_pool(target: Target) -> httpclient.ConnectionPool:
     url = urllib3.util.parse_url(f'http://{target.address}')
-    return _ConnectionPool(url.host,
-                           url.port,
-                           timeout=target.timeout_s,
-                           clock=clocks.Clock(),
-                           max_body_bytes=_MAX_ANSWER_BYTES)
+    return httpclient.ConnectionPool(url.host,
+                                     url.port,
+                                     timeout=target.timeout_s,
+                                     clock=clocks.Clock(),
+                                     max_body_bytes=_MAX_ANSWER_BYTES)
 
 
 def _lost(method: str, detail: str) -> outcomes.NotRun | outcomes.Unknown:
--- a/lentilmoor/httpclient.py
+++ b/lentilmoor/httpclient.py
@@ -64,7 +64,7 @@
     return '' if result.status == 200 else str(result.status)
 
 
-class _ConnectionPool(urllib3.HTTPConnectionPool):
+class ConnectionPool(urllib3.HTTPConnectionPool):
     """Connections whose replies are read within bounds.
 
     Attributes:
@@ -189,10 +189,10 @@
             pool = self._pools.get(address)
             if pool is None:
                 host, _, port = address.rpartition(':')
-                pool = _ConnectionPool(host.strip('[]'),
-                                       int(port),
-                                       maxsize=self._idle_connections,
-                                       **self._connection_options)
+                pool = ConnectionPool(host.strip('[]'),
+                                      int(port),
+                                      maxsize=self._idle_connections,
+                                      **self._connection_options)
                 pool.single_use = self._single_use
                 self._pools[address] = pool
             return pool
